--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: setup test fix demo up soak bench capacity
+
+$(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt hatchling editables
+	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation \
+	  $(foreach p,$(PACKAGES),--editable $(p)) --requirement requirements-dev.txt
+	touch $@
+
+setup: $(VENV)/.ready
+
+test: setup
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/lint-imports
+	$(BIN)/mypy $(wildcard packages/*/src)
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6
+
+fix: setup
+	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages
+
+demo: setup
+	$(BIN)/python -m chicoryweir_standins demo
+
+up: setup
+	exec $(BIN)/python -m chicoryweir_standins up
+
+soak: setup
+	$(BIN)/python -m chicoryweir_standins soak --seed $(SEED) --seconds $(SECONDS)
+
+bench: setup
+	$(BIN)/python -m chicoryweir_standins bench
+
+capacity: setup
+	$(BIN)/python -m chicoryweir_standins capacity
--- /dev/null
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and agent daemons."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the load balancer as pure functions and sans-I/O cores."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, queues, fair sharing and limits."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts and their interpreter."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that keep a non-idempotent request to one run."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic cores of the roles."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and the switch of a group's expert map."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps: popularity, placement and the worth of a change."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live, leaving and dead instances."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoints hold which models, adapters and roles."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the endpoints that run them."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget, backoff and hedging."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoint for a request."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The tree of settings: schema, inheritance, versions."""
--- /dev/null
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and links between the daemons."""
