--- a/packages/chicoryweir-policy/src/chicoryweir_policy/store.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/store.py
@@ -135,4 +135,6 @@
     detail: str
 
 
-Result = Rows | Committed | Conflicted | ObjectFetched | ObjectStored | Refused | Unknown
+Result = (
+    Rows | Committed | Conflicted | ObjectFetched | ObjectStored | Refused | Unknown
+)
