--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
@@ -17,9 +17,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkOpened:
-    """A link to a peer is up; `hello` is what the peer said first."""
+    """A link to a peer is up.
+
+    Attributes:
+        hello: What the peer said first.
+        session: Identifier of the link, made by the side that listens.
+    """
 
     hello: messages.Hello
+    session: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
@@ -0,0 +1,188 @@
+"""Links between daemons: authenticated websockets that carry messages."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import dataclasses
+import os
+import typing
+
+from websockets.asyncio import client
+from websockets.asyncio import connection
+from websockets.asyncio import server
+import websockets.exceptions
+
+from chicoryweir_policy import messages
+from chicoryweir_wire import codec
+from chicoryweir_wire import sealing
+
+HANDSHAKE_TIMEOUT_S = 5.0
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 4.0
+MAX_QUEUED_MESSAGES = 10_000
+
+
+@dataclasses.dataclass(eq=False)
+class LinkError(Exception):
+    """A link failed.
+
+    Attributes:
+        step: Step at which it failed: `dial`, `handshake` or `receive`.
+        peer: Address or instance of the other side.
+        detail: What happened.
+    """
+
+    step: str
+    peer: str
+    detail: str
+
+
+class Link:
+    """One authenticated link; `hello` is what the peer said first."""
+
+    def __init__(
+        self,
+        socket: connection.Connection,
+        sealer: sealing.Sealer,
+        opener: sealing.Opener,
+        peer: str,
+    ) -> None:
+        self._socket = socket
+        self._sealer = sealer
+        self._opener = opener
+        self._peer = peer
+        self._outgoing: asyncio.Queue[messages.Message] = asyncio.Queue(
+            MAX_QUEUED_MESSAGES
+        )
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def send(self, message: messages.Message) -> bool:
+        """Queues a message; returns False when the peer does not keep up."""
+        try:
+            self._outgoing.put_nowait(message)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def run_sender(self) -> None:
+        """Sends queued messages until the link closes."""
+        while True:
+            await self.transmit(await self._outgoing.get())
+
+    async def transmit(self, message: messages.Message) -> None:
+        """Sends one message, ahead of queued ones."""
+        sealed = self._sealer.seal(codec.encode_message(message))
+        self.sent_bytes += len(sealed)
+        await self._socket.send(sealed)
+
+    async def receive(self) -> messages.Message:
+        """Returns the peer's next message.
+
+        Raises:
+            LinkError: The link closed, or the peer sent what is no message.
+        """
+        try:
+            sealed = await self._socket.recv()
+        except websockets.exceptions.ConnectionClosed as error:
+            raise LinkError("receive", self._peer, str(error)) from error
+        frame = self._opener.open(sealed) if isinstance(sealed, bytes) else None
+        if frame is None:
+            raise LinkError("receive", self._peer, "frame is not authentic")
+        self.received_bytes += len(frame)
+        message = codec.decode_message(frame)
+        if isinstance(message, codec.Malformed):
+            raise LinkError("receive", self._peer, message.detail)
+        return message
+
+    async def close(self) -> None:
+        """Closes the link."""
+        await self._socket.close()
+
+
+async def _shake_hands(
+    socket: connection.Connection, secret: bytes, dials: bool, peer: str
+) -> Link:
+    own_nonce = os.urandom(sealing.NONCE_BYTES)
+    await socket.send(own_nonce)
+    peer_nonce = await socket.recv()
+    if not isinstance(peer_nonce, bytes) or len(peer_nonce) != sealing.NONCE_BYTES:
+        raise LinkError("handshake", peer, "no nonce")
+    if dials:
+        keys = sealing.derive_keys(secret, own_nonce, peer_nonce)
+        return Link(
+            socket, sealing.Sealer(keys.dialer), sealing.Opener(keys.listener), peer
+        )
+    keys = sealing.derive_keys(secret, peer_nonce, own_nonce)
+    return Link(
+        socket, sealing.Sealer(keys.listener), sealing.Opener(keys.dialer), peer
+    )
+
+
+async def _exchange_hellos(
+    link: Link, own: messages.Hello, peer: str
+) -> messages.Hello:
+    await link.transmit(own)
+    first = await link.receive()
+    if not isinstance(first, messages.Hello):
+        raise LinkError("handshake", peer, "first message is no Hello")
+    return first
+
+
+async def dial_link(
+    ip: str, port: int, secret: bytes, own: messages.Hello
+) -> tuple[Link, messages.Hello]:
+    """Opens a link to a daemon and returns it with the peer's Hello.
+
+    Raises:
+        LinkError: The peer can't be reached or does not hold the secret.
+    """
+    peer = f"{ip}:{port}"
+    try:
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            socket = await client.connect(
+                f"ws://{ip}:{port}",
+                compression=None,
+                max_size=codec.MAX_FRAME_BYTES + sealing.CODE_BYTES,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+                proxy=None,
+            )
+            link = await _shake_hands(socket, secret, True, peer)
+            hello = await _exchange_hellos(link, own, peer)
+    except (OSError, TimeoutError, websockets.exceptions.WebSocketException) as error:
+        raise LinkError("dial", peer, type(error).__name__) from error
+    return link, hello
+
+
+Handler = collections.abc.Callable[
+    [Link, messages.Hello], collections.abc.Awaitable[None]
+]
+HelloFactory = collections.abc.Callable[[], messages.Hello]
+
+
+async def listen_links(
+    ip: str, port: int, secret: bytes, make_hello: HelloFactory, handle: Handler
+) -> server.Server:
+    """Accepts links; `handle` runs for each until it returns."""
+
+    async def accept(socket: server.ServerConnection) -> None:
+        peer = str(socket.remote_address)
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                link = await _shake_hands(socket, secret, False, peer)
+                hello = await _exchange_hellos(link, make_hello(), peer)
+        except (LinkError, TimeoutError, websockets.exceptions.WebSocketException):
+            return
+        await handle(link, hello)
+
+    return await server.serve(
+        typing.cast(typing.Any, accept),
+        ip,
+        port,
+        compression=None,
+        max_size=codec.MAX_FRAME_BYTES + sealing.CODE_BYTES,
+        ping_interval=PING_INTERVAL_S,
+        ping_timeout=PING_TIMEOUT_S,
+    )
--- /dev/null
+++ b/packages/chicoryweir-wire/tests/test_codec.py
@@ -0,0 +1,63 @@
+"""Tests of the message codec."""
+
+from __future__ import annotations
+
+import cbor2
+import hypothesis
+from hypothesis import strategies
+
+from chicoryweir_policy import messages
+from chicoryweir_wire import codec
+
+
+@hypothesis.given(
+    strategies.builds(
+        messages.AttemptChunk,
+        attempt_id=strategies.text(),
+        sequence=strategies.integers(0, 2**63),
+        payloads=strategies.lists(strategies.binary()).map(tuple),
+    )
+)
+def test_chunk_survives_the_round_trip(message: messages.AttemptChunk) -> None:
+    assert codec.decode_message(codec.encode_message(message)) == message
+
+
+def test_hello_survives_the_round_trip() -> None:
+    hello = messages.Hello("a", messages.Role.AGENT, "telavi", "desk", "i", "s", 3)
+    assert codec.decode_message(codec.encode_message(hello)) == hello
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_decode_or_are_malformed(frame: bytes) -> None:
+    codec.decode_message(frame)
+
+
+_JUNK = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5)
+    | strategies.binary(max_size=5),
+    lambda inner: strategies.lists(inner, max_size=5),
+    max_leaves=20,
+)
+
+
+@hypothesis.given(strategies.integers(-3, 40), strategies.lists(_JUNK, max_size=20))
+def test_wrong_fields_are_malformed_and_never_raise(
+    number: int, fields: list[object]
+) -> None:
+    codec.decode_message(cbor2.dumps([number, *fields]))
+
+
+def test_bytes_after_the_message_are_refused() -> None:
+    frame = codec.encode_message(messages.Heartbeat(1))
+    assert isinstance(codec.decode_message(frame + b"\x00"), codec.Malformed)
+
+
+def test_wrong_type_names_the_field() -> None:
+    number = codec.MESSAGE_TYPES.index(messages.Heartbeat)
+    outcome = codec.decode_message(cbor2.dumps([number, "x"]))
+    detail = "Heartbeat.sequence: expected an integer of 64 bits"
+    assert outcome == codec.Malformed(detail)
