--- a/packages/chicoryweir-policy/src/chicoryweir_policy/charts/__init__.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/charts/__init__.py
@@ -1,1 +1,1 @@
-"""State charts and their interpreter."""
+"""State charts in files, and the interpreter that steps through them."""
