Add the settings tree, its schema and inheritance

Of nodes equally deep the one named at the higher level wins; the other order (most names matched) was ruled out, as it makes a place's own value depend on what its siblings list.

--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/catalogue.py
@@ -0,0 +1,84 @@
+"""Catalogue of the settings an operator can write, with types and ranges."""
+
+from __future__ import annotations
+
+import dataclasses
+
+MAX_DURATION_MS = 86_400_000
+MAX_TOKENS = 1_000_000_000
+MAX_SIZE_BYTES = 1 << 30
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting and the values it allows.
+
+    Attributes:
+        name: Key under `settings` in a node of the tree.
+        whole: Whether the value must be a whole number.
+        minimum: Least value allowed.
+        maximum: Greatest value allowed.
+        unit: Unit of the value, or an empty string for a ratio or a count.
+        nullable: Whether null, which switches the limit off, is allowed.
+        summary: What the setting does, in one line.
+    """
+
+    name: str
+    whole: bool
+    minimum: float
+    maximum: float
+    unit: str
+    nullable: bool
+    summary: str
+
+    def describe_allowed(self) -> str:
+        """Returns the allowed values as a phrase for an operator."""
+        kind = "a whole number" if self.whole else "a number"
+        unit = f" {self.unit}" if self.unit else ""
+        null = ", or null" if self.nullable else ""
+        return f"{kind} from {self.minimum:g} to {self.maximum:g}{unit}{null}"
+
+
+def _count(
+    name: str, low: int, high: int, summary: str, unit: str = "", null: bool = False
+) -> Setting:
+    return Setting(name, True, low, high, unit, null, summary)
+
+
+def _number(
+    name: str, low: float, high: float, summary: str, unit: str = "", null: bool = False
+) -> Setting:
+    return Setting(name, False, low, high, unit, null, summary)
+
+
+SETTINGS: tuple[Setting, ...] = (
+    _count("deadline_ms", 1, MAX_DURATION_MS, "Deadline without X-Deadline-Ms", "ms"),
+    _number("weight", 0.001, 1000.0, "Weight of a workspace in its class"),
+    _number(
+        "rate_tokens_per_s", 0.001, MAX_TOKENS, "Rate limit", "tokens/s", null=True
+    ),
+    _number("burst_tokens", 0.0, MAX_TOKENS, "Burst above the rate limit", "tokens"),
+    _count("max_inflight", 1, 1_000_000, "Requests in flight at once", null=True),
+    _number("floor_share", 0.0, 1.0, "Share of capacity a class keeps in a flood"),
+    _count("max_request_bytes", 1, MAX_SIZE_BYTES, "Longest request body", "bytes"),
+    _count("max_answer_bytes", 1, MAX_SIZE_BYTES, "Longest answer body", "bytes"),
+    _count("max_header_bytes", 256, 1 << 20, "Longest request header", "bytes"),
+    _count("max_attempts", 1, 10, "Attempts for one request, the first included"),
+    _number("retry_ratio", 0.0, 1.0, "Retries allowed for each request sent"),
+    _count(
+        "hedge_after_ms", 1, MAX_DURATION_MS, "Wait before a hedge", "ms", null=True
+    ),
+    _count(
+        "spill_wait_ms", 0, MAX_DURATION_MS, "Queueing delay that spills over", "ms"
+    ),
+    _count("queue_limit", 0, 1_000_000, "Requests waiting at one endpoint"),
+    _count("drain_timeout_ms", 0, MAX_DURATION_MS, "Time a drain gives requests", "ms"),
+    _count("quarantine_losses", 1, 100, "Endpoints lost before a request is refused"),
+    _number("max_ejected_share", 0.0, 1.0, "Largest share of endpoints set aside"),
+    _number("map_gain_min", 0.0, 1.0, "Least gain in skew for a new expert map"),
+    _number(
+        "map_keep_s", 0.0, 86_400.0, "Time an expert map is kept at the least", "s"
+    ),
+)
+
+BY_NAME: dict[str, Setting] = {setting.name: setting for setting in SETTINGS}
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/difference.py
@@ -0,0 +1,85 @@
+"""Differences between settings documents."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from chicoryweir_policy import store
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Absent:
+    """Stands for a value that one of the documents does not have."""
+
+
+ABSENT = Absent()
+
+Side = store.Json | Absent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One place at which two documents differ.
+
+    Attributes:
+        path: JSON pointer (RFC 6901) of the value.
+        before: Value in the first document.
+        after: Value in the second document.
+    """
+
+    path: str
+    before: Side
+    after: Side
+
+
+def find_changes(before: store.Json, after: store.Json) -> tuple[Change, ...]:
+    """Lists the changes from one document to another, in order of path.
+
+    Objects are compared key by key; lists and scalars as a whole.
+    """
+    return tuple(_walk_changes("", before, after))
+
+
+def join_pointer(path: str, key: str) -> str:
+    """Appends a key to a JSON pointer."""
+    return f"{path}/{key.replace('~', '~0').replace('/', '~1')}"
+
+
+def split_pointer(path: str) -> tuple[str, ...]:
+    """Splits a JSON pointer into its keys."""
+    if not path:
+        return ()
+    return tuple(
+        key.replace("~1", "/").replace("~0", "~") for key in path.split("/")[1:]
+    )
+
+
+def render_side(side: Side) -> store.Json:
+    """Returns the value as JSON; an absent value becomes null."""
+    return None if isinstance(side, Absent) else side
+
+
+def _walk_changes(
+    path: str, before: Side, after: Side
+) -> collections.abc.Iterator[Change]:
+    if isinstance(before, dict) and isinstance(after, dict):
+        for key in sorted(before.keys() | after.keys()):
+            yield from _walk_changes(
+                join_pointer(path, key), before.get(key, ABSENT), after.get(key, ABSENT)
+            )
+    elif not _is_same(before, after):
+        yield Change(path, before, after)
+
+
+def _is_same(before: Side, after: Side) -> bool:
+    """Compares as JSON does: true is not 1, but 1 and 1.0 are equal numbers."""
+    if isinstance(before, bool) or isinstance(after, bool):
+        return before is after
+    if isinstance(before, list) and isinstance(after, list):
+        return len(before) == len(after) and all(map(_is_same, before, after))
+    if isinstance(before, dict) and isinstance(after, dict):
+        return before.keys() == after.keys() and all(
+            _is_same(before[key], after[key]) for key in before
+        )
+    return before == after
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/resolution.py
@@ -0,0 +1,166 @@
+"""Effective settings of a place, service, workspace and priority class."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+from chicoryweir_policy import requests
+from chicoryweir_policy.settings import tree as trees
+
+MAX_RESOLVED = 4096
+DEFAULTS_ORIGIN = "defaults"
+
+_DEADLINE_MS = {
+    requests.PriorityClass.URGENT: 10_000,
+    requests.PriorityClass.STANDARD: 30_000,
+    requests.PriorityClass.BULK: 120_000,
+}
+_FLOOR_SHARE = {
+    requests.PriorityClass.URGENT: 0.5,
+    requests.PriorityClass.STANDARD: 0.3,
+    requests.PriorityClass.BULK: 0.1,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Effective:
+    """Values in effect; names, units and ranges are those of the catalogue.
+
+    A value of None switches the limit off.
+    """
+
+    deadline_ms: int
+    floor_share: float
+    weight: float = 1.0
+    rate_tokens_per_s: float | None = None
+    burst_tokens: float = 20_000.0
+    max_inflight: int | None = None
+    max_request_bytes: int = 1 << 20
+    max_answer_bytes: int = 16 << 20
+    max_header_bytes: int = 16 << 10
+    max_attempts: int = 3
+    retry_ratio: float = 0.1
+    hedge_after_ms: int | None = None
+    spill_wait_ms: int = 200
+    queue_limit: int = 256
+    drain_timeout_ms: int = 60_000
+    quarantine_losses: int = 2
+    max_ejected_share: float = 0.3
+    map_gain_min: float = 0.05
+    map_keep_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where the value of a setting came from.
+
+    Attributes:
+        name: Name of the setting.
+        value: Value in effect.
+        node: JSON pointer of the node that set it, or `defaults`.
+    """
+
+    name: str
+    value: trees.Value
+    node: str
+
+
+def default_values(priority: requests.PriorityClass) -> Effective:
+    """Returns the values in effect where the tree sets nothing."""
+    return Effective(
+        deadline_ms=_DEADLINE_MS[priority], floor_share=_FLOOR_SHARE[priority]
+    )
+
+
+def resolve(
+    tree: trees.Tree,
+    place: str,
+    service: str,
+    workspace: str,
+    priority: requests.PriorityClass,
+) -> Effective:
+    """Computes the values in effect; an empty name matches only `*`.
+
+    The deepest node wins. Of nodes equally deep, the one that is named at the
+    higher level wins over `*`.
+    """
+    values: dict[str, typing.Any] = {}
+    for _, node in _walk_matches(tree, (place, service, workspace, _name(priority))):
+        values.update(node.values)
+    return dataclasses.replace(default_values(priority), **values)
+
+
+def explain(
+    tree: trees.Tree,
+    place: str,
+    service: str,
+    workspace: str,
+    priority: requests.PriorityClass,
+) -> tuple[Origin, ...]:
+    """Tells for each setting its effective value and the node that set it."""
+    defaults = default_values(priority)
+    origins = {
+        field.name: Origin(field.name, getattr(defaults, field.name), DEFAULTS_ORIGIN)
+        for field in dataclasses.fields(Effective)
+    }
+    for path, node in _walk_matches(tree, (place, service, workspace, _name(priority))):
+        for name, value in node.values.items():
+            origins[name] = Origin(name, value, path)
+    return tuple(origins[name] for name in sorted(origins))
+
+
+def _name(priority: requests.PriorityClass) -> str:
+    return priority.name.lower()
+
+
+def _walk_matches(
+    tree: trees.Tree, names: tuple[str, ...]
+) -> collections.abc.Iterator[tuple[str, trees.Node]]:
+    """Yields the nodes that match, weakest first, with their JSON pointers."""
+    matches = [("/fleet", tree.fleet)]
+    yield from matches
+    for level, name in zip(trees.LEVELS, names, strict=True):
+        wanted = (trees.ANY_NAME, name) if name != trees.ANY_NAME else (name,)
+        matches = [
+            (f"{path}/{level}/{candidate}", node.children[candidate])
+            for path, node in matches
+            for candidate in wanted
+            if candidate in node.children
+        ]
+        yield from matches
+
+
+class Resolver:
+    """Resolves against one tree and remembers a bounded number of answers."""
+
+    def __init__(self, tree: trees.Tree, max_resolved: int) -> None:
+        self.tree = tree
+        self._max_resolved = max_resolved
+        self._resolved: dict[
+            tuple[str, str, str, requests.PriorityClass], Effective
+        ] = {}
+
+    def resolve(
+        self,
+        place: str,
+        service: str,
+        workspace: str,
+        priority: requests.PriorityClass,
+    ) -> Effective:
+        """Returns the values in effect, as `resolve` of this module does."""
+        key = (place, service, workspace, priority)
+        found = self._resolved.get(key)
+        if found is not None:
+            return found
+        if len(self._resolved) >= self._max_resolved:
+            del self._resolved[next(iter(self._resolved))]
+        effective = resolve(self.tree, place, service, workspace, priority)
+        self._resolved[key] = effective
+        return effective
+
+
+def make_resolver(tree: trees.Tree, max_resolved: int = MAX_RESOLVED) -> Resolver:
+    """Creates a resolver that keeps at most `max_resolved` answers."""
+    return Resolver(tree, max_resolved)
