--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -9,9 +9,10 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
-from chicoryweir_policy.admission import queue
+from chicoryweir_policy.admission import queued
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import events
+from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
 from chicoryweir_policy.cores.agent import attempts
 from chicoryweir_policy.cores.agent import load
@@ -50,13 +51,14 @@
     closed link costs O(n) in the live attempts.
     """
 
-    def __init__(self, facts: AgentFacts, work: queue.Queue) -> None:
+    def __init__(self, facts: AgentFacts, work: queued.Queue) -> None:
         self._facts = facts
         self._queue = work
         self._sessions = sessions.SessionTable()
         self._attempts = attempts.AttemptTable()
         self._load = load.LoadMeter(facts.slots)
-        self._settings = settings_task.SettingsTask(facts.instance)
+        self._operations = operations.Operations()
+        self._settings = settings_task.SettingsTask(facts.instance, self._operations)
         self._running: dict[str, attempts.Attempt] = {}
         self._suspects: set[str] = set()
         self._leaving = False
@@ -98,11 +100,12 @@
             case events.LinkOpened():
                 self._open_session(event, now, out)
             case events.LinkClosed():
-                self._close_session(event.session, now, out)
+                self._close_session(event, now, out)
             case events.DrainRequested():
                 self._drain(now, out)
             case events.StoreReplied():
-                self._settings.consume_reply(event, now, out)
+                purpose = self._operations.take(event.operation_id)
+                self._settings.consume_result(purpose, event.result, now, out)
             case (
                 events.InstancesListed()
                 | events.RequestArrived()
@@ -155,7 +158,7 @@
         attempt = attempts.Attempt(
             submit, session.session, session.instance, now + submit.deadline_in_s
         )
-        queued = queue.Queued(
+        entry = queued.Queued(
             attempt_id=submit.attempt_id,
             workspace=submit.workspace,
             priority=submit.priority,
@@ -168,25 +171,24 @@
         self._attempts.add(attempt)
         if submit.suspect:
             self._suspects.add(submit.attempt_id)
-        self._enqueue(queued, now, out)
+        self._enqueue(entry, now, out)
 
-    def _enqueue(self, queued: queue.Queued, now: float, out: Commands) -> None:
-        outcome = self._queue.push(queued, now)
+    def _enqueue(self, entry: queued.Queued, now: float, out: Commands) -> None:
+        outcome = self._queue.push(entry, now)
         match outcome:
-            case queue.Accepted():
-                for evicted in outcome.evicted:
-                    self._reject_attempt(
-                        evicted.attempt_id,
-                        messages.RejectReason.QUEUE_FULL,
-                        outcome.retry_after_ms,
-                        out,
-                    )
-            case queue.Rejected():
-                self._reject_attempt(
-                    queued.attempt_id, outcome.reason, outcome.retry_after_ms, out
-                )
+            case queued.Accepted():
+                lost = outcome.evicted
+            case queued.Rejected():
+                lost = (outcome,)
             case _:
                 typing.assert_never(outcome)
+        for rejected in lost:
+            self._reject_attempt(
+                rejected.entry.attempt_id,
+                messages.RejectReason.QUEUE_FULL,
+                rejected.retry_after_ms,
+                out,
+            )
 
     def _find_refusal(
         self, session: sessions.Session, submit: messages.SubmitAttempt
@@ -290,10 +292,10 @@
 
     def _pump(self, now: float, out: Commands) -> None:
         while len(self._running) < self._facts.slots and self._load.serving:
-            queued = self._queue.pop(now)
-            if queued is None:
+            entry = self._queue.pop(now)
+            if entry is None:
                 return
-            attempt = self._attempts.find(queued.attempt_id)
+            attempt = self._attempts.find(entry.attempt_id)
             if attempt is None or attempt.running:
                 continue
             self._start(attempt, now, out)
@@ -344,8 +346,8 @@
 
     def _settle(self, attempt: attempts.Attempt, now: float) -> None:
         submit = attempt.submit
-        used = self._load.note_end(attempt, now)
-        self._queue.note_served(submit.workspace, submit.priority, used, now)
+        correction = self._load.note_end(attempt, now)
+        self._queue.note_served(submit.workspace, submit.priority, correction, now)
 
     def _finish(self, attempt_id: str, now: float, out: Commands) -> None:
         attempt = self._running.get(attempt_id)
@@ -429,9 +431,13 @@
 
     def _report(self, now: float, out: Commands) -> None:
         measure = self._queue.measure(now)
+        tokens = sum(
+            max(0.0, item.submit.cost_tokens - item.payloads)
+            for item in self._running.values()
+        )
         for session in self._sessions.list_entries():
             report = self._load.make_report(
-                session, measure, len(self._running), self._leaving
+                session, measure, len(self._running), tokens, self._leaving
             )
             out.append(commands.Send(session.instance, session.session, report))
         self._load.note_reported(now)
@@ -452,8 +458,11 @@
         self._settings.open_link(event, now, out)
         self._report(now, out)
 
-    def _close_session(self, session_id: str, now: float, out: Commands) -> None:
-        self._settings.close_link(session_id)
+    def _close_session(
+        self, event: events.LinkClosed, now: float, out: Commands
+    ) -> None:
+        session_id = event.session
+        self._settings.close_link(event.instance, session_id, now)
         self._sessions.close(session_id)
         for attempt in self._attempts.list_session(session_id):
             if attempt.running and attempt.must_end:
@@ -506,7 +515,7 @@
 
 
 def make_agent_core(
-    facts: AgentFacts, make_queue: collections.abc.Callable[[int], queue.Queue]
+    facts: AgentFacts, make_queue: collections.abc.Callable[[int], queued.Queue]
 ) -> AgentCore:
     """Makes the core of an agent around a queue for its number of slots."""
     return AgentCore(facts, make_queue(facts.slots))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
@@ -4,7 +4,7 @@
 
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
-from chicoryweir_policy.admission import queue
+from chicoryweir_policy.admission import queued
 from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores.agent import attempts
 from chicoryweir_policy.cores.agent import sessions
@@ -41,10 +41,11 @@
         self.incarnation = ""
 
     def note_end(self, attempt: attempts.Attempt, now: float) -> float:
-        """Takes the end of an attempt and returns the tokens it used."""
-        if attempt.submit.mode is requests.AnswerMode.EVENTS:
-            return float(attempt.payloads)
-        return attempt.submit.cost_tokens
+        """Takes the end of an attempt; returns its tokens beyond the estimate."""
+        if attempt.submit.mode is requests.AnswerMode.EVENTS and attempt.payloads:
+            prompt = attempt.submit.prompt_tokens
+            return prompt + attempt.payloads - attempt.submit.cost_tokens
+        return 0.0
 
     def is_report_due(self, now: float) -> bool:
         """Tells whether it is time for the next report."""
@@ -57,8 +58,9 @@
     def make_report(
         self,
         session: sessions.Session,
-        measure: queue.Measure,
+        measure: tuple[queued.ClassMeasure, ...],
         running: int,
+        running_tokens: float,
         leaving: bool,
     ) -> messages.LoadReport:
         """Returns the report for one entry."""
@@ -67,11 +69,11 @@
             sequence=session.reports,
             acknowledged=session.acknowledged,
             running=running,
-            waiting=measure.depth,
-            unfinished_tokens=measure.waiting_tokens,
+            waiting=sum(item.depth for item in measure),
+            unfinished_tokens=sum(item.tokens for item in measure) + running_tokens,
             slots=self._slots,
             tokens_per_s=self._slots / self._step_time_s,
-            wait_s=measure.wait_s,
+            wait_s=tuple(item.newcomer_wait_s for item in measure),
             leaving=leaving,
             serving=self.serving,
             endpoint_incarnation=self.incarnation,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from chicoryweir_policy import messages
+from chicoryweir_policy.membership import instances
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,7 +23,7 @@
 
     session: str
     instance: str
-    role: messages.Role
+    role: instances.Role
     acknowledged: int = 0
     reports: int = 0
     tombstones: set[str] = dataclasses.field(default_factory=set)
@@ -57,7 +58,7 @@
         return [
             session
             for session in self._sessions.values()
-            if session.role is messages.Role.ENTRY
+            if session.role is instances.Role.ENTRY
         ]
 
     def bury(self, attempt_id: str) -> None:
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -0,0 +1,119 @@
+"""Other daemons as an entry knows them: whom to link to, whom callers may use."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryweir_policy import messages
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.membership import instances
+
+STATUS_PERIOD_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _EntryPeer:
+    session: str
+    status: messages.EntryStatus | None = None
+
+
+class Peers:
+    """Membership of the fleet from seeds, the platform's list and live links."""
+
+    def __init__(
+        self, state: entry_state.EntryState, seeds: tuple[instances.Instance, ...]
+    ) -> None:
+        self._state = state
+        self._known = {seed.instance: seed for seed in seeds}
+        self._listed: frozenset[str] = frozenset()
+        self._entries: dict[str, _EntryPeer] = {}
+        self._kept: tuple[tuple[str, str, int], ...] | None = None
+        self._told_at = float("-inf")
+        self._leaving = False
+
+    def consume_list(
+        self, listed: tuple[instances.Instance, ...], out: entry_state.Commands
+    ) -> None:
+        """Takes the platform's list; a peer that a link is up to stays known."""
+        linked = set(self._state.agents) | set(self._entries)
+        kept = {
+            name: item
+            for name, item in self._known.items()
+            if name in linked or name not in self._listed
+        }
+        kept.update({item.instance: item for item in listed})
+        self._listed = frozenset(item.instance for item in listed)
+        self._known = kept
+        self.keep_links(out)
+
+    def keep_links(self, out: entry_state.Commands) -> None:
+        """Says which peers to dial, when that has changed."""
+        own = self._state.facts.instance
+        wanted: list[tuple[str, str, int]] = []
+        for name in sorted(self._known):
+            item = self._known[name]
+            if item.role is instances.Role.AGENT:
+                self._state.loads.note_endpoint(name, item.place, item.service)
+                wanted.append((name, item.ip, item.link_port))
+            elif name < own:
+                wanted.append((name, item.ip, item.link_port))
+        if tuple(wanted) != self._kept:
+            self._kept = tuple(wanted)
+            out.append(commands.KeepLinks(self._kept))
+
+    def open_entry(
+        self, hello: messages.Hello, session: str, out: entry_state.Commands
+    ) -> None:
+        """A link to another entry is up."""
+        self._entries[hello.instance] = _EntryPeer(session)
+        self._tell(hello.instance, session, out)
+
+    def close_entry(self, instance: str, session: str) -> None:
+        """A link to another entry is gone."""
+        peer = self._entries.get(instance)
+        if peer is not None and peer.session == session:
+            del self._entries[instance]
+
+    def consume_status(self, instance: str, status: messages.EntryStatus) -> None:
+        """Another entry told of itself."""
+        peer = self._entries.get(instance)
+        if peer is not None:
+            peer.status = status
+
+    def tick(self, now: float, out: entry_state.Commands) -> None:
+        """Tells the other entries of this one from time to time."""
+        if now - self._told_at < STATUS_PERIOD_S:
+            return
+        self._told_at = now
+        self.tell_all(out)
+
+    def leave(self, out: entry_state.Commands) -> None:
+        """Tells every entry that callers must no longer be sent here."""
+        self._leaving = True
+        self.tell_all(out)
+
+    def tell_all(self, out: entry_state.Commands) -> None:
+        """Tells every entry of this one."""
+        for instance, peer in self._entries.items():
+            self._tell(instance, peer.session, out)
+
+    def _tell(self, instance: str, session: str, out: entry_state.Commands) -> None:
+        out.append(commands.Send(instance, session, self.describe_self()))
+
+    def describe_self(self) -> messages.EntryStatus:
+        """Returns what this entry tells of itself."""
+        facts = self._state.facts
+        return messages.EntryStatus(
+            facts.instance, facts.ip, facts.port, facts.place, self._leaving
+        )
+
+    def list_entries(self) -> tuple[messages.EntryStatus, ...]:
+        """Returns the entries that callers may use: alive and not leaving."""
+        known = [self.describe_self()]
+        known += [peer.status for peer in self._entries.values() if peer.status]
+        return tuple(status for status in known if not status.leaving)
+
+    def list_sessions(self) -> list[tuple[str, str]]:
+        """Returns instance and session of each linked entry."""
+        return [(name, peer.session) for name, peer in self._entries.items()]
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
@@ -0,0 +1,190 @@
+"""The part of a core that keeps the settings in force and spreads them."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from chicoryweir_policy import catalogue
+from chicoryweir_policy import messages
+from chicoryweir_policy import requests
+from chicoryweir_policy import store
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+from chicoryweir_policy.cores import operations
+from chicoryweir_policy.settings import heads
+from chicoryweir_policy.settings import messages as version_messages
+from chicoryweir_policy.settings import resolution
+from chicoryweir_policy.settings import tree as trees
+from chicoryweir_policy.settings import versions
+
+Commands = list[commands.Command]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HeadRead:
+    """Purpose of a read of the head row."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ObjectRead:
+    """Purpose of a fetch of a version's object."""
+
+    name: str
+
+
+class SettingsTask:
+    """Holds the version in force; never goes below a version it has seen."""
+
+    def __init__(self, instance: str, numbers: operations.Operations) -> None:
+        self._instance = instance
+        self._operations = numbers
+        self._book: versions.VersionBook | None = None
+        self._resolver: resolution.Resolver | None = None
+        self._sessions: dict[str, str] = {}
+        self.head: heads.Head | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 for none."""
+        return self.head.version if self.head is not None else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether any version is in force."""
+        return self._resolver is not None
+
+    @property
+    def tree(self) -> trees.Tree | None:
+        """The tree in force, or None."""
+        return self._resolver.tree if self._resolver is not None else None
+
+    @property
+    def held(self) -> version_messages.Copy | None:
+        """The copy of the version in force, or None."""
+        return self._book.held if self._book is not None else None
+
+    def resolve(
+        self,
+        place: str,
+        service: str,
+        workspace: str,
+        priority: requests.PriorityClass,
+    ) -> resolution.Effective:
+        """Returns the values in effect; the defaults while no version is known."""
+        if self._resolver is None:
+            return resolution.default_values(priority)
+        return self._resolver.resolve(place, service, workspace, priority)
+
+    def tick(self, now: float, out: Commands) -> None:
+        """Polls the head row when that is due."""
+        if self._book is None or now >= versions.find_wake_time(self._book):
+            self._advance(version_messages.Ticked(), now, out)
+
+    def open_link(self, event: events.LinkOpened, now: float, out: Commands) -> None:
+        """A link is up; tells the peer the version in force."""
+        self._sessions[event.hello.instance] = event.session
+        self._send(event.hello.instance, messages.SettingsHead(self.head), out)
+
+    def close_link(self, instance: str, session: str, now: float) -> None:
+        """A link is gone."""
+        if self._sessions.get(instance) == session:
+            del self._sessions[instance]
+            self._advance(version_messages.PeerLost(instance), now, [])
+
+    def accept_change(
+        self, copy: version_messages.Copy, now: float, out: Commands
+    ) -> None:
+        """Puts a change that this process applied for an operator in force."""
+        self._advance(version_messages.ChangeAccepted(copy), now, out)
+
+    def consume_message(
+        self, event: events.MessageReceived, now: float, out: Commands
+    ) -> None:
+        """Takes a peer's message about settings; others are left alone."""
+        match event.message:
+            case messages.SettingsHead(head):
+                offered = version_messages.HeadOffered(event.instance, head)
+                self._advance(offered, now, out)
+            case messages.SettingsWanted():
+                asked = version_messages.CopyAsked(event.instance)
+                self._advance(asked, now, out)
+            case messages.SettingsBody(head, data):
+                copy = version_messages.Copy(head, data)
+                sent = version_messages.CopySent(event.instance, copy)
+                self._advance(sent, now, out)
+            case _:
+                pass
+
+    def consume_result(
+        self, purpose: typing.Any, result: store.Result, now: float, out: Commands
+    ) -> None:
+        """Takes the end of an operation that this task ran; others are left alone."""
+        match purpose:
+            case _HeadRead():
+                self._advance(version_messages.HeadRead(result), now, out)
+            case _ObjectRead(name):
+                self._advance(version_messages.ObjectRead(name, result), now, out)
+            case _:
+                pass
+
+    def _advance(
+        self, event: version_messages.Event, now: float, out: Commands
+    ) -> None:
+        if self._book is None:
+            self._book = versions.make_book(self._instance, now)
+        step = versions.advance(self._book, event, now)
+        self._book = step.book
+        for command in step.commands:
+            self._carry_out(command, out)
+
+    def _carry_out(self, command: version_messages.Command, out: Commands) -> None:
+        match command:
+            case version_messages.ReadHead(operation):
+                out.append(self._operations.run(operation, _HeadRead()))
+            case version_messages.FetchObject(operation):
+                purpose = _ObjectRead(operation.name)
+                out.append(self._operations.run(operation, purpose))
+            case version_messages.AskCopy(peer):
+                self._send(peer, messages.SettingsWanted(), out)
+            case version_messages.SendCopy(peer, copy):
+                self._send(peer, messages.SettingsBody(copy.head, copy.data), out)
+            case version_messages.AnnounceHead(head, peer):
+                for name in (peer,) if peer is not None else tuple(self._sessions):
+                    self._send(name, messages.SettingsHead(head), out)
+            case version_messages.Adopt(head, tree):
+                self._adopt(head, tree, out)
+            case version_messages.Violation():
+                out.append(
+                    commands.Record(
+                        catalogue.SETTINGS_REFUSED,
+                        "",
+                        command.peer,
+                        f"{command.fault.value}: held {command.held},"
+                        f" found {command.found}",
+                    )
+                )
+            case _:
+                typing.assert_never(command)
+
+    def _adopt(self, head: heads.Head, tree: trees.Tree, out: Commands) -> None:
+        if head.version <= self.version:
+            detail = f"version {head.version} after {self.version}"
+            out.append(
+                commands.Record(
+                    catalogue.INVARIANT_VIOLATED, "", self._instance, detail
+                )
+            )
+            return
+        self.head = head
+        self._resolver = resolution.make_resolver(tree)
+        out.append(
+            commands.Record(
+                catalogue.SETTINGS_ADOPTED, "", self._instance, str(head.version)
+            )
+        )
+
+    def _send(self, instance: str, message: messages.Message, out: Commands) -> None:
+        session = self._sessions.get(instance)
+        if session is not None:
+            out.append(commands.Send(instance, session, message))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -6,13 +6,8 @@
 import enum
 
 from chicoryweir_policy import requests
-
-
-class Role(enum.Enum):
-    """Role of a daemon."""
-
-    ENTRY = "entry"
-    AGENT = "agent"
+from chicoryweir_policy.membership import instances
+from chicoryweir_policy.settings import heads
 
 
 class RejectReason(enum.Enum):
@@ -72,7 +67,7 @@
     """
 
     instance: str
-    role: Role
+    role: instances.Role
     place: str
     service: str
     incarnation: str
@@ -101,7 +96,8 @@
         content_type: Content type of the body.
         body: Body of the request.
         fingerprint: Hash of the request's content.
-        cost_tokens: Estimated tokens.
+        cost_tokens: Estimated prompt plus generated tokens.
+        prompt_tokens: Estimated tokens of the prompt alone.
         resume_from: Events of the answer that the caller already has.
         suspect: Whether an endpoint was lost while this content ran.
     """
@@ -123,6 +119,7 @@
     body: bytes
     fingerprint: int
     cost_tokens: float
+    prompt_tokens: float
     resume_from: int
     suspect: bool
 
@@ -306,26 +303,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsHead:
-    """The newest version of the settings that the sender knows."""
+    """The version of the settings in force at the sender; None for none."""
 
-    version: int
-    name: str
+    head: heads.Head | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsWanted:
-    """Asks a peer for a version of the settings."""
-
-    version: int
+    """Asks a peer for a copy of its version of the settings."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsBody:
     """A whole version of the settings."""
 
-    version: int
-    name: str
-    document: bytes
+    head: heads.Head
+    data: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/requests.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/requests.py
@@ -58,6 +58,7 @@
         prefix: Hash of the leading block of the prompt; 0 when there is none.
         prefix_blocks: Hashes of the successive prompt blocks, each over all before it.
         cost_tokens: Estimated prompt plus generated tokens.
+        prompt_tokens: Estimated tokens of the prompt alone.
     """
 
     request_id: str
@@ -78,3 +79,4 @@
     prefix: int
     prefix_blocks: tuple[int, ...]
     cost_tokens: float
+    prompt_tokens: float = 0.0
--- a/packages/chicoryweir-wire/tests/test_codec.py
+++ b/packages/chicoryweir-wire/tests/test_codec.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from chicoryweir_policy import messages
+from chicoryweir_policy.membership import instances
 from chicoryweir_wire import codec
 
 
@@ -23,7 +24,7 @@
 
 
 def test_hello_survives_the_round_trip() -> None:
-    hello = messages.Hello("a", messages.Role.AGENT, "telavi", "desk", "i", "s", 3)
+    hello = messages.Hello("a", instances.Role.AGENT, "telavi", "desk", "i", "s", 3)
     assert codec.decode_message(codec.encode_message(hello)) == hello
 
 
--- a/packages/chicoryweir-wire/tests/test_links.py
+++ b/packages/chicoryweir-wire/tests/test_links.py
@@ -7,11 +7,12 @@
 import pytest
 
 from chicoryweir_policy import messages
+from chicoryweir_policy.membership import instances
 from chicoryweir_wire import links
 
 
 def _make_hello(name: str) -> messages.Hello:
-    return messages.Hello(name, messages.Role.AGENT, "p", "", "i", "s", 0)
+    return messages.Hello(name, instances.Role.AGENT, "p", "", "i", "s", 0)
 
 
 async def _serve(received: asyncio.Queue[object]) -> tuple[object, int]:
