Select endpoints by prefix, content and predicted wait

An entry sees late reports and shares its endpoints with other entries. Choosing the least loaded of all by such a report sends every entry to the same endpoint, and choosing by place or load alone spreads one content over the whole fleet. Candidates are therefore fixed by the content and by the prompt's leading block that is not too popular; the load decides only between them, and widens the set when both are slow.

The account of load counts each attempt of this entry once: as its own until a report acknowledges it, as the report's afterwards.

--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
@@ -0,0 +1,262 @@
+"""Account of the load that one entry sees and causes on its endpoints."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import xxhash
+
+from chicoryweir_policy import messages
+from chicoryweir_policy import requests
+from chicoryweir_policy.routing import views
+
+OTHER_PLACE_LATENCY_S = 0.0015
+RATE_MEMORY = 0.98
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    sequence: int
+    tokens: float
+    priority: requests.PriorityClass
+
+
+@dataclasses.dataclass(slots=True)
+class _Endpoint:
+    view: views.EndpointView
+    uncovered: dict[str, _Attempt] = dataclasses.field(default_factory=dict)
+    covered: dict[str, _Attempt] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class _WaitSums:
+    endpoints: int = 0
+    waits_s: list[float] = dataclasses.field(
+        default_factory=lambda: list(views.NO_WAITS)
+    )
+
+    def add(self, view: views.EndpointView, sign: int) -> None:
+        if view.reported_at is None or not view.connected:
+            return
+        self.endpoints += sign
+        for priority, wait_s in enumerate(view.reported_wait_s):
+            self.waits_s[priority] += sign * wait_s
+
+
+class LoadBook:
+    """Keeps the views of all endpoints that an entry knows.
+
+    Every change costs a time that does not grow with the number of endpoints, but
+    for a change of a service's members.
+    """
+
+    def __init__(
+        self, place: str, place_latency_s: collections.abc.Mapping[str, float]
+    ) -> None:
+        """Starts with no endpoints.
+
+        Args:
+            place: Place of this entry.
+            place_latency_s: One-way latency to other places, in seconds; a place
+                that is not in it is `OTHER_PLACE_LATENCY_S` away.
+        """
+        self._place = place
+        self._place_latency_s = dict(place_latency_s)
+        self._endpoints: dict[str, _Endpoint] = {}
+        self._members: dict[str, tuple[views.Member, ...]] = {}
+        self._sums: dict[str, _WaitSums] = {}
+
+    def note_endpoint(self, instance: str, place: str, service: str) -> None:
+        """Records that an endpoint is a member of a service."""
+        if instance in self._endpoints:
+            known = self._endpoints[instance].view
+            if (known.place, known.service) == (place, service):
+                return
+            self.note_removed(instance)
+        self._endpoints[instance] = _Endpoint(
+            views.make_view(instance, place, service, self._find_latency(place))
+        )
+        self._members.pop(service, None)
+
+    def note_removed(self, instance: str) -> None:
+        """Forgets an endpoint that is no longer a member."""
+        endpoint = self._endpoints.pop(instance, None)
+        if endpoint is not None:
+            self._sum(endpoint.view.service).add(endpoint.view, -1)
+            self._members.pop(endpoint.view.service, None)
+
+    def note_link(self, instance: str, connected: bool, now: float) -> None:
+        """Records that the link to an endpoint's agent came up or went down.
+
+        Work sent on an earlier link is no longer counted as this entry's own; a
+        report on the new link counts what of it is unfinished.
+        """
+        endpoint = self._endpoints.get(instance)
+        if endpoint is None:
+            return
+        endpoint.uncovered.clear()
+        endpoint.covered.clear()
+        self._replace(
+            endpoint,
+            connected=connected,
+            connected_at=now,
+            reported_at=None,
+            serving=True,
+            leaving=endpoint.view.leaving and not connected,
+            own_tokens=views.NO_WAITS,
+            own_attempts=0,
+            finished_tokens=0.0,
+        )
+
+    def note_leaving(self, instance: str) -> None:
+        """Records that an endpoint takes no new work."""
+        endpoint = self._endpoints.get(instance)
+        if endpoint is not None:
+            self._replace(endpoint, leaving=True)
+
+    def note_ejected(self, instance: str, until: float) -> None:
+        """Records that an endpoint is out as an outlier until a time."""
+        endpoint = self._endpoints.get(instance)
+        if endpoint is not None:
+            self._replace(endpoint, ejected_until=until)
+
+    def note_sent(
+        self,
+        instance: str,
+        attempt_id: str,
+        sequence: int,
+        cost_tokens: float,
+        priority: requests.PriorityClass,
+    ) -> None:
+        """Records an attempt that this entry submitted.
+
+        Args:
+            instance: Instance of the endpoint.
+            attempt_id: The attempt.
+            sequence: Its number on the session, as in `SubmitAttempt`.
+            cost_tokens: Estimated tokens of it.
+            priority: Its class.
+        """
+        endpoint = self._endpoints.get(instance)
+        if endpoint is None:
+            return
+        attempt = _Attempt(sequence, cost_tokens, priority)
+        endpoint.uncovered[attempt_id] = attempt
+        self._change_own(endpoint, attempt, 1)
+
+    def note_finished(self, instance: str, attempt_id: str) -> None:
+        """Records that an attempt of this entry ended in whatever way."""
+        endpoint = self._endpoints.get(instance)
+        if endpoint is None:
+            return
+        attempt = endpoint.uncovered.pop(attempt_id, None)
+        if attempt is not None:
+            self._change_own(endpoint, attempt, -1)
+            return
+        attempt = endpoint.covered.pop(attempt_id, None)
+        if attempt is not None:
+            view = endpoint.view
+            self._replace(
+                endpoint,
+                finished_tokens=view.finished_tokens + attempt.tokens,
+                occupied=max(0, view.occupied - 1),
+            )
+
+    def note_report(
+        self, instance: str, report: messages.LoadReport, now: float
+    ) -> None:
+        """Records a report; it covers the attempts that it acknowledges."""
+        endpoint = self._endpoints.get(instance)
+        if endpoint is None:
+            return
+        own_tokens = self._cover(endpoint, report.acknowledged)
+        rate = max(report.tokens_per_s, endpoint.view.tokens_per_s * RATE_MEMORY)
+        first = endpoint.view.reported_at is None
+        if first and report.tokens_per_s > 0:
+            rate = report.tokens_per_s
+        self._replace(
+            endpoint,
+            models=report.models,
+            leaving=report.leaving,
+            serving=report.serving,
+            incarnation=report.endpoint_incarnation,
+            slots=report.slots,
+            occupied=report.running + report.waiting,
+            tokens_per_s=rate,
+            reported_at=now,
+            reported_tokens=report.unfinished_tokens,
+            reported_wait_s=report.wait_s,
+            own_tokens=own_tokens,
+            own_attempts=len(endpoint.uncovered),
+            finished_tokens=0.0,
+        )
+
+    def list_members(self, service: str) -> tuple[views.Member, ...]:
+        """Returns all known endpoints of a service, sorted by instance."""
+        members = self._members.get(service)
+        if members is None:
+            members = tuple(
+                views.Member(
+                    view.instance,
+                    view.place,
+                    view.latency_s,
+                    xxhash.xxh64_intdigest(view.instance.encode()),
+                )
+                for _, view in sorted(
+                    (instance, endpoint.view)
+                    for instance, endpoint in self._endpoints.items()
+                    if endpoint.view.service == service
+                )
+            )
+            self._members[service] = members
+        return members
+
+    def view(self, instance: str) -> views.EndpointView | None:
+        """Returns what is known of an endpoint, or None."""
+        endpoint = self._endpoints.get(instance)
+        return None if endpoint is None else endpoint.view
+
+    def compute_mean_wait(
+        self, service: str, priority: requests.PriorityClass
+    ) -> float:
+        """Returns the mean reported wait over a service's endpoints, in seconds."""
+        sums = self._sum(service)
+        if sums.endpoints == 0:
+            return 0.0
+        return max(0.0, sums.waits_s[priority] / sums.endpoints)
+
+    def _find_latency(self, place: str) -> float:
+        if place == self._place:
+            return 0.0
+        return self._place_latency_s.get(place, OTHER_PLACE_LATENCY_S)
+
+    def _sum(self, service: str) -> _WaitSums:
+        return self._sums.setdefault(service, _WaitSums())
+
+    def _replace(self, endpoint: _Endpoint, **changes: typing.Any) -> None:
+        sums = self._sum(endpoint.view.service)
+        sums.add(endpoint.view, -1)
+        endpoint.view = dataclasses.replace(endpoint.view, **changes)
+        sums.add(endpoint.view, 1)
+
+    def _change_own(self, endpoint: _Endpoint, attempt: _Attempt, sign: int) -> None:
+        own_tokens = list(endpoint.view.own_tokens)
+        own_tokens[attempt.priority] += sign * attempt.tokens
+        self._replace(
+            endpoint,
+            own_tokens=tuple(own_tokens) if endpoint.uncovered else views.NO_WAITS,
+            own_attempts=len(endpoint.uncovered),
+        )
+
+    def _cover(self, endpoint: _Endpoint, acknowledged: int) -> tuple[float, ...]:
+        own_tokens = list(endpoint.view.own_tokens)
+        while endpoint.uncovered:
+            attempt_id, attempt = next(iter(endpoint.uncovered.items()))
+            if attempt.sequence > acknowledged:
+                return tuple(own_tokens)
+            del endpoint.uncovered[attempt_id]
+            endpoint.covered[attempt_id] = attempt
+            own_tokens[attempt.priority] -= attempt.tokens
+        return views.NO_WAITS
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -0,0 +1,256 @@
+"""Selects the endpoint for a request."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+from chicoryweir_policy import requests
+from chicoryweir_policy.routing import prefix
+from chicoryweir_policy.routing import views
+
+NEAR_LATENCY_S = 0.005
+SAVED_PER_BLOCK_S = 0.01
+SUSPECT_CANDIDATES = 2
+SPILL_CANDIDATES = 4
+SPILL_WAIT_S = 0.25
+COME_BACK_MS = 500
+_MASK = (1 << 64) - 1
+_MULTIPLIER = 0x9E3779B97F4A7C15
+
+
+class Reason(enum.Enum):
+    """Why no endpoint could be selected.
+
+    Attributes:
+        NO_ENDPOINT: The service has no known endpoint.
+        UNAVAILABLE: Its endpoints are down, leaving, ejected, stale or lack the model.
+        EXCLUDED: Those that are available were tried already.
+        SUSPECT: The few endpoints that a suspect request may reach are used up.
+    """
+
+    NO_ENDPOINT = "no_endpoint"
+    UNAVAILABLE = "unavailable"
+    EXCLUDED = "excluded"
+    SUSPECT = "suspect"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selected:
+    """An endpoint was selected.
+
+    Attributes:
+        instance: Its instance.
+        wait_s: Predicted wait there, in seconds.
+        cached_blocks: Leading prompt blocks that it is thought to hold.
+        spilled: Whether the first candidates were passed over for their wait.
+    """
+
+    instance: str
+    wait_s: float
+    cached_blocks: int
+    spilled: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoneAvailable:
+    """No endpoint can take the request.
+
+    Attributes:
+        reason: Why.
+        retry_after_ms: Time after which coming back helps; None where it does not.
+    """
+
+    reason: Reason
+    retry_after_ms: int | None
+
+
+Selection = Selected | NoneAvailable
+
+
+class Selector(typing.Protocol):
+    """Selects endpoints; equal arguments give equal selections."""
+
+    def select_endpoint(
+        self,
+        request: requests.Request,
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+        *,
+        suspect: bool = False,
+        spill_wait_s: float = SPILL_WAIT_S,
+    ) -> Selection:
+        """Selects an endpoint for a request.
+
+        Args:
+            request: The request.
+            fleet: The endpoints.
+            excluded: Instances that must not be selected.
+            place: Place of the entry.
+            now: Monotonic time in seconds.
+            suspect: Whether an endpoint was lost while this content ran.
+            spill_wait_s: Predicted wait beyond which more endpoints are considered.
+        """
+
+
+def rank_members(members: tuple[views.Member, ...], seed: int) -> list[views.Member]:
+    """Ranks members by rendezvous hashing: the same seed gives the same order.
+
+    A member that joins or goes leaves the order of the others as it is.
+    """
+    keyed = sorted(
+        [
+            ((member.name_hash ^ seed) * _MULTIPLIER & _MASK, index)
+            for index, member in enumerate(members)
+        ],
+        reverse=True,
+    )
+    return [members[index] for _, index in keyed]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Candidate:
+    instance: str
+    score_s: float
+    wait_s: float
+    cached_blocks: int
+
+
+class AffineSelector:
+    """Weighs a home for the prompt's prefix against endpoints for the content.
+
+    The home holds the cache of the prompt's leading block that is not too popular;
+    the others come from a sequence that the content alone determines. So one content
+    reaches few endpoints, through however many entries it is sent.
+    """
+
+    def __init__(self, prefixes: prefix.PrefixBook) -> None:
+        self._prefixes = prefixes
+
+    def select_endpoint(
+        self,
+        request: requests.Request,
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+        *,
+        suspect: bool = False,
+        spill_wait_s: float = SPILL_WAIT_S,
+    ) -> Selection:
+        """Selects an endpoint; see `Selector`."""
+        members = fleet.list_members(request.service)
+        near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S) or members
+        if not near:
+            return NoneAvailable(Reason.NO_ENDPOINT, COME_BACK_MS)
+        sequence = self._rank_candidates(request, near)
+        if suspect:
+            sequence = sequence[:SUSPECT_CANDIDATES]
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        weighed = self._weigh(usable, SUSPECT_CANDIDATES, request, fleet, now)
+        best = _find_best(weighed)
+        spilled = False
+        if not suspect and (best is None or best.wait_s > spill_wait_s):
+            more = _order_by_place(usable, place)[:SPILL_CANDIDATES]
+            weighed += self._weigh(iter(more), len(more), request, fleet, now)
+            if all(candidate.wait_s > spill_wait_s for candidate in weighed):
+                weighed += self._weigh_far(request, fleet, members, excluded, now)
+            first, best = best, _find_best(weighed)
+            spilled = best is not first
+        if best is None:
+            return _explain_none(request, fleet, excluded, now, suspect)
+        return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
+
+    def _rank_candidates(
+        self, request: requests.Request, near: tuple[views.Member, ...]
+    ) -> list[views.Member]:
+        sequence = rank_members(near, request.fingerprint)
+        blocks = request.prefix_blocks
+        block = self._prefixes.find_home_block(blocks, 1.0 / len(near))
+        if block == 0:
+            return sequence
+        home = max(near, key=lambda m: (m.name_hash ^ block) * _MULTIPLIER & _MASK)
+        return [home, *(member for member in sequence if member is not home)]
+
+    def _weigh_far(
+        self,
+        request: requests.Request,
+        fleet: views.Fleet,
+        members: tuple[views.Member, ...],
+        excluded: frozenset[str],
+        now: float,
+    ) -> list[_Candidate]:
+        far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
+        sequence = rank_members(far, request.fingerprint)
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        return self._weigh(usable, SPILL_CANDIDATES, request, fleet, now)
+
+    def _weigh(
+        self,
+        usable: collections.abc.Iterator[views.EndpointView],
+        count: int,
+        request: requests.Request,
+        fleet: views.Fleet,
+        now: float,
+    ) -> list[_Candidate]:
+        mean_wait_s = fleet.compute_mean_wait(request.service, request.priority)
+        weighed: list[_Candidate] = []
+        for _, view in zip(range(count), usable, strict=False):
+            cached = self._prefixes.count_cached(view.instance, request.prefix_blocks)
+            wait_s = view.predict_wait(request.priority, mean_wait_s, now)
+            score_s = wait_s + 2 * view.latency_s - cached * SAVED_PER_BLOCK_S
+            weighed.append(_Candidate(view.instance, score_s, wait_s, cached))
+        return weighed
+
+
+def make_selector(prefixes: prefix.PrefixBook) -> Selector:
+    """Makes the selector that entries use."""
+    return AffineSelector(prefixes)
+
+
+def _iterate_available(
+    sequence: list[views.Member],
+    model: str,
+    fleet: views.Fleet,
+    excluded: frozenset[str],
+    now: float,
+) -> collections.abc.Iterator[views.EndpointView]:
+    for member in sequence:
+        view = fleet.view(member.instance)
+        if view is None or member.instance in excluded:
+            continue
+        if view.is_available(model, now):
+            yield view
+
+
+def _order_by_place(
+    usable: collections.abc.Iterator[views.EndpointView], place: str
+) -> list[views.EndpointView]:
+    return sorted(usable, key=lambda view: view.place != place)
+
+
+def _find_best(weighed: list[_Candidate]) -> _Candidate | None:
+    return min(weighed, key=lambda candidate: candidate.score_s, default=None)
+
+
+def _explain_none(
+    request: requests.Request,
+    fleet: views.Fleet,
+    excluded: frozenset[str],
+    now: float,
+    suspect: bool,
+) -> NoneAvailable:
+    members = list(fleet.list_members(request.service))
+    available = list(
+        _iterate_available(members, request.model, fleet, frozenset(), now)
+    )
+    if not available:
+        return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
+    if suspect:
+        return NoneAvailable(Reason.SUSPECT, None)
+    assert any(view.instance in excluded for view in available)
+    return NoneAvailable(Reason.EXCLUDED, COME_BACK_MS)
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -0,0 +1,145 @@
+"""Tests of the selection of endpoints."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chicoryweir_policy.routing import prefix
+from chicoryweir_policy.routing import selection
+from chicoryweir_policy.routing import views
+
+NONE = frozenset()
+
+
+def _select(request, book, excluded=NONE, now=0.0, suspect=False, prefixes=None):
+    selector = selection.make_selector(prefixes or prefix.PrefixBook())
+    return selector.select_endpoint(
+        request, book, excluded, "telavi", now, suspect=suspect
+    )
+
+
+def test_content_reaches_two_endpoints_through_any_entry(make_book, make_request):
+    for number in range(50):
+        request = make_request(f"content-{number}", (number + 1,))
+        reached = set()
+        for entry in range(7):
+            book = make_book(16, place=("telavi", "gurjaani", "sighnaghi")[entry % 3])
+            for sent in range(entry):
+                book.note_sent(f"agent-{sent}", str(sent), 1, 900.0, request.priority)
+            reached.add(_select(request, book).instance)
+        assert len(reached) <= 2
+
+
+def test_suspect_reaches_two_endpoints_whatever_is_down(make_book, make_request):
+    for number in range(30):
+        request = make_request(f"content-{number}", (number + 1,))
+        book = make_book(16)
+        reached = set()
+        for _ in range(4):
+            selected = _select(request, book, suspect=True)
+            if isinstance(selected, selection.Selected):
+                reached.add(selected.instance)
+                book.note_link(selected.instance, False, 0.0)
+        assert len(reached) == 2
+        assert selected == selection.NoneAvailable(selection.Reason.SUSPECT, None)
+
+
+def test_repeated_prefix_returns_to_the_endpoint_that_caches_it(
+    make_book, make_request
+):
+    prefixes = prefix.PrefixBook()
+    book = make_book(16)
+    homes = set()
+    for turn in range(20):
+        request = make_request(f"turn-{turn}", (77, 78))
+        selected = _select(request, book, prefixes=prefixes)
+        prefixes.note_sent(selected.instance, request.prefix_blocks)
+        homes.add(selected.instance)
+    assert len(homes) == 1
+
+
+def test_loaded_home_is_passed_over_for_the_second_candidate(
+    make_book, make_request, make_report
+):
+    request = make_request("content", (77,))
+    book = make_book(16)
+    first = _select(request, book).instance
+    book.note_report(first, make_report(wait_s=0.2), 0.0)
+    second = _select(request, book)
+    assert second.instance != first
+    assert not second.spilled
+
+
+def test_flood_spills_beyond_the_pair(make_book, make_request, make_report):
+    request = make_request("content")
+    book = make_book(16)
+    for _ in range(2):
+        pair = _select(request, book).instance
+        book.note_report(pair, make_report(wait_s=5.0), 0.0)
+    selected = _select(request, book)
+    assert selected.spilled
+    assert book.view(selected.instance).place == "telavi"
+
+
+def test_far_place_takes_work_only_in_a_flood(make_book, make_request, make_report):
+    far = {"gurjaani": 0.04, "sighnaghi": 0.04}
+    book = make_book(6, latency_s=far)
+    request = make_request("content")
+    assert book.view(_select(request, book).instance).place == "telavi"
+    for instance in ("agent-0", "agent-3"):
+        book.note_report(instance, make_report(wait_s=5.0), 0.0)
+    assert book.view(_select(request, book).instance).place != "telavi"
+
+
+@hypothesis.settings(
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture]
+)
+@hypothesis.given(
+    down=strategies.sets(strategies.integers(0, 7)),
+    excluded=strategies.sets(strategies.integers(0, 7)),
+    waits=strategies.lists(strategies.floats(0, 10), min_size=8, max_size=8),
+)
+def test_down_or_excluded_endpoints_are_never_selected(
+    make_book, make_request, make_report, down, excluded, waits
+):
+    book = make_book(8)
+    for number, wait_s in enumerate(waits):
+        book.note_report(f"agent-{number}", make_report(wait_s=wait_s), 0.0)
+    for number in down:
+        book.note_link(f"agent-{number}", False, 0.0)
+    barred = frozenset(f"agent-{number}" for number in excluded)
+    selected = _select(make_request("content", (9,)), book, barred)
+    left = {f"agent-{number}" for number in set(range(8)) - down - excluded}
+    if left:
+        assert selected.instance in left
+    else:
+        assert isinstance(selected, selection.NoneAvailable)
+
+
+@pytest.mark.parametrize("suspect", [False, True])
+def test_reason_is_told_when_none_is_available(make_book, make_request, suspect):
+    request = make_request("content")
+    empty = make_book(0)
+    assert _select(request, empty, suspect=suspect).reason is (
+        selection.Reason.NO_ENDPOINT
+    )
+    book = make_book(2)
+    everyone = frozenset({"agent-0", "agent-1"})
+    assert _select(request, book, everyone).reason is selection.Reason.EXCLUDED
+    late = views.STALE_AFTER_S + 1
+    assert _select(request, book, now=late).reason is selection.Reason.UNAVAILABLE
+
+
+def test_ranking_is_even_and_stable(make_book):
+    members = make_book(16).list_members("model-desk")
+    firsts = collections.Counter()
+    for number in range(4000):
+        seed = prefix.hash_blocks(f"{number:0256d}")[0]
+        ranked = selection.rank_members(members, seed)
+        firsts[ranked[0].instance] += 1
+        without = tuple(member for member in members if member is not ranked[3])
+        assert selection.rank_members(without, seed) == ranked[:3] + ranked[4:]
+    assert len(firsts) == 16
+    assert max(firsts.values()) < 1.3 * 4000 / 16
