--- /dev/null
+++ b/packages/chicoryweir-platform/src/chicoryweir_platform/http_instances.py
@@ -0,0 +1,35 @@
+"""The platform's instance list over HTTP."""
+
+from __future__ import annotations
+
+import httpx
+
+from chicoryweir_platform import decoding
+from chicoryweir_policy import store
+from chicoryweir_policy.membership import instances
+
+
+class HttpInstanceList:
+    """Reads the list of instances from the platform's HTTP API."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        """Uses `client`, whose base URL is the platform's."""
+        self._client = client
+
+    async def list_instances(
+        self,
+    ) -> tuple[instances.Instance, ...] | store.Refused:
+        """Returns the instances, or why they are not known."""
+        try:
+            reply = await self._client.get("/instances")
+            if reply.status_code != 200:
+                return store.Refused(f"/instances: status {reply.status_code}")
+            return decoding.decode_instances(reply.json())
+        except (httpx.HTTPError, ValueError) as error:
+            return store.Refused(f"/instances: {error!r}")
+
+
+def create_instance_list(platform_url: str, timeout_s: float = 2.0) -> HttpInstanceList:
+    """Creates a client of the list of the platform at `platform_url`."""
+    timeout = httpx.Timeout(timeout_s)
+    return HttpInstanceList(httpx.AsyncClient(base_url=platform_url, timeout=timeout))
--- /dev/null
+++ b/packages/chicoryweir-platform/src/chicoryweir_platform/http_store.py
@@ -0,0 +1,121 @@
+"""The platform's table and objects over HTTP."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+import httpx
+
+from chicoryweir_platform import decoding
+from chicoryweir_policy import store
+
+# Errors after which the operation cannot have reached the platform.
+_NOT_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+_UNAVAILABLE = (429, 503)
+
+
+class HttpStore:
+    """Runs operations against the platform's HTTP API."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        """Uses `client`, whose base URL is the platform's."""
+        self._client = client
+
+    async def run(self, operation: store.Operation) -> store.Result:
+        """Runs one operation; every failure is a result, none is raised."""
+        match operation:
+            case store.Read():
+                return await self._read("/table/read", {"keys": list(operation.keys)})
+            case store.Scan():
+                return await self._read(
+                    "/table/scan",
+                    {
+                        "prefix": operation.prefix,
+                        "after": operation.after,
+                        "limit": operation.limit,
+                    },
+                )
+            case store.Transact():
+                return await self._transact(operation)
+            case store.PutObject():
+                return await self._put(operation)
+            case store.GetObject():
+                return await self._get(operation)
+        typing.assert_never(operation)
+
+    async def _read(self, path: str, body: dict[str, object]) -> store.Result:
+        try:
+            reply = await self._client.post(path, json=body)
+            if reply.status_code != 200:
+                return store.Refused(f"{path}: status {reply.status_code}")
+            return store.Rows(decoding.decode_rows(reply.json()))
+        except (httpx.HTTPError, ValueError) as error:
+            return store.Refused(f"{path}: {error!r}")
+
+    async def _transact(self, operation: store.Transact) -> store.Result:
+        path = "/table/transact"
+        body = {
+            "checks": [{"key": c.key, "version": c.version} for c in operation.checks],
+            "writes": [{"key": w.key, "value": w.value} for w in operation.writes],
+        }
+        try:
+            reply = await self._client.post(path, json=body)
+            if reply.status_code == 200:
+                return store.Committed(decoding.decode_versions(reply.json()))
+            if reply.status_code == 409:
+                return store.Conflicted(decoding.decode_rows(reply.json()))
+            return _judge_status(path, reply.status_code)
+        except (httpx.HTTPError, ValueError) as error:
+            return _judge_error(path, error)
+
+    async def _put(self, operation: store.PutObject) -> store.Result:
+        path = _object_path(operation.name)
+        try:
+            reply = await self._client.put(path, content=operation.data)
+        except httpx.HTTPError as error:
+            return _judge_error(path, error)
+        if reply.status_code in (200, 201, 204):
+            return store.ObjectStored(operation.name)
+        return _judge_status(path, reply.status_code)
+
+    async def _get(self, operation: store.GetObject) -> store.Result:
+        path = _object_path(operation.name)
+        try:
+            reply = await self._client.get(path)
+        except httpx.HTTPError as error:
+            return store.Refused(f"{path}: {error!r}")
+        if reply.status_code == 200:
+            return store.ObjectFetched(operation.name, reply.content)
+        if reply.status_code == 404:
+            return store.ObjectFetched(operation.name, None)
+        return store.Refused(f"{path}: status {reply.status_code}")
+
+
+def create_store(platform_url: str, timeout_s: float = 2.0) -> HttpStore:
+    """Creates a store client for the platform at `platform_url`."""
+    timeout = httpx.Timeout(timeout_s)
+    return HttpStore(httpx.AsyncClient(base_url=platform_url, timeout=timeout))
+
+
+def _object_path(name: str) -> str:
+    return "/objects/" + urllib.parse.quote(name, safe="/")
+
+
+def _judge_status(path: str, status: int) -> store.Refused | store.Unknown:
+    detail = f"{path}: status {status}"
+    if status in _UNAVAILABLE or 400 <= status < 500:
+        return store.Refused(detail)
+    return store.Unknown(detail)
+
+
+def _judge_error(path: str, error: Exception) -> store.Refused | store.Unknown:
+    detail = f"{path}: {error!r}"
+    if isinstance(error, _NOT_SENT):
+        return store.Refused(detail)
+    return store.Unknown(detail)
