--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -0,0 +1,79 @@
+"""Commands of the stand-ins."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+import typing
+
+from chicoryweir_standins import service
+from chicoryweir_standins import serving
+from chicoryweir_standins import switchboard
+from chicoryweir_standins.engine import app as engine_app
+from chicoryweir_standins.engine import configuration
+from chicoryweir_standins.launch import plan
+from chicoryweir_standins.launch import up
+from chicoryweir_standins.platform import app as platform_app
+
+
+def _read_config(path: str) -> dict[str, typing.Any]:
+    document = json.loads(pathlib.Path(path).read_text())
+    assert isinstance(document, dict)
+    return document
+
+
+def _run_platform(arguments: argparse.Namespace) -> int:
+    config = platform_app.PlatformConfig(**_read_config(arguments.config))
+    serving.run_app(platform_app.create_app(config), config.ip, config.port)
+    return 0
+
+
+def _run_engine(arguments: argparse.Namespace) -> int:
+    engine_app.run_engine(configuration.parse_config(_read_config(arguments.config)))
+    return 0
+
+
+def _run_service(arguments: argparse.Namespace) -> int:
+    service.run_service(service.ServiceConfig(**_read_config(arguments.config)))
+    return 0
+
+
+def _run_switchboard(arguments: argparse.Namespace) -> int:
+    config = switchboard.SwitchboardConfig(**_read_config(arguments.config))
+    switchboard.run_switchboard(config)
+    return 0
+
+
+def _run_up(_: argparse.Namespace) -> int:
+    return asyncio.run(up.run_until_stopped(plan.FleetSize()))
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="chicoryweir_standins")
+    commands = parser.add_subparsers(required=True)
+    for name, run, text in (
+        ("platform", _run_platform, "serves the platform's stand-in"),
+        ("engine", _run_engine, "serves a model engine's stand-in"),
+        ("service", _run_service, "serves a plain service's stand-in"),
+        ("switchboard", _run_switchboard, "serves the stand-ins' switchboard"),
+    ):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("--config", required=True, help="JSON configuration file")
+        command.set_defaults(run=run)
+    command = commands.add_parser("up", help="runs a fleet until a signal")
+    command.set_defaults(run=_run_up)
+    return parser
+
+
+def main() -> int:
+    """Runs the command that the arguments name; returns its exit code."""
+    arguments = _build_parser().parse_args()
+    code: int = arguments.run(arguments)
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a model engine with continuous batching."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/orders.py
@@ -0,0 +1,83 @@
+"""Orders to an engine, with or without a check of fencing numbers."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order to load or unload a model or an adapter, or to change role.
+
+    Attributes:
+        fence: Fencing number of the sender.
+        order_id: Identifier; a repeated order is not run again.
+        kind: load_model, unload_model, load_adapter or set_role.
+        name: What the order is about.
+    """
+
+    fence: int
+    order_id: str
+    kind: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The order took effect, now or before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stale:
+    """The order's fence is below one already seen."""
+
+    highest_fence: int
+
+
+class OrderBook:
+    """Applies orders to the engine's models, adapters and role."""
+
+    def __init__(self, models: tuple[str, ...], checks_fencing: bool) -> None:
+        """Starts with these models loaded."""
+        self.models = list(models)
+        self.adapters: list[str] = []
+        self.role = "mixed"
+        self._checks_fencing = checks_fencing
+        self._highest_fence = 0
+        self._done: dict[str, Order] = {}
+
+    def accept_fence(self, fence: int) -> Stale | None:
+        """Notes a fencing number; returns Stale where it has to be refused."""
+        if self._checks_fencing and fence < self._highest_fence:
+            return Stale(self._highest_fence)
+        self._highest_fence = max(self._highest_fence, fence)
+        return None
+
+    def apply(self, order: Order) -> Done | Stale:
+        """Applies an order unless its fence is stale or it was done before."""
+        stale = self.accept_fence(order.fence)
+        if stale is not None:
+            return stale
+        if order.order_id not in self._done:
+            self._done[order.order_id] = order
+            self._run(order)
+        return Done()
+
+    def list_done(self) -> list[dict[str, typing.Any]]:
+        """Returns the orders that took effect, in order."""
+        return [dataclasses.asdict(order) for order in self._done.values()]
+
+    def _run(self, order: Order) -> None:
+        match order.kind:
+            case "load_model":
+                if order.name not in self.models:
+                    self.models.append(order.name)
+            case "unload_model":
+                self.models = [name for name in self.models if name != order.name]
+            case "load_adapter":
+                self.adapters.append(order.name)
+            case "set_role":
+                self.role = order.name
+            case _:
+                raise ValueError(f"unknown kind of order: {order.kind}")
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/prefix_cache.py
@@ -0,0 +1,60 @@
+"""Prefix cache of the engine: blocks in bounded memory, least recent out first."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+import xxhash
+
+BLOCK_CHARACTERS = 256
+
+Publish = collections.abc.Callable[[str, int], None]
+
+
+def hash_blocks(text: str) -> tuple[int, ...]:
+    """Returns the chained hashes of the complete blocks of a prompt."""
+    hashes = []
+    previous = 0
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        block = text[start : start + BLOCK_CHARACTERS].encode()
+        previous = xxhash.xxh64_intdigest(block, previous)
+        hashes.append(previous)
+    return tuple(hashes)
+
+
+class PrefixCache:
+    """Blocks of prompts that need no prefill."""
+
+    def __init__(self, capacity_blocks: int, publish: Publish) -> None:
+        """Calls `publish` with "stored" or "evicted" and the block."""
+        self._capacity = capacity_blocks
+        self._publish = publish
+        self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+
+    def admit(self, text: str) -> int:
+        """Takes a prompt in; returns how many leading blocks were cached."""
+        blocks = hash_blocks(text)
+        hits = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            hits += 1
+        self.store(blocks)
+        return hits
+
+    def store(self, blocks: collections.abc.Iterable[int]) -> None:
+        """Stores blocks and evicts those used longest ago."""
+        for block in blocks:
+            if block in self._blocks:
+                self._blocks.move_to_end(block)
+                continue
+            self._blocks[block] = None
+            self._publish("stored", block)
+        while len(self._blocks) > self._capacity:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._publish("evicted", evicted)
+
+    def list_blocks(self) -> list[int]:
+        """Returns the cached blocks, least recently used first."""
+        return list(self._blocks)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/__init__.py
@@ -0,0 +1,1 @@
+"""Starts the daemons and the stand-ins as separate processes."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/platform/app.py
@@ -0,0 +1,233 @@
+"""HTTP API of the platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+import typing
+
+import litestar
+from litestar import datastructures
+
+from chicoryweir_policy import store
+from chicoryweir_standins.platform import faults
+from chicoryweir_standins.platform import limits
+from chicoryweir_standins.platform import listing
+from chicoryweir_standins.platform import table
+
+Json = dict[str, typing.Any]
+Request = litestar.Request[typing.Any, typing.Any, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformConfig:
+    """Configuration of the stand-in.
+
+    Attributes:
+        ip: Address to listen on.
+        port: Port to listen on.
+        seed: Seed of the faults.
+        list_lag_s: Lag of the instance list.
+        reads_per_s: Table and object reads a second.
+        writes_per_s: Table and object writes a second.
+        weight_bytes_per_s: Rate of the weight store.
+        weight_queue_s: Wait past which the weight store turns a fetch away.
+    """
+
+    ip: str = "127.0.0.1"
+    port: int = 18000
+    seed: int = 1
+    list_lag_s: float = 1.0
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 500.0
+    weight_bytes_per_s: float = 1e9
+    weight_queue_s: float = 10.0
+
+
+class Platform:
+    """State of the stand-in."""
+
+    def __init__(self, config: PlatformConfig) -> None:
+        """Starts empty."""
+        self.table = table.Table()
+        self.objects: dict[str, bytes] = {}
+        self.listing = listing.InstanceListing(config.list_lag_s)
+        self.faults = faults.Faults()
+        self.counts = {"reads": 0, "writes": 0}
+        self._reads = limits.TokenBucket(config.reads_per_s, 100.0, 5.0)
+        self._writes = limits.TokenBucket(config.writes_per_s, 50.0, 5.0)
+        self.weights = limits.TokenBucket(
+            config.weight_bytes_per_s, 0.0, config.weight_queue_s
+        )
+
+    async def pace_read(self) -> None:
+        """Waits until the read rate allows one more."""
+        self.counts["reads"] += 1
+        await _wait(self._reads)
+
+    async def pace_write(self) -> None:
+        """Waits until the write rate allows one more."""
+        self.counts["writes"] += 1
+        await _wait(self._writes)
+
+
+class TooBusyError(Exception):
+    """The rate limit's queue is full."""
+
+
+async def _wait(bucket: limits.TokenBucket) -> None:
+    wait_s = bucket.reserve(1.0, time.monotonic())
+    if wait_s is None:
+        raise TooBusyError
+    if wait_s > 0:
+        await asyncio.sleep(wait_s)
+
+
+def _encode_rows(rows: tuple[store.Row, ...]) -> Json:
+    return {"rows": [dataclasses.asdict(row) for row in rows]}
+
+
+@litestar.post("/table/read", status_code=200)
+async def read_rows(state: datastructures.State, data: Json) -> Json:
+    """Reads rows by key."""
+    await state.platform.pace_read()
+    return _encode_rows(state.platform.table.read(tuple(data["keys"])))
+
+
+@litestar.post("/table/scan", status_code=200)
+async def scan_rows(state: datastructures.State, data: Json) -> Json:
+    """Reads rows by prefix."""
+    await state.platform.pace_read()
+    rows = state.platform.table.scan(
+        data["prefix"], data.get("after", ""), int(data.get("limit", 1000))
+    )
+    return _encode_rows(rows)
+
+
+@litestar.post("/table/transact", status_code=200)
+async def transact(state: datastructures.State, data: Json) -> litestar.Response[Json]:
+    """Applies a transaction."""
+    await state.platform.pace_write()
+    transaction = store.Transact(
+        tuple(store.Check(c["key"], c["version"]) for c in data["checks"]),
+        tuple(store.Write(w["key"], w["value"]) for w in data["writes"]),
+    )
+    result = state.platform.table.transact(transaction)
+    if isinstance(result, store.Conflicted):
+        return litestar.Response(_encode_rows(result.rows), status_code=409)
+    return litestar.Response({"versions": dict(result.versions)}, status_code=200)
+
+
+@litestar.put("/objects/{name:path}", status_code=200)
+async def put_object(
+    state: datastructures.State,
+    name: str,
+    request: litestar.Request[typing.Any, typing.Any, typing.Any],
+) -> litestar.Response[Json]:
+    """Stores an immutable object."""
+    data = await request.body()
+    await state.platform.pace_write()
+    kept = state.platform.objects.setdefault(name.lstrip("/"), data)
+    return litestar.Response({}, status_code=200 if kept == data else 409)
+
+
+@litestar.get("/objects/{name:path}")
+async def get_object(
+    state: datastructures.State, name: str
+) -> litestar.Response[bytes]:
+    """Returns an object."""
+    await state.platform.pace_read()
+    data = state.platform.objects.get(name.lstrip("/"))
+    return litestar.Response(
+        data or b"",
+        status_code=404 if data is None else 200,
+        media_type="application/octet-stream",
+    )
+
+
+@litestar.delete("/objects/{name:path}", status_code=204)
+async def delete_object(state: datastructures.State, name: str) -> None:
+    """Deletes an object."""
+    await state.platform.pace_write()
+    state.platform.objects.pop(name.lstrip("/"), None)
+
+
+@litestar.get("/instances")
+async def list_instances(state: datastructures.State) -> Json:
+    """Lists the instances as they were a while ago."""
+    return {"instances": state.platform.listing.list_entries(time.monotonic())}
+
+
+@litestar.put("/control/instances/{name:str}", status_code=200)
+async def put_instance(state: datastructures.State, name: str, data: Json) -> Json:
+    """Adds or replaces an instance."""
+    state.platform.listing.put(name, data, time.monotonic())
+    return {}
+
+
+@litestar.delete("/control/instances/{name:str}", status_code=204)
+async def delete_instance(state: datastructures.State, name: str) -> None:
+    """Removes an instance."""
+    state.platform.listing.remove(name, time.monotonic())
+
+
+@litestar.post("/control/faults", status_code=200)
+async def set_faults(state: datastructures.State, data: Json) -> Json:
+    """Changes the faults that are named; the others stay."""
+    for name, value in data.items():
+        if name not in ("outage", "delay_ms", "lose_replies"):
+            raise litestar.exceptions.ValidationException(f"unknown fault {name}")
+        setattr(state.platform.faults, name, value)
+    return dataclasses.asdict(state.platform.faults)
+
+
+@litestar.get("/control/counts")
+async def get_counts(state: datastructures.State) -> Json:
+    """Returns how many reads and writes were served."""
+    return dict(state.platform.counts)
+
+
+@litestar.post("/weights/{name:str}/fetch", status_code=200)
+async def fetch_weights(
+    state: datastructures.State, name: str, data: Json
+) -> litestar.Response[Json]:
+    """Lets a fetch pass at the store's rate."""
+    now = time.monotonic()
+    wait_s = state.platform.weights.reserve(float(data["bytes"]), now)
+    if wait_s is None:
+        retry_after_s = state.platform.weights.compute_retry_after(now)
+        headers = {"Retry-After": f"{retry_after_s:.1f}"}
+        return litestar.Response({}, status_code=429, headers=headers)
+    await asyncio.sleep(wait_s)
+    return litestar.Response({"name": name, "bytes": data["bytes"]}, status_code=200)
+
+
+def _answer_busy(_: typing.Any, __: Exception) -> litestar.Response[Json]:
+    return litestar.Response({}, status_code=503)
+
+
+def create_app(config: PlatformConfig) -> faults.FaultyApp:
+    """Creates the application with its faults in front."""
+    platform = Platform(config)
+    app = litestar.Litestar(
+        route_handlers=[
+            read_rows,
+            scan_rows,
+            transact,
+            put_object,
+            get_object,
+            delete_object,
+            list_instances,
+            put_instance,
+            delete_instance,
+            set_faults,
+            get_counts,
+            fetch_weights,
+        ],
+        state=datastructures.State({"platform": platform}),
+        exception_handlers={TooBusyError: _answer_busy},
+        openapi_config=None,
+        logging_config=None,
+    )
+    return faults.FaultyApp(app, platform.faults, config.seed)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/platform/listing.py
@@ -0,0 +1,41 @@
+"""The platform's list of instances, published with a lag."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+Entry = dict[str, typing.Any]
+
+
+@dataclasses.dataclass
+class InstanceListing:
+    """Keeps the list as it was `lag_s` ago for its readers.
+
+    Attributes:
+        lag_s: Age of what readers see, in seconds.
+    """
+
+    lag_s: float
+    _current: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    _published: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    _pending: collections.deque[tuple[float, dict[str, Entry]]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def put(self, name: str, entry: Entry, now: float) -> None:
+        """Adds or replaces an instance."""
+        self._current = {**self._current, name: {**entry, "instance": name}}
+        self._pending.append((now + self.lag_s, self._current))
+
+    def remove(self, name: str, now: float) -> None:
+        """Removes an instance; absent ones are ignored."""
+        self._current = {k: v for k, v in self._current.items() if k != name}
+        self._pending.append((now + self.lag_s, self._current))
+
+    def list_entries(self, now: float) -> list[Entry]:
+        """Returns the list as readers see it at `now`."""
+        while self._pending and self._pending[0][0] <= now:
+            self._published = self._pending.popleft()[1]
+        return list(self._published.values())
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/platform/table.py
@@ -0,0 +1,51 @@
+"""Transactional table in memory."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import sortedcontainers
+
+from chicoryweir_policy import store
+
+
+@dataclasses.dataclass
+class Table:
+    """Rows in the order of their keys; versions come from one counter."""
+
+    _rows: sortedcontainers.SortedDict = dataclasses.field(
+        default_factory=sortedcontainers.SortedDict
+    )
+    _counter: int = 0
+
+    def read(self, keys: tuple[str, ...]) -> tuple[store.Row, ...]:
+        """Returns the rows that exist, in the order asked."""
+        return tuple(self._rows[key] for key in keys if key in self._rows)
+
+    def scan(self, prefix: str, after: str, limit: int) -> tuple[store.Row, ...]:
+        """Returns rows whose keys start with `prefix`, past `after`."""
+        rows: list[store.Row] = []
+        start = max(prefix, after)
+        for key in self._rows.irange(minimum=start):
+            if not key.startswith(prefix) or len(rows) >= limit:
+                break
+            if key != after:
+                rows.append(self._rows[key])
+        return tuple(rows)
+
+    def transact(self, transaction: store.Transact) -> store.Result:
+        """Applies all writes if all checks hold, else none."""
+        for check in transaction.checks:
+            row = self._rows.get(check.key)
+            if (row.version if row else 0) != check.version:
+                keys = tuple(c.key for c in transaction.checks)
+                return store.Conflicted(self.read(keys))
+        versions = {}
+        for write in transaction.writes:
+            self._counter += 1
+            versions[write.key] = self._counter
+            if write.value is None:
+                self._rows.pop(write.key, None)
+            else:
+                self._rows[write.key] = store.Row(write.key, self._counter, write.value)
+        return store.Committed(versions)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/service.py
@@ -0,0 +1,113 @@
+"""Stand-in of a plain service: takes any path and names what it ran."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import os
+import typing
+
+import litestar
+from litestar import datastructures
+
+from chicoryweir_standins import reporting
+from chicoryweir_standins import serving
+
+Json = dict[str, typing.Any]
+Request = litestar.Request[typing.Any, typing.Any, typing.Any]
+
+CRASH_WORD = b"POISON-CRASH"
+CRASH_EXIT_CODE = 13
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceConfig:
+    """Configuration of a plain service.
+
+    Attributes:
+        instance: Name of the endpoint.
+        service: Name of the service.
+        ip: Address to listen on.
+        port: Port to listen on.
+        run_ms: Time that one call takes.
+        switchboard_url: Where runs are reported; empty for nowhere.
+    """
+
+    instance: str
+    service: str
+    ip: str
+    port: int
+    run_ms: float = 5.0
+    switchboard_url: str = ""
+
+
+class PlainService:
+    """State of the service."""
+
+    def __init__(self, config: ServiceConfig) -> None:
+        """Starts with no run."""
+        self.config = config
+        self.reporter = reporting.RunReporter(config.switchboard_url)
+        self.numbers = itertools.count(1)
+        self.resumed = asyncio.Event()
+        self.resumed.set()
+
+    async def run(self, request: Request, raw: bytes) -> Json:
+        """Runs one call."""
+        digest = reporting.compute_body_digest(raw)
+        key = request.headers.get("Idempotency-Key", "")
+        await self.reporter.report(reporting.Run(self.config.instance, key, digest))
+        if CRASH_WORD in raw:
+            os._exit(CRASH_EXIT_CODE)
+        await self.resumed.wait()
+        await asyncio.sleep(self.config.run_ms / 1e3)
+        return {
+            "service": self.config.service,
+            "ran": {
+                "method": request.method,
+                "path": request.url.path,
+                "key": key,
+                "body_sha256": digest,
+            },
+            "run": next(self.numbers),
+        }
+
+
+@litestar.post("/control/stall", status_code=200)
+async def stall(state: datastructures.State, data: Json) -> Json:
+    """Holds all calls, or lets them go on."""
+    if data["stall"]:
+        state.service.resumed.clear()
+    else:
+        state.service.resumed.set()
+    return {"stall": bool(data["stall"])}
+
+
+@litestar.route(
+    ["/", "/{path:path}"],
+    http_method=["GET", "POST", "PUT", "PATCH", "DELETE"],
+    status_code=200,
+)
+async def run_call(state: datastructures.State, request: Request) -> Json:
+    """Runs any other call."""
+    service: PlainService = state.service
+    return await service.run(request, await request.body())
+
+
+def create_app(service: PlainService) -> litestar.Litestar:
+    """Creates the application of one service."""
+    return litestar.Litestar(
+        route_handlers=[stall, run_call],
+        state=datastructures.State({"service": service}),
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+def run_service(config: ServiceConfig) -> None:
+    """Serves until a signal."""
+    service = PlainService(config)
+    serving.run_app(
+        create_app(service), config.ip, config.port, service.reporter.send_reports
+    )
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
@@ -0,0 +1,112 @@
+"""Switchboard of the stand-ins: injects faults and counts runs."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import httpx
+import litestar
+from litestar import datastructures
+
+from chicoryweir_standins import serving
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SwitchboardConfig:
+    """Configuration of the switchboard.
+
+    Attributes:
+        ip: Address to listen on.
+        port: Port to listen on.
+        platform_url: Base URL of the platform's stand-in.
+        endpoint_urls: Base URL of each endpoint's stand-in by name.
+    """
+
+    ip: str
+    port: int
+    platform_url: str
+    endpoint_urls: dict[str, str]
+
+
+class RunCounts:
+    """Counts runs by idempotency key and by body."""
+
+    def __init__(self) -> None:
+        """Starts with no run."""
+        self.by_key: dict[str, int] = {}
+        self.by_body: dict[str, dict[str, int]] = {}
+
+    def add(self, endpoint: str, key: str, body_sha256: str) -> None:
+        """Counts one run."""
+        if key:
+            self.by_key[key] = self.by_key.get(key, 0) + 1
+        runs = self.by_body.setdefault(body_sha256, {})
+        runs[endpoint] = runs.get(endpoint, 0) + 1
+
+
+@litestar.post("/runs", status_code=200)
+async def add_runs(state: datastructures.State, data: Json) -> Json:
+    """Takes the runs that an endpoint reports."""
+    for run in data["runs"]:
+        state.counts.add(run["endpoint"], run["key"], run["body_sha256"])
+    return {}
+
+
+@litestar.get("/runs")
+async def get_runs(state: datastructures.State) -> Json:
+    """Returns the runs by key and by body."""
+    return {"by_key": state.counts.by_key, "by_body": state.counts.by_body}
+
+
+@litestar.post("/platform", status_code=200)
+async def set_platform_faults(
+    state: datastructures.State, data: Json
+) -> litestar.Response[Json]:
+    """Changes the platform's faults."""
+    url = state.config.platform_url + "/control/faults"
+    return await _forward(url, data)
+
+
+@litestar.post("/engine/{name:str}", status_code=200)
+async def set_engine_faults(
+    state: datastructures.State, name: str, data: Json
+) -> litestar.Response[Json]:
+    """Stalls an engine or a plain service, or lets it go on."""
+    url = state.config.endpoint_urls.get(name)
+    if url is None:
+        known = sorted(state.config.endpoint_urls)
+        return litestar.Response({"known": known}, status_code=404)
+    return await _forward(url + "/control/stall", data)
+
+
+async def _forward(url: str, data: Json) -> litestar.Response[Json]:
+    try:
+        async with httpx.AsyncClient(timeout=5.0) as client:
+            reply = await client.post(url, json=data)
+        return litestar.Response(reply.json(), status_code=reply.status_code)
+    except (httpx.HTTPError, ValueError) as error:
+        return litestar.Response({"detail": repr(error)}, status_code=502)
+
+
+def create_app(config: SwitchboardConfig, *routes: typing.Any) -> litestar.Litestar:
+    """Creates the switchboard's application."""
+    return litestar.Litestar(
+        route_handlers=[
+            add_runs,
+            get_runs,
+            set_platform_faults,
+            set_engine_faults,
+            *routes,
+        ],
+        state=datastructures.State({"config": config, "counts": RunCounts()}),
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+def run_switchboard(config: SwitchboardConfig) -> None:
+    """Serves until a signal."""
+    serving.run_app(create_app(config), config.ip, config.port)
