--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon."""
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
@@ -0,0 +1,178 @@
+"""The task that owns the connections to the endpoint beside an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+import urllib.parse
+
+import httpx
+
+from chicoryweir_daemon import configuration
+from chicoryweir_daemon.agent import streams
+from chicoryweir_daemon.runtime import cores
+from chicoryweir_policy import requests
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+
+CONNECT_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 1.0
+PROBE_PERIOD_S = 0.25
+IDLE_CONNECTION_S = 2.0
+PIECE_BYTES = 64 * 1024
+_OK = 200
+_PLAIN_INCARNATION = "plain"
+
+
+class EndpointTask:
+    """Sends attempts to the endpoint and tells the core what comes of them."""
+
+    def __init__(self, endpoint: configuration.Endpoint, core: cores.CoreTask) -> None:
+        self._endpoint = endpoint
+        self._core = core
+        self._calls: dict[str, asyncio.Task[None]] = {}
+        self._client = httpx.AsyncClient(
+            base_url=endpoint.url,
+            timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+            limits=httpx.Limits(
+                max_connections=None, keepalive_expiry=IDLE_CONNECTION_S
+            ),
+            trust_env=False,
+        )
+        self._incarnation = ""
+        core.handle(commands.CallEndpoint, self._start)
+        core.handle(commands.CancelCall, self._cancel)
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        for task in list(self._calls.values()):
+            task.cancel()
+        await self._client.aclose()
+
+    async def run_probes(self) -> typing.NoReturn:
+        """Asks the endpoint for its load from time to time."""
+        while True:
+            self._core.post(await self._probe())
+            await asyncio.sleep(PROBE_PERIOD_S)
+
+    def _start(self, command: commands.CallEndpoint) -> None:
+        task = asyncio.ensure_future(self._call(command))
+        self._calls[command.attempt_id] = task
+        task.add_done_callback(lambda _: self._calls.pop(command.attempt_id, None))
+
+    def _cancel(self, command: commands.CancelCall) -> None:
+        task = self._calls.pop(command.attempt_id, None)
+        if task is not None:
+            task.cancel()
+
+    async def _call(self, command: commands.CallEndpoint) -> None:
+        attempt_id = command.attempt_id
+        incarnation = self._incarnation
+        try:
+            async with self._client.stream(
+                command.method,
+                command.path,
+                headers=_make_headers(command),
+                content=command.body,
+            ) as answer:
+                await self._relay(command, answer)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            lost = await self._check_lost(incarnation)
+            detail = type(error).__name__
+            self._core.post(events.EndpointFailed(attempt_id, False, lost, detail))
+        except httpx.HTTPError as error:
+            lost = await self._check_lost(incarnation)
+            detail = f"{type(error).__name__}: {error}"
+            self._core.post(events.EndpointFailed(attempt_id, True, lost, detail))
+
+    async def _relay(
+        self, command: commands.CallEndpoint, answer: httpx.Response
+    ) -> None:
+        content_type = answer.headers.get("content-type", "")
+        mode = requests.AnswerMode.BODY
+        if answer.status_code == _OK and command.mode is requests.AnswerMode.EVENTS:
+            mode = requests.AnswerMode.EVENTS
+        self._core.post(
+            events.EndpointAnswered(
+                command.attempt_id, answer.status_code, content_type, mode
+            )
+        )
+        if mode is requests.AnswerMode.EVENTS:
+            whole = await self._relay_events(command.attempt_id, answer)
+        else:
+            await self._relay_body(command.attempt_id, answer)
+            whole = True
+        if whole:
+            self._core.post(events.EndpointFinished(command.attempt_id))
+            return
+        detail = "the stream ended without [DONE]"
+        self._core.post(events.EndpointFailed(command.attempt_id, True, False, detail))
+
+    async def _relay_events(self, attempt_id: str, answer: httpx.Response) -> bool:
+        parser = streams.EventParser()
+        async for data in answer.aiter_bytes():
+            payloads = parser.feed(data)
+            if payloads:
+                self._core.post(events.EndpointSent(attempt_id, payloads))
+            if parser.done:
+                return True
+        return False
+
+    async def _relay_body(self, attempt_id: str, answer: httpx.Response) -> None:
+        async for data in answer.aiter_bytes(PIECE_BYTES):
+            self._core.post(events.EndpointSent(attempt_id, (data,)))
+
+    async def _check_lost(self, incarnation: str) -> bool:
+        probed = await self._probe()
+        self._core.post(events.Ticked())
+        return probed.incarnation != incarnation
+
+    async def _probe(self) -> events.EndpointProbed:
+        if self._endpoint.kind is configuration.EndpointKind.PLAIN:
+            probed = await self._probe_plain()
+        else:
+            probed = await self._probe_model()
+        self._incarnation = probed.incarnation
+        return probed
+
+    async def _probe_plain(self) -> events.EndpointProbed:
+        url = urllib.parse.urlsplit(self._endpoint.url)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(url.hostname, url.port)
+        except (OSError, TimeoutError):
+            return events.EndpointProbed("", 0, 0, 0.0, ())
+        writer.close()
+        return events.EndpointProbed(_PLAIN_INCARNATION, 0, 0, 0.0, ())
+
+    async def _probe_model(self) -> events.EndpointProbed:
+        try:
+            answer = await self._client.get("/load", timeout=PROBE_TIMEOUT_S)
+            return _read_load(answer.json())
+        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            return events.EndpointProbed("", 0, 0, 0.0, ())
+
+
+def _read_load(load: collections.abc.Mapping[str, typing.Any]) -> events.EndpointProbed:
+    return events.EndpointProbed(
+        incarnation=str(load["incarnation"]),
+        running=int(load["running"]),
+        waiting=int(load["waiting"]),
+        step_time_s=float(load["step_time_ms"]) / 1000.0,
+        models=tuple(str(model) for model in load["models"]),
+    )
+
+
+def _make_headers(command: commands.CallEndpoint) -> dict[str, str]:
+    headers = {
+        "X-Request-Id": command.request_id,
+        "X-Priority": str(int(command.priority)),
+    }
+    if command.content_type:
+        headers["Content-Type"] = command.content_type
+    if command.idempotency_key:
+        headers["Idempotency-Key"] = command.idempotency_key
+    if command.resume_from:
+        headers["X-Resume-From"] = str(command.resume_from)
+    return headers
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/streams.py
@@ -0,0 +1,45 @@
+"""Parser of server-sent events as engines send them."""
+
+from __future__ import annotations
+
+MAX_EVENT_BYTES = 1 << 20
+DONE = b"[DONE]"
+_DATA = b"data:"
+
+
+class EventParser:
+    """Collects the data of whole events; `done` tells that the last one came."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.done = False
+
+    def feed(self, data: bytes) -> tuple[bytes, ...]:
+        """Takes bytes and returns the data of the events they complete.
+
+        Raises:
+            ValueError: An event is larger than `MAX_EVENT_BYTES`.
+        """
+        text = (self._rest + data).replace(b"\r\n", b"\n")
+        blocks = text.split(b"\n\n")
+        self._rest = blocks.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError("event too large")
+        payloads: list[bytes] = []
+        for block in blocks:
+            payload = _extract_data(block)
+            if payload == DONE:
+                self.done = True
+                break
+            if payload is not None:
+                payloads.append(payload)
+        return tuple(payloads)
+
+
+def _extract_data(block: bytes) -> bytes | None:
+    lines = [
+        line[len(_DATA) :].removeprefix(b" ")
+        for line in block.split(b"\n")
+        if line.startswith(_DATA)
+    ]
+    return b"\n".join(lines) if lines else None
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/configuration.py
@@ -0,0 +1,263 @@
+"""Settings file of one daemon: loaded once, then only read."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import ipaddress
+import pathlib
+import typing
+
+from chicoryweir_policy.membership import instances
+from chicoryweir_policy.settings import documents
+
+MAX_PORT = 65535
+DEFAULT_SLOTS = 16
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(eq=False)
+class ConfigurationError(Exception):
+    """A settings file can't be used; `faults` names all that is wrong."""
+
+    path: str
+    faults: tuple[str, ...]
+
+    def __str__(self) -> str:
+        """Returns one line for each fault."""
+        return "\n".join(f"{self.path}: {fault}" for fault in self.faults)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+
+class EndpointKind(enum.Enum):
+    """Kind of the endpoint beside an agent."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """The endpoint beside an agent.
+
+    Attributes:
+        kind: A model engine or a plain service.
+        url: Base URL.
+        slots: Attempts that it runs at once.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+        group: Lock-step group of its ranks, or an empty string.
+        ranks: Its ranks in that group.
+    """
+
+    kind: EndpointKind
+    url: str
+    slots: int
+    checks_fencing: bool
+    group: str
+    ranks: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tls:
+    """Certificate and key for callers."""
+
+    certificate_file: str
+    key_file: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """What a daemon's settings file says.
+
+    Attributes:
+        instance: This instance.
+        place: Its place.
+        link: Address for links between daemons.
+        platform_url: Base URL of the platform.
+        cluster_secret: Secret that all daemons share.
+        seeds: Instances that are known from the start.
+        listen: Address for callers; None for an agent.
+        service: Service of an agent's endpoint; empty for an entry.
+        endpoint: Endpoint of an agent; None for an entry.
+        tls: Certificate for callers; None for plain HTTP.
+    """
+
+    instance: str
+    place: str
+    link: Address
+    platform_url: str
+    cluster_secret: bytes
+    seeds: tuple[instances.Instance, ...]
+    listen: Address | None
+    service: str
+    endpoint: Endpoint | None
+    tls: Tls | None
+
+
+class _Reader:
+    """Reads typed values out of a document and collects what is wrong."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+
+    def read_text(
+        self, at: Json, key: str, path: str, default: str | None = None
+    ) -> str:
+        value = at.get(key, default)
+        if isinstance(value, str) and (value or default is not None):
+            return value
+        self.faults.append(f"{path}{key}: expected text, found {value!r}")
+        return ""
+
+    def read_number(
+        self,
+        at: Json,
+        key: str,
+        path: str,
+        bounds: tuple[int, int],
+        default: int | None,
+    ) -> int:
+        value = at.get(key, default)
+        low, high = bounds
+        if type(value) is int and low <= value <= high:
+            return value
+        self.faults.append(
+            f"{path}{key}: expected a whole number from {low} to {high},"
+            f" found {value!r}"
+        )
+        return low
+
+    def read_object(self, at: Json, key: str, path: str, needed: bool) -> Json:
+        value = at.get(key)
+        if value is None and not needed:
+            return {}
+        if isinstance(value, dict):
+            return value
+        self.faults.append(f"{path}{key}: expected an object, found {value!r}")
+        return {}
+
+    def read_list(self, at: Json, key: str, path: str) -> list[typing.Any]:
+        value = at.get(key, [])
+        if isinstance(value, list):
+            return value
+        self.faults.append(f"{path}{key}: expected a list, found {value!r}")
+        return []
+
+    def read_address(self, at: Json, path: str) -> Address:
+        ip = self.read_text(at, "ip", path)
+        try:
+            ipaddress.ip_address(ip)
+        except ValueError:
+            self.faults.append(f"{path}ip: expected an IP number, found {ip!r}")
+        return Address(ip, self.read_number(at, "port", path, (1, MAX_PORT), None))
+
+
+def load_configuration(path: pathlib.Path, role: instances.Role) -> Configuration:
+    """Reads the settings file of a daemon.
+
+    Raises:
+        ConfigurationError: The file can't be read, or values in it are wrong.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise ConfigurationError(str(path), (str(error.strerror),)) from error
+    decoding = documents.parse_text(data)
+    match decoding:
+        case documents.Undecodable():
+            detail = f"line {decoding.line}, column {decoding.column}"
+            raise ConfigurationError(str(path), (f"{detail}: {decoding.detail}",))
+        case documents.Decoded(document) if isinstance(document, dict):
+            pass
+        case _:
+            raise ConfigurationError(str(path), ("expected an object",))
+    reader = _Reader()
+    configuration = _read_configuration(reader, document, role)
+    if reader.faults:
+        raise ConfigurationError(str(path), tuple(reader.faults))
+    return configuration
+
+
+def _read_configuration(
+    reader: _Reader, document: Json, role: instances.Role
+) -> Configuration:
+    is_entry = role is instances.Role.ENTRY
+    link = reader.read_object(document, "link", "", needed=True)
+    listen = reader.read_object(document, "listen", "", needed=is_entry)
+    tls = reader.read_object(document, "tls", "", needed=False)
+    return Configuration(
+        instance=reader.read_text(document, "instance", ""),
+        place=reader.read_text(document, "place", ""),
+        link=reader.read_address(link, "link."),
+        platform_url=reader.read_text(document, "platform_url", ""),
+        cluster_secret=reader.read_text(document, "cluster_secret", "").encode(),
+        seeds=_read_seeds(reader, document),
+        listen=reader.read_address(listen, "listen.") if is_entry else None,
+        service="" if is_entry else reader.read_text(document, "service", ""),
+        endpoint=None if is_entry else _read_endpoint(reader, document),
+        tls=_read_tls(reader, tls) if tls else None,
+    )
+
+
+def _read_tls(reader: _Reader, tls: Json) -> Tls:
+    return Tls(
+        certificate_file=reader.read_text(tls, "certificate_file", "tls."),
+        key_file=reader.read_text(tls, "key_file", "tls."),
+    )
+
+
+def _read_seeds(reader: _Reader, document: Json) -> tuple[instances.Instance, ...]:
+    seeds: list[instances.Instance] = []
+    for index, seed in enumerate(reader.read_list(document, "seeds", "")):
+        path = f"seeds[{index}]."
+        if not isinstance(seed, dict):
+            reader.faults.append(f"{path[:-1]}: expected an object")
+            continue
+        role = reader.read_text(seed, "role", path)
+        if role not in ("entry", "agent"):
+            reader.faults.append(f"{path}role: expected entry or agent, found {role!r}")
+            role = "agent"
+        seeds.append(
+            instances.Instance(
+                instance=reader.read_text(seed, "instance", path),
+                role=instances.Role(role),
+                place=reader.read_text(seed, "place", path),
+                service=reader.read_text(seed, "service", path, ""),
+                ip=reader.read_text(seed, "ip", path),
+                port=reader.read_number(seed, "port", path, (0, MAX_PORT), 0),
+                link_port=reader.read_number(
+                    seed, "link_port", path, (1, MAX_PORT), None
+                ),
+                leaving=False,
+            )
+        )
+    return tuple(seeds)
+
+
+def _read_endpoint(reader: _Reader, document: Json) -> Endpoint:
+    endpoint = reader.read_object(document, "endpoint", "", needed=True)
+    path = "endpoint."
+    kind = reader.read_text(endpoint, "kind", path)
+    if kind not in ("model", "plain"):
+        reader.faults.append(f"{path}kind: expected model or plain, found {kind!r}")
+        kind = "plain"
+    ranks = reader.read_list(endpoint, "ranks", path)
+    if any(type(rank) is not int or rank < 0 for rank in ranks):
+        reader.faults.append(f"{path}ranks: expected whole numbers from 0")
+        ranks = []
+    return Endpoint(
+        kind=EndpointKind(kind),
+        url=reader.read_text(endpoint, "url", path),
+        slots=reader.read_number(endpoint, "slots", path, (1, 100_000), DEFAULT_SLOTS),
+        checks_fencing=endpoint.get("checks_fencing") is True,
+        group=reader.read_text(endpoint, "group", path, ""),
+        ranks=tuple(ranks),
+    )
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
@@ -0,0 +1,81 @@
+"""The HTTP application of an entry."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import litestar
+from litestar import response
+from litestar.handlers import asgi
+
+from chicoryweir_daemon.entry import callers
+from chicoryweir_daemon.entry import metrics
+from chicoryweir_policy import messages
+
+_PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Views:
+    """What the application reads of the entry's state.
+
+    Attributes:
+        list_addresses: Returns the entries for a caller of a service.
+        is_ready: Tells whether requests can be taken.
+        address_ttl_ms: Time for which a caller may keep the addresses.
+        meter: Measures of what callers got.
+    """
+
+    list_addresses: collections.abc.Callable[[], tuple[messages.EntryStatus, ...]]
+    is_ready: collections.abc.Callable[[], bool]
+    has_service: collections.abc.Callable[[str], bool]
+    address_ttl_ms: int
+    meter: metrics.Meter
+
+
+def make_application(front: callers.Front, views: Views) -> litestar.Litestar:
+    """Makes the application around the callers' front."""
+
+    @asgi("/v1", is_mount=True)
+    async def serve_callers(
+        scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        await front.serve(scope, receive, send)
+
+    @litestar.get("/v1/addresses", sync_to_thread=False)
+    def list_addresses(service: str = "") -> response.Response[typing.Any]:
+        if service and not views.has_service(service):
+            return response.Response({"detail": "unknown service"}, status_code=404)
+        addresses = [
+            {"ip": status.ip, "port": status.port, "place": status.place}
+            for status in views.list_addresses()
+        ]
+        document = {"addresses": addresses, "ttl_ms": views.address_ttl_ms}
+        return response.Response(document)
+
+    @litestar.get("/healthz", sync_to_thread=False)
+    def check_health() -> response.Response[typing.Any]:
+        return response.Response({"alive": True})
+
+    @litestar.get("/readyz", sync_to_thread=False)
+    def check_readiness() -> response.Response[typing.Any]:
+        ready = views.is_ready()
+        return response.Response({"ready": ready}, status_code=200 if ready else 503)
+
+    @litestar.get("/metrics", sync_to_thread=False)
+    def render_metrics() -> response.Response[bytes]:
+        return response.Response(views.meter.render(), media_type=_PROMETHEUS)
+
+    return litestar.Litestar(
+        [
+            serve_callers,
+            list_addresses,
+            check_health,
+            check_readiness,
+            render_metrics,
+        ],
+        openapi_config=None,
+        logging_config=None,
+    )
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
@@ -0,0 +1,98 @@
+"""Measures of what callers got, for Prometheus."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core as prometheus_core
+
+from chicoryweir_policy import outcomes
+from chicoryweir_policy import requests
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+DIGITS = 2
+_US_PER_S = 1_000_000
+_QUANTILES = (50.0, 95.0, 99.0)
+_IN_TIME = "in_time"
+_LATE = "late"
+
+
+class Meter:
+    """Counts outcomes and records latencies by priority class."""
+
+    def __init__(self) -> None:
+        self._outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._problems: collections.Counter[tuple[int, str]] = collections.Counter()
+        self._first = _make_histograms()
+        self._whole = _make_histograms()
+
+    def count_first(self, request: requests.Request, now: float) -> None:
+        """The first part of an answer went to its caller."""
+        _record(self._first[request.priority], now - request.arrived_at)
+
+    def count_answer(self, request: requests.Request, now: float) -> None:
+        """An answer was given whole."""
+        _record(self._whole[request.priority], now - request.arrived_at)
+        kept = _IN_TIME if now <= request.deadline_at else _LATE
+        self._outcomes[(request.priority.name.lower(), kept)] += 1
+
+    def count_problem(self, problem: outcomes.Problem) -> None:
+        """A request ended with a problem."""
+        self._problems[(problem.status, problem.outcome.value)] += 1
+
+    def collect(self) -> collections.abc.Iterator[prometheus_core.Metric]:
+        """Yields the measures as Prometheus knows them."""
+        answers = prometheus_core.CounterMetricFamily(
+            "chicoryweir_answers", "Answers given whole.", labels=("class", "kept")
+        )
+        for (name, kept), count in sorted(self._outcomes.items()):
+            answers.add_metric((name, kept), count)
+        yield answers
+        problems = prometheus_core.CounterMetricFamily(
+            "chicoryweir_problems",
+            "Requests that ended with a problem.",
+            labels=("status", "outcome"),
+        )
+        for (status, outcome), count in sorted(self._problems.items()):
+            problems.add_metric((str(status), outcome), count)
+        yield problems
+        yield _make_family("first_part", "Time to the first part.", self._first)
+        yield _make_family("answer", "Time to the whole answer.", self._whole)
+
+    def render(self) -> bytes:
+        """Returns the measures in Prometheus' text format."""
+        registry = prometheus_client.CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return prometheus_client.generate_latest(registry)
+
+
+Histograms = dict[requests.PriorityClass, histogram.HdrHistogram]
+
+
+def _make_histograms() -> Histograms:
+    return {
+        priority: histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        for priority in requests.PriorityClass
+    }
+
+
+def _record(into: histogram.HdrHistogram, seconds: float) -> None:
+    into.record_value(max(LOWEST_US, int(seconds * _US_PER_S)))
+
+
+def _make_family(
+    name: str, text: str, histograms: Histograms
+) -> prometheus_core.GaugeMetricFamily:
+    family = prometheus_core.GaugeMetricFamily(
+        f"chicoryweir_{name}_seconds", text, labels=("class", "quantile")
+    )
+    for priority, recorded in histograms.items():
+        for quantile in _QUANTILES:
+            value = recorded.get_value_at_percentile(quantile) / _US_PER_S
+            labels = (priority.name.lower(), f"{quantile / 100:g}")
+            family.add_metric(labels, value)
+    return family
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -0,0 +1,126 @@
+"""The entry daemon: its tasks, from start to graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import secrets
+import signal
+import time
+
+import uvicorn
+
+from chicoryweir_daemon import configuration
+from chicoryweir_daemon import logs
+from chicoryweir_daemon.entry import application
+from chicoryweir_daemon.entry import callers
+from chicoryweir_daemon.entry import mailboxes
+from chicoryweir_daemon.entry import metrics
+from chicoryweir_daemon.runtime import cores
+from chicoryweir_daemon.runtime import links
+from chicoryweir_daemon.runtime import platforms
+from chicoryweir_platform import http_instances
+from chicoryweir_platform import http_store
+from chicoryweir_policy import catalogue
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+from chicoryweir_policy.cores.entry import core as entry_core
+from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.membership import instances
+
+TICK_S = 0.01
+BACKLOG = 2048
+KEEP_ALIVE_S = 75
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the signals to this daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Iterator[None]:
+        """Installs no handlers."""
+        yield
+
+
+async def run_entry(own: configuration.Configuration) -> None:
+    """Runs an entry until it has stopped gracefully after SIGTERM or SIGINT."""
+    if own.listen is None:
+        raise ValueError("an entry needs an address for callers")
+    incarnation = secrets.token_hex(8)
+    facts = entry_state.EntryFacts(
+        own.instance, own.place, incarnation, own.listen.ip, own.listen.port
+    )
+    seeds = tuple(seed for seed in own.seeds if seed.instance != own.instance)
+    core = entry_core.make_entry_core(facts, seeds)
+    task = cores.CoreTask(core, TICK_S)
+    log = logs.make_event_log(own.instance)
+    task.handle(commands.Record, lambda record: log.write(record, time.time()))
+    identity = links.Identity(
+        own.instance, instances.Role.ENTRY, own.place, "", incarnation
+    )
+    link_task = links.LinkTask(identity, own.cluster_secret, task)
+    platforms.StoreTask(http_store.create_store(own.platform_url), task)
+    listing = http_instances.create_instance_list(own.platform_url)
+    server = _make_server(own, core, task)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.post, events.DrainRequested())
+    background = [
+        asyncio.ensure_future(task.run_ticker()),
+        asyncio.ensure_future(platforms.poll_instances(listing, task)),
+    ]
+    await link_task.listen(own.link.ip, own.link.port)
+    serving = asyncio.ensure_future(server.serve())
+    log.write(commands.Record(catalogue.DAEMON_STARTED, "", "", "entry"), time.time())
+    await task.run()
+    server.should_exit = True
+    await serving
+    for item in background:
+        item.cancel()
+    await link_task.close()
+    log.write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "entry"), time.time())
+
+
+def _make_server(
+    own: configuration.Configuration,
+    core: entry_core.EntryCore,
+    task: cores.CoreTask,
+) -> uvicorn.Server:
+    meter = metrics.Meter()
+    settings = core.state.settings
+    front = callers.Front(
+        instance=own.instance,
+        place=own.place,
+        core=task,
+        boxes=mailboxes.Mailboxes(task),
+        meter=meter,
+        get_resolver=lambda: settings.resolver,
+    )
+    views = application.Views(
+        list_addresses=core.peers.list_entries,
+        is_ready=lambda: settings.is_ready and bool(core.state.agents),
+        has_service=lambda name: (
+            settings.tree is not None and name in settings.tree.services
+        ),
+        address_ttl_ms=int(entry_core.ADDRESS_TTL_S * 1000),
+        meter=meter,
+    )
+    assert own.listen is not None
+    tls = own.tls
+    return _Server(
+        uvicorn.Config(
+            application.make_application(front, views),
+            host=own.listen.ip,
+            port=own.listen.port,
+            backlog=BACKLOG,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            loop="asyncio",
+            ws="none",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            ssl_certfile=tls.certificate_file if tls else None,
+            ssl_keyfile=tls.key_file if tls else None,
+        )
+    )
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that both roles run."""
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/cores.py
@@ -0,0 +1,63 @@
+"""The task that owns a core: feeds it events and has its commands carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+
+Handler = collections.abc.Callable[[typing.Any], None]
+
+
+class Core(typing.Protocol):
+    """A deterministic core."""
+
+    def step(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Consumes one event at a monotonic time, in seconds."""
+
+
+class CoreTask:
+    """Steps a core, one event after another."""
+
+    def __init__(self, core: Core, tick_s: float) -> None:
+        self._core = core
+        self._tick_s = tick_s
+        self._inbox: asyncio.Queue[events.Event] = asyncio.Queue()
+        self._handlers: dict[type, Handler] = {}
+        self._stopped = asyncio.Event()
+
+    def handle(self, kind: type, handler: Handler) -> None:
+        """Sets what carries out a kind of command; it must not block."""
+        self._handlers[kind] = handler
+
+    def post(self, event: events.Event) -> None:
+        """Queues an event."""
+        self._inbox.put_nowait(event)
+
+    async def run(self) -> None:
+        """Steps the core until it says `Stop`."""
+        while not self._stopped.is_set():
+            self._step(await self._inbox.get())
+
+    async def run_ticker(self) -> None:
+        """Lets the core know that time passes."""
+        while True:
+            await asyncio.sleep(self._tick_s)
+            self.post(events.Ticked())
+
+    async def wait_stopped(self) -> None:
+        """Returns once the core said `Stop`."""
+        await self._stopped.wait()
+
+    def _step(self, event: events.Event) -> None:
+        for command in self._core.step(event, time.monotonic()):
+            if isinstance(command, commands.Stop):
+                self._stopped.set()
+                continue
+            handler = self._handlers.get(type(command))
+            if handler is not None:
+                handler(command)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platforms.py
@@ -0,0 +1,48 @@
+"""Tasks that speak with the platform for a core."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+from chicoryweir_daemon.runtime import cores
+from chicoryweir_platform import protocols
+from chicoryweir_policy import store
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+
+LIST_PERIOD_S = 1.0
+MAX_CONCURRENT = 16
+
+
+class StoreTask:
+    """Runs the core's operations on the store."""
+
+    def __init__(self, store_client: protocols.Store, core: cores.CoreTask) -> None:
+        self._store = store_client
+        self._core = core
+        self._running: set[asyncio.Task[None]] = set()
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT)
+        core.handle(commands.RunOperation, self._start)
+
+    def _start(self, command: commands.RunOperation) -> None:
+        task = asyncio.ensure_future(self._run(command))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _run(self, command: commands.RunOperation) -> None:
+        async with self._slots:
+            result = await self._store.run(command.operation)
+        self._core.post(events.StoreReplied(command.operation_id, result))
+
+
+async def poll_instances(
+    listing: protocols.InstanceList, core: cores.CoreTask
+) -> typing.NoReturn:
+    """Reads the platform's list of instances from time to time."""
+    while True:
+        listed = await listing.list_instances()
+        if not isinstance(listed, store.Refused):
+            core.post(events.InstancesListed(listed))
+        await asyncio.sleep(LIST_PERIOD_S * random.uniform(0.8, 1.2))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -78,7 +78,9 @@
         self._finish_drain(now, out)
         return out
 
-    def _dispatch(self, event: events.Event, now: float, out: Commands) -> None:
+    def _dispatch(  # noqa: C901 - one branch for each kind of event
+        self, event: events.Event, now: float, out: Commands
+    ) -> None:
         match event:
             case events.MessageReceived():
                 self._receive(event, now, out)
@@ -401,9 +403,7 @@
             self._fail_lost(attempt, now, out)
         self._reject_waiting(messages.RejectReason.ENDPOINT_DOWN, out)
 
-    def _fail_lost(
-        self, attempt: attempts.Attempt, now: float, out: Commands
-    ) -> None:
+    def _fail_lost(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
         attempt_id = attempt.submit.attempt_id
         self._settle(attempt, now)
         self._end(attempt, messages.AttemptState.UNKNOWN)
@@ -413,9 +413,7 @@
         )
         out.append(commands.Send(attempt.instance, attempt.session, failed))
 
-    def _reject_waiting(
-        self, reason: messages.RejectReason, out: Commands
-    ) -> None:
+    def _reject_waiting(self, reason: messages.RejectReason, out: Commands) -> None:
         for attempt in self._attempts.list_waiting():
             attempt_id = attempt.submit.attempt_id
             self._queue.remove(attempt_id)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/claiming.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/claiming.py
@@ -111,7 +111,8 @@
             operation = store.Transact(checks, writes)
             out.append(self._state.operations.run(operation, _Flush(tuple(batch))))
         if self._closing and self._flushes < MAX_FLUSHES:
-            closing, self._closing = self._closing[:MAX_BATCH], self._closing[MAX_BATCH:]
+            closing = self._closing[:MAX_BATCH]
+            self._closing = self._closing[MAX_BATCH:]
             self._flushes += 1
             operation = store.Transact((), tuple(closing))
             out.append(self._state.operations.run(operation, _Closing()))
@@ -179,7 +180,7 @@
 
     def _is_wanted(self, pending: Pending) -> bool:
         request_id = pending.live.request.request_id
-        return self._state.lives.find(request_id) is pending.live
+        return self._state.requests.find(request_id) is pending.live
 
     def _hold(
         self, pending: Pending, version: int, now: float, out: entry_state.Commands
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -45,7 +45,9 @@
         self._drain_until = 0.0
         self._stopped = False
 
-    def step(self, event: events.Event, now: float) -> entry_state.Commands:
+    def step(  # noqa: C901 - one branch for each kind of event
+        self, event: events.Event, now: float
+    ) -> entry_state.Commands:
         """Consumes one event and returns the commands that follow from it."""
         out: entry_state.Commands = []
         match event:
@@ -54,7 +56,7 @@
             case events.RequestArrived():
                 self._admit(event.request, now, out)
             case events.RequestAbandoned():
-                live = self.state.lives.find(event.request_id)
+                live = self.state.requests.find(event.request_id)
                 if live is not None:
                     self._dispatcher.abandon(live, now, out)
             case events.Ticked():
@@ -90,7 +92,7 @@
             self.state.facts.place, request.service, request.workspace, request.priority
         )
         live = lives.Live(request, effective)
-        self.state.lives.add(live)
+        self.state.requests.add(live)
         self.state.journal.note(
             request.request_id,
             now,
@@ -146,7 +148,7 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        live = self.state.lives.find_attempt(message.attempt_id)
+        live = self.state.requests.find_attempt(message.attempt_id)
         if live is None or live.dispatch is None:
             return
         if live.dispatch.instance != event.instance:
@@ -241,10 +243,10 @@
             return
         if now < self._leaving_at + ADDRESS_TTL_S:
             return
-        if len(self.state.lives) and now < self._drain_until:
+        if len(self.state.requests) and now < self._drain_until:
             return
         self._stopped = True
-        for live in self.state.lives.list_all():
+        for live in self.state.requests.list_all():
             out.append(
                 commands.Record(
                     catalogue.DRAIN_TIMED_OUT,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
@@ -190,13 +190,11 @@
         self._state.journal.note(
             request_id, now, "answer", f"whole, status {head.status}"
         )
-        self._state.lives.remove(live)
+        self._state.requests.remove(live)
         if live.abandoned:
             return
         if not live.begun:
-            out.append(
-                commands.BeginAnswer(request_id, head.status, head.content_type)
-            )
+            out.append(commands.BeginAnswer(request_id, head.status, head.content_type))
             if live.body:
                 out.append(commands.SendAnswer(request_id, tuple(live.body)))
         out.append(commands.EndAnswer(request_id))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -38,9 +38,7 @@
         self._state = state
         self._claimer = claimer
 
-    def route(
-        self, live: lives.Live, now: float, out: entry_state.Commands
-    ) -> None:
+    def route(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
         """Selects an endpoint and submits, or claims first, or gives up."""
         state = self._state
         selected = state.selector.select_endpoint(
@@ -141,7 +139,7 @@
             resume_from=live.delivered,
             suspect=live.suspect,
         )
-        self._state.lives.attach(live, dispatch)
+        self._state.requests.attach(live, dispatch)
         self._state.loads.note_sent(
             dispatch.instance,
             dispatch.attempt_id,
@@ -167,7 +165,7 @@
         self._state.journal.note(live.request.request_id, now, "dispatch", detail)
         if live.abandoned:
             self._claimer.release(live, out)
-            self._state.lives.remove(live)
+            self._state.requests.remove(live)
             return
         if live.expired or message.reason is messages.RejectReason.EXPIRED:
             self._expire(live, dispatch.instance, now, out)
@@ -208,7 +206,7 @@
         self, session: str, now: float, out: entry_state.Commands
     ) -> None:
         """A link closed with attempts on it whose end is not known."""
-        for live in self._state.lives.list_session(session):
+        for live in self._state.requests.list_session(session):
             dispatch = self.detach(live)
             if dispatch is not None:
                 live.may_have_run = True
@@ -243,7 +241,7 @@
         live.excluded.add(instance)
         if live.abandoned:
             self._claimer.release(live, out)
-            self._state.lives.remove(live)
+            self._state.requests.remove(live)
             return
         if live.attempts < live.effective.max_attempts and self._schedule_retry(
             live, now
@@ -265,18 +263,18 @@
         at = now + min(RETRY_MAX_S, doubled)
         if at >= live.request.deadline_at and not live.begun:
             return False
-        self._state.lives.set_retry(live.request.request_id, at)
+        self._state.requests.set_retry(live.request.request_id, at)
         return True
 
     def run_retries(self, now: float, out: entry_state.Commands) -> None:
         """Routes the requests whose time to be tried again has come."""
-        for live in self._state.lives.pop_retries(now):
+        for live in self._state.requests.pop_retries(now):
             if live.dispatch is None and not live.expired:
                 self.route(live, now, out)
 
     def run_deadlines(self, now: float, out: entry_state.Commands) -> None:
         """Ends the requests whose deadline passed; a begun answer goes on."""
-        for live in self._state.lives.pop_due(now):
+        for live in self._state.requests.pop_due(now):
             if live.begun:
                 continue
             if live.abandoned:
@@ -290,7 +288,7 @@
                 continue
             live.expired = True
             self._cancel(live, out)
-            self._state.lives.set_timer(
+            self._state.requests.set_timer(
                 live.request.request_id, now + EXPIRY_GRACE_S
             )
 
@@ -303,7 +301,7 @@
         if live.is_idempotent or live.dispatch is None:
             self._cancel(live, out)
             self._claimer.release(live, out)
-            self._state.lives.remove(live)
+            self._state.requests.remove(live)
 
     def _expire(
         self, live: lives.Live, peer: str, now: float, out: entry_state.Commands
@@ -340,7 +338,7 @@
 
     def detach(self, live: lives.Live) -> lives.Dispatch | None:
         """Takes the attempt under way off a request and off the load book."""
-        dispatch = self._state.lives.detach(live)
+        dispatch = self._state.requests.detach(live)
         if dispatch is not None:
             self._state.loads.note_finished(dispatch.instance, dispatch.attempt_id)
         return dispatch
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/problems.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/problems.py
@@ -56,9 +56,9 @@
     )
 
 
-def make_claim_unavailable(peer: str, detail: str, retry_after_ms: int) -> (
-    outcomes.Problem
-):
+def make_claim_unavailable(
+    peer: str, detail: str, retry_after_ms: int
+) -> outcomes.Problem:
     """The claim of an at-most-once request could not be written."""
     return outcomes.Problem(
         503,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -68,7 +68,7 @@
     settings: settings_task.SettingsTask
     operations: operations.Operations
     journal: journal.Journal
-    lives: lives.LiveTable = dataclasses.field(default_factory=lives.LiveTable)
+    requests: lives.LiveTable = dataclasses.field(default_factory=lives.LiveTable)
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     attempts_made: int = 0
 
@@ -77,7 +77,7 @@
     ) -> None:
         """Gives a request its final answer: a problem, or a broken connection."""
         request_id = live.request.request_id
-        self.lives.remove(live)
+        self.requests.remove(live)
         detail = f"{problem.status} {problem.outcome.value}: {problem.detail}"
         self.journal.note(request_id, now, problem.step, detail)
         if live.abandoned:
@@ -90,9 +90,7 @@
             number = catalogue.REQUEST_REFUSED
         out.append(commands.Record(number, request_id, problem.peer, detail))
 
-    def send(
-        self, link: AgentLink, message: messages.Message, out: Commands
-    ) -> None:
+    def send(self, link: AgentLink, message: messages.Message, out: Commands) -> None:
         """Sends a message to an agent."""
         out.append(commands.Send(link.instance, link.session, message))
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
@@ -54,6 +54,11 @@
         """Whether any version is in force."""
         return self._resolver is not None
 
+    @property
+    def resolver(self) -> resolution.Resolver | None:
+        """The resolver of the tree in force, or None."""
+        return self._resolver
+
     @property
     def tree(self) -> trees.Tree | None:
         """The tree in force, or None."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/intake/heads.py
@@ -0,0 +1,201 @@
+"""Checks of a request's line and headers, before its body is read."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import hashlib
+import re
+
+from chicoryweir_policy import outcomes
+from chicoryweir_policy import requests
+from chicoryweir_policy.intake import faults
+from chicoryweir_policy.settings import resolution
+from chicoryweir_policy.settings import tree as trees
+
+MAX_DEADLINE_MS = 86_400_000
+MAX_KEY_CHARS = 255
+COMPLETION_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
+SERVICES_PREFIX = "/v1/services/"
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+_KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}\Z")
+_PRIORITIES = {
+    "urgent": requests.PriorityClass.URGENT,
+    "standard": requests.PriorityClass.STANDARD,
+    "bulk": requests.PriorityClass.BULK,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawHead:
+    """The line and headers of a request as they came.
+
+    Attributes:
+        method: HTTP method.
+        path: Path, still encoded.
+        query: Query string, without the question mark.
+        headers: Header values by lower-case name.
+        size_bytes: Size of all headers.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: collections.abc.Mapping[str, str]
+    size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """A checked head.
+
+    Attributes:
+        raw: The head as it came.
+        workspace: Workspace of the caller.
+        service: Plain service that is called; empty for a completion.
+        path: Path for the endpoint, with the query.
+        priority: Priority class.
+        deadline_ms: The caller's deadline from arrival; None for the settings'.
+        idempotency_key: The caller's key, or an empty string.
+        marked_idempotent: The caller's mark; None for none.
+        max_request_bytes: Largest body allowed.
+    """
+
+    raw: RawHead
+    workspace: str
+    service: str
+    path: str
+    priority: requests.PriorityClass
+    deadline_ms: int | None
+    idempotency_key: str
+    marked_idempotent: bool | None
+    max_request_bytes: int
+
+
+def check_head(
+    raw: RawHead, resolver: resolution.Resolver, place: str
+) -> Head | outcomes.Problem:
+    """Checks a head against the settings in force."""
+    workspace = authenticate(raw, resolver.tree)
+    if isinstance(workspace, outcomes.Problem):
+        return workspace
+    service, path = _split_path(raw)
+    if service and service not in resolver.tree.services:
+        return faults.make_unknown("service", service)
+    priority = _parse_priority(raw)
+    if isinstance(priority, outcomes.Problem):
+        return priority
+    effective = resolver.resolve(place, service, workspace, priority)
+    if raw.size_bytes > effective.max_header_bytes:
+        return faults.make_too_large("headers", effective.max_header_bytes)
+    declared = raw.headers.get("content-length", "0")
+    if declared.isdigit() and int(declared) > effective.max_request_bytes:
+        return faults.make_too_large("body", effective.max_request_bytes)
+    return _check_options(raw, workspace, service, path, priority, effective)
+
+
+def _check_options(
+    raw: RawHead,
+    workspace: str,
+    service: str,
+    path: str,
+    priority: requests.PriorityClass,
+    effective: resolution.Effective,
+) -> Head | outcomes.Problem:
+    deadline_ms = _parse_deadline(raw)
+    if isinstance(deadline_ms, outcomes.Problem):
+        return deadline_ms
+    marked = _parse_mark(raw)
+    if isinstance(marked, outcomes.Problem):
+        return marked
+    key = raw.headers.get("idempotency-key", "")
+    if key and not _KEY_PATTERN.match(key):
+        detail = f"expected 1 to {MAX_KEY_CHARS} visible ASCII characters"
+        return faults.make_bad_field("Idempotency-Key", detail)
+    if marked is False and not key:
+        detail = "X-Idempotent: false needs an Idempotency-Key"
+        return faults.make_bad_field("Idempotency-Key", detail)
+    return Head(
+        raw=raw,
+        workspace=workspace,
+        service=service,
+        path=path,
+        priority=priority,
+        deadline_ms=deadline_ms,
+        idempotency_key=key,
+        marked_idempotent=marked,
+        max_request_bytes=effective.max_request_bytes,
+    )
+
+
+def authenticate(raw: RawHead, tree: trees.Tree) -> str | outcomes.Problem:
+    """Returns the caller's workspace.
+
+    Keys are compared by their SHA-256, which an attacker can't steer, so the time of
+    the look-up tells nothing of a key.
+    """
+    authorization = raw.headers.get("authorization", "")
+    named = raw.headers.get("x-workspace", "")
+    if not authorization:
+        return _accept_keyless(named, tree)
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        detail = "expected `Authorization: Bearer KEY`"
+        return faults.make_unauthorized(detail)
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    workspace = tree.workspace_by_key.get(digest)
+    if workspace is None:
+        return faults.make_unauthorized("no workspace has this key")
+    if named and named != workspace:
+        return faults.make_forbidden("the key belongs to another workspace")
+    return workspace
+
+
+def _accept_keyless(named: str, tree: trees.Tree) -> str | outcomes.Problem:
+    if not named:
+        return faults.make_unauthorized("expected `Authorization: Bearer KEY`")
+    keys = tree.workspace_keys.get(named)
+    if keys is None or keys:
+        return faults.make_unauthorized("this workspace needs a key")
+    return named
+
+
+def _split_path(raw: RawHead) -> tuple[str, str]:
+    query = f"?{raw.query}" if raw.query else ""
+    if not raw.path.startswith(SERVICES_PREFIX):
+        return "", raw.path + query
+    service, _, rest = raw.path[len(SERVICES_PREFIX) :].partition("/")
+    return service, f"/{rest}{query}"
+
+
+def _parse_priority(raw: RawHead) -> requests.PriorityClass | outcomes.Problem:
+    text = raw.headers.get("x-priority", "standard")
+    priority = _PRIORITIES.get(text.strip().lower())
+    if priority is None:
+        detail = "expected urgent, standard or bulk"
+        return faults.make_bad_field("X-Priority", detail)
+    return priority
+
+
+def _parse_deadline(raw: RawHead) -> int | None | outcomes.Problem:
+    text = raw.headers.get("x-deadline-ms")
+    if text is None:
+        return None
+    detail = f"expected a whole number from 1 to {MAX_DEADLINE_MS}"
+    if not re.fullmatch(r"[0-9]{1,8}", text.strip()):
+        return faults.make_bad_field("X-Deadline-Ms", detail)
+    deadline_ms = int(text)
+    if not 1 <= deadline_ms <= MAX_DEADLINE_MS:
+        return faults.make_bad_field("X-Deadline-Ms", detail)
+    return deadline_ms
+
+
+def _parse_mark(raw: RawHead) -> bool | None | outcomes.Problem:
+    text = raw.headers.get("x-idempotent")
+    if text is None:
+        return None
+    marks = {"true": True, "false": False}
+    mark = marks.get(text.strip().lower())
+    if mark is None:
+        return faults.make_bad_field("X-Idempotent", "expected true or false")
+    return mark
--- a/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import os
 import typing
@@ -68,8 +69,9 @@
 
     async def run_sender(self) -> None:
         """Sends queued messages until the link closes."""
-        while True:
-            await self.transmit(await self._outgoing.get())
+        with contextlib.suppress(websockets.exceptions.ConnectionClosed):
+            while True:
+                await self.transmit(await self._outgoing.get())
 
     async def transmit(self, message: messages.Message) -> None:
         """Sends one message, ahead of queued ones."""
@@ -157,7 +159,7 @@
 
 
 Handler = collections.abc.Callable[
-    [Link, messages.Hello], collections.abc.Awaitable[None]
+    [Link, messages.Hello, messages.Hello], collections.abc.Awaitable[None]
 ]
 HelloFactory = collections.abc.Callable[[], messages.Hello]
 
@@ -165,17 +167,26 @@
 async def listen_links(
     ip: str, port: int, secret: bytes, make_hello: HelloFactory, handle: Handler
 ) -> server.Server:
-    """Accepts links; `handle` runs for each until it returns."""
+    """Accepts links; `handle` runs for each until it returns.
+
+    Args:
+        ip: Address to listen on.
+        port: Port to listen on; 0 for any.
+        secret: The cluster's secret.
+        make_hello: Makes this side's Hello for a new link.
+        handle: Given the link, the peer's Hello and this side's.
+    """
 
     async def accept(socket: server.ServerConnection) -> None:
         peer = str(socket.remote_address)
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 link = await _shake_hands(socket, secret, False, peer)
-                hello = await _exchange_hellos(link, make_hello(), peer)
+                own = make_hello()
+                hello = await _exchange_hellos(link, own, peer)
         except (LinkError, TimeoutError, websockets.exceptions.WebSocketException):
             return
-        await handle(link, hello)
+        await handle(link, hello, own)
 
     return await server.serve(
         typing.cast(typing.Any, accept),
--- a/packages/chicoryweir-wire/tests/test_links.py
+++ b/packages/chicoryweir-wire/tests/test_links.py
@@ -16,7 +16,9 @@
 
 
 async def _serve(received: asyncio.Queue[object]) -> tuple[object, int]:
-    async def handle(link: links.Link, hello: messages.Hello) -> None:
+    async def handle(
+        link: links.Link, hello: messages.Hello, own: messages.Hello
+    ) -> None:
         received.put_nowait(hello)
         received.put_nowait(await link.receive())
 
