--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/__init__.py
@@ -0,0 +1,1 @@
+"""Several cores of both roles in one process, with faults between them."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/endpoints.py
@@ -0,0 +1,125 @@
+"""An endpoint whose answers are a pure function of the request, with all its runs."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryweir_policy import requests
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+
+ANSWER_EVENTS = 3
+POISON = b"poison"
+
+
+def compute_answer(body: bytes) -> tuple[bytes, ...]:
+    """Returns the pieces of the answer to a body."""
+    return tuple(b"%d:%b" % (index, body) for index in range(ANSWER_EVENTS))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One start of a call at an endpoint."""
+
+    endpoint: str
+    incarnation: str
+    request_id: str
+    key: str
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    command: commands.CallEndpoint
+    sent: int
+
+
+@dataclasses.dataclass(slots=True)
+class FakeEndpoint:
+    """An endpoint beside an agent.
+
+    Attributes:
+        name: Name of the agent's instance.
+        incarnation: Process of the endpoint; empty while it is down.
+        runs: All runs, in order.
+        lost: Processes that died.
+    """
+
+    name: str
+    incarnation: str = ""
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    lost: int = 0
+    _calls: dict[str, _Call] = dataclasses.field(default_factory=dict)
+    _starts: int = 0
+
+    def boot(self) -> None:
+        """Starts a new process."""
+        self._starts += 1
+        self._calls.clear()
+        self.incarnation = f"{self.name}-p{self._starts}"
+
+    def probe(self) -> events.EndpointProbed:
+        """Answers a probe."""
+        return events.EndpointProbed(self.incarnation, len(self._calls), 0, 0.02, ())
+
+    def start(self, command: commands.CallEndpoint) -> list[events.Event]:
+        """Takes a call; a poisonous one kills the process."""
+        if not self.incarnation:
+            failed = events.EndpointFailed(command.attempt_id, False, True, "refused")
+            return [failed]
+        self.runs.append(
+            Run(
+                self.name,
+                self.incarnation,
+                command.request_id,
+                command.idempotency_key,
+                command.body,
+            )
+        )
+        self._calls[command.attempt_id] = _Call(command, command.resume_from)
+        if command.body.startswith(POISON):
+            return self.crash()
+        return [
+            events.EndpointAnswered(
+                command.attempt_id, 200, "text/event-stream", command.mode
+            )
+        ]
+
+    def crash(self) -> list[events.Event]:
+        """Kills the process; every call breaks."""
+        broken: list[events.Event] = [
+            events.EndpointFailed(attempt_id, True, True, "reset")
+            for attempt_id in self._calls
+        ]
+        self._calls.clear()
+        if self.incarnation:
+            self.lost += 1
+        self.incarnation = ""
+        return broken
+
+    def cancel(self, attempt_id: str) -> None:
+        """Ends a call that nobody waits for."""
+        self._calls.pop(attempt_id, None)
+
+    def forget_calls(self) -> None:
+        """The agent died: its connections close, what runs may run on."""
+        self._calls.clear()
+
+    def list_calls(self) -> list[str]:
+        """Returns the attempts that run."""
+        return list(self._calls)
+
+    def progress(self, attempt_id: str) -> list[events.Event]:
+        """Sends the next piece of an answer, or ends it."""
+        call = self._calls[attempt_id]
+        pieces = compute_answer(call.command.body)
+        if call.sent < len(pieces):
+            call.sent += 1
+            return [events.EndpointSent(attempt_id, (pieces[call.sent - 1],))]
+        del self._calls[attempt_id]
+        return [events.EndpointFinished(attempt_id)]
+
+
+def make_mode(streamed: bool) -> requests.AnswerMode:
+    """Returns the mode of an answer."""
+    return requests.AnswerMode.EVENTS if streamed else requests.AnswerMode.BODY
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
@@ -0,0 +1,452 @@
+"""A world of cores: their links, their store, their endpoints and their callers."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import json
+
+from chicoryweir_policy import catalogue
+from chicoryweir_policy import messages
+from chicoryweir_policy import requests
+from chicoryweir_policy.admission import queue
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+from chicoryweir_policy.cores.agent import core as agent_core
+from chicoryweir_policy.cores.entry import core as entry_core
+from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.membership import instances
+from chicoryweir_policy.settings import heads
+
+from chicoryweir_standins.worlds import callers
+from chicoryweir_standins.worlds import endpoints
+from chicoryweir_standins.worlds import storage
+
+SERVICE = "desk"
+PLACE = "telavi"
+SLOTS = 2
+QUEUE_LIMIT = 8
+TOKENS_PER_S = 1000.0
+LIFE_S = 10.0
+
+Core = entry_core.EntryCore | agent_core.AgentCore
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """A process of the world.
+
+    Attributes:
+        name: Its instance.
+        role: Its role.
+        core: Its core; None while it is dead.
+        incarnation: Number of its start.
+        paused: Whether it is frozen; what is sent to it waits.
+        waiting: Events that wait while it is frozen.
+        versions: Settings versions in force, over its history.
+    """
+
+    name: str
+    role: instances.Role
+    core: Core | None = None
+    incarnation: int = 0
+    paused: bool = False
+    waiting: collections.deque[events.Event] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    versions: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """A link; messages wait in it in both directions until they are delivered."""
+
+    session: str
+    dialer: str
+    listener: str
+    queues: dict[str, collections.deque[messages.Message]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingOperation:
+    """An operation on its way to the store."""
+
+    node: str
+    incarnation: int
+    operation_id: int
+    command: commands.RunOperation
+
+
+class World:
+    """Everything of one run; each method is one thing that may happen."""
+
+    def __init__(self, entry_names: tuple[str, ...], agent_names: tuple[str, ...]) -> (
+        None
+    ):
+        self.now = 100.0
+        self.store = storage.FakeStore()
+        self.callers = callers.Callers()
+        self.nodes: dict[str, Node] = {}
+        self.links: dict[str, Link] = {}
+        self.operations: list[PendingOperation] = []
+        self.endpoints: dict[str, endpoints.FakeEndpoint] = {}
+        self.steps = 0
+        self._requests = 0
+        self._sessions = 0
+        self._put_settings()
+        for name in entry_names:
+            self.nodes[name] = Node(name, instances.Role.ENTRY)
+        for name in agent_names:
+            self.nodes[name] = Node(name, instances.Role.AGENT)
+            self.endpoints[name] = endpoints.FakeEndpoint(name)
+            self.endpoints[name].boot()
+        for name in (*agent_names, *entry_names):
+            self.boot(name)
+        self.settle()
+
+    def _put_settings(self) -> None:
+        document = {"services": {SERVICE: {"kind": "plain"}}, "fleet": {}}
+        self.store.objects["settings/1"] = json.dumps(document).encode()
+        head = heads.Head(1, "settings/1", "", "first", "", 0.0, "")
+        self.store.apply(_write_head(head))
+
+    # Processes
+
+    def boot(self, name: str) -> None:
+        """Starts a process anew."""
+        node = self.nodes[name]
+        node.incarnation += 1
+        node.paused = False
+        node.waiting.clear()
+        node.core = self._make_core(node)
+        node.versions.append(0)
+        if node.role is instances.Role.AGENT:
+            self._step(node, self.endpoints[name].probe())
+        self._step(node, events.Ticked())
+
+    def _make_core(self, node: Node) -> Core:
+        incarnation = f"{node.name}.{node.incarnation}"
+        if node.role is instances.Role.AGENT:
+            facts = agent_core.AgentFacts(
+                node.name, PLACE, SERVICE, incarnation, SLOTS
+            )
+            work = queue.create_fair_queue(QUEUE_LIMIT, TOKENS_PER_S)
+            return agent_core.AgentCore(facts, work)
+        entry_facts = entry_state.EntryFacts(
+            node.name, PLACE, incarnation, "127.0.0.1", 1
+        )
+        seeds = tuple(
+            instances.Instance(
+                other.name, other.role, PLACE, SERVICE, "127.0.0.1", 1, 1, False
+            )
+            for other in self.nodes.values()
+            if other.name != node.name
+        )
+        return entry_core.make_entry_core(entry_facts, seeds)
+
+    def kill(self, name: str) -> None:
+        """Kills a process: its links close, its callers are cut off."""
+        node = self.nodes[name]
+        node.core = None
+        node.waiting.clear()
+        for link in list(self.links.values()):
+            if name in (link.dialer, link.listener):
+                self.cut(link.session)
+        if node.role is instances.Role.ENTRY:
+            self.callers.cut(name)
+        else:
+            self.endpoints[name].forget_calls()
+
+    def pause(self, name: str) -> None:
+        """Freezes a process."""
+        self.nodes[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Lets a frozen process go on; it takes what waited, in order."""
+        node = self.nodes[name]
+        node.paused = False
+        while node.waiting and node.core is not None:
+            self._step(node, node.waiting.popleft())
+
+    # Links
+
+    def dial(self, dialer: str, listener: str) -> None:
+        """Opens a link unless there is one."""
+        if self.find_link(dialer, listener) is not None:
+            return
+        if any(self.nodes[name].core is None for name in (dialer, listener)):
+            return
+        self._sessions += 1
+        session = f"s{self._sessions}"
+        queues = {
+            name: collections.deque[messages.Message]() for name in (dialer, listener)
+        }
+        self.links[session] = Link(session, dialer, listener, queues)
+        for own, peer in ((dialer, listener), (listener, dialer)):
+            hello = self._make_hello(self.nodes[peer], session)
+            self._post(self.nodes[own], events.LinkOpened(hello, session))
+
+    def _make_hello(self, node: Node, session: str) -> messages.Hello:
+        return messages.Hello(
+            node.name,
+            node.role,
+            PLACE,
+            SERVICE,
+            f"{node.name}.{node.incarnation}",
+            session,
+            0,
+        )
+
+    def find_link(self, one: str, other: str) -> Link | None:
+        """Returns the link between two processes, or None."""
+        for link in self.links.values():
+            if {one, other} == {link.dialer, link.listener}:
+                return link
+        return None
+
+    def cut(self, session: str) -> None:
+        """Closes a link; what was on it is lost."""
+        link = self.links.pop(session)
+        for own, peer in ((link.dialer, link.listener), (link.listener, link.dialer)):
+            self._post(self.nodes[own], events.LinkClosed(peer, session))
+
+    def deliver(
+        self, session: str, to: str, index: int = 0, keep: bool = False
+    ) -> None:
+        """Delivers a waiting message; `keep` leaves a second copy on the link."""
+        link = self.links[session]
+        waiting = link.queues[to]
+        message = waiting[index]
+        if not keep:
+            del waiting[index]
+        sender = link.dialer if to == link.listener else link.listener
+        received = events.MessageReceived(sender, session, message)
+        self._post(self.nodes[to], received)
+
+    def lose(self, session: str, to: str, index: int = 0) -> None:
+        """Loses a waiting message."""
+        del self.links[session].queues[to][index]
+
+    # Store, endpoints, time
+
+    def run_operation(self, index: int, lose_reply: bool = False) -> None:
+        """Lets an operation reach the store, and its reply come back or be lost."""
+        pending = self.operations.pop(index)
+        result = self.store.apply(pending.command.operation)
+        if lose_reply:
+            result = storage.store.Unknown("reply lost")
+        node = self.nodes[pending.node]
+        if node.core is not None and node.incarnation == pending.incarnation:
+            self._post(node, events.StoreReplied(pending.operation_id, result))
+
+    def progress(self, agent: str, attempt_id: str) -> None:
+        """Lets an endpoint send the next piece of an answer."""
+        for event in self.endpoints[agent].progress(attempt_id):
+            self._post(self.nodes[agent], event)
+
+    def crash_endpoint(self, agent: str) -> None:
+        """Kills an endpoint's process."""
+        for event in self.endpoints[agent].crash():
+            self._post(self.nodes[agent], event)
+        self._post(self.nodes[agent], self.endpoints[agent].probe())
+
+    def boot_endpoint(self, agent: str) -> None:
+        """Starts an endpoint's process when it is down."""
+        endpoint = self.endpoints[agent]
+        if not endpoint.incarnation:
+            endpoint.boot()
+        self._post(self.nodes[agent], endpoint.probe())
+
+    def pass_time(self, seconds: float) -> None:
+        """Lets time pass; every process that lives ticks."""
+        self.now += seconds
+        for node in self.nodes.values():
+            self._post(node, events.Ticked())
+
+    def drain(self, name: str) -> None:
+        """Asks a process to stop gracefully."""
+        self._post(self.nodes[name], events.DrainRequested())
+
+    # Callers
+
+    def call(
+        self,
+        entry: str,
+        body: bytes,
+        idempotency: requests.Idempotency,
+        key: str = "",
+        workspace: str = "w",
+        streamed: bool = True,
+        life_s: float = LIFE_S,
+    ) -> str:
+        """Sends a request to an entry and returns its identifier."""
+        self._requests += 1
+        request_id = f"r{self._requests}"
+        request = requests.Request(
+            request_id=request_id,
+            workspace=workspace,
+            service=SERVICE,
+            model="",
+            priority=requests.PriorityClass(self._requests % 3),
+            arrived_at=self.now,
+            deadline_at=self.now + life_s,
+            idempotency=idempotency,
+            idempotency_key=key,
+            mode=endpoints.make_mode(streamed),
+            method="POST",
+            path="/",
+            content_type="",
+            body=body,
+            fingerprint=int.from_bytes(body.ljust(8, b"\x00")[-8:], "big"),
+            prefix=0,
+            prefix_blocks=(),
+            cost_tokens=10.0,
+        )
+        self.callers.add(request, entry)
+        self._post(self.nodes[entry], events.RequestArrived(request))
+        return request_id
+
+    def abandon(self, request_id: str) -> None:
+        """The caller of a request goes away."""
+        told = self.callers.told[request_id]
+        if told.final:
+            return
+        told.final = "gone"
+        abandoned = events.RequestAbandoned(request_id)
+        self._post(self.nodes[told.entry], abandoned)
+
+    # Checks
+
+    def list_runs(self) -> list[endpoints.Run]:
+        """Returns all runs at all endpoints."""
+        return [run for endpoint in self.endpoints.values() for run in endpoint.runs]
+
+    def check(self) -> None:
+        """Checks every guarantee that can be checked at any time."""
+        self.callers.check_runs(self.list_runs())
+
+    def settle(self, rounds: int = 400) -> None:
+        """Ends all faults and lets everything run until nothing is left to do."""
+        self.store.down = False
+        for node in self.nodes.values():
+            if node.core is None:
+                self.boot(node.name)
+            if node.paused:
+                self.resume(node.name)
+        for _ in range(rounds):
+            self._settle_once()
+            if self._is_quiet():
+                return
+
+    def _settle_once(self) -> None:
+        for dialer in self.nodes.values():
+            for listener in self.nodes.values():
+                if _dials(dialer, listener):
+                    self.dial(dialer.name, listener.name)
+        while self.operations:
+            self.run_operation(0)
+        for session in list(self.links):
+            link = self.links.get(session)
+            for to in (link.dialer, link.listener) if link is not None else ():
+                while link is not None and link.queues[to]:
+                    self.deliver(session, to)
+        for name, endpoint in self.endpoints.items():
+            self.boot_endpoint(name)
+            for attempt_id in endpoint.list_calls():
+                if attempt_id in endpoint.list_calls():
+                    self.progress(name, attempt_id)
+        self.pass_time(0.05)
+
+    def _is_quiet(self) -> bool:
+        if any(not told.final for told in self.callers.told.values()):
+            return False
+        if any(endpoint.list_calls() for endpoint in self.endpoints.values()):
+            return False
+        return all(self._is_ready(node) for node in self.nodes.values())
+
+    def _is_ready(self, node: Node) -> bool:
+        match node.core:
+            case entry_core.EntryCore():
+                return node.core.state.settings.is_ready
+            case agent_core.AgentCore():
+                return node.core.settings_version > 0
+            case None:
+                return False
+
+    # Steps
+
+    def _post(self, node: Node, event: events.Event) -> None:
+        if node.core is None:
+            return
+        if node.paused:
+            if not isinstance(event, events.Ticked):
+                node.waiting.append(event)
+            return
+        self._step(node, event)
+
+    def _step(self, node: Node, event: events.Event) -> None:
+        if node.core is None:
+            return
+        self.steps += 1
+        for command in node.core.step(event, self.now):
+            self._carry_out(node, command)
+        self._check_version(node)
+
+    def _check_version(self, node: Node) -> None:
+        match node.core:
+            case entry_core.EntryCore():
+                version = node.core.state.settings.version
+            case agent_core.AgentCore():
+                version = node.core.settings_version
+            case None:
+                return
+        if version < node.versions[-1]:
+            raise callers.BrokenGuaranteeError(
+                f"{node.name} went from version {node.versions[-1]} to {version}"
+            )
+        if version != node.versions[-1]:
+            node.versions.append(version)
+
+    def _carry_out(self, node: Node, command: commands.Command) -> None:
+        match command:
+            case commands.Send(_, session, message):
+                self._send(node, session, message)
+            case commands.RunOperation(operation_id):
+                pending = PendingOperation(
+                    node.name, node.incarnation, operation_id, command
+                )
+                self.operations.append(pending)
+            case commands.CallEndpoint():
+                for event in self.endpoints[node.name].start(command):
+                    self._post(node, event)
+            case commands.CancelCall(attempt_id):
+                self.endpoints[node.name].cancel(attempt_id)
+            case commands.Record(number, _, _, detail):
+                if number == catalogue.INVARIANT_VIOLATED:
+                    raise callers.BrokenGuaranteeError(detail)
+            case commands.Stop():
+                node.core = None
+            case commands.KeepLinks():
+                pass
+            case _:
+                self.callers.consume(command)
+
+    def _send(self, node: Node, session: str, message: messages.Message) -> None:
+        link = self.links.get(session)
+        if link is None:
+            return
+        to = link.listener if node.name == link.dialer else link.dialer
+        link.queues[to].append(message)
+
+
+def _dials(dialer: Node, listener: Node) -> bool:
+    if dialer.role is not instances.Role.ENTRY or dialer is listener:
+        return False
+    return listener.role is instances.Role.AGENT or listener.name < dialer.name
+
+
+def _write_head(head: heads.Head) -> "storage.store.Transact":
+    value = heads.render_head(head)
+    write = storage.store.Write(heads.HEAD_KEY, value)
+    return storage.store.Transact((), (write,))
