--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/app.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/app.py
@@ -19,6 +19,8 @@
 from chicoryweir_standins.engine import cache_events
 from chicoryweir_standins.engine import configuration
 from chicoryweir_standins.engine import events
+from chicoryweir_standins.engine import group_member
+from chicoryweir_standins.engine import group_routes
 from chicoryweir_standins.engine import load_reports
 from chicoryweir_standins.engine import orders
 from chicoryweir_standins.engine import pace
@@ -242,11 +244,14 @@
 ]
 
 
-def create_app(engine: Engine, *routes: typing.Any) -> litestar.Litestar:
-    """Creates the application of one engine."""
+def create_app(
+    engine: Engine, member: group_member.GroupMember | None = None
+) -> litestar.Litestar:
+    """Creates the application of one engine, a member of a group or none."""
+    group = group_routes.ROUTES if member else []
     return litestar.Litestar(
-        route_handlers=[*ROUTES, *routes],
-        state=datastructures.State({"engine": engine}),
+        route_handlers=[*ROUTES, *group],
+        state=datastructures.State({"engine": engine, "member": member}),
         openapi_config=None,
         logging_config=None,
     )
@@ -255,12 +260,17 @@
 def run_engine(config: configuration.EngineConfig) -> None:
     """Serves until a signal."""
     engine = Engine(config)
-    timed = pace.TimedPace(config.step_time_ms / 1e3)
-    serving.run_app(
-        create_app(engine),
-        config.ip,
-        config.port,
-        engine.reporter.send_reports,
-        engine.sample_load,
-        lambda: engine.scheduler.run_steps(timed),
-    )
+    tasks = [engine.reporter.send_reports, engine.sample_load]
+    member = None
+    steps: scheduler.Pace = pace.TimedPace(config.step_time_ms / 1e3)
+    if config.group is not None:
+        member = group_member.GroupMember(
+            config.group,
+            config.step_time_ms,
+            config.seed,
+            engine.scheduler.wait_resumed,
+        )
+        steps = member
+        tasks.append(member.run)
+    tasks.append(lambda: engine.scheduler.run_steps(steps))
+    serving.run_app(create_app(engine, member), config.ip, config.port, *tasks)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/configuration.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/configuration.py
@@ -14,14 +14,11 @@
         group: Name of the group.
         rank: Rank of this engine.
         barrier_url: Websocket of the group's barrier.
-        replicas: Ranks that hold each expert in the first map; empty for an
-            engine that has to join before it takes part.
     """
 
     group: str
     rank: int
     barrier_url: str
-    replicas: tuple[tuple[int, ...], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +68,5 @@
     members["models"] = tuple(members.get("models", ("kakheti-1",)))
     group = members.get("group")
     if group is not None:
-        replicas = tuple(tuple(ranks) for ranks in group.get("replicas", ()))
-        members["group"] = GroupConfig(**{**group, "replicas": replicas})
+        members["group"] = GroupConfig(**group)
     return EngineConfig(**members)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/group_routes.py
@@ -0,0 +1,106 @@
+"""HTTP API of an engine for its lock-step group."""
+
+from __future__ import annotations
+
+import typing
+
+import litestar
+from litestar import datastructures
+
+from chicoryweir_standins.engine import group_member
+from chicoryweir_standins.engine import orders
+from chicoryweir_standins.engine import rank_map
+
+Json = dict[str, typing.Any]
+
+
+def _parse_replicas(data: Json) -> rank_map.Replicas:
+    return tuple(tuple(int(r) for r in ranks) for ranks in data["map"]["replicas"])
+
+
+def _refuse_stale(
+    state: datastructures.State, data: Json
+) -> litestar.Response[Json] | None:
+    stale: orders.Stale | None = state.engine.orders.accept_fence(int(data["fence"]))
+    if stale is None:
+        return None
+    body = {"highest_fence": stale.highest_fence}
+    return litestar.Response(body, status_code=409)
+
+
+def _refuse(error: rank_map.RefusedError) -> litestar.Response[Json]:
+    return litestar.Response({"detail": str(error)}, status_code=409)
+
+
+@litestar.get("/group")
+async def get_group(state: datastructures.State) -> Json:
+    """Reports the rank's map, step and expert load since the last read."""
+    member: group_member.GroupMember = state.member
+    prepared = member.map.prepared
+    return {
+        "group": member.config.group,
+        "incarnation": state.engine.incarnation,
+        "step": member.map.step,
+        "ranks": [
+            {
+                "rank": member.config.rank,
+                "map_version": member.map.map_version,
+                "prepared": prepared.change_id if prepared else None,
+                "hold_at": prepared.hold_at if prepared else None,
+            }
+        ],
+        "expert_load": member.counter.read(),
+        "step_ms_by_rank": member.step_ms_by_rank,
+    }
+
+
+@litestar.post("/group/join", status_code=200)
+async def join_group(
+    state: datastructures.State, data: Json
+) -> litestar.Response[Json]:
+    """Sets the first map; the rank takes part in steps from then on."""
+    stale = _refuse_stale(state, data)
+    if stale is not None:
+        return stale
+    try:
+        state.member.join(int(data["map_version"]), _parse_replicas(data))
+    except rank_map.RefusedError as error:
+        return _refuse(error)
+    return litestar.Response({"joined": True}, status_code=200)
+
+
+@litestar.post("/group/prepare", status_code=200)
+async def prepare_map(
+    state: datastructures.State, data: Json
+) -> litestar.Response[Json]:
+    """Prepares a map: the rank holds before step `hold_at` until it is released."""
+    stale = _refuse_stale(state, data)
+    if stale is not None:
+        return stale
+    change = rank_map.Change(
+        data["change_id"],
+        int(data["map_version"]),
+        int(data["hold_at"]),
+        _parse_replicas(data),
+    )
+    try:
+        state.member.map.prepare(change)
+    except rank_map.RefusedError as error:
+        return _refuse(error)
+    body = {"prepared": True, "step": state.member.map.step}
+    return litestar.Response(body, status_code=200)
+
+
+@litestar.post("/group/release", status_code=200)
+async def release_map(
+    state: datastructures.State, data: Json
+) -> litestar.Response[Json]:
+    """Commits or aborts a prepared map."""
+    stale = _refuse_stale(state, data)
+    if stale is not None:
+        return stale
+    state.member.map.release(data["change_id"], bool(data["commit"]))
+    return litestar.Response({"released": True}, status_code=200)
+
+
+ROUTES: list[typing.Any] = [get_group, join_group, prepare_map, release_map]
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/prefix_cache.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/prefix_cache.py
@@ -5,24 +5,11 @@
 import collections
 import collections.abc
 
-import xxhash
-
-BLOCK_CHARACTERS = 256
+from chicoryweir_policy.routing import prefix
 
 Publish = collections.abc.Callable[[str, int], None]
 
 
-def hash_blocks(text: str) -> tuple[int, ...]:
-    """Returns the chained hashes of the complete blocks of a prompt."""
-    hashes = []
-    previous = 0
-    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
-        block = text[start : start + BLOCK_CHARACTERS].encode()
-        previous = xxhash.xxh64_intdigest(block, previous)
-        hashes.append(previous)
-    return tuple(hashes)
-
-
 class PrefixCache:
     """Blocks of prompts that need no prefill."""
 
@@ -34,7 +21,7 @@
 
     def admit(self, text: str) -> int:
         """Takes a prompt in; returns how many leading blocks were cached."""
-        blocks = hash_blocks(text)
+        blocks = prefix.hash_blocks(text)
         hits = 0
         for block in blocks:
             if block not in self._blocks:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/scheduler.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/scheduler.py
@@ -9,6 +9,7 @@
 import os
 import typing
 
+from chicoryweir_policy.routing import prefix
 from chicoryweir_standins import reporting
 from chicoryweir_standins.engine import prefix_cache
 
@@ -102,6 +103,10 @@
         else:
             self._resumed.set()
 
+    async def wait_resumed(self) -> None:
+        """Returns once the steps are not stopped."""
+        await self._resumed.wait()
+
     def count_running(self) -> int:
         """Returns the number of running requests."""
         return len(self._running)
@@ -133,7 +138,7 @@
 
     def _start(self, run: Run) -> None:
         hit_blocks = self._cache.admit(run.text)
-        characters = len(run.text) - hit_blocks * prefix_cache.BLOCK_CHARACTERS
+        characters = len(run.text) - hit_blocks * prefix.BLOCK_CHARS
         run.prefill_tokens = max(0, characters) / _CHARACTERS_PER_TOKEN + run.position
         self._running.append(run)
         report = reporting.Run(self._instance, run.key, run.body_sha256)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/group/__init__.py
@@ -0,0 +1,1 @@
+"""Lock-step group of the engines' stand-ins: the barrier between its ranks."""
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/serving.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/serving.py
@@ -24,7 +24,7 @@
         port=port,
         log_level="error",
         lifespan="off",
-        ws="none",
+        ws="websockets-sansio",
         timeout_graceful_shutdown=_SHUTDOWN_S,
         timeout_keep_alive=60,
     )
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
@@ -10,6 +10,7 @@
 from litestar import datastructures
 
 from chicoryweir_standins import serving
+from chicoryweir_standins.group import route
 
 Json = dict[str, typing.Any]
 
@@ -91,7 +92,9 @@
         return litestar.Response({"detail": repr(error)}, status_code=502)
 
 
-def create_app(config: SwitchboardConfig, *routes: typing.Any) -> litestar.Litestar:
+def create_app(
+    config: SwitchboardConfig, coordinator: route.Coordinator
+) -> litestar.Litestar:
     """Creates the switchboard's application."""
     return litestar.Litestar(
         route_handlers=[
@@ -99,9 +102,12 @@
             get_runs,
             set_platform_faults,
             set_engine_faults,
-            *routes,
+            route.serve_barrier,
+            route.get_violations,
         ],
-        state=datastructures.State({"config": config, "counts": RunCounts()}),
+        state=datastructures.State(
+            {"config": config, "counts": RunCounts(), "coordinator": coordinator}
+        ),
         openapi_config=None,
         logging_config=None,
     )
@@ -109,4 +115,6 @@
 
 def run_switchboard(config: SwitchboardConfig) -> None:
     """Serves until a signal."""
-    serving.run_app(create_app(config), config.ip, config.port)
+    coordinator = route.Coordinator()
+    app = create_app(config, coordinator)
+    serving.run_app(app, config.ip, config.port, coordinator.run_steps)
