--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/app.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/app.py
@@ -11,6 +11,7 @@
 
 import litestar
 from litestar import datastructures
+from litestar import params
 from litestar import response
 
 from chicoryweir_standins import answers
@@ -103,8 +104,11 @@
     try:
         while (token := await run.produced.get()) is not None:
             yield form.encode_token(token)
-        if resume_from <= len(run.tokens):
-            yield form.encode_end()
+        if run.position < len(run.tokens):
+            return
+        ending = (form.encode_end(), events.END_MARKER)
+        for event in ending[max(0, resume_from - len(run.tokens)) :]:
+            yield event
     finally:
         engine.end_run(run)
 
@@ -165,7 +169,9 @@
 
 
 @litestar.post("/calls/{request_id:str}/cancel", status_code=200)
-async def cancel_call(state: datastructures.State, request_id: str) -> Json:
+async def cancel_call(
+    state: datastructures.State, request_id: params.FromPath[str]
+) -> Json:
     """Cancels a call."""
     run = state.engine.calls.get(request_id)
     if run is not None:
@@ -188,7 +194,9 @@
 
 
 @litestar.get("/cache/events")
-async def get_cache_events(state: datastructures.State, after: int = 0) -> Json:
+async def get_cache_events(
+    state: datastructures.State, after: params.FromQuery[int] = 0
+) -> Json:
     """Returns cache events past a number."""
     log: cache_events.CacheEventLog = state.engine.event_log
     return log.read(after, time.monotonic())
@@ -201,7 +209,9 @@
 
 
 @litestar.post("/kv", status_code=200)
-async def import_blocks(state: datastructures.State, data: Json) -> Json:
+async def import_blocks(
+    state: datastructures.State, data: params.JSONBody[Json]
+) -> Json:
     """Imports blocks into the KV cache."""
     state.engine.cache.store(int(block) for block in data["blocks"])
     return {"imported": len(data["blocks"])}
@@ -209,7 +219,7 @@
 
 @litestar.post("/orders", status_code=200)
 async def apply_order(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Applies an order."""
     engine = state.engine
@@ -225,7 +235,7 @@
 
 
 @litestar.post("/control/stall", status_code=200)
-async def stall(state: datastructures.State, data: Json) -> Json:
+async def stall(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Stops the engine's steps, or lets them go on."""
     state.engine.scheduler.stall(bool(data["stall"]))
     return {"stall": bool(data["stall"])}
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/events.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/events.py
@@ -10,6 +10,8 @@
 
 Body = dict[str, typing.Any]
 
+END_MARKER = b"data: [DONE]\n\n"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFormat:
@@ -30,8 +32,8 @@
         return self._encode_event(token, None)
 
     def encode_end(self) -> bytes:
-        """Returns the last event and the end marker."""
-        return self._encode_event("", "length") + b"data: [DONE]\n\n"
+        """Returns the event that tells why the answer ended."""
+        return self._encode_event("", "length")
 
     def encode_whole(self, tokens: list[str], prompt_tokens: int) -> bytes:
         """Returns the answer as one JSON document."""
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/group_routes.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/group_routes.py
@@ -6,6 +6,7 @@
 
 import litestar
 from litestar import datastructures
+from litestar import params
 
 from chicoryweir_standins.engine import group_member
 from chicoryweir_standins.engine import orders
@@ -56,7 +57,7 @@
 
 @litestar.post("/group/join", status_code=200)
 async def join_group(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Sets the first map; the rank takes part in steps from then on."""
     stale = _refuse_stale(state, data)
@@ -71,7 +72,7 @@
 
 @litestar.post("/group/prepare", status_code=200)
 async def prepare_map(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Prepares a map: the rank holds before step `hold_at` until it is released."""
     stale = _refuse_stale(state, data)
@@ -93,7 +94,7 @@
 
 @litestar.post("/group/release", status_code=200)
 async def release_map(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Commits or aborts a prepared map."""
     stale = _refuse_stale(state, data)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/scheduler.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/scheduler.py
@@ -143,7 +143,10 @@
         self._running.append(run)
         report = reporting.Run(self._instance, run.key, run.body_sha256)
         done = self._reporter.report(report)
-        done.add_done_callback(lambda _: self._note_reported(run))
+        if done.done():
+            self._note_reported(run)
+        else:
+            done.add_done_callback(lambda _: self._note_reported(run))
 
     def _note_reported(self, run: Run) -> None:
         run.reported = True
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/platform/app.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/platform/app.py
@@ -9,6 +9,7 @@
 
 import litestar
 from litestar import datastructures
+from litestar import params
 
 from chicoryweir_policy import store
 from chicoryweir_standins.platform import faults
@@ -89,14 +90,14 @@
 
 
 @litestar.post("/table/read", status_code=200)
-async def read_rows(state: datastructures.State, data: Json) -> Json:
+async def read_rows(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Reads rows by key."""
     await state.platform.pace_read()
     return _encode_rows(state.platform.table.read(tuple(data["keys"])))
 
 
 @litestar.post("/table/scan", status_code=200)
-async def scan_rows(state: datastructures.State, data: Json) -> Json:
+async def scan_rows(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Reads rows by prefix."""
     await state.platform.pace_read()
     rows = state.platform.table.scan(
@@ -106,7 +107,9 @@
 
 
 @litestar.post("/table/transact", status_code=200)
-async def transact(state: datastructures.State, data: Json) -> litestar.Response[Json]:
+async def transact(
+    state: datastructures.State, data: params.JSONBody[Json]
+) -> litestar.Response[Json]:
     """Applies a transaction."""
     await state.platform.pace_write()
     transaction = store.Transact(
@@ -122,7 +125,7 @@
 @litestar.put("/objects/{name:path}", status_code=200)
 async def put_object(
     state: datastructures.State,
-    name: str,
+    name: params.FromPath[str],
     request: litestar.Request[typing.Any, typing.Any, typing.Any],
 ) -> litestar.Response[Json]:
     """Stores an immutable object."""
@@ -134,7 +137,7 @@
 
 @litestar.get("/objects/{name:path}")
 async def get_object(
-    state: datastructures.State, name: str
+    state: datastructures.State, name: params.FromPath[str]
 ) -> litestar.Response[bytes]:
     """Returns an object."""
     await state.platform.pace_read()
@@ -147,7 +150,9 @@
 
 
 @litestar.delete("/objects/{name:path}", status_code=204)
-async def delete_object(state: datastructures.State, name: str) -> None:
+async def delete_object(
+    state: datastructures.State, name: params.FromPath[str]
+) -> None:
     """Deletes an object."""
     await state.platform.pace_write()
     state.platform.objects.pop(name.lstrip("/"), None)
@@ -160,20 +165,24 @@
 
 
 @litestar.put("/control/instances/{name:str}", status_code=200)
-async def put_instance(state: datastructures.State, name: str, data: Json) -> Json:
+async def put_instance(
+    state: datastructures.State, name: params.FromPath[str], data: params.JSONBody[Json]
+) -> Json:
     """Adds or replaces an instance."""
     state.platform.listing.put(name, data, time.monotonic())
     return {}
 
 
 @litestar.delete("/control/instances/{name:str}", status_code=204)
-async def delete_instance(state: datastructures.State, name: str) -> None:
+async def delete_instance(
+    state: datastructures.State, name: params.FromPath[str]
+) -> None:
     """Removes an instance."""
     state.platform.listing.remove(name, time.monotonic())
 
 
 @litestar.post("/control/faults", status_code=200)
-async def set_faults(state: datastructures.State, data: Json) -> Json:
+async def set_faults(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Changes the faults that are named; the others stay."""
     for name, value in data.items():
         if name not in ("outage", "delay_ms", "lose_replies"):
@@ -190,7 +199,7 @@
 
 @litestar.post("/weights/{name:str}/fetch", status_code=200)
 async def fetch_weights(
-    state: datastructures.State, name: str, data: Json
+    state: datastructures.State, name: params.FromPath[str], data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Lets a fetch pass at the store's rate."""
     now = time.monotonic()
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/service.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/service.py
@@ -10,6 +10,7 @@
 
 import litestar
 from litestar import datastructures
+from litestar import params
 
 from chicoryweir_standins import reporting
 from chicoryweir_standins import serving
@@ -75,7 +76,7 @@
 
 
 @litestar.post("/control/stall", status_code=200)
-async def stall(state: datastructures.State, data: Json) -> Json:
+async def stall(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Holds all calls, or lets them go on."""
     if data["stall"]:
         state.service.resumed.clear()
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
@@ -8,6 +8,7 @@
 import httpx
 import litestar
 from litestar import datastructures
+from litestar import params
 
 from chicoryweir_standins import serving
 from chicoryweir_standins.group import route
@@ -49,7 +50,7 @@
 
 
 @litestar.post("/runs", status_code=200)
-async def add_runs(state: datastructures.State, data: Json) -> Json:
+async def add_runs(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Takes the runs that an endpoint reports."""
     for run in data["runs"]:
         state.counts.add(run["endpoint"], run["key"], run["body_sha256"])
@@ -64,7 +65,7 @@
 
 @litestar.post("/platform", status_code=200)
 async def set_platform_faults(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Changes the platform's faults."""
     url = state.config.platform_url + "/control/faults"
@@ -73,7 +74,7 @@
 
 @litestar.post("/engine/{name:str}", status_code=200)
 async def set_engine_faults(
-    state: datastructures.State, name: str, data: Json
+    state: datastructures.State, name: params.FromPath[str], data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Stalls an engine or a plain service, or lets it go on."""
     url = state.config.endpoint_urls.get(name)
--- /dev/null
+++ b/packages/chicoryweir-standins/tests/platform/test_listing.py
@@ -0,0 +1,12 @@
+"""Tests of the lagging instance list."""
+
+from chicoryweir_standins.platform import listing
+
+
+def test_readers_see_the_list_a_lag_late() -> None:
+    listed = listing.InstanceListing(lag_s=2.0)
+    listed.put("entry-1", {"state": "live"}, now=0.0)
+    listed.remove("entry-1", now=1.0)
+    assert listed.list_entries(1.9) == []
+    assert [e["instance"] for e in listed.list_entries(2.5)] == ["entry-1"]
+    assert listed.list_entries(3.0) == []
