--- a/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -12,10 +12,12 @@
 from chicoryweir_standins import service
 from chicoryweir_standins import serving
 from chicoryweir_standins import switchboard
+from chicoryweir_standins.demo import story
 from chicoryweir_standins.engine import app as engine_app
 from chicoryweir_standins.engine import configuration
 from chicoryweir_standins.launch import plan
 from chicoryweir_standins.launch import up
+from chicoryweir_standins.load import command as load_command
 from chicoryweir_standins.platform import app as platform_app
 
 
@@ -63,6 +65,11 @@
         command = commands.add_parser(name, help=text)
         command.add_argument("--config", required=True, help="JSON configuration file")
         command.set_defaults(run=run)
+    command = commands.add_parser("demo", help="shows the whole path step by step")
+    command.set_defaults(run=lambda _: asyncio.run(story.run_demo()))
+    command = commands.add_parser("load", help="drives running entries")
+    load_command.add_arguments(command)
+    command.set_defaults(run=load_command.run)
     command = commands.add_parser("up", help="runs a fleet until a signal")
     command.set_defaults(run=_run_up)
     return parser
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: the whole path on loopback, told step by step."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/demo/calls.py
@@ -0,0 +1,114 @@
+"""Calls of the demonstration, made as any caller would make them."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import httpx
+
+from chicoryweir_standins import answers
+from chicoryweir_standins.launch import plan
+
+Json = dict[str, typing.Any]
+
+
+class DemoError(Exception):
+    """A step of the demonstration did not go as it should."""
+
+
+async def look_up_addresses(
+    client: httpx.AsyncClient, entry_url: str, service: str
+) -> list[str]:
+    """Asks an entry which entries to use; returns their base URLs.
+
+    Raises:
+        DemoError: The lookup failed or listed nothing.
+    """
+    reply = await client.get(f"{entry_url}/v1/addresses", params={"service": service})
+    if reply.status_code != 200 or not reply.json()["addresses"]:
+        raise DemoError(f"lookup: {reply.status_code} {reply.text}")
+    found = reply.json()
+    for address in found["addresses"]:
+        print(f"    {address['ip']}:{address['port']} in {address['place']}")
+    print(f"    to be kept for {found['ttl_ms']} ms")
+    return [f"http://{a['ip']}:{a['port']}" for a in found["addresses"]]
+
+
+async def stream_completion(client: httpx.AsyncClient, base_url: str, key: str) -> str:
+    """Streams an answer and checks that it is whole; returns the request's id.
+
+    Raises:
+        DemoError: The answer was refused, cut or not the request's own.
+    """
+    body: Json = {
+        "model": plan.MODEL,
+        "messages": [{"role": "user", "content": "Are the pods of lot 7 dry?"}],
+        "max_tokens": 24,
+        "stream": True,
+    }
+    headers = {"Authorization": f"Bearer {key}", "X-Priority": "urgent"}
+    tokens: list[str] = []
+    is_done = False
+    url = f"{base_url}/v1/chat/completions"
+    print("    ", end="")
+    async with client.stream("POST", url, json=body, headers=headers) as reply:
+        if reply.status_code != 200:
+            raise DemoError(f"stream: {reply.status_code} {await reply.aread()!r}")
+        async for line in reply.aiter_lines():
+            if line == "data: [DONE]":
+                is_done = True
+            elif line.startswith("data: "):
+                delta = json.loads(line[6:])["choices"][0]["delta"]
+                token = delta.get("content") or ""
+                tokens.append(token)
+                print(token, end="", flush=True)
+    print()
+    if not is_done or "".join(tokens) != "".join(answers.compute_answer(body)):
+        raise DemoError("the streamed answer is not the whole answer")
+    print("    whole, and its own: every token is as computed beforehand")
+    return reply.headers["X-Request-Id"]
+
+
+async def call_service(client: httpx.AsyncClient, base_url: str, key: str) -> None:
+    """Calls the plain service once.
+
+    Raises:
+        DemoError: It did not answer with 200.
+    """
+    reply = await client.get(
+        f"{base_url}/v1/services/{plan.PLAIN_SERVICE}/balances/7",
+        headers={"Authorization": f"Bearer {key}"},
+    )
+    print(f"    {reply.status_code} {reply.text}")
+    if reply.status_code != 200:
+        raise DemoError("the plain call failed")
+
+
+async def pay_twice(
+    client: httpx.AsyncClient, base_urls: list[str], control_url: str, key: str
+) -> None:
+    """Sends one non-idempotent call twice, to different entries if there are two.
+
+    Raises:
+        DemoError: It ran more than once.
+    """
+    headers = {
+        "Authorization": f"Bearer {key}",
+        "X-Idempotent": "false",
+        "Idempotency-Key": "payment-7",
+    }
+    for number in (0, 1):
+        base_url = base_urls[number % len(base_urls)]
+        reply = await client.post(
+            f"{base_url}/v1/services/{plan.PLAIN_SERVICE}/payments",
+            json={"grower": 7, "lari": 120},
+            headers=headers,
+        )
+        print(f"    {reply.status_code} {reply.text}")
+        if number == 0 and reply.status_code != 200:
+            raise DemoError("the first payment failed")
+    runs = (await client.get(f"{control_url}/runs")).json()["by_key"]
+    print(f"    the endpoint ran it {runs.get('payment-7', 0)} time(s)")
+    if runs.get("payment-7") != 1:
+        raise DemoError("the payment did not run exactly once")
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/demo/operators.py
@@ -0,0 +1,62 @@
+"""The operator's part of the demonstration."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import importlib.util
+import json
+import os
+import sys
+
+from chicoryweir_standins.demo import calls
+from chicoryweir_standins.launch import fleet
+
+
+def has_command_line() -> bool:
+    """Tells whether the operators' command line is installed."""
+    return importlib.util.find_spec("chicoryweir_cli.__main__") is not None
+
+
+async def run_command(running: fleet.Fleet, *arguments: str) -> tuple[int, str]:
+    """Runs the operators' command line; returns its exit code and output."""
+    environment = {**os.environ, "CHICORYWEIR_CLIENT": str(running.client_file)}
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "chicoryweir_cli",
+        *arguments,
+        env=environment,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await child.communicate()
+    assert child.returncode is not None
+    return child.returncode, output.decode(errors="replace")
+
+
+async def show_command(running: fleet.Fleet, *arguments: str) -> None:
+    """Runs and prints one command.
+
+    Raises:
+        DemoError: It failed.
+    """
+    print(f"    $ chicoryweir {' '.join(arguments)}")
+    code, output = await run_command(running, *arguments)
+    for line in output.splitlines()[:20]:
+        print(f"      {line}")
+    if code != 0:
+        raise calls.DemoError(f"the command ended with exit code {code}")
+
+
+async def change_settings(running: fleet.Fleet) -> None:
+    """Gives the clerks half of the weight of other workspaces, and checks it."""
+    tree = copy.deepcopy(running.plan.settings)
+    clerks = {"clerks": {"settings": {"weight": 0.5}}}
+    services = {"model-desk": {"workspaces": clerks}}
+    tree["fleet"]["places"] = {"*": {"services": services}}
+    path = running.directory / "settings.jsonc"
+    path.write_text("// Clerks get half the weight.\n" + json.dumps(tree, indent=2))
+    await show_command(running, "settings", "check", str(path))
+    await show_command(running, "settings", "apply", str(path), "--expect-version", "1")
+    await show_command(running, "settings", "history")
