--- a/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -12,6 +12,7 @@
 from chicoryweir_standins import service
 from chicoryweir_standins import serving
 from chicoryweir_standins import switchboard
+from chicoryweir_standins.bench import command as bench_command
 from chicoryweir_standins.demo import story
 from chicoryweir_standins.engine import app as engine_app
 from chicoryweir_standins.engine import configuration
@@ -70,6 +71,9 @@
     command = commands.add_parser("load", help="drives running entries")
     load_command.add_arguments(command)
     command.set_defaults(run=load_command.run)
+    command = commands.add_parser("bench", help="measures a fleet of its own")
+    bench_command.add_arguments(command)
+    command.set_defaults(run=bench_command.run)
     command = commands.add_parser("up", help="runs a fleet until a signal")
     command.set_defaults(run=_run_up)
     return parser
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the running system beside their targets."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
@@ -0,0 +1,79 @@
+"""The `bench` command: runs all measurements and writes the report."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+
+from chicoryweir_standins.bench import deployments
+from chicoryweir_standins.bench import floods
+from chicoryweir_standins.bench import measures
+from chicoryweir_standins.bench import relay
+from chicoryweir_standins.bench import report
+from chicoryweir_standins.launch import fleet
+
+_SETTLE_S = 2.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's flags."""
+    parser.add_argument("--seeds", type=int, default=10, help="number of seeds")
+    parser.add_argument(
+        "--deployment",
+        action="append",
+        choices=sorted(deployments.ALL),
+        help="deployment to measure; all by default",
+    )
+    parser.add_argument("--skip-relay", action="store_true")
+    parser.add_argument(
+        "--output", type=pathlib.Path, default=pathlib.Path("docs/measurements")
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Runs the command; returns its exit code."""
+    return asyncio.run(_run_all(arguments))
+
+
+async def _run_all(arguments: argparse.Namespace) -> int:
+    seeds = range(1, arguments.seeds + 1)
+    measured: list[measures.Measure] = []
+    if not arguments.skip_relay:
+        measured += await _measure_relay(seeds)
+    for name in arguments.deployment or deployments.ALL:
+        measured += await _measure_floods(deployments.ALL[name], seeds)
+    report.write_report(measured, arguments.output)
+    print(report.render_page(measures.summarise(measured)))
+    return 0
+
+
+async def _measure_relay(seeds: range) -> list[measures.Measure]:
+    running = fleet.create_fleet(deployments.RELAY_SIZE)
+    measured = []
+    try:
+        await running.start()
+        for seed in seeds:
+            print(f"relay, seed {seed}")
+            measured.append(await relay.measure_first_token(running, seed))
+            measured += await relay.measure_relay(running, seed)
+    finally:
+        await running.stop()
+    return measured
+
+
+async def _measure_floods(
+    deployment: deployments.Deployment, seeds: range
+) -> list[measures.Measure]:
+    running = fleet.create_fleet(deployment.size, floods.WORKSPACES)
+    measured = []
+    try:
+        await running.start()
+        for seed in seeds:
+            for experiment in floods.ALL:
+                print(f"{deployment.name}, {experiment.__name__}, seed {seed}")
+                measured += await experiment(running, deployment, seed)
+                await asyncio.sleep(_SETTLE_S)
+    finally:
+        await running.stop()
+    return measured
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/deployments.py
@@ -0,0 +1,83 @@
+"""The two deployments, scaled down to one machine."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryweir_standins.launch import plan
+
+ANSWER_TOKENS = 32
+STEP_TIME_MS = 20.0
+
+_ENTRIES = 3
+_ENGINES = 6
+_SLOTS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """A deployment as it is measured.
+
+    Attributes:
+        name: Name of the deployment.
+        size: Size of its fleet on this machine.
+        client_one_way_s: Latency between clients and entries, each way.
+        scale: How the size compares with the one it stands for.
+    """
+
+    name: str
+    size: plan.FleetSize
+    client_one_way_s: float
+    scale: str
+
+    def compute_capacity(self) -> float:
+        """Returns the nominal capacity of its engines, in tokens a second."""
+        slots = self.size.engines * self.size.slots
+        return slots * 1000.0 / self.size.step_time_ms
+
+
+def _create(
+    name: str,
+    places: tuple[str, ...],
+    model_service: str,
+    plain_service: str,
+    one_way_s: float,
+) -> Deployment:
+    size = plan.FleetSize(
+        entries=_ENTRIES,
+        engines=_ENGINES,
+        services=1,
+        slots=_SLOTS,
+        step_time_ms=STEP_TIME_MS,
+        has_group=False,
+        places=places,
+        model_service=model_service,
+        plain_service=plain_service,
+    )
+    scale = (
+        f"{_ENGINES} model workers of {_SLOTS} slots for 16, {_ENTRIES} entries for 7, "
+        f"1 plain worker for 3; {one_way_s * 1e3:g} ms one way between clients and "
+        "entries, none between data centres"
+    )
+    return Deployment(name, size, one_way_s, scale)
+
+
+PROCUREMENT = _create(
+    "procurement",
+    ("telavi", "gurjaani", "sighnaghi"),
+    "model-desk",
+    "purchase-ledger",
+    0.003,
+)
+DIVISION = _create(
+    "division",
+    ("cr-central-a", "cr-central-b", "cr-central-c"),
+    "rayo-llm",
+    "conteo-app",
+    0.001,
+)
+ALL = {d.name: d for d in (PROCUREMENT, DIVISION)}
+
+RELAY_SIZE = plan.FleetSize(
+    entries=1, engines=3, services=1, slots=64, step_time_ms=5.0, has_group=False
+)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
@@ -0,0 +1,179 @@
+"""Measures who is served in floods, and small workspaces beside a large one."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from chicoryweir_standins.bench import deployments
+from chicoryweir_standins.bench import measures
+from chicoryweir_standins.launch import fleet
+from chicoryweir_standins.load import arrivals
+from chicoryweir_standins.load import driver
+from chicoryweir_standins.load import results
+
+WINDOW_S = 10.0
+FLOOD = 5.0
+SMALL_WORKSPACES = tuple(f"small-{n}" for n in range(1, 11))
+WORKSPACES = ("field", "clerks", "growers", "large", *SMALL_WORKSPACES)
+
+URGENT_IN_TIME = measures.Target(
+    "urgent answered in time while bulk floods at 5x capacity",
+    "%",
+    measures.Bound.AT_LEAST,
+    99.0,
+)
+STANDARD_FLOOR = measures.Target(
+    "standard's share of capacity in an urgent flood at 5x, of its floor of 30 %",
+    "% of the floor",
+    measures.Bound.AT_LEAST,
+    90.0,
+)
+BULK_FLOOR = measures.Target(
+    "bulk's share of capacity in an urgent flood at 5x, of its floor of 10 %",
+    "% of the floor",
+    measures.Bound.AT_LEAST,
+    90.0,
+)
+SMALL_IN_TIME = measures.Target(
+    "requests of small workspaces answered in time beside one asking 50x",
+    "%",
+    measures.Bound.AT_LEAST,
+    98.0,
+)
+
+_FLOORS = {"standard": 0.3, "bulk": 0.1}
+_RAMP_S = 2.0
+_URGENT_MS = 3000
+_STANDARD_MS = 6000
+_BULK_MS = 10_000
+
+Experiment = collections.abc.Callable[
+    [fleet.Fleet, deployments.Deployment, int],
+    collections.abc.Awaitable[list[measures.Measure]],
+]
+
+
+def _build_stream(
+    deployment: deployments.Deployment,
+    workspace: str,
+    priority: str,
+    share: float,
+    deadline_ms: int,
+) -> arrivals.Stream:
+    """Returns a stream that asks for this share of the capacity (1 is all)."""
+    tokens_per_s = deployment.compute_capacity() * share
+    return arrivals.Stream(
+        workspace,
+        priority,
+        tokens_per_s / deployments.ANSWER_TOKENS,
+        deadline_ms,
+        max_tokens=deployments.ANSWER_TOKENS,
+        end_s=WINDOW_S,
+    )
+
+
+async def _run(
+    running: fleet.Fleet,
+    deployment: deployments.Deployment,
+    streams: tuple[arrivals.Stream, ...],
+    seed: int,
+) -> list[results.Result]:
+    load = driver.LoadPlan(
+        streams,
+        running.plan.entry_urls,
+        deployment.size.model_service,
+        seed,
+        one_way_s=deployment.client_one_way_s,
+    )
+    ended = await driver.run_load(load)
+    for priority, tally in sorted(results.tally_by_class(ended).items()):
+        print(f"  {priority}: {tally.describe()}")
+    return ended
+
+
+async def measure_bulk_flood(
+    running: fleet.Fleet, deployment: deployments.Deployment, seed: int
+) -> list[measures.Measure]:
+    """Floods with bulk work while a little urgent work arrives."""
+    streams = (
+        _build_stream(deployment, "clerks", "bulk", FLOOD, _BULK_MS),
+        _build_stream(deployment, "field", "urgent", 0.2, _URGENT_MS),
+    )
+    ended = await _run(running, deployment, streams, seed)
+    share = results.tally_by_class(ended)["urgent"].compute_share_in_time()
+    return [
+        measures.Measure(
+            deployment.name, "bulk flood", seed, URGENT_IN_TIME, 100.0 * share
+        )
+    ]
+
+
+async def measure_urgent_flood(
+    running: fleet.Fleet, deployment: deployments.Deployment, seed: int
+) -> list[measures.Measure]:
+    """Floods with urgent work while the other classes ask for more than their floors."""
+    streams = (
+        _build_stream(deployment, "field", "urgent", FLOOD, _URGENT_MS),
+        _build_stream(deployment, "growers", "standard", 0.6, _STANDARD_MS),
+        _build_stream(deployment, "clerks", "bulk", 0.4, _BULK_MS),
+    )
+    ended = await _run(running, deployment, streams, seed)
+    measured = []
+    for priority, target in (("standard", STANDARD_FLOOR), ("bulk", BULK_FLOOR)):
+        kept = _compute_kept(ended, deployment, priority) / _FLOORS[priority]
+        measured.append(
+            measures.Measure(
+                deployment.name, "urgent flood", seed, target, 100.0 * kept
+            )
+        )
+    return measured
+
+
+async def measure_small_workspaces(
+    running: fleet.Fleet, deployment: deployments.Deployment, seed: int
+) -> list[measures.Measure]:
+    """Lets one workspace ask fifty times what each of the small ones asks."""
+    each = 0.4 / len(SMALL_WORKSPACES)
+    streams = (
+        _build_stream(deployment, "large", "standard", 50 * each, _STANDARD_MS),
+        *(
+            _build_stream(deployment, name, "standard", each, _STANDARD_MS)
+            for name in SMALL_WORKSPACES
+        ),
+    )
+    ended = await _run(running, deployment, streams, seed)
+    small = results.Tally()
+    for result in ended:
+        if result.workspace != "large":
+            small.add(result)
+    print(f"  small workspaces: {small.describe()}")
+    share = small.compute_share_in_time()
+    return [
+        measures.Measure(
+            deployment.name, "small workspaces", seed, SMALL_IN_TIME, 100.0 * share
+        )
+    ]
+
+
+def _compute_kept(
+    ended: list[results.Result], deployment: deployments.Deployment, priority: str
+) -> float:
+    """Returns the share of capacity a class got while the flood lasted (0 to 1).
+
+    The first seconds are left out: no answer can have ended in them.
+    """
+    tokens = sum(
+        result.tokens
+        for result in ended
+        if result.priority == priority
+        and result.ending is results.Ending.IN_TIME
+        and _RAMP_S <= result.arrived_at_s + result.total_s <= WINDOW_S
+    )
+    return tokens / (deployment.compute_capacity() * (WINDOW_S - _RAMP_S))
+
+
+ALL: tuple[Experiment, ...] = (
+    measure_bulk_flood,
+    measure_urgent_flood,
+    measure_small_workspaces,
+)
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/processor.py
@@ -0,0 +1,18 @@
+"""Processor time of a process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_USER_FIELD = 11
+_SYSTEM_FIELD = 12
+
+
+def read_processor_time(pid: int) -> float:
+    """Returns the user and system time of a process so far, in seconds."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    # The second field, the name, is in parentheses and may hold spaces.
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])) / _TICKS_PER_S
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
@@ -60,6 +60,11 @@
         """Returns the names of the processes of one kind."""
         return [p.name for p in self.plan.processes if p.kind == kind]
 
+    def list_urls(self, kind: str) -> list[str]:
+        """Returns the base URLs of the endpoints of one kind."""
+        configs = [p.config for p in self.plan.processes if p.kind == kind]
+        return [f"http://{config['ip']}:{config['port']}" for config in configs]
+
     async def start(self) -> None:
         """Starts everything; returns once all entries are ready.
 
@@ -102,7 +107,7 @@
             "caller_key": self.plan.keys.caller,
             "operator_key": self.plan.keys.operator,
             "model": plan.MODEL,
-            "service": plan.PLAIN_SERVICE,
+            "service": self.plan.size.plain_service,
             "settings": str(self.client_file),
             "pids": self.list_pids(),
             "control": self.plan.control_url,
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/plan.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/plan.py
@@ -32,6 +32,9 @@
         checks_fencing: Whether the engines refuse orders with old fences.
         list_lag_s: Lag of the platform's instance list.
         seed: Seed of the stand-ins.
+        places: Data centres; instances are spread over them in turn.
+        model_service: Name of the model engines' service.
+        plain_service: Name of the plain services' service.
     """
 
     entries: int = 2
@@ -44,6 +47,9 @@
     checks_fencing: bool = True
     list_lag_s: float = 1.0
     seed: int = 1
+    places: tuple[str, ...] = PLACES
+    model_service: str = MODEL_SERVICE
+    plain_service: str = PLAIN_SERVICE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +89,7 @@
         entry_urls: Base URLs of the entries.
         settings: The settings tree that the fleet starts with.
         keys: Secrets of the fleet.
+        size: Size that was planned for.
     """
 
     processes: tuple[Process, ...]
@@ -91,12 +98,16 @@
     entry_urls: tuple[str, ...]
     settings: Json
     keys: Keys
+    size: FleetSize
 
 
-def build_settings(keys: Keys, workspaces: tuple[str, ...] = ()) -> Json:
+def build_settings(
+    size: FleetSize, keys: Keys, workspaces: tuple[str, ...] = ()
+) -> Json:
     """Returns the settings tree that a fleet starts with.
 
     Args:
+        size: Size of the fleet; it names the services.
         keys: Secrets of the fleet; the tree holds their digests.
         workspaces: Further workspaces, which have no key.
     """
@@ -107,8 +118,8 @@
         },
         "operators": {"dato": {"keys_sha256": [_digest(keys.operator)]}},
         "services": {
-            MODEL_SERVICE: {"kind": "model", "models": [MODEL]},
-            PLAIN_SERVICE: {"kind": "plain"},
+            size.model_service: {"kind": "model", "models": [MODEL]},
+            size.plain_service: {"kind": "plain"},
         },
         "fleet": {"settings": {}, "places": {}},
     }
@@ -118,7 +129,7 @@
     size: FleetSize, keys: Keys, workspaces: tuple[str, ...] = ()
 ) -> FleetPlan:
     """Plans a fleet on free loopback ports."""
-    return _Planner(size, keys).plan(build_settings(keys, workspaces))
+    return _Planner(size, keys).plan(build_settings(size, keys, workspaces))
 
 
 class _Planner:
@@ -147,6 +158,7 @@
             entry_urls=tuple(_build_url(port) for port, _ in self._entries),
             settings=settings,
             keys=self._keys,
+            size=self._size,
         )
 
     def _plan_platform(self) -> Process:
@@ -177,7 +189,7 @@
         }
         if index >= self._size.engines:
             name = f"ledger-{index - self._size.engines + 1}"
-            config = {**base, "instance": name, "service": PLAIN_SERVICE}
+            config = {**base, "instance": name, "service": self._size.plain_service}
             config["run_ms"] = self._size.service_run_ms
             return Process(name, "service", config)
         name = f"engine-{index + 1}"
@@ -211,7 +223,7 @@
             endpoint.update(group=GROUP, ranks=[index])
         config = {
             **self._plan_daemon(f"agent-{index + 1}", index, link),
-            "service": MODEL_SERVICE if is_model else PLAIN_SERVICE,
+            "service": self._service(is_model),
             "endpoint": endpoint,
         }
         return Process(config["instance"], "agent", config, self._list_agent(index))
@@ -227,7 +239,7 @@
         seeds += [self._list_entry(i) for i in range(len(self._entries))]
         return {
             "instance": name,
-            "place": _place(index),
+            "place": self._place(index),
             "link": {"ip": ports.LOOPBACK, "port": link},
             "platform_url": self._platform_url,
             "cluster_secret": self._keys.cluster,
@@ -239,8 +251,8 @@
         return {
             "instance": f"agent-{index + 1}",
             "role": "agent",
-            "place": _place(index),
-            "service": MODEL_SERVICE if is_model else PLAIN_SERVICE,
+            "place": self._place(index),
+            "service": self._service(is_model),
             "ip": ports.LOOPBACK,
             "port": 0,
             "link_port": self._agents[index][1],
@@ -251,7 +263,7 @@
         return {
             "instance": f"entry-{index + 1}",
             "role": "entry",
-            "place": _place(index),
+            "place": self._place(index),
             "service": "",
             "ip": ports.LOOPBACK,
             "port": self._entries[index][0],
@@ -259,9 +271,11 @@
             "state": "live",
         }
 
+    def _place(self, index: int) -> str:
+        return self._size.places[index % len(self._size.places)]
 
-def _place(index: int) -> str:
-    return PLACES[index % len(PLACES)]
+    def _service(self, is_model: bool) -> str:
+        return self._size.model_service if is_model else self._size.plain_service
 
 
 def _build_url(port: int) -> str:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/load/caller.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/load/caller.py
@@ -92,6 +92,7 @@
         total_s=total_s,
         tokens=len(received.tokens),
         body_sha256=reporting.compute_body_digest(raw),
+        arrived_at_s=arrival.at_s,
         detail=detail or received.problem.decode(errors="replace")[:500],
     )
 
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/load/results.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/load/results.py
@@ -45,6 +45,7 @@
         total_s: Time from arrival to the end.
         tokens: Tokens received.
         body_sha256: Digest of the body that was sent, in hex.
+        arrived_at_s: Arrival, in seconds after the start of the run.
         detail: What went wrong, for reports.
     """
 
@@ -57,6 +58,7 @@
     total_s: float
     tokens: int
     body_sha256: str = ""
+    arrived_at_s: float = 0.0
     detail: str = ""
 
 
