--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/app.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/app.py
@@ -11,6 +11,7 @@
 
 import litestar
 from litestar import datastructures
+from litestar import params
 from litestar import response
 
 from chicoryweir_standins import answers
@@ -19,6 +20,8 @@
 from chicoryweir_standins.engine import cache_events
 from chicoryweir_standins.engine import configuration
 from chicoryweir_standins.engine import events
+from chicoryweir_standins.engine import group_member
+from chicoryweir_standins.engine import group_routes
 from chicoryweir_standins.engine import load_reports
 from chicoryweir_standins.engine import orders
 from chicoryweir_standins.engine import pace
@@ -101,8 +104,11 @@
     try:
         while (token := await run.produced.get()) is not None:
             yield form.encode_token(token)
-        if resume_from <= len(run.tokens):
-            yield form.encode_end()
+        if run.position < len(run.tokens):
+            return
+        ending = (form.encode_end(), events.END_MARKER)
+        for event in ending[max(0, resume_from - len(run.tokens)) :]:
+            yield event
     finally:
         engine.end_run(run)
 
@@ -163,7 +169,9 @@
 
 
 @litestar.post("/calls/{request_id:str}/cancel", status_code=200)
-async def cancel_call(state: datastructures.State, request_id: str) -> Json:
+async def cancel_call(
+    state: datastructures.State, request_id: params.FromPath[str]
+) -> Json:
     """Cancels a call."""
     run = state.engine.calls.get(request_id)
     if run is not None:
@@ -186,7 +194,9 @@
 
 
 @litestar.get("/cache/events")
-async def get_cache_events(state: datastructures.State, after: int = 0) -> Json:
+async def get_cache_events(
+    state: datastructures.State, after: params.FromQuery[int] = 0
+) -> Json:
     """Returns cache events past a number."""
     log: cache_events.CacheEventLog = state.engine.event_log
     return log.read(after, time.monotonic())
@@ -199,7 +209,9 @@
 
 
 @litestar.post("/kv", status_code=200)
-async def import_blocks(state: datastructures.State, data: Json) -> Json:
+async def import_blocks(
+    state: datastructures.State, data: params.JSONBody[Json]
+) -> Json:
     """Imports blocks into the KV cache."""
     state.engine.cache.store(int(block) for block in data["blocks"])
     return {"imported": len(data["blocks"])}
@@ -207,7 +219,7 @@
 
 @litestar.post("/orders", status_code=200)
 async def apply_order(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Applies an order."""
     engine = state.engine
@@ -223,7 +235,7 @@
 
 
 @litestar.post("/control/stall", status_code=200)
-async def stall(state: datastructures.State, data: Json) -> Json:
+async def stall(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Stops the engine's steps, or lets them go on."""
     state.engine.scheduler.stall(bool(data["stall"]))
     return {"stall": bool(data["stall"])}
@@ -242,11 +254,14 @@
 ]
 
 
-def create_app(engine: Engine, *routes: typing.Any) -> litestar.Litestar:
-    """Creates the application of one engine."""
+def create_app(
+    engine: Engine, member: group_member.GroupMember | None = None
+) -> litestar.Litestar:
+    """Creates the application of one engine, a member of a group or none."""
+    group = group_routes.ROUTES if member else []
     return litestar.Litestar(
-        route_handlers=[*ROUTES, *routes],
-        state=datastructures.State({"engine": engine}),
+        route_handlers=[*ROUTES, *group],
+        state=datastructures.State({"engine": engine, "member": member}),
         openapi_config=None,
         logging_config=None,
     )
@@ -255,12 +270,17 @@
 def run_engine(config: configuration.EngineConfig) -> None:
     """Serves until a signal."""
     engine = Engine(config)
-    timed = pace.TimedPace(config.step_time_ms / 1e3)
-    serving.run_app(
-        create_app(engine),
-        config.ip,
-        config.port,
-        engine.reporter.send_reports,
-        engine.sample_load,
-        lambda: engine.scheduler.run_steps(timed),
-    )
+    tasks = [engine.reporter.send_reports, engine.sample_load]
+    member = None
+    steps: scheduler.Pace = pace.TimedPace(config.step_time_ms / 1e3)
+    if config.group is not None:
+        member = group_member.GroupMember(
+            config.group,
+            config.step_time_ms,
+            config.seed,
+            engine.scheduler.wait_resumed,
+        )
+        steps = member
+        tasks.append(member.run)
+    tasks.append(lambda: engine.scheduler.run_steps(steps))
+    serving.run_app(create_app(engine, member), config.ip, config.port, *tasks)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
@@ -8,8 +8,10 @@
 import httpx
 import litestar
 from litestar import datastructures
+from litestar import params
 
 from chicoryweir_standins import serving
+from chicoryweir_standins.group import route
 
 Json = dict[str, typing.Any]
 
@@ -48,7 +50,7 @@
 
 
 @litestar.post("/runs", status_code=200)
-async def add_runs(state: datastructures.State, data: Json) -> Json:
+async def add_runs(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Takes the runs that an endpoint reports."""
     for run in data["runs"]:
         state.counts.add(run["endpoint"], run["key"], run["body_sha256"])
@@ -63,7 +65,7 @@
 
 @litestar.post("/platform", status_code=200)
 async def set_platform_faults(
-    state: datastructures.State, data: Json
+    state: datastructures.State, data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Changes the platform's faults."""
     url = state.config.platform_url + "/control/faults"
@@ -72,7 +74,7 @@
 
 @litestar.post("/engine/{name:str}", status_code=200)
 async def set_engine_faults(
-    state: datastructures.State, name: str, data: Json
+    state: datastructures.State, name: params.FromPath[str], data: params.JSONBody[Json]
 ) -> litestar.Response[Json]:
     """Stalls an engine or a plain service, or lets it go on."""
     url = state.config.endpoint_urls.get(name)
@@ -91,7 +93,9 @@
         return litestar.Response({"detail": repr(error)}, status_code=502)
 
 
-def create_app(config: SwitchboardConfig, *routes: typing.Any) -> litestar.Litestar:
+def create_app(
+    config: SwitchboardConfig, coordinator: route.Coordinator
+) -> litestar.Litestar:
     """Creates the switchboard's application."""
     return litestar.Litestar(
         route_handlers=[
@@ -99,9 +103,12 @@
             get_runs,
             set_platform_faults,
             set_engine_faults,
-            *routes,
+            route.serve_barrier,
+            route.get_violations,
         ],
-        state=datastructures.State({"config": config, "counts": RunCounts()}),
+        state=datastructures.State(
+            {"config": config, "counts": RunCounts(), "coordinator": coordinator}
+        ),
         openapi_config=None,
         logging_config=None,
     )
@@ -109,4 +116,6 @@
 
 def run_switchboard(config: SwitchboardConfig) -> None:
     """Serves until a signal."""
-    serving.run_app(create_app(config), config.ip, config.port)
+    coordinator = route.Coordinator()
+    app = create_app(config, coordinator)
+    serving.run_app(app, config.ip, config.port, coordinator.run_steps)
