--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
@@ -12,6 +12,7 @@
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores import operations
+from chicoryweir_policy.settings import copies
 from chicoryweir_policy.settings import heads
 from chicoryweir_policy.settings import messages as version_messages
 from chicoryweir_policy.settings import resolution
@@ -65,7 +66,7 @@
         return self._resolver.tree if self._resolver is not None else None
 
     @property
-    def held(self) -> version_messages.Copy | None:
+    def held(self) -> copies.Copy | None:
         """The copy of the version in force, or None."""
         return self._book.held if self._book is not None else None
 
@@ -98,7 +99,7 @@
             self._advance(version_messages.PeerLost(instance), now, [])
 
     def accept_change(
-        self, copy: version_messages.Copy, now: float, out: Commands
+        self, copy: copies.Copy, now: float, out: Commands
     ) -> None:
         """Puts a change that this process applied for an operator in force."""
         self._advance(version_messages.ChangeAccepted(copy), now, out)
@@ -115,7 +116,7 @@
                 asked = version_messages.CopyAsked(event.instance)
                 self._advance(asked, now, out)
             case messages.SettingsBody(head, data):
-                copy = version_messages.Copy(head, data)
+                copy = copies.Copy(head, data)
                 sent = version_messages.CopySent(event.instance, copy)
                 self._advance(sent, now, out)
             case _:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/storage.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/storage.py
@@ -34,10 +34,10 @@
                 rows = [self.rows[key] for key in keys if key in self.rows]
                 return store.Rows(tuple(rows))
             case store.Scan(prefix, after, limit):
-                keys = [
+                found = sorted(
                     key for key in self.rows if key.startswith(prefix) and key > after
-                ]
-                return store.Rows(tuple(self.rows[key] for key in sorted(keys)[:limit]))
+                )
+                return store.Rows(tuple(self.rows[key] for key in found[:limit]))
             case store.Transact(checks, writes):
                 return self._transact(checks, writes)
             case store.PutObject(name, data):
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
@@ -10,6 +10,7 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
+from chicoryweir_policy import store
 from chicoryweir_policy.admission import queue
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import events
@@ -235,7 +236,7 @@
         pending = self.operations.pop(index)
         result = self.store.apply(pending.command.operation)
         if lose_reply:
-            result = storage.store.Unknown("reply lost")
+            result = store.Unknown("reply lost")
         node = self.nodes[pending.node]
         if node.core is not None and node.incarnation == pending.incarnation:
             self._post(node, events.StoreReplied(pending.operation_id, result))
@@ -446,7 +447,7 @@
     return listener.role is instances.Role.AGENT or listener.name < dialer.name
 
 
-def _write_head(head: heads.Head) -> "storage.store.Transact":
+def _write_head(head: heads.Head) -> store.Transact:
     value = heads.render_head(head)
-    write = storage.store.Write(heads.HEAD_KEY, value)
-    return storage.store.Transact((), (write,))
+    write = store.Write(heads.HEAD_KEY, value)
+    return store.Transact((), (write,))
