Explore worlds of cores under faults

Random walks over two entries, three agents and a store reorder, double and lose messages, kill, pause and drain processes, and lose replies of the store. They found: a begun answer whose last message was lost was never ended (a stall is now moved to another endpoint); a request that arrived while its entry stopped was never answered (the core now runs until the last connection ended); an answer that began after the deadline was cancelled and never ended (it is no longer begun).

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -48,12 +48,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.post, events.DrainRequested())
     background = [
+        asyncio.ensure_future(task.run()),
         asyncio.ensure_future(task.run_ticker()),
         asyncio.ensure_future(endpoint.run_probes()),
     ]
     await link_task.listen(own.link.ip, own.link.port)
     log.write(commands.Record(catalogue.DAEMON_STARTED, "", "", "agent"), time.time())
-    await task.run()
+    await task.wait_stopped()
     for item in background:
         item.cancel()
     await link_task.close()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -32,6 +32,7 @@
 TICK_S = 0.01
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
+LAST_REQUESTS_S = 5
 
 
 class _Server(uvicorn.Server):
@@ -67,13 +68,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.post, events.DrainRequested())
     background = [
+        asyncio.ensure_future(task.run()),
         asyncio.ensure_future(task.run_ticker()),
         asyncio.ensure_future(platforms.poll_instances(listing, task)),
     ]
     await link_task.listen(own.link.ip, own.link.port)
     serving = asyncio.ensure_future(server.serve())
     log.write(commands.Record(catalogue.DAEMON_STARTED, "", "", "entry"), time.time())
-    await task.run()
+    await task.wait_stopped()
     server.should_exit = True
     await serving
     for item in background:
@@ -120,6 +122,7 @@
             loop="asyncio",
             ws="none",
             timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=LAST_REQUESTS_S,
             ssl_certfile=tls.certificate_file if tls else None,
             ssl_keyfile=tls.key_file if tls else None,
         )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/cores.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/cores.py
@@ -39,8 +39,8 @@
         self._inbox.put_nowait(event)
 
     async def run(self) -> None:
-        """Steps the core until it says `Stop`."""
-        while not self._stopped.is_set():
+        """Steps the core until it is cancelled, also after the core said `Stop`."""
+        while True:
             self._step(await self._inbox.get())
 
     async def run_ticker(self) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
@@ -96,6 +96,8 @@
         if not payloads:
             return
         if self._is_stream(dispatch):
+            if live.expired:
+                return
             self._stream(live, payloads, now, out)
             return
         live.body.extend(payloads)
@@ -119,9 +121,13 @@
         request_id = live.request.request_id
         if not live.begun:
             live.begun = True
+            self._state.requests.set_timer(
+                request_id, now + dispatching.STALL_TIMEOUT_S
+            )
             self._state.journal.note(request_id, now, "answer", "first event")
             if not live.abandoned:
                 out.append(commands.BeginAnswer(request_id, _OK, EVENT_STREAM))
+        live.progressed_at = now
         live.delivered += len(payloads)
         if not live.abandoned:
             out.append(commands.SendAnswer(request_id, payloads))
@@ -133,6 +139,8 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
+        if live.expired and self._is_stream(dispatch):
+            return
         progress = dispatch.assembler.measure_progress()
         match progress:
             case answers.Incomplete():
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -18,6 +18,7 @@
 RETRY_BASE_S = 0.02
 RETRY_MAX_S = 0.5
 EXPIRY_GRACE_S = 0.05
+STALL_TIMEOUT_S = 5.0
 REROUTED = frozenset(
     {
         messages.RejectReason.LEAVING,
@@ -276,6 +277,7 @@
         """Ends the requests whose deadline passed; a begun answer goes on."""
         for live in self._state.requests.pop_due(now):
             if live.begun:
+                self._check_stall(live, now, out)
                 continue
             if live.abandoned:
                 continue
@@ -292,6 +294,24 @@
                 live.request.request_id, now + EXPIRY_GRACE_S
             )
 
+    def _check_stall(
+        self, live: lives.Live, now: float, out: entry_state.Commands
+    ) -> None:
+        """Moves a begun answer elsewhere when nothing of it has come for long."""
+        request_id = live.request.request_id
+        due = live.progressed_at + STALL_TIMEOUT_S
+        if now < due:
+            self._state.requests.set_timer(request_id, due)
+            return
+        self._state.requests.set_timer(request_id, now + STALL_TIMEOUT_S)
+        if live.dispatch is None:
+            return
+        self._cancel(live, out)
+        instance = live.dispatch.instance
+        self.detach(live)
+        live.may_have_run = True
+        self.recover(live, instance, "the answer stalled", now, out)
+
     def abandon(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
         """The caller is gone; what must run once runs on without it."""
         self._state.journal.note(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -46,6 +46,7 @@
         dispatch: The attempt under way, if any.
         begun: Whether a part of the answer went to the caller.
         delivered: Events of the answer that went to the caller.
+        progressed_at: When the last part of a begun answer came, monotonic seconds.
         body: Pieces of an opaque answer so far.
         body_bytes: Size of those pieces.
         may_have_run: Whether an earlier attempt may have run.
@@ -62,6 +63,7 @@
     dispatch: Dispatch | None = None
     begun: bool = False
     delivered: int = 0
+    progressed_at: float = 0.0
     body: list[bytes] = dataclasses.field(default_factory=list)
     body_bytes: int = 0
     may_have_run: bool = False
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
@@ -98,9 +98,7 @@
             del self._sessions[instance]
             self._advance(version_messages.PeerLost(instance), now, [])
 
-    def accept_change(
-        self, copy: copies.Copy, now: float, out: Commands
-    ) -> None:
+    def accept_change(self, copy: copies.Copy, now: float, out: Commands) -> None:
         """Puts a change that this process applied for an operator in force."""
         self._advance(version_messages.ChangeAccepted(copy), now, out)
 
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
@@ -9,6 +9,8 @@
 from chicoryweir_policy.cores import commands
 from chicoryweir_standins.worlds import endpoints
 
+GONE = "gone"
+
 
 class BrokenGuaranteeError(AssertionError):
     """A guarantee did not hold."""
@@ -59,7 +61,10 @@
             told.final = "cut"
 
     def consume(self, command: commands.Command) -> None:
-        """Takes a command for a caller."""
+        """Takes a command for a caller; one that is gone hears nothing."""
+        request_id = getattr(command, "request_id", "")
+        if request_id in self.told and self.told[request_id].final == GONE:
+            return
         match command:
             case commands.BeginAnswer(request_id):
                 self._open(request_id).begun = True
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
@@ -42,6 +42,7 @@
         role: Its role.
         core: Its core; None while it is dead.
         incarnation: Number of its start.
+        stopping: Whether it takes no new connections and ends after the last answer.
         paused: Whether it is frozen; what is sent to it waits.
         waiting: Events that wait while it is frozen.
         versions: Settings versions in force, over its history.
@@ -51,6 +52,7 @@
     role: instances.Role
     core: Core | None = None
     incarnation: int = 0
+    stopping: bool = False
     paused: bool = False
     waiting: collections.deque[events.Event] = dataclasses.field(
         default_factory=collections.deque
@@ -81,9 +83,9 @@
 class World:
     """Everything of one run; each method is one thing that may happen."""
 
-    def __init__(self, entry_names: tuple[str, ...], agent_names: tuple[str, ...]) -> (
-        None
-    ):
+    def __init__(
+        self, entry_names: tuple[str, ...], agent_names: tuple[str, ...]
+    ) -> None:
         self.now = 100.0
         self.store = storage.FakeStore()
         self.callers = callers.Callers()
@@ -118,6 +120,7 @@
         node = self.nodes[name]
         node.incarnation += 1
         node.paused = False
+        node.stopping = False
         node.waiting.clear()
         node.core = self._make_core(node)
         node.versions.append(0)
@@ -128,9 +131,7 @@
     def _make_core(self, node: Node) -> Core:
         incarnation = f"{node.name}.{node.incarnation}"
         if node.role is instances.Role.AGENT:
-            facts = agent_core.AgentFacts(
-                node.name, PLACE, SERVICE, incarnation, SLOTS
-            )
+            facts = agent_core.AgentFacts(node.name, PLACE, SERVICE, incarnation, SLOTS)
             work = queue.create_fair_queue(QUEUE_LIMIT, TOKENS_PER_S)
             return agent_core.AgentCore(facts, work)
         entry_facts = entry_state.EntryFacts(
@@ -312,7 +313,7 @@
         told = self.callers.told[request_id]
         if told.final:
             return
-        told.final = "gone"
+        told.final = callers.GONE
         abandoned = events.RequestAbandoned(request_id)
         self._post(self.nodes[told.entry], abandoned)
 
@@ -340,17 +341,11 @@
                 return
 
     def _settle_once(self) -> None:
-        for dialer in self.nodes.values():
-            for listener in self.nodes.values():
-                if _dials(dialer, listener):
-                    self.dial(dialer.name, listener.name)
+        self.dial_all()
         while self.operations:
             self.run_operation(0)
         for session in list(self.links):
-            link = self.links.get(session)
-            for to in (link.dialer, link.listener) if link is not None else ():
-                while link is not None and link.queues[to]:
-                    self.deliver(session, to)
+            self._drain_link(session)
         for name, endpoint in self.endpoints.items():
             self.boot_endpoint(name)
             for attempt_id in endpoint.list_calls():
@@ -358,6 +353,19 @@
                     self.progress(name, attempt_id)
         self.pass_time(0.05)
 
+    def dial_all(self) -> None:
+        """Opens every link that is missing."""
+        for dialer in self.nodes.values():
+            for listener in self.nodes.values():
+                if _dials(dialer, listener):
+                    self.dial(dialer.name, listener.name)
+
+    def _drain_link(self, session: str) -> None:
+        link = self.links.get(session)
+        for to in (link.dialer, link.listener) if link is not None else ():
+            while link is not None and session in self.links and link.queues[to]:
+                self.deliver(session, to)
+
     def _is_quiet(self) -> bool:
         if any(not told.final for told in self.callers.told.values()):
             return False
@@ -392,6 +400,8 @@
         for command in node.core.step(event, self.now):
             self._carry_out(node, command)
         self._check_version(node)
+        if node.stopping and not self.callers.list_open(node.name):
+            self.kill(node.name)
 
     def _check_version(self, node: Node) -> None:
         match node.core:
@@ -426,7 +436,7 @@
                 if number == catalogue.INVARIANT_VIOLATED:
                     raise callers.BrokenGuaranteeError(detail)
             case commands.Stop():
-                node.core = None
+                node.stopping = True
             case commands.KeepLinks():
                 pass
             case _:
--- /dev/null
+++ b/packages/chicoryweir-standins/tests/worlds/test_exploration.py
@@ -0,0 +1,32 @@
+"""Random walks through worlds of cores, with fixed seeds."""
+
+from __future__ import annotations
+
+import pytest
+
+from chicoryweir_standins.worlds import exploration
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_guarantees_hold_on_a_random_walk(seed: int) -> None:
+    exploration.walk_once(seed)
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(23, id="stream whose last message is lost is moved elsewhere"),
+        pytest.param(55, id="request that arrives while its entry stops is answered"),
+        pytest.param(530, id="answer that begins after its deadline is not begun"),
+        pytest.param(62, id="answer that ends after its deadline is not cut short"),
+    ],
+)
+def test_guarantees_hold_where_they_once_failed(seed: int) -> None:
+    exploration.walk_once(seed)
+
+
+def test_equal_seeds_give_equal_walks() -> None:
+    first = exploration.walk_once(7)
+    second = exploration.walk_once(7)
+    assert first.steps == second.steps
+    assert first.callers.told == second.callers.told
