--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/outliers.py
@@ -0,0 +1,175 @@
+"""Takes endpoints out that are slow or fail, compared with their peers."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import math
+import statistics
+
+MEMORY_S = 10.0
+MIN_PEERS = 3
+MIN_WEIGHT = 5.0
+SLOW_RATIO = 3.0
+FAILURE_EXCESS = 0.3
+MAX_EJECTED_SHARE = 0.34
+EJECT_S = 10.0
+MAX_EJECT_S = 120.0
+FORGIVE_AFTER_S = 120.0
+MAX_PACE_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ejected:
+    """An endpoint is taken out.
+
+    Attributes:
+        instance: Its instance.
+        until: Monotonic time, in seconds, at which it starts to return.
+        pace_s: Seconds a token there.
+        median_pace_s: Median of its peers.
+        failure_share: Share of its attempts that failed, 0 to 1.
+    """
+
+    instance: str
+    until: float
+    pace_s: float
+    median_pace_s: float
+    failure_share: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Mean:
+    """Mean of samples whose weight halves with age."""
+
+    weight: float = 0.0
+    total: float = 0.0
+    at: float = 0.0
+
+    def add(self, value: float, now: float) -> None:
+        kept = math.exp(-max(0.0, now - self.at) / MEMORY_S)
+        self.weight = self.weight * kept + 1.0
+        self.total = self.total * kept + value
+        self.at = now
+
+    def weigh(self, now: float) -> float:
+        return self.weight * math.exp(-max(0.0, now - self.at) / MEMORY_S)
+
+    def compute(self) -> float:
+        return self.total / self.weight if self.weight else 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    pace: _Mean = dataclasses.field(default_factory=_Mean)
+    failures: _Mean = dataclasses.field(default_factory=_Mean)
+    ejections: int = 0
+    ejected_until: float = -math.inf
+
+
+class OutlierDetector:
+    """Compares the endpoints of one service with one another.
+
+    An endpoint is judged by its distance from the peers' median, so that none is
+    taken out when all are slow or all fail.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note_pace(self, instance: str, pace_s: float, now: float) -> None:
+        """Records the seconds that a running request needs for a token.
+
+        A report gives it as the attempts that run over the tokens a second; so an
+        endpoint that has stopped shows too.
+        """
+        pace_s = min(pace_s, MAX_PACE_S)
+        self._records.setdefault(instance, _Record()).pace.add(pace_s, now)
+
+    def note_outcome(self, instance: str, failed: bool, now: float) -> None:
+        """Records whether an attempt failed by the endpoint's fault."""
+        record = self._records.setdefault(instance, _Record())
+        record.failures.add(float(failed), now)
+
+    def forget(self, instance: str) -> None:
+        """Forgets an endpoint that is gone or was restarted."""
+        self._records.pop(instance, None)
+
+    def eject(
+        self,
+        members: collections.abc.Sequence[str],
+        now: float,
+        max_ejected_share: float = MAX_EJECTED_SHARE,
+    ) -> tuple[Ejected, ...]:
+        """Takes out the worst outliers; meant to be called about once a second.
+
+        Args:
+            members: Endpoints of the service that could take work.
+            now: Monotonic time in seconds.
+            max_ejected_share: Largest share of the members that is out at a time.
+
+        Returns:
+            Those taken out by this call.
+        """
+        known = [
+            (name, self._records[name]) for name in members if name in self._records
+        ]
+        out = sum(now < record.ejected_until for _, record in known)
+        room = math.floor(max_ejected_share * len(members)) - out
+        if room <= 0 or len(members) < MIN_PEERS:
+            return ()
+        peers = [(name, rec) for name, rec in known if now >= rec.ejected_until]
+        found = _find_outliers(peers, now)
+        return tuple(
+            self._take_out(name, badness, now) for badness, name in found[:room]
+        )
+
+    def _take_out(self, instance: str, badness: _Badness, now: float) -> Ejected:
+        record = self._records[instance]
+        if now - record.ejected_until > FORGIVE_AFTER_S:
+            record.ejections = 0
+        record.ejections += 1
+        until = now + min(MAX_EJECT_S, EJECT_S * 2.0 ** (record.ejections - 1))
+        record.ejected_until = until
+        ejected = Ejected(
+            instance,
+            until,
+            record.pace.compute(),
+            badness.median_pace_s,
+            record.failures.compute(),
+        )
+        record.pace = _Mean()
+        record.failures = _Mean()
+        return ejected
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _Badness:
+    excess: float
+    median_pace_s: float
+
+
+def _find_outliers(
+    peers: list[tuple[str, _Record]], now: float
+) -> list[tuple[_Badness, str]]:
+    paced = [rec.pace.compute() for _, rec in peers if _is_known(rec.pace, now)]
+    failing = [
+        rec.failures.compute() for _, rec in peers if _is_known(rec.failures, now)
+    ]
+    pace_s = statistics.median(paced) if len(paced) >= MIN_PEERS else math.inf
+    failure_share = statistics.median(failing) if len(failing) >= MIN_PEERS else 1.0
+    found: list[tuple[_Badness, str]] = []
+    for name, record in peers:
+        excess = 0.0
+        if _is_known(record.pace, now) and pace_s > 0:
+            excess = record.pace.compute() / pace_s / SLOW_RATIO
+        if _is_known(record.failures, now):
+            above = record.failures.compute() - failure_share
+            excess = max(excess, above / FAILURE_EXCESS)
+        if excess > 1.0:
+            found.append((_Badness(excess, pace_s), name))
+    return sorted(found, key=lambda item: (-item[0].excess, item[1]))
+
+
+def _is_known(mean: _Mean, now: float) -> bool:
+    return mean.weigh(now) >= MIN_WEIGHT
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
@@ -12,6 +12,8 @@
 RELAX_S = 2.0
 UNKNOWN_TOKENS_PER_S = 1000.0
 OCCUPANCY_COST_S = 0.05
+RETURN_S = 10.0
+RETURN_COST_S = 0.5
 NO_WAITS = (0.0,) * len(requests.PriorityClass)
 
 
@@ -41,7 +43,8 @@
         own_attempts: Number of those attempts.
         finished_tokens: Tokens of this entry that the last report still counts and
             that have finished since.
-        ejected_until: Time until which it is taken out as an outlier.
+        ejected_until: Time until which it is taken out as an outlier; minus infinity
+            for never.
     """
 
     instance: str
@@ -101,12 +104,20 @@
         weight = math.exp(-age_s / RELAX_S)
         reported_s = self.reported_wait_s[priority]
         wait_s = mean_wait_s + (reported_s - mean_wait_s) * weight
+        wait_s += self._compute_return_cost(now)
         occupied = self.occupied + self.own_attempts
         if occupied < self.slots:
             return wait_s + OCCUPANCY_COST_S * occupied / self.slots
         ahead = sum(self.own_tokens[: priority + 1])
         return wait_s + OCCUPANCY_COST_S + ahead / self.tokens_per_s
 
+    def _compute_return_cost(self, now: float) -> float:
+        """Makes an endpoint that was taken out attract work again by and by."""
+        passed_s = now - self.ejected_until
+        if passed_s >= RETURN_S:
+            return 0.0
+        return RETURN_COST_S * (1.0 - passed_s / RETURN_S)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
@@ -164,5 +175,5 @@
         own_tokens=NO_WAITS,
         own_attempts=0,
         finished_tokens=0.0,
-        ejected_until=0.0,
+        ejected_until=-math.inf,
     )
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/routing/test_addresses.py
@@ -0,0 +1,52 @@
+"""Tests of the addresses given to callers."""
+
+import collections
+
+from chicoryweir_policy.routing import addresses
+
+NOW = 100.0
+
+
+def _make_entry(number: int, place: str, leaving: bool = False, heard_at: float = NOW):
+    return addresses.EntryView(
+        f"entry-{number}", "127.0.0.1", 18080 + number, place, leaving, heard_at
+    )
+
+
+def test_nearest_entries_come_first():
+    entries = [
+        _make_entry(1, "far"),
+        _make_entry(2, "near"),
+        _make_entry(3, "here"),
+        _make_entry(4, "here"),
+    ]
+    latency_s = {"near": 0.0005, "far": 0.04}
+    ranked = addresses.rank_addresses(entries, "here", 7, NOW, latency_s)
+    assert [entry.place for entry in ranked] == ["here", "here", "near", "far"]
+
+
+def test_leaving_and_dead_entries_are_left_out():
+    entries = [
+        _make_entry(1, "here", leaving=True),
+        _make_entry(2, "here", heard_at=NOW - addresses.DEAD_AFTER_S - 0.1),
+        _make_entry(3, "here"),
+    ]
+    ranked = addresses.rank_addresses(entries, "here", 7, NOW)
+    assert [entry.instance for entry in ranked] == ["entry-3"]
+
+
+def test_callers_are_spread_and_each_keeps_its_order():
+    entries = [_make_entry(number, "here") for number in range(7)]
+    firsts = collections.Counter()
+    for seed in range(700):
+        ranked = addresses.rank_addresses(entries, "here", seed, NOW)
+        assert ranked == addresses.rank_addresses(entries[::-1], "here", seed, NOW)
+        firsts[ranked[0].instance] += 1
+    assert len(firsts) == 7
+    assert max(firsts.values()) < 150
+
+
+def test_number_of_addresses_is_bounded():
+    entries = [_make_entry(number, "here") for number in range(380)]
+    ranked = addresses.rank_addresses(entries, "here", 7, NOW)
+    assert len(ranked) == addresses.MAX_ADDRESSES
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -143,3 +143,44 @@
         assert selection.rank_members(without, seed) == ranked[:3] + ranked[4:]
     assert len(firsts) == 16
     assert max(firsts.values()) < 1.3 * 4000 / 16
+
+
+def test_entries_with_one_stale_report_do_not_pick_one_endpoint(
+    make_book, make_request, make_report
+):
+    picks = collections.Counter()
+    for entry in range(7):
+        book = make_book(16)
+        for number in range(1, 16):
+            book.note_report(f"agent-{number}", make_report(wait_s=0.2), 0.0)
+        for number in range(40):
+            request = make_request(f"request-{entry}-{number}")
+            selected = _select(request, book)
+            book.note_sent(
+                selected.instance, str(number), number, 100.0, request.priority
+            )
+            picks[selected.instance] += 1
+    assert len(picks) == 16
+    assert picks["agent-0"] <= 0.2 * 7 * 40
+
+
+def test_endpoint_taken_out_returns_by_and_by(make_book, make_request, make_report):
+    book = make_book(2)
+    book.note_ejected("agent-0", until=0.0)
+    shares = []
+    for now in (0.1, 9.0, 11.0):
+        chosen = 0
+        for number in range(2):
+            report = make_report(running=16, acknowledged=1)
+            book.note_report(f"agent-{number}", report, now)
+        for number in range(300):
+            request = make_request(f"request-{now}-{number}")
+            selected = _select(request, book, now=now)
+            book.note_sent(
+                selected.instance, f"{now}/{number}", 1, 5.0, request.priority
+            )
+            chosen += selected.instance == "agent-0"
+        shares.append(chosen / 300)
+    assert shares[0] < shares[1] < shares[2]
+    assert shares[0] > 0.0
+    assert shares[2] > 0.45
