--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
@@ -0,0 +1,151 @@
+"""Deterministic core by which any entry coordinates the groups it holds leases of.
+
+A step costs time in proportion to the groups that the entry contends for, and to the
+agents of those whose messages are due.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+from chicoryweir_policy import store
+from chicoryweir_policy.groups import changes
+from chicoryweir_policy.groups import events
+from chicoryweir_policy.groups import leases
+from chicoryweir_policy.groups import messages
+
+Commands = tuple[events.CoordinatorCommand, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Contender:
+    """One group's lease and leader, and the leader's operation under way."""
+
+    lease: leases.Lease
+    leader: changes.GroupLeader
+    operation_id: int | None = None
+
+
+class CoordinatorCore:
+    """Contends for the leases of groups and drives the changes of those it holds."""
+
+    def __init__(
+        self,
+        holder: str,
+        specs: collections.abc.Iterable[changes.GroupSpec],
+        lease_settings: leases.LeaseSettings,
+        change_settings: changes.ChangeSettings,
+        seed: int,
+    ) -> None:
+        """Creates the core; no other process may ever have the name `holder`."""
+        self._contenders = {
+            spec.group: _Contender(
+                leases.create_lease(spec.group, holder, lease_settings, seed),
+                changes.GroupLeader(spec, change_settings),
+            )
+            for spec in specs
+        }
+        self._operations: dict[int, tuple[str, bool]] = {}
+        self._last_operation_id = 0
+
+    def step(self, event: events.CoordinatorEvent, now: float) -> Commands:
+        """Consumes an event and returns what is to be done, in order."""
+        recorded: Commands = ()
+        match event:
+            case events.Ticked():
+                pass
+            case events.MessageReceived(instance, message):
+                recorded = self._receive(instance, message, now)
+            case events.StoreReplied(operation_id, result):
+                recorded = self._settle(operation_id, result, now)
+            case events.MapProposed(group, replicas):
+                if group in self._contenders:
+                    self._contenders[group].leader.proposal = replicas
+            case _ as never:
+                typing.assert_never(never)
+        due = [
+            command
+            for group, contender in self._contenders.items()
+            for command in self._run(group, contender, now)
+        ]
+        return (*recorded, *due)
+
+    def holds(self, group: str, now: float) -> bool:
+        """Tells whether this core may act for a group at `now`."""
+        return leases.holds(self._contenders[group].lease, now)
+
+    def find_statuses(self, group: str) -> tuple[messages.RankStatus, ...]:
+        """Returns the last status of each agent of a group."""
+        items = self._contenders[group].leader.statuses.items()
+        return tuple(status for _, status in items)
+
+    def find_state(self, group: str) -> str:
+        """Returns the state of a group's change in the chart `map_change`."""
+        return self._contenders[group].leader.state
+
+    def resign(self, now: float) -> Commands:
+        """Gives up all leases, so that others need not wait for them to lapse."""
+        commands: list[events.CoordinatorCommand] = []
+        for group, contender in self._contenders.items():
+            contender.lease, operation = leases.resign(contender.lease, now)
+            contender.leader.step_down()
+            if operation is not None:
+                commands.append(self._start(group, True, operation))
+        return tuple(commands)
+
+    def _receive(
+        self, instance: str, message: messages.GroupMessage, now: float
+    ) -> Commands:
+        contender = self._contenders.get(message.group)
+        if contender is None or not isinstance(message, messages.RankStatus):
+            return ()
+        violation = contender.leader.note_status(instance, message, now)
+        contender.lease = leases.raise_floor(
+            contender.lease, contender.leader.statuses.find_highest_fence()
+        )
+        return () if violation is None else (violation,)
+
+    def _settle(self, operation_id: int, result: store.Result, now: float) -> Commands:
+        found = self._operations.pop(operation_id, None)
+        if found is None:
+            return ()
+        group, for_lease = found
+        contender = self._contenders[group]
+        if for_lease:
+            contender.lease = leases.settle(contender.lease, result, now)
+            return ()
+        contender.operation_id = None
+        return contender.leader.settle_operation(result, now)
+
+    def _run(
+        self, group: str, contender: _Contender, now: float
+    ) -> list[events.CoordinatorCommand]:
+        """Emits what is due for one group; the lease's time is checked first."""
+        commands: list[events.CoordinatorCommand] = []
+        leader = contender.leader
+        contender.lease = leases.expire(contender.lease, now)
+        holding = leases.holds(contender.lease, now)
+        if leader.statuses.cover_group(now):
+            contender.lease, operation = leases.tick(contender.lease, now)
+            if operation is not None:
+                commands.append(self._start(group, True, operation))
+        if not holding:
+            leader.step_down()
+            return commands
+        fence = contender.lease.fence
+        if contender.operation_id is None:
+            operation = leader.propose_operation(fence, now)
+            if operation is not None:
+                commands.append(self._start(group, False, operation))
+                contender.operation_id = self._last_operation_id
+        commands.extend(leader.build_messages(fence, now))
+        return commands
+
+    def _start(
+        self, group: str, for_lease: bool, operation: store.Operation
+    ) -> events.RunOperation:
+        self._last_operation_id += 1
+        self._operations[self._last_operation_id] = (group, for_lease)
+        return events.RunOperation(self._last_operation_id, operation)
