--- a/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -20,6 +20,7 @@
 from chicoryweir_standins.launch import up
 from chicoryweir_standins.load import command as load_command
 from chicoryweir_standins.platform import app as platform_app
+from chicoryweir_standins.soak import command as soak_command
 
 
 def _read_config(path: str) -> dict[str, typing.Any]:
@@ -74,6 +75,9 @@
     command = commands.add_parser("bench", help="measures a fleet of its own")
     bench_command.add_arguments(command)
     command.set_defaults(run=bench_command.run)
+    command = commands.add_parser("soak", help="a long randomised run")
+    soak_command.add_arguments(command)
+    command.set_defaults(run=soak_command.run)
     command = commands.add_parser("up", help="runs a fleet until a signal")
     command.set_defaults(run=_run_up)
     return parser
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
@@ -111,7 +111,7 @@
 async def measure_urgent_flood(
     running: fleet.Fleet, deployment: deployments.Deployment, seed: int
 ) -> list[measures.Measure]:
-    """Floods with urgent work while the other classes ask for more than their floors."""
+    """Floods with urgent work while the others ask for more than their floors."""
     streams = (
         _build_stream(deployment, "field", "urgent", FLOOD, _URGENT_MS),
         _build_stream(deployment, "growers", "standard", 0.6, _STANDARD_MS),
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
@@ -113,6 +113,19 @@
             "control": self.plan.control_url,
         }
 
+    async def wait_exit(self, name: str, pid: int, timeout_s: float) -> int | None:
+        """Waits until one run of a process has ended.
+
+        Returns:
+            Its exit code, or None where it still runs after the timeout.
+        """
+        child = self.children[name]
+        for _ in range(int(timeout_s / _POLL_S)):
+            if pid in child.exit_codes:
+                return child.exit_codes[pid]
+            await asyncio.sleep(_POLL_S)
+        return None
+
     async def set_listing(self, name: str, state: str | None) -> None:
         """Changes an instance's state in the platform's list; None removes it."""
         listing = self.children[name].process.listing
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/processes.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/processes.py
@@ -24,6 +24,7 @@
         self._config_file = directory / f"{process.name}.json"
         self._log_file = directory / f"{process.name}.log"
         self._child: asyncio.subprocess.Process | None = None
+        self.exit_codes: dict[int, int] = {}
 
     @property
     def pid(self) -> int:
@@ -54,8 +55,11 @@
 
     async def wait(self) -> int:
         """Returns the exit code once the process has ended."""
-        assert self._child is not None
-        return await self._child.wait()
+        child = self._child
+        assert child is not None
+        code = await child.wait()
+        self.exit_codes[child.pid] = code
+        return code
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal; a process that has ended is left alone."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised run of real processes, with invariants checked at its end."""
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/command.py
@@ -0,0 +1,156 @@
+"""The `soak` command: a long randomised run with its verdict."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import time
+
+import httpx
+
+from chicoryweir_standins.launch import fleet
+from chicoryweir_standins.launch import plan
+from chicoryweir_standins.load import arrivals
+from chicoryweir_standins.load import driver
+from chicoryweir_standins.load import results
+from chicoryweir_standins.soak import callers
+from chicoryweir_standins.soak import evidence
+from chicoryweir_standins.soak import injection
+from chicoryweir_standins.soak import operators
+from chicoryweir_standins.soak import schedule
+
+_SIZE = plan.FleetSize(step_time_ms=10.0)
+_BACKGROUND_RATE_PER_S = 4.0
+_RECOVERY_S = 30.0
+_RECOVERY_RATE_PER_S = 5.0
+_DAEMONS = ("entry", "agent")
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's flags."""
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Runs the command; returns its exit code, 1 after a broken invariant."""
+    return asyncio.run(_soak(arguments.seed, arguments.seconds))
+
+
+async def _soak(seed: int, seconds: float) -> int:
+    running = fleet.create_fleet(_SIZE)
+    running.restarted_kinds |= set(_DAEMONS)
+    found = evidence.Evidence()
+    print(f"soak: seed {seed}, {seconds:g} s, logs in {running.directory}")
+    try:
+        await running.start()
+        async with httpx.AsyncClient(timeout=10.0) as client:
+            context = callers.CallerContext(client, running, found, seed)
+            await _run_faults(context, seconds)
+            found.recovered = await _check_recovery(context)
+            runs = await _collect(context)
+    finally:
+        codes = await running.stop()
+    kinds = {process.name: process.kind for process in running.plan.processes}
+    found.exit_codes = {n: c for n, c in codes.items() if kinds[n] in _DAEMONS}
+    return _print_verdict(seed, found, runs, running)
+
+
+async def _run_faults(context: callers.CallerContext, seconds: float) -> None:
+    running, found = context.running, context.found
+    daemons = running.list_names("entry") + running.list_names("agent")
+    endpoints = running.list_names("engine") + running.list_names("service")
+    faults = schedule.draw_faults(context.seed, seconds, daemons, endpoints)
+    done = asyncio.Event()
+    beside = [
+        asyncio.create_task(_send_answers(context, seconds)),
+        asyncio.create_task(callers.send_payments(context, done)),
+        asyncio.create_task(
+            operators.watch_versions(context.client, running, found, done)
+        ),
+    ]
+    started_at = time.monotonic()
+    await injection.Injector(context).run(faults, started_at)
+    await asyncio.sleep(max(0.0, started_at + seconds - time.monotonic()))
+    done.set()
+    await asyncio.gather(*beside)
+
+
+async def _send_answers(context: callers.CallerContext, seconds: float) -> None:
+    streams = tuple(
+        arrivals.Stream(
+            "relay",
+            priority,
+            _BACKGROUND_RATE_PER_S,
+            8000,
+            key=context.running.plan.keys.caller,
+            end_s=seconds,
+        )
+        for priority in arrivals.CLASSES
+    )
+    load = _build_load(context, streams, context.seed)
+    context.found.answers += await driver.run_load(load)
+
+
+async def _check_recovery(context: callers.CallerContext) -> bool:
+    """Tells whether requests are answered again within a bounded time."""
+    deadline = time.monotonic() + _RECOVERY_S
+    attempt = 0
+    while time.monotonic() < deadline:
+        attempt += 1
+        stream = arrivals.Stream(
+            "relay",
+            "standard",
+            _RECOVERY_RATE_PER_S,
+            5000,
+            key=context.running.plan.keys.caller,
+            end_s=2.0,
+        )
+        load = _build_load(context, (stream,), context.seed * 1_000_003 + attempt)
+        ended = await driver.run_load(load)
+        context.found.answers += ended
+        if ended and all(r.ending is results.Ending.IN_TIME for r in ended):
+            return True
+    return False
+
+
+def _build_load(
+    context: callers.CallerContext, streams: tuple[arrivals.Stream, ...], seed: int
+) -> driver.LoadPlan:
+    size = context.running.plan.size
+    return driver.LoadPlan(
+        streams, context.running.plan.entry_urls, size.model_service, seed
+    )
+
+
+async def _collect(context: callers.CallerContext) -> evidence.Runs:
+    control = context.running.plan.control_url
+    counted = (await context.client.get(f"{control}/runs")).json()
+    maps = (await context.client.get(f"{control}/group/violations")).json()
+    context.found.map_violations = len(maps["violations"])
+    print(f"  the group ran {maps['steps']} steps")
+    return evidence.Runs(counted["by_key"], counted["by_body"])
+
+
+def _print_verdict(
+    seed: int, found: evidence.Evidence, runs: evidence.Runs, running: fleet.Fleet
+) -> int:
+    violations = evidence.list_violations(found, runs)
+    for violation in violations:
+        print(f"VIOLATION {violation}")
+    for priority, tally in sorted(results.tally_by_class(found.answers).items()):
+        print(f"  {priority}: {tally.describe()}")
+    statuses = collections.Counter(p.outcome or p.status for p in found.payments)
+    print(f"  payments by status or outcome: {dict(statuses)}")
+    won = sum(1 for a in found.applied if a.status == 200)
+    print(
+        f"  settings: {len(found.versions)} versions seen, {won} of "
+        f"{len(found.applied)} changes won; restarts: {running.restarts}"
+    )
+    verdict = "FAILED" if violations else "passed"
+    print(
+        f"SOAK seed {seed} {verdict}: {len(found.answers)} answers, "
+        f"{len(found.payments)} payments, {len(violations)} violations"
+    )
+    return 1 if violations else 0
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/evidence.py
@@ -0,0 +1,185 @@
+"""What a run has shown, and the invariants it is held against."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+
+from chicoryweir_standins.load import results
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Payment:
+    """One arrival of a non-idempotent call.
+
+    Attributes:
+        key: Idempotency key; the same for each time the caller sends it.
+        body_sha256: Digest of the body, in hex.
+        status: HTTP status; 0 where the connection broke.
+        outcome: Outcome that a problem names, or an empty string.
+        ran_key: Key that the service says it ran, or an empty string.
+        ran_body_sha256: Digest of the body that the service says it ran.
+    """
+
+    key: str
+    body_sha256: str
+    status: int
+    outcome: str = ""
+    ran_key: str = ""
+    ran_body_sha256: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A settings version that an entry said is in force."""
+
+    entry: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """The answer to one operator's change.
+
+    Attributes:
+        expected: Version the change was made for.
+        change_id: Identifier of the change.
+        status: HTTP status; 0 where none came.
+        version: Version it made, or 0.
+    """
+
+    expected: int
+    change_id: str
+    status: int
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Runs:
+    """What the endpoints ran, as the switchboard counted it."""
+
+    by_key: collections.abc.Mapping[str, int]
+    by_body: collections.abc.Mapping[str, collections.abc.Mapping[str, int]]
+
+
+@dataclasses.dataclass
+class Evidence:
+    """All that a run has shown.
+
+    Attributes:
+        answers: Results of model requests.
+        payments: Arrivals of non-idempotent calls.
+        versions: Settings versions in the order they were seen.
+        applied: Answers to operators' changes.
+        poison_bodies: Digests of the requests that crash endpoints.
+        map_violations: Steps in which ranks had different maps.
+        exit_codes: Exit codes of the daemons at the graceful stop.
+        drains: Exit codes of daemons that were told to stop during the run.
+        recovered: Whether requests were answered after the last fault.
+    """
+
+    answers: list[results.Result] = dataclasses.field(default_factory=list)
+    payments: list[Payment] = dataclasses.field(default_factory=list)
+    versions: list[SeenVersion] = dataclasses.field(default_factory=list)
+    applied: list[Applied] = dataclasses.field(default_factory=list)
+    poison_bodies: list[str] = dataclasses.field(default_factory=list)
+    map_violations: int = 0
+    exit_codes: dict[str, int | None] = dataclasses.field(default_factory=dict)
+    drains: dict[str, int | None] = dataclasses.field(default_factory=dict)
+    recovered: bool = False
+
+
+def list_violations(evidence: Evidence, runs: Runs) -> list[str]:
+    """Returns every broken invariant, one line each."""
+    return [
+        *_check_payments(evidence.payments, runs),
+        *_check_answers(evidence.answers, runs),
+        *_check_poison(evidence.poison_bodies, runs),
+        *_check_versions(evidence.versions),
+        *_check_applied(evidence.applied),
+        *_check_ends(evidence),
+    ]
+
+
+def _check_payments(payments: list[Payment], runs: Runs) -> list[str]:
+    broken = []
+    by_key: dict[str, list[Payment]] = collections.defaultdict(list)
+    for payment in payments:
+        by_key[payment.key].append(payment)
+    for key, sent in by_key.items():
+        count = runs.by_key.get(key, 0)
+        if count > 1:
+            broken.append(f"at most once: {key} ran {count} times")
+        if count and all(p.outcome == "not_run" for p in sent):
+            broken.append(f"not run: {key} ran although each answer said not_run")
+        if not count and any(p.status == 200 for p in sent):
+            broken.append(f"answered without a run: {key}")
+        for payment in sent:
+            if payment.status == 200 and (
+                payment.ran_key != key or payment.ran_body_sha256 != payment.body_sha256
+            ):
+                broken.append(f"another's answer: {key} got {payment.ran_key}")
+    return broken
+
+
+def _check_answers(answers: list[results.Result], runs: Runs) -> list[str]:
+    broken = []
+    for result in answers:
+        if result.ending is results.Ending.WRONG:
+            broken.append(
+                f"another's or a partial answer: {result.workspace} "
+                f"{result.body_sha256[:12]} got {result.tokens} tokens"
+            )
+        if result.outcome == "not_run" and runs.by_body.get(result.body_sha256):
+            broken.append(
+                f"not run: {result.body_sha256[:12]} ran at "
+                f"{dict(runs.by_body[result.body_sha256])}"
+            )
+    return broken
+
+
+_MAX_POISON_LOSSES = 2
+
+
+def _check_poison(bodies: list[str], runs: Runs) -> list[str]:
+    broken = []
+    for body in bodies:
+        losses = sum(runs.by_body.get(body, {}).values())
+        if losses > _MAX_POISON_LOSSES:
+            broken.append(f"poison: {body[:12]} crashed {losses} endpoints")
+    return broken
+
+
+def _check_versions(versions: list[SeenVersion]) -> list[str]:
+    broken = []
+    highest: dict[str, int] = {}
+    for seen in versions:
+        if seen.version < highest.get(seen.entry, 0):
+            broken.append(
+                f"settings reverted: {seen.entry} went from "
+                f"{highest[seen.entry]} to {seen.version}"
+            )
+        highest[seen.entry] = max(seen.version, highest.get(seen.entry, 0))
+    return broken
+
+
+def _check_applied(applied: list[Applied]) -> list[str]:
+    winners = collections.Counter(a.expected for a in applied if a.status == 200)
+    return [
+        f"racing operators: {count} changes won against version {expected}"
+        for expected, count in winners.items()
+        if count > 1
+    ]
+
+
+def _check_ends(evidence: Evidence) -> list[str]:
+    broken = []
+    if evidence.map_violations:
+        broken.append(f"maps: {evidence.map_violations} steps with different maps")
+    for name, code in {**evidence.drains, **evidence.exit_codes}.items():
+        if code != 0:
+            broken.append(f"graceful stop: {name} ended with {code}")
+    if not evidence.recovered:
+        broken.append("recovery: no request was answered after the last fault")
+    return broken
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/injection.py
@@ -0,0 +1,127 @@
+"""Brings about the faults of a run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+
+import httpx
+
+from chicoryweir_standins.launch import fleet
+from chicoryweir_standins.load import arrivals
+from chicoryweir_standins.load import driver
+from chicoryweir_standins.soak import callers
+from chicoryweir_standins.soak import operators
+from chicoryweir_standins.soak import schedule
+
+_FLOOD_RATE_PER_S = 200.0
+_DRAIN_S = 40.0
+_RESTORE = {"outage": False, "lose_replies": 0.0, "delay_ms": 0.0}
+
+
+class Injector:
+    """Brings about faults, and undoes those that last."""
+
+    def __init__(self, context: callers.CallerContext) -> None:
+        """Acts on the fleet of this run."""
+        self._context = context
+        self._running: fleet.Fleet = context.running
+        self._number = 0
+
+    async def run(self, faults: list[schedule.Fault], started_at: float) -> None:
+        """Brings about each fault at its time; returns once all are undone."""
+        tasks = []
+        try:
+            for fault in faults:
+                due = started_at + fault.at_s
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                print(f"  {fault.describe()}", flush=True)
+                self._number += 1
+                tasks.append(asyncio.create_task(self._inject(fault, self._number)))
+            await asyncio.gather(*tasks)
+        finally:
+            for child in self._running.children.values():
+                child.send_signal(signal.SIGCONT)
+            await self._set_platform(_RESTORE)
+
+    async def _inject(self, fault: schedule.Fault, number: int) -> None:
+        context = self._context
+        match fault.kind:
+            case schedule.Kind.KILL:
+                self._running.children[fault.subject].send_signal(signal.SIGKILL)
+            case schedule.Kind.PAUSE:
+                await self._pause(fault)
+            case schedule.Kind.DRAIN:
+                await self._drain(fault)
+            case schedule.Kind.STALL:
+                await self._stall(fault)
+            case schedule.Kind.OUTAGE:
+                await self._disturb_platform("outage", True, fault)
+            case schedule.Kind.LOST_REPLIES:
+                await self._disturb_platform("lose_replies", fault.amount, fault)
+            case schedule.Kind.DELAY:
+                await self._disturb_platform("delay_ms", fault.amount, fault)
+            case schedule.Kind.RACE:
+                await operators.race_operators(
+                    context.client, self._running, context.found, number
+                )
+            case schedule.Kind.POISON:
+                await callers.send_poison(context, number)
+            case schedule.Kind.FLOOD:
+                await self._flood(fault, number)
+
+    async def _pause(self, fault: schedule.Fault) -> None:
+        child = self._running.children[fault.subject]
+        child.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.duration_s)
+        child.send_signal(signal.SIGCONT)
+
+    async def _drain(self, fault: schedule.Fault) -> None:
+        child = self._running.children[fault.subject]
+        pid = child.pid
+        await self._running.set_listing(fault.subject, "leaving")
+        child.send_signal(signal.SIGTERM)
+        code = await self._running.wait_exit(fault.subject, pid, _DRAIN_S)
+        await self._running.set_listing(fault.subject, "live")
+        # Killed by a fault of its own while it drained, it proves nothing.
+        if code != -signal.SIGKILL:
+            self._context.found.drains[f"{fault.subject}#{pid}"] = code
+
+    async def _stall(self, fault: schedule.Fault) -> None:
+        url = f"{self._running.plan.control_url}/engine/{fault.subject}"
+        for stall in (True, False):
+            with contextlib.suppress(httpx.HTTPError):
+                await self._context.client.post(url, json={"stall": stall})
+            if stall:
+                await asyncio.sleep(fault.duration_s)
+
+    async def _flood(self, fault: schedule.Fault, number: int) -> None:
+        stream = arrivals.Stream(
+            "relay",
+            fault.subject,
+            _FLOOD_RATE_PER_S,
+            3000,
+            key=self._running.plan.keys.caller,
+            end_s=fault.duration_s,
+        )
+        load = driver.LoadPlan(
+            (stream,),
+            self._running.plan.entry_urls,
+            self._running.plan.size.model_service,
+            self._context.seed * 1000 + number,
+        )
+        self._context.found.answers += await driver.run_load(load)
+
+    async def _disturb_platform(
+        self, name: str, value: float, fault: schedule.Fault
+    ) -> None:
+        await self._set_platform({name: value})
+        await asyncio.sleep(fault.duration_s)
+        await self._set_platform({name: _RESTORE[name]})
+
+    async def _set_platform(self, faults: dict[str, float]) -> None:
+        url = f"{self._running.plan.control_url}/platform"
+        reply = await self._context.client.post(url, json=faults)
+        reply.raise_for_status()
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/operators.py
@@ -0,0 +1,119 @@
+"""Operators of a run: they watch the version in force, and race each other."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import typing
+
+import httpx
+
+from chicoryweir_standins.launch import fleet
+from chicoryweir_standins.soak import evidence
+
+_WATCH_S = 0.2
+_TIMEOUT_S = 5.0
+_RACERS = 3
+
+Json = dict[str, typing.Any]
+
+
+async def watch_versions(
+    client: httpx.AsyncClient,
+    running: fleet.Fleet,
+    found: evidence.Evidence,
+    until: asyncio.Event,
+) -> None:
+    """Notes the settings version that each entry has in force."""
+    names = running.list_names("entry")
+    while not until.is_set():
+        for name, url in zip(names, running.plan.entry_urls, strict=True):
+            version = await _read_version(client, running, url)
+            if version is not None:
+                found.versions.append(evidence.SeenVersion(name, version))
+        await asyncio.sleep(_WATCH_S)
+
+
+async def race_operators(
+    client: httpx.AsyncClient, running: fleet.Fleet, found: evidence.Evidence, race: int
+) -> None:
+    """Applies conflicting changes for one version, through all entries."""
+    urls = running.plan.entry_urls
+    current = await _read_settings(client, running, urls[race % len(urls)])
+    if current is None:
+        return
+    applied = await asyncio.gather(
+        *(
+            _apply(client, running, current, urls[racer % len(urls)], race, racer)
+            for racer in range(_RACERS)
+        )
+    )
+    found.applied += applied
+
+
+async def _apply(
+    client: httpx.AsyncClient,
+    running: fleet.Fleet,
+    current: Json,
+    url: str,
+    race: int,
+    racer: int,
+) -> evidence.Applied:
+    tree = copy.deepcopy(current["tree"])
+    settings = tree["fleet"].setdefault("settings", {})
+    settings["deadline_ms"] = 10_000 + 10 * race + racer
+    change_id = f"race-{race}-{racer}"
+    change = {
+        "expect_version": current["version"],
+        "tree": tree,
+        "change_id": change_id,
+        "author": "dato",
+        "reason": "race",
+    }
+    try:
+        reply = await client.post(
+            f"{url}/operator/settings",
+            json=change,
+            headers=_build_headers(running),
+            timeout=_TIMEOUT_S,
+        )
+    except httpx.HTTPError:
+        return evidence.Applied(current["version"], change_id, 0)
+    version = reply.json().get("version", 0) if reply.status_code == 200 else 0
+    return evidence.Applied(
+        current["version"], change_id, reply.status_code, int(version)
+    )
+
+
+async def _read_settings(
+    client: httpx.AsyncClient, running: fleet.Fleet, url: str
+) -> Json | None:
+    try:
+        reply = await client.get(
+            f"{url}/operator/settings",
+            headers=_build_headers(running),
+            timeout=_TIMEOUT_S,
+        )
+        settings: Json = reply.json()
+    except (httpx.HTTPError, ValueError):
+        return None
+    return settings if reply.status_code == 200 else None
+
+
+async def _read_version(
+    client: httpx.AsyncClient, running: fleet.Fleet, url: str
+) -> int | None:
+    try:
+        reply = await client.get(
+            f"{url}/operator/status",
+            headers=_build_headers(running),
+            timeout=_TIMEOUT_S,
+        )
+        version = reply.json()["settings_version"]
+    except (httpx.HTTPError, ValueError, KeyError, TypeError):
+        return None
+    return version if isinstance(version, int) else None
+
+
+def _build_headers(running: fleet.Fleet) -> dict[str, str]:
+    return {"Authorization": f"Bearer {running.plan.keys.operator}"}
