--- a/packages/chicoryweir-standins/src/chicoryweir_standins/reporting.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/reporting.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import hashlib
+import secrets
 
 import httpx
 
@@ -19,11 +20,13 @@
         endpoint: Name of the endpoint.
         key: Idempotency key, or an empty string.
         body_sha256: Digest of the body as the endpoint received it, in hex.
+        run_id: Identifier of this run; a report that is sent again counts once.
     """
 
     endpoint: str
     key: str
     body_sha256: str
+    run_id: str = dataclasses.field(default_factory=lambda: secrets.token_hex(8))
 
 
 def compute_body_digest(body: bytes) -> str:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/callers.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import random
@@ -120,13 +121,11 @@
     urls = context.running.plan.entry_urls
     for send in range(_POISON_SENDS):
         url = urls[(number + send) % len(urls)]
-        try:
+        with contextlib.suppress(httpx.HTTPError):
             await context.client.post(
                 f"{url}/v1/chat/completions",
                 content=raw,
                 headers=context.build_headers(),
                 timeout=_TIMEOUT_S,
             )
-        except httpx.HTTPError:
-            pass
         await asyncio.sleep(_RESEND_S)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/injection.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/injection.py
@@ -18,7 +18,12 @@
 
 _FLOOD_RATE_PER_S = 200.0
 _DRAIN_S = 40.0
-_RESTORE = {"outage": False, "lose_replies": 0.0, "delay_ms": 0.0}
+_RESTORE = {"outage": 0.0, "lose_replies": 0.0, "delay_ms": 0.0}
+_PLATFORM_FAULTS = {
+    schedule.Kind.OUTAGE: "outage",
+    schedule.Kind.LOST_REPLIES: "lose_replies",
+    schedule.Kind.DELAY: "delay_ms",
+}
 
 
 class Injector:
@@ -57,12 +62,10 @@
                 await self._drain(fault)
             case schedule.Kind.STALL:
                 await self._stall(fault)
-            case schedule.Kind.OUTAGE:
-                await self._disturb_platform("outage", True, fault)
-            case schedule.Kind.LOST_REPLIES:
-                await self._disturb_platform("lose_replies", fault.amount, fault)
-            case schedule.Kind.DELAY:
-                await self._disturb_platform("delay_ms", fault.amount, fault)
+            case (
+                schedule.Kind.OUTAGE | schedule.Kind.LOST_REPLIES | schedule.Kind.DELAY
+            ):
+                await self._disturb_platform(fault)
             case schedule.Kind.RACE:
                 await operators.race_operators(
                     context.client, self._running, context.found, number
@@ -114,10 +117,9 @@
         )
         self._context.found.answers += await driver.run_load(load)
 
-    async def _disturb_platform(
-        self, name: str, value: float, fault: schedule.Fault
-    ) -> None:
-        await self._set_platform({name: value})
+    async def _disturb_platform(self, fault: schedule.Fault) -> None:
+        name = _PLATFORM_FAULTS[fault.kind]
+        await self._set_platform({name: fault.amount})
         await asyncio.sleep(fault.duration_s)
         await self._set_platform({name: _RESTORE[name]})
 
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/schedule.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/schedule.py
@@ -45,7 +45,8 @@
         kind: What happens.
         subject: Process or priority class it concerns, or an empty string.
         duration_s: How long it lasts; 0 for what happens at once.
-        amount: Share of lost replies (0 to 1) or delay in milliseconds.
+        amount: Share of lost replies (0 to 1), delay in milliseconds, or 1 for an
+            outage.
     """
 
     at_s: float
@@ -101,7 +102,7 @@
         case Kind.STALL:
             return Fault(at_s, kind, draws.choice(endpoints), duration_s)
         case Kind.OUTAGE:
-            return Fault(at_s, kind, "platform", duration_s)
+            return Fault(at_s, kind, "platform", duration_s, 1.0)
         case Kind.LOST_REPLIES:
             share = draws.uniform(0.1, 0.9)
             return Fault(at_s, kind, "platform", duration_s, share)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
@@ -10,6 +10,7 @@
 from litestar import datastructures
 from litestar import params
 
+from chicoryweir_standins import reporting
 from chicoryweir_standins import serving
 from chicoryweir_standins.group import route
 
@@ -40,20 +41,25 @@
         """Starts with no run."""
         self.by_key: dict[str, int] = {}
         self.by_body: dict[str, dict[str, int]] = {}
-
-    def add(self, endpoint: str, key: str, body_sha256: str) -> None:
-        """Counts one run."""
+        self._counted: set[str] = set()
+
+    def add(self, run: reporting.Run) -> None:
+        """Counts one run; a repeated report is ignored."""
+        if run.run_id in self._counted:
+            return
+        self._counted.add(run.run_id)
+        key = run.key
         if key:
             self.by_key[key] = self.by_key.get(key, 0) + 1
-        runs = self.by_body.setdefault(body_sha256, {})
-        runs[endpoint] = runs.get(endpoint, 0) + 1
+        runs = self.by_body.setdefault(run.body_sha256, {})
+        runs[run.endpoint] = runs.get(run.endpoint, 0) + 1
 
 
 @litestar.post("/runs", status_code=200)
 async def add_runs(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
     """Takes the runs that an endpoint reports."""
     for run in data["runs"]:
-        state.counts.add(run["endpoint"], run["key"], run["body_sha256"])
+        state.counts.add(reporting.Run(**run))
     return {}
 
 
