--- a/packages/chicoryweir-standins/src/chicoryweir_standins/load/caller.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/load/caller.py
@@ -127,7 +127,7 @@
         if reply.status_code != 200:
             received.problem = await reply.aread()
             return
-        async for event in _split_events(reply.aiter_raw()):
+        async for event in _split_events(reply.aiter_bytes()):
             if event == _DONE:
                 received.is_done = True
                 continue
