--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/ranks.py
@@ -0,0 +1,119 @@
+"""The task that gives orders about expert maps to the engine beside an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+
+import httpx
+
+from chicoryweir_daemon.runtime import cores
+from chicoryweir_policy.groups import events
+from chicoryweir_policy.groups import member
+
+ORDER_TIMEOUT_S = 2.0
+_MS_PER_S = 1000.0
+
+Json = dict[str, typing.Any]
+
+
+class RankTask:
+    """Carries out the orders of the agent's core, and tells it the replies."""
+
+    def __init__(self, url: str, core: cores.CoreTask) -> None:
+        self._core = core
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=ORDER_TIMEOUT_S, trust_env=False
+        )
+        self._running: set[asyncio.Task[None]] = set()
+        core.handle(events.ObserveEngine, lambda _: self._start(self._observe()))
+        core.handle(events.PrepareEngine, self._prepare)
+        core.handle(events.ReleaseEngine, self._release)
+        core.handle(events.JoinEngine, self._join)
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        for task in list(self._running):
+            task.cancel()
+        await self._client.aclose()
+
+    def _start(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.ensure_future(work)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _observe(self) -> None:
+        try:
+            answer = await self._client.get("/group")
+            observed = _read_group(answer.json())
+        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            observed = member.NOT_ANSWERING
+        self._core.post(observed)
+
+    def _prepare(self, order: events.PrepareEngine) -> None:
+        body = {
+            "fence": order.fence,
+            "change_id": order.change_id,
+            "map_version": order.map_version,
+            "hold_at": order.hold_at,
+            "map": {"replicas": [list(ranks) for ranks in order.replicas]},
+        }
+        self._start(self._order(order.call_id, "/group/prepare", body))
+
+    def _release(self, order: events.ReleaseEngine) -> None:
+        body = {
+            "fence": order.fence,
+            "change_id": order.change_id,
+            "commit": order.commit,
+        }
+        self._start(self._order(order.call_id, "/group/release", body))
+
+    def _join(self, order: events.JoinEngine) -> None:
+        body = {
+            "fence": order.fence,
+            "map_version": order.map_version,
+            "map": {"replicas": [list(ranks) for ranks in order.replicas]},
+        }
+        self._start(self._order(order.call_id, "/group/join", body))
+
+    async def _order(self, call_id: int, path: str, body: Json) -> None:
+        try:
+            answer = await self._client.post(path, json=body)
+            step = int(answer.json().get("step", 0))
+            replied = events.EngineReplied(call_id, answer.is_success, step)
+        except (httpx.HTTPError, ValueError, TypeError, AttributeError):
+            replied = events.EngineReplied(call_id, None, 0)
+        self._core.post(replied)
+
+
+def _read_group(document: Json) -> events.EngineObserved:
+    ranks = tuple(
+        events.RankObserved(
+            rank=int(rank["rank"]),
+            map_version=int(rank["map_version"] or 0),
+            prepared=str(rank["prepared"] or ""),
+            hold_at=int(rank["hold_at"] or 0),
+        )
+        for rank in document["ranks"]
+    )
+    return events.EngineObserved(
+        incarnation=str(document["incarnation"]),
+        step=int(document["step"]),
+        ranks=ranks,
+        step_s=_read_step_time(document["step_ms_by_rank"]),
+        expert_load=_sum_layers(document["expert_load"]),
+    )
+
+
+def _read_step_time(step_ms_by_rank: list[list[float]]) -> float:
+    """Returns the time of the slowest rank, for which all others wait."""
+    return max((float(ms) for _, ms in step_ms_by_rank), default=0.0) / _MS_PER_S
+
+
+def _sum_layers(load: list[typing.Any]) -> tuple[int, ...]:
+    if load and isinstance(load[0], list):
+        return tuple(int(sum(column)) for column in zip(*load, strict=True))
+    return tuple(int(count) for count in load)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -10,6 +10,7 @@
 from chicoryweir_daemon import configuration
 from chicoryweir_daemon import logs
 from chicoryweir_daemon.agent import endpoints
+from chicoryweir_daemon.agent import ranks
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platforms
@@ -32,7 +33,13 @@
         raise ValueError("an agent needs an endpoint")
     incarnation = secrets.token_hex(8)
     facts = agent_core.AgentFacts(
-        own.instance, own.place, own.service, incarnation, own.endpoint.slots
+        own.instance,
+        own.place,
+        own.service,
+        incarnation,
+        own.endpoint.slots,
+        own.endpoint.group,
+        own.endpoint.ranks,
     )
     work = queue.create_fair_queue(QUEUE_LIMIT, INITIAL_TOKENS_PER_S)
     task = cores.CoreTask(agent_core.AgentCore(facts, work), TICK_S)
@@ -44,6 +51,7 @@
     link_task = links.LinkTask(identity, own.cluster_secret, task)
     platforms.StoreTask(http_store.create_store(own.platform_url), task)
     endpoint = endpoints.EndpointTask(own.endpoint, task)
+    rank_task = ranks.RankTask(own.endpoint.url, task)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.post, events.DrainRequested())
@@ -59,4 +67,5 @@
         item.cancel()
     await link_task.close()
     await endpoint.close()
+    await rank_task.close()
     log.write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "agent"), time.time())
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -39,6 +39,7 @@
 ANSWER_CORRUPT = 204
 CLAIM_TAKEN_OVER = 210
 REQUEST_QUARANTINED = 220
+MAP_CHANGED = 230
 SETTINGS_ADOPTED = 300
 SETTINGS_REFUSED = 301
 STORE_UNREACHABLE = 310
@@ -133,6 +134,12 @@
         "A request is refused because endpoints died while its content ran.",
         "Look at the content with the workspace's owner.",
     ),
+    EventKind(
+        MAP_CHANGED,
+        "map_changed",
+        "A change of a group's expert map reached a phase.",
+        "None.",
+    ),
     EventKind(
         SETTINGS_ADOPTED,
         "settings_adopted",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -15,8 +15,12 @@
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
 from chicoryweir_policy.cores.agent import attempts
+from chicoryweir_policy.cores.agent import grouping
 from chicoryweir_policy.cores.agent import load
 from chicoryweir_policy.cores.agent import sessions
+from chicoryweir_policy.groups import events as group_events
+from chicoryweir_policy.groups import messages as group_messages
+from chicoryweir_policy.membership import instances
 
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
@@ -35,6 +39,8 @@
         service: Service of its endpoint.
         incarnation: Identifier of this process.
         slots: Attempts that the endpoint runs at once.
+        group: Lock-step group of its ranks, or an empty string.
+        ranks: Its ranks in that group.
     """
 
     instance: str
@@ -42,6 +48,8 @@
     service: str
     incarnation: str
     slots: int
+    group: str = ""
+    ranks: tuple[int, ...] = ()
 
 
 class AgentCore:
@@ -59,6 +67,15 @@
         self._load = load.LoadMeter(facts.slots)
         self._operations = operations.Operations()
         self._settings = settings_task.SettingsTask(facts.instance, self._operations)
+        self._ranks: grouping.Ranks | None = None
+        if facts.group:
+            self._ranks = grouping.make_ranks(
+                facts.group,
+                facts.ranks,
+                facts.incarnation,
+                self._sessions,
+                self._operations,
+            )
         self._running: dict[str, attempts.Attempt] = {}
         self._suspects: set[str] = set()
         self._leaving = False
@@ -106,8 +123,9 @@
             case events.DrainRequested():
                 self._drain(now, out)
             case events.StoreReplied():
-                purpose = self._operations.take(event.operation_id)
-                self._settings.consume_result(purpose, event.result, now, out)
+                self._consume_reply(event, now, out)
+            case group_events.EngineObserved() | group_events.EngineReplied():
+                self._tell_ranks(event, now, out)
             case (
                 events.InstancesListed()
                 | events.RequestArrived()
@@ -137,9 +155,32 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case (
+                group_messages.QueryRanks()
+                | group_messages.PrepareMap()
+                | group_messages.ReleaseMap()
+            ):
+                received = group_events.MessageReceived(event.instance, message)
+                self._tell_ranks(received, now, out)
             case _:
                 pass
 
+    def _tell_ranks(
+        self, event: group_events.MemberEvent, now: float, out: Commands
+    ) -> None:
+        if self._ranks is not None:
+            self._ranks.consume(event, now, out)
+
+    def _consume_reply(
+        self, event: events.StoreReplied, now: float, out: Commands
+    ) -> None:
+        purpose = self._operations.take(event.operation_id)
+        if isinstance(purpose, grouping.RankOperation):
+            if self._ranks is not None:
+                self._ranks.consume_reply(purpose, event.result, now, out)
+            return
+        self._settings.consume_result(purpose, event.result, now, out)
+
     def _submit(
         self,
         session: sessions.Session,
@@ -424,6 +465,7 @@
             reason = messages.RejectReason.EXPIRED
             self._reject_attempt(expired.attempt_id, reason, 0, out)
         self._settings.tick(now, out)
+        self._tell_ranks(group_events.Ticked(), now, out)
         if self._load.is_report_due(now):
             self._report(now, out)
 
@@ -454,6 +496,9 @@
     ) -> None:
         self._sessions.open(event.hello, event.session)
         self._settings.open_link(event, now, out)
+        if event.hello.role is instances.Role.ENTRY:
+            linked = group_events.PeerLinked(event.hello.instance)
+            self._tell_ranks(linked, now, out)
         self._report(now, out)
 
     def _close_session(
@@ -462,6 +507,9 @@
         session_id = event.session
         self._settings.close_link(event.instance, session_id, now)
         self._sessions.close(session_id)
+        if self._sessions.find_instance(event.instance) is None:
+            unlinked = group_events.PeerUnlinked(event.instance)
+            self._tell_ranks(unlinked, now, out)
         for attempt in self._attempts.list_session(session_id):
             if attempt.running and attempt.must_end:
                 continue
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/grouping.py
@@ -0,0 +1,86 @@
+"""The part of an agent's core that stands before ranks of a lock-step group."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from chicoryweir_policy import catalogue
+from chicoryweir_policy import store
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import operations
+from chicoryweir_policy.cores.agent import sessions
+from chicoryweir_policy.groups import events as group_events
+from chicoryweir_policy.groups import member
+
+Commands = list[commands.Command]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankOperation:
+    """Purpose of an operation for the ranks."""
+
+    operation_id: int
+
+
+class Ranks:
+    """Brings the ranks behind an agent to what their group decided."""
+
+    def __init__(
+        self,
+        core: member.MemberCore,
+        table: sessions.SessionTable,
+        numbers: operations.Operations,
+    ) -> None:
+        self._core = core
+        self._sessions = table
+        self._operations = numbers
+
+    def consume(
+        self, event: group_events.MemberEvent, now: float, out: Commands
+    ) -> None:
+        """Takes an event and carries out what follows from it."""
+        for command in self._core.step(event, now):
+            self._carry_out(command, out)
+
+    def consume_reply(
+        self, purpose: RankOperation, result: store.Result, now: float, out: Commands
+    ) -> None:
+        """Takes the end of an operation that was run for the ranks."""
+        replied = group_events.StoreReplied(purpose.operation_id, result)
+        self.consume(replied, now, out)
+
+    def _carry_out(self, command: group_events.MemberCommand, out: Commands) -> None:
+        match command:
+            case group_events.SendMessage(instance, message):
+                session = self._sessions.find_instance(instance)
+                if session is not None:
+                    out.append(commands.Send(instance, session.session, message))
+            case group_events.RunOperation(operation_id, operation):
+                purpose = RankOperation(operation_id)
+                out.append(self._operations.run(operation, purpose))
+            case group_events.MapViolation():
+                detail = f"step {command.step}: maps {command.versions}"
+                number = catalogue.INVARIANT_VIOLATED
+                out.append(commands.Record(number, "", command.peer, detail))
+            case (
+                group_events.ObserveEngine()
+                | group_events.PrepareEngine()
+                | group_events.ReleaseEngine()
+                | group_events.JoinEngine()
+            ):
+                out.append(command)
+            case _:
+                typing.assert_never(command)
+
+
+def make_ranks(
+    group: str,
+    ranks: tuple[int, ...],
+    incarnation: str,
+    table: sessions.SessionTable,
+    numbers: operations.Operations,
+) -> Ranks:
+    """Makes the part for the ranks of one group."""
+    core = member.MemberCore(group, ranks, incarnation, member.MemberSettings())
+    return Ranks(core, table, numbers)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
@@ -53,6 +53,14 @@
         """Returns a live session, or None."""
         return self._sessions.get(session)
 
+    def find_instance(self, instance: str) -> Session | None:
+        """Returns the newest live session of a peer, or None."""
+        found = None
+        for session in self._sessions.values():
+            if session.instance == instance:
+                found = session
+        return found
+
     def list_entries(self) -> list[Session]:
         """Returns the sessions of entries."""
         return [
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 from chicoryweir_policy import store
+from chicoryweir_policy.groups import events as group_events
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,4 +133,8 @@
     | CancelCall
     | Record
     | Stop
+    | group_events.ObserveEngine
+    | group_events.PrepareEngine
+    | group_events.ReleaseEngine
+    | group_events.JoinEngine
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -15,9 +15,12 @@
 from chicoryweir_policy.cores.entry import claiming
 from chicoryweir_policy.cores.entry import delivery
 from chicoryweir_policy.cores.entry import dispatching
+from chicoryweir_policy.cores.entry import grouping
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import peers
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.groups import events as group_events
+from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
 from chicoryweir_policy.routing import loads
 from chicoryweir_policy.routing import prefix
@@ -41,6 +44,7 @@
         self._dispatcher = dispatching.Dispatcher(state, self._claimer)
         self._claimer.connect(self._dispatcher.submit)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
+        self.groups = grouping.Coordinators(state)
         self._leaving_at: float | None = None
         self._drain_until = 0.0
         self._stopped = False
@@ -78,6 +82,8 @@
                 | events.EndpointFailed()
                 | events.EndpointProbed()
                 | events.CacheChanged()
+                | group_events.EngineObserved()
+                | group_events.EngineReplied()
             ):
                 pass
             case _:
@@ -131,6 +137,8 @@
                 | messages.SettingsBody()
             ):
                 self.state.settings.consume_message(event, now, out)
+            case group_messages.RankStatus():
+                self.groups.consume_message(event.instance, message, now, out)
             case messages.EndpointLost():
                 self.state.prefixes.forget(message.instance)
             case _:
@@ -186,7 +194,9 @@
         purpose = self.state.operations.take(event.operation_id)
         if purpose is None:
             return
-        if not self._claimer.consume_reply(purpose, event.result, now, out):
+        if self._claimer.consume_reply(purpose, event.result, now, out):
+            return
+        if not self.groups.consume_reply(purpose, event.result, now, out):
             self.state.settings.consume_result(purpose, event.result, now, out)
 
     def _open_link(
@@ -223,6 +233,7 @@
         self._dispatcher.run_deadlines(now, out)
         self._claimer.flush(out)
         self.peers.tick(now, out)
+        self.groups.tick(now, out)
         self.peers.keep_links(out)
 
     def _drain(self, now: float, out: entry_state.Commands) -> None:
@@ -246,6 +257,7 @@
         if len(self.state.requests) and now < self._drain_until:
             return
         self._stopped = True
+        self.groups.resign(now, out)
         for live in self.state.requests.list_all():
             out.append(
                 commands.Record(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
@@ -7,6 +7,7 @@
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
 from chicoryweir_policy import store
+from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.membership import instances
 
 
@@ -169,4 +170,6 @@
     | EndpointFailed
     | EndpointProbed
     | CacheChanged
+    | group_events.EngineObserved
+    | group_events.EngineReplied
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -6,6 +6,7 @@
 import enum
 
 from chicoryweir_policy import requests
+from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
 from chicoryweir_policy.settings import heads
 
@@ -348,4 +349,8 @@
     | SettingsWanted
     | SettingsBody
     | Heartbeat
+    | group_messages.QueryRanks
+    | group_messages.PrepareMap
+    | group_messages.ReleaseMap
+    | group_messages.RankStatus
 )
