Answer operators: settings, status, audit, explain, events and drain

The entry gathers a request's notes from itself and its peers over the links. A drain is a row that the instance polls, so that it works from any entry; the instance deletes the row, so that its successor does not drain.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -44,12 +44,16 @@
     work = queue.create_fair_queue(QUEUE_LIMIT, INITIAL_TOKENS_PER_S)
     task = cores.CoreTask(agent_core.AgentCore(facts, work), TICK_S)
     log = logs.make_event_log(own.instance)
-    task.handle(commands.Record, lambda record: log.write(record, time.time()))
+
+    def write(record: commands.Record) -> None:
+        log.write(record, time.time())
+
+    task.handle(commands.Record, write)
     identity = links.Identity(
         own.instance, instances.Role.AGENT, own.place, own.service, incarnation
     )
     link_task = links.LinkTask(identity, own.cluster_secret, task)
-    platforms.StoreTask(http_store.create_store(own.platform_url), task)
+    platforms.StoreTask(http_store.create_store(own.platform_url), task, write)
     endpoint = endpoints.EndpointTask(own.endpoint, task)
     rank_task = ranks.RankTask(own.endpoint.url, task)
     loop = asyncio.get_running_loop()
@@ -61,11 +65,11 @@
         asyncio.ensure_future(endpoint.run_probes()),
     ]
     await link_task.listen(own.link.ip, own.link.port)
-    log.write(commands.Record(catalogue.DAEMON_STARTED, "", "", "agent"), time.time())
+    write(commands.Record(catalogue.DAEMON_STARTED, "", "", "agent"))
     await task.wait_stopped()
     for item in background:
         item.cancel()
     await link_task.close()
     await endpoint.close()
     await rank_task.close()
-    log.write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "agent"), time.time())
+    write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "agent"))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
@@ -35,7 +35,9 @@
     meter: metrics.Meter
 
 
-def make_application(front: callers.Front, views: Views) -> litestar.Litestar:
+def make_application(
+    front: callers.Front, views: Views, operators: list[typing.Any]
+) -> litestar.Litestar:
     """Makes the application around the callers' front."""
 
     @asgi("/v1", is_mount=True)
@@ -75,6 +77,7 @@
             check_health,
             check_readiness,
             render_metrics,
+            *operators,
         ],
         openapi_config=None,
         logging_config=None,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/callers.py
@@ -136,11 +136,11 @@
                     await relay.end()
                     return True
                 case commands.RefuseRequest():
-                    self.meter.count_problem(mail.problem)
+                    self.meter.count_refused(request, mail.problem, time.monotonic())
                     await self._send_problem(mail.problem, request.request_id, send)
                     return True
                 case commands.AbortAnswer():
-                    self.meter.count_problem(mail.problem)
+                    self.meter.count_refused(request, mail.problem, time.monotonic())
                     await relay.flush()
                     raise AnswerAbortedError(mail.problem.detail)
                 case mailboxes.CallerGone():
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
@@ -9,6 +9,7 @@
 import prometheus_client
 from prometheus_client import core as prometheus_core
 
+from chicoryweir_daemon.entry import windows
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 
@@ -24,7 +25,8 @@
 class Meter:
     """Counts outcomes and records latencies by priority class."""
 
-    def __init__(self) -> None:
+    def __init__(self, window: windows.Window) -> None:
+        self._window = window
         self._outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
         self._problems: collections.Counter[tuple[int, str]] = collections.Counter()
         self._first = _make_histograms()
@@ -37,9 +39,18 @@
     def count_answer(self, request: requests.Request, now: float) -> None:
         """An answer was given whole."""
         _record(self._whole[request.priority], now - request.arrived_at)
-        kept = _IN_TIME if now <= request.deadline_at else _LATE
+        in_time = now <= request.deadline_at
+        self._window.count(request.workspace, request.priority, in_time, now)
+        kept = _IN_TIME if in_time else _LATE
         self._outcomes[(request.priority.name.lower(), kept)] += 1
 
+    def count_refused(
+        self, request: requests.Request, problem: outcomes.Problem, now: float
+    ) -> None:
+        """A request that could be decided on ended with a problem."""
+        self._window.count(request.workspace, request.priority, False, now)
+        self.count_problem(problem)
+
     def count_problem(self, problem: outcomes.Problem) -> None:
         """A request ended with a problem."""
         self._problems[(problem.status, problem.outcome.value)] += 1
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface of an entry."""
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/changes.py
@@ -0,0 +1,40 @@
+"""Applies operators' changes of the settings through the store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from chicoryweir_platform import protocols
+from chicoryweir_policy import store
+from chicoryweir_policy.settings import audit
+from chicoryweir_policy.settings import changes
+from chicoryweir_policy.settings import copies
+
+
+async def apply_change(
+    proposal: changes.Proposal,
+    held: copies.Copy | None,
+    platform: protocols.Store,
+) -> changes.Outcome:
+    """Runs a change to its outcome, then trims the audit trail when that is due."""
+    step: changes.Step | changes.Outcome
+    step = changes.start_change(proposal, held, time.monotonic())
+    while isinstance(step, changes.Step):
+        await asyncio.sleep(max(0.0, step.run.not_before - time.monotonic()))
+        result = await platform.run(step.run.operation)
+        step = changes.advance_change(step.change, result, time.monotonic())
+    if isinstance(step, changes.Applied) and audit.is_trim_due(proposal.change_id):
+        await trim_audit(platform)
+    return step
+
+
+async def trim_audit(platform: protocols.Store) -> None:
+    """Deletes the oldest rows of the audit trail beyond its bound."""
+    rows = await platform.run(
+        store.Scan(audit.PREFIX, limit=audit.MAX_RECORDS + audit.TRIM_BATCH)
+    )
+    if isinstance(rows, store.Rows):
+        plan = audit.plan_trim(rows.rows)
+        if plan is not None:
+            await platform.run(plan)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/desk.py
@@ -0,0 +1,52 @@
+"""What the operators' interface works with."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import litestar
+from litestar import response
+
+from chicoryweir_daemon import logs
+from chicoryweir_daemon.entry import windows
+from chicoryweir_daemon.entry.operators import explanations
+from chicoryweir_daemon.entry.operators import guard
+from chicoryweir_daemon.runtime import cores
+from chicoryweir_platform import protocols
+from chicoryweir_policy.cores.entry import core as entry_core
+
+MAX_PAGE = 5000
+
+Json = dict[str, typing.Any]
+Answer = response.Response[Json]
+Request = litestar.Request[typing.Any, typing.Any, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Desk:
+    """Tasks and state that the routes reach.
+
+    Attributes:
+        core: The entry's core, for reading.
+        task: The task that steps it.
+        platform: The platform's store.
+        window: Outcomes of recent requests.
+        log: The event log.
+        explainer: Gathers notes on a request.
+        is_store_up: Tells whether the store answered last.
+    """
+
+    core: entry_core.EntryCore
+    task: cores.CoreTask
+    platform: protocols.Store
+    window: windows.Window
+    log: logs.EventLog
+    explainer: explanations.Explainer
+    is_store_up: collections.abc.Callable[[], bool]
+
+    def find_operator(self, request: Request) -> str | None:
+        """Returns the operator who sent a request, or None."""
+        authorization = request.headers.get("authorization", "")
+        return guard.find_operator(authorization, self.core.state.settings.tree)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/routes.py
@@ -0,0 +1,32 @@
+"""The operators' HTTP interface; every route demands an operator's key."""
+
+from __future__ import annotations
+
+import litestar
+
+from chicoryweir_daemon.entry.operators import desk
+from chicoryweir_daemon.entry.operators import problems
+from chicoryweir_daemon.entry.operators import settings_routes
+from chicoryweir_daemon.entry.operators import state_routes
+
+MAX_BODY_BYTES = 32 << 20
+
+
+def make_router(at: desk.Desk) -> litestar.Router:
+    """Makes the router of the operators' interface."""
+
+    async def refuse_strangers(request: desk.Request) -> desk.Answer | None:
+        if at.find_operator(request) is None:
+            detail = "expected `Authorization: Bearer KEY` with an operator's key"
+            return problems.make_problem(401, "Unauthorized", detail)
+        return None
+
+    return litestar.Router(
+        "/operator",
+        route_handlers=[
+            *settings_routes.make_settings_routes(at),
+            *state_routes.make_state_routes(at),
+        ],
+        before_request=refuse_strangers,
+        request_max_body_size=MAX_BODY_BYTES,
+    )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -5,8 +5,10 @@
 import asyncio
 import collections.abc
 import contextlib
+import pathlib
 import secrets
 import signal
+import ssl
 import time
 
 import uvicorn
@@ -17,6 +19,10 @@
 from chicoryweir_daemon.entry import callers
 from chicoryweir_daemon.entry import mailboxes
 from chicoryweir_daemon.entry import metrics
+from chicoryweir_daemon.entry import windows
+from chicoryweir_daemon.entry.operators import desk
+from chicoryweir_daemon.entry.operators import explanations
+from chicoryweir_daemon.entry.operators import routes
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platforms
@@ -33,6 +39,7 @@
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
 LAST_REQUESTS_S = 5
+TLS_PERIOD_S = 5.0
 
 
 class _Server(uvicorn.Server):
@@ -56,14 +63,29 @@
     core = entry_core.make_entry_core(facts, seeds)
     task = cores.CoreTask(core, TICK_S)
     log = logs.make_event_log(own.instance)
-    task.handle(commands.Record, lambda record: log.write(record, time.time()))
+
+    def write(record: commands.Record) -> None:
+        log.write(record, time.time())
+
+    task.handle(commands.Record, write)
     identity = links.Identity(
         own.instance, instances.Role.ENTRY, own.place, "", incarnation
     )
     link_task = links.LinkTask(identity, own.cluster_secret, task)
-    platforms.StoreTask(http_store.create_store(own.platform_url), task)
+    platform = http_store.create_store(own.platform_url)
+    store_task = platforms.StoreTask(platform, task, write)
+    window = windows.Window()
+    at = desk.Desk(
+        core=core,
+        task=task,
+        platform=platform,
+        window=window,
+        log=log,
+        explainer=explanations.Explainer(task),
+        is_store_up=lambda: store_task.is_up,
+    )
+    server = _make_server(own, core, task, metrics.Meter(window), at)
     listing = http_instances.create_instance_list(own.platform_url)
-    server = _make_server(own, core, task)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.post, events.DrainRequested())
@@ -72,24 +94,42 @@
         asyncio.ensure_future(task.run_ticker()),
         asyncio.ensure_future(platforms.poll_instances(listing, task)),
     ]
+    if own.tls is not None:
+        background.append(asyncio.ensure_future(_reload_tls(server, own.tls)))
     await link_task.listen(own.link.ip, own.link.port)
     serving = asyncio.ensure_future(server.serve())
-    log.write(commands.Record(catalogue.DAEMON_STARTED, "", "", "entry"), time.time())
+    write(commands.Record(catalogue.DAEMON_STARTED, "", "", "entry"))
     await task.wait_stopped()
     server.should_exit = True
     await serving
     for item in background:
         item.cancel()
     await link_task.close()
-    log.write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "entry"), time.time())
+    write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "entry"))
+
+
+async def _reload_tls(server: uvicorn.Server, tls: configuration.Tls) -> None:
+    """Loads the certificate again whenever its files change."""
+    paths = (pathlib.Path(tls.certificate_file), pathlib.Path(tls.key_file))
+    seen = [path.stat().st_mtime for path in paths]
+    while True:
+        await asyncio.sleep(TLS_PERIOD_S)
+        try:
+            found = [path.stat().st_mtime for path in paths]
+            if found != seen and server.config.ssl is not None:
+                server.config.ssl.load_cert_chain(*map(str, paths))
+                seen = found
+        except (OSError, ssl.SSLError):
+            continue
 
 
 def _make_server(
     own: configuration.Configuration,
     core: entry_core.EntryCore,
     task: cores.CoreTask,
+    meter: metrics.Meter,
+    at: desk.Desk,
 ) -> uvicorn.Server:
-    meter = metrics.Meter()
     settings = core.state.settings
     front = callers.Front(
         instance=own.instance,
@@ -112,7 +152,7 @@
     tls = own.tls
     return _Server(
         uvicorn.Config(
-            application.make_application(front, views),
+            application.make_application(front, views, [routes.make_router(at)]),
             host=own.listen.ip,
             port=own.listen.port,
             backlog=BACKLOG,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platforms.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platforms.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import random
 import typing
 
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_platform import protocols
+from chicoryweir_policy import catalogue
 from chicoryweir_policy import store
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import events
@@ -19,11 +21,18 @@
 class StoreTask:
     """Runs the core's operations on the store."""
 
-    def __init__(self, store_client: protocols.Store, core: cores.CoreTask) -> None:
+    def __init__(
+        self,
+        store_client: protocols.Store,
+        core: cores.CoreTask,
+        log: collections.abc.Callable[[commands.Record], None],
+    ) -> None:
         self._store = store_client
         self._core = core
         self._running: set[asyncio.Task[None]] = set()
         self._slots = asyncio.Semaphore(MAX_CONCURRENT)
+        self._log = log
+        self.is_up = True
         core.handle(commands.RunOperation, self._start)
 
     def _start(self, command: commands.RunOperation) -> None:
@@ -34,8 +43,17 @@
     async def _run(self, command: commands.RunOperation) -> None:
         async with self._slots:
             result = await self._store.run(command.operation)
+        self._note(result)
         self._core.post(events.StoreReplied(command.operation_id, result))
 
+    def _note(self, result: store.Result) -> None:
+        is_up = not isinstance(result, store.Refused | store.Unknown)
+        if is_up == self.is_up:
+            return
+        self.is_up = is_up
+        number = catalogue.STORE_BACK if is_up else catalogue.STORE_UNREACHABLE
+        self._log(commands.Record(number, "", "", "" if is_up else str(result)))
+
 
 async def poll_instances(
     listing: protocols.InstanceList, core: cores.CoreTask
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -11,7 +11,9 @@
 from chicoryweir_policy import requests
 from chicoryweir_policy.admission import queued
 from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import draining
 from chicoryweir_policy.cores import events
+from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
 from chicoryweir_policy.cores.agent import attempts
@@ -64,8 +66,10 @@
         self._queue = work
         self._sessions = sessions.SessionTable()
         self._attempts = attempts.AttemptTable()
-        self._load = load.LoadMeter(facts.slots)
         self._operations = operations.Operations()
+        self._journal = journal.Journal()
+        self._drain_watch = draining.DrainWatch(facts.instance, self._operations)
+        self._load = load.LoadMeter(facts.slots)
         self._settings = settings_task.SettingsTask(facts.instance, self._operations)
         self._ranks: grouping.Ranks | None = None
         if facts.group:
@@ -129,6 +133,8 @@
             case (
                 events.InstancesListed()
                 | events.RequestArrived()
+                | events.SettingsChanged()
+                | events.NotesAsked()
                 | events.RequestAbandoned()
             ):
                 pass
@@ -155,6 +161,10 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case messages.NotesWanted(number, request_id):
+                notes = self._journal.list_notes(request_id, now)
+                found = messages.NotesFound(number, notes)
+                out.append(commands.Send(session.instance, session.session, found))
             case (
                 group_messages.QueryRanks()
                 | group_messages.PrepareMap()
@@ -179,6 +189,9 @@
             if self._ranks is not None:
                 self._ranks.consume_reply(purpose, event.result, now, out)
             return
+        if self._drain_watch.consume_result(purpose, event.result, out):
+            self._drain(now, out)
+            return
         self._settings.consume_result(purpose, event.result, now, out)
 
     def _submit(
@@ -212,6 +225,13 @@
             arrived_at=now,
         )
         self._attempts.add(attempt)
+        self._journal.note(
+            submit.request_id,
+            now,
+            "queue",
+            f"{len(self._queue)} waiting, {len(self._running)} running,"
+            f" weight {effective.weight:g}, settings version {self._settings.version}",
+        )
         if submit.suspect:
             self._suspects.add(submit.attempt_id)
         self._enqueue(entry, now, out)
@@ -351,6 +371,7 @@
             self._reject_attempt(submit.attempt_id, reason, 0, out)
             return
         self._running[submit.attempt_id] = attempt
+        self._journal.note(submit.request_id, now, "endpoint", "sent")
         out.append(
             commands.CallEndpoint(
                 attempt_id=submit.attempt_id,
@@ -398,6 +419,9 @@
             return
         self._settle(attempt, now)
         self._end(attempt, messages.AttemptState.FINISHED)
+        self._journal.note(
+            attempt.submit.request_id, now, "endpoint", f"{attempt.payloads} pieces"
+        )
         finished = messages.AttemptFinished(
             attempt_id, attempt.chunks, attempt.digest.compute(), attempt.payloads
         )
@@ -465,6 +489,7 @@
             reason = messages.RejectReason.EXPIRED
             self._reject_attempt(expired.attempt_id, reason, 0, out)
         self._settings.tick(now, out)
+        self._drain_watch.tick(now, out)
         self._tell_ranks(group_events.Ticked(), now, out)
         if self._load.is_report_due(now):
             self._report(now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
@@ -115,6 +115,15 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportNotes:
+    """Gives an operator the notes of one instance on a request."""
+
+    number: int
+    instance: str
+    notes: tuple[messages.RequestNote, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
     """The work of this process is done; it ends."""
@@ -132,6 +141,7 @@
     | CallEndpoint
     | CancelCall
     | Record
+    | ReportNotes
     | Stop
     | group_events.ObserveEngine
     | group_events.PrepareEngine
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
 from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import draining
 from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
@@ -45,6 +46,7 @@
         self._claimer.connect(self._dispatcher.submit)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
+        self._drain_watch = draining.DrainWatch(state.facts.instance, state.operations)
         self._leaving_at: float | None = None
         self._drain_until = 0.0
         self._stopped = False
@@ -75,6 +77,10 @@
                 self.peers.consume_list(event.instances, out)
             case events.DrainRequested():
                 self._drain(now, out)
+            case events.SettingsChanged(copy):
+                self.state.settings.accept_change(copy, now, out)
+            case events.NotesAsked():
+                self._ask_notes(event, now, out)
             case (
                 events.EndpointAnswered()
                 | events.EndpointSent()
@@ -108,7 +114,19 @@
         )
         self._dispatcher.route(live, now, out)
 
-    def _receive(
+    def _ask_notes(
+        self, asked: events.NotesAsked, now: float, out: entry_state.Commands
+    ) -> None:
+        own = self.state.journal.list_notes(asked.request_id, now)
+        instance = self.state.facts.instance
+        out.append(commands.ReportNotes(asked.number, instance, own))
+        wanted = messages.NotesWanted(asked.number, asked.request_id)
+        for link in self.state.agents.values():
+            self.state.send(link, wanted, out)
+        for peer, session in self.peers.list_sessions():
+            out.append(commands.Send(peer, session, wanted))
+
+    def _receive(  # noqa: C901 - one branch for each kind of message
         self, event: events.MessageReceived, now: float, out: entry_state.Commands
     ) -> None:
         message = event.message
@@ -137,6 +155,12 @@
                 | messages.SettingsBody()
             ):
                 self.state.settings.consume_message(event, now, out)
+            case messages.NotesWanted(number, request_id):
+                notes = self.state.journal.list_notes(request_id, now)
+                found = messages.NotesFound(number, notes)
+                out.append(commands.Send(event.instance, event.session, found))
+            case messages.NotesFound(number, notes):
+                out.append(commands.ReportNotes(number, event.instance, notes))
             case group_messages.RankStatus():
                 self.groups.consume_message(event.instance, message, now, out)
             case messages.EndpointLost():
@@ -196,8 +220,12 @@
             return
         if self._claimer.consume_reply(purpose, event.result, now, out):
             return
-        if not self.groups.consume_reply(purpose, event.result, now, out):
-            self.state.settings.consume_result(purpose, event.result, now, out)
+        if self.groups.consume_reply(purpose, event.result, now, out):
+            return
+        if self._drain_watch.consume_result(purpose, event.result, out):
+            self._drain(now, out)
+            return
+        self.state.settings.consume_result(purpose, event.result, now, out)
 
     def _open_link(
         self, event: events.LinkOpened, now: float, out: entry_state.Commands
@@ -234,6 +262,7 @@
         self._claimer.flush(out)
         self.peers.tick(now, out)
         self.groups.tick(now, out)
+        self._drain_watch.tick(now, out)
         self.peers.keep_links(out)
 
     def _drain(self, now: float, out: entry_state.Commands) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
@@ -9,6 +9,7 @@
 from chicoryweir_policy import store
 from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.settings import copies
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +155,21 @@
     evicted: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """A change that this process applied for an operator was accepted."""
+
+    copy: copies.Copy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesAsked:
+    """An operator asks what happened to a request."""
+
+    number: int
+    request_id: str
+
+
 Event = (
     Ticked
     | LinkOpened
@@ -170,6 +186,8 @@
     | EndpointFailed
     | EndpointProbed
     | CacheChanged
+    | SettingsChanged
+    | NotesAsked
     | group_events.EngineObserved
     | group_events.EngineReplied
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/journal.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/journal.py
@@ -3,33 +3,19 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
+
+from chicoryweir_policy import messages
 
 MAX_REQUESTS = 5_000
 MAX_NOTES = 40
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Note:
-    """One step of a request.
-
-    Attributes:
-        at: Monotonic time, in seconds.
-        step: Step, such as `admission` or `routing`.
-        detail: What was decided and on what grounds.
-    """
-
-    at: float
-    step: str
-    detail: str
-
-
 class Journal:
     """Notes of the most recent requests, bounded in number."""
 
     def __init__(self, max_requests: int = MAX_REQUESTS) -> None:
         self._max_requests = max_requests
-        self._notes: collections.OrderedDict[str, list[Note]] = (
+        self._notes: collections.OrderedDict[str, list[tuple[float, str, str]]] = (
             collections.OrderedDict()
         )
 
@@ -41,8 +27,13 @@
             if len(self._notes) > self._max_requests:
                 self._notes.popitem(last=False)
         if len(notes) < MAX_NOTES:
-            notes.append(Note(now, step, detail))
+            notes.append((now, step, detail))
 
-    def list_notes(self, request_id: str) -> tuple[Note, ...]:
+    def list_notes(
+        self, request_id: str, now: float
+    ) -> tuple[messages.RequestNote, ...]:
         """Returns the notes of a request, oldest first."""
-        return tuple(self._notes.get(request_id, ()))
+        return tuple(
+            messages.RequestNote(now - at, step, detail)
+            for at, step, detail in self._notes.get(request_id, ())
+        )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -329,6 +329,37 @@
     sequence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestNote:
+    """One step of a request at the sender.
+
+    Attributes:
+        age_s: Time since, in seconds.
+        step: Step, such as `admission` or `routing`.
+        detail: What was decided and on what grounds.
+    """
+
+    age_s: float
+    step: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesWanted:
+    """Asks a peer for its notes on a request."""
+
+    number: int
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesFound:
+    """The notes asked for by `NotesWanted`; none if the request is not known."""
+
+    number: int
+    notes: tuple[RequestNote, ...]
+
+
 Message = (
     Hello
     | SubmitAttempt
@@ -349,6 +380,8 @@
     | SettingsWanted
     | SettingsBody
     | Heartbeat
+    | NotesWanted
+    | NotesFound
     | group_messages.QueryRanks
     | group_messages.PrepareMap
     | group_messages.ReleaseMap
