Add the book of suspected requests and their isolation

A request that crashes endpoints is sent again through any entry, so what is known of it has to be shared without a store and has to hold before it is shared. The book is a set of losses and clearances that only grows until it expires; merging news is commutative and idempotent.

Counting losses alone blames those that shared an endpoint: a request that is not needed to explain any loss, and whose losses are all shared with ones that are, stays a suspect. Two that cannot be told apart are both refused, since telling them apart would cost a third endpoint.

The state machine loses endpoints with late, doubled, reordered and missing news.

--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
@@ -0,0 +1,84 @@
+"""Tells which requests caused the losses of endpoints, from who ran where.
+
+A request with losses on enough distinct incarnations is a candidate. A candidate is
+needed when some loss has no other candidate. One that is not needed, and whose every
+loss is shared with a needed one, ran there by chance; it stays a suspect. Candidates
+that cannot be told apart are all convicted, as telling them apart would cost a
+further endpoint.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryweir_policy.quarantine import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Findings:
+    """What the known losses say.
+
+    Attributes:
+        convicted: Fingerprints to refuse.
+        explained: Losses that a convicted request caused.
+    """
+
+    convicted: frozenset[int]
+    explained: frozenset[records.LossId]
+
+
+class Charges:
+    """Losses that each fingerprint is not cleared of."""
+
+    def __init__(self, conviction_losses: int) -> None:
+        self._conviction_losses = conviction_losses
+        self._losses: dict[int, frozenset[records.LossId]] = {}
+        self._candidates: set[int] = set()
+
+    def get_losses(self, fingerprint: int) -> frozenset[records.LossId]:
+        """Returns the losses that a fingerprint is charged with."""
+        return self._losses.get(fingerprint, frozenset())
+
+    def is_candidate(self, fingerprint: int) -> bool:
+        """Tells whether a fingerprint has enough losses to be convicted."""
+        return fingerprint in self._candidates
+
+    def charge(self, fingerprint: int, losses: frozenset[records.LossId]) -> None:
+        """Adds losses to a fingerprint."""
+        self._set(fingerprint, self.get_losses(fingerprint) | losses)
+
+    def discharge(self, fingerprint: int, losses: frozenset[records.LossId]) -> None:
+        """Takes losses from a fingerprint."""
+        self._set(fingerprint, self.get_losses(fingerprint) - losses)
+
+    def weigh(self) -> Findings:
+        """Tells which candidates to refuse, from the charges alone."""
+        ran: dict[records.LossId, set[int]] = {}
+        for fingerprint in self._candidates:
+            for loss_id in self._losses[fingerprint]:
+                ran.setdefault(loss_id, set()).add(fingerprint)
+        needed = {
+            fingerprint
+            for fingerprint in self._candidates
+            if any(len(ran[loss_id]) == 1 for loss_id in self._losses[fingerprint])
+        }
+        by_chance = {
+            fingerprint
+            for fingerprint in self._candidates - needed
+            if all(ran[loss_id] & needed for loss_id in self._losses[fingerprint])
+        }
+        convicted = frozenset(self._candidates - by_chance)
+        explained = frozenset(
+            loss_id for loss_id, fingerprints in ran.items() if fingerprints & convicted
+        )
+        return Findings(convicted, explained)
+
+    def _set(self, fingerprint: int, losses: frozenset[records.LossId]) -> None:
+        if losses:
+            self._losses[fingerprint] = losses
+        else:
+            self._losses.pop(fingerprint, None)
+        if len(losses) >= self._conviction_losses:
+            self._candidates.add(fingerprint)
+        else:
+            self._candidates.discard(fingerprint)
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
@@ -0,0 +1,95 @@
+"""Decides at an agent whether a request may start beside those that run."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from chicoryweir_policy.quarantine import records
+from chicoryweir_policy.quarantine import suspicion
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """The request may start now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """The request waits until the suspect that runs here has ended.
+
+    Attributes:
+        running: Attempt of that suspect.
+    """
+
+    running: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request does not run on this endpoint.
+
+    Attributes:
+        verdict: Why; a suspect may run on another instance.
+    """
+
+    verdict: records.Suspected | records.Quarantined
+
+
+Decision = Start | Hold | Refuse
+
+
+class Isolation:
+    """Requests that run on one endpoint; at most one known suspect among them."""
+
+    def __init__(self, book: suspicion.SuspicionBook, instance: str) -> None:
+        self._book = book
+        self._instance = instance
+        self._running: dict[str, int] = {}
+
+    def decide_start(self, fingerprint: int, now: float) -> Decision:
+        """Decides whether a request may start now."""
+        verdict = self._book.judge(fingerprint, now)
+        match verdict:
+            case records.Unsuspected():
+                return Start()
+            case records.Quarantined():
+                return Refuse(verdict)
+            case records.Suspected():
+                if self._instance in verdict.lost_on:
+                    return Refuse(verdict)
+                running = self._find_suspect(now)
+                return Start() if running is None else Hold(running)
+            case _:
+                typing.assert_never(verdict)
+
+    def note_started(self, attempt_id: str, fingerprint: int) -> None:
+        """Records that an attempt was sent to the endpoint."""
+        self._running[attempt_id] = fingerprint
+
+    def note_ended(self, attempt_id: str, ran_to_end: bool, now: float) -> None:
+        """Records that an attempt no longer runs.
+
+        Args:
+            attempt_id: The attempt.
+            ran_to_end: Whether it was answered in full, which clears it; false when
+                it failed or was cancelled.
+            now: Present time, monotonic seconds.
+        """
+        fingerprint = self._running.pop(attempt_id, None)
+        if fingerprint is not None and ran_to_end:
+            self._book.record_finished(fingerprint, now)
+
+    def note_lost(self, incarnation: str, now: float) -> None:
+        """Records that the endpoint was lost; nothing runs on it any more."""
+        fingerprints = frozenset(self._running.values())
+        self._running.clear()
+        if fingerprints:
+            self._book.record_loss(self._instance, incarnation, fingerprints, now)
+
+    def _find_suspect(self, now: float) -> str | None:
+        for attempt_id, fingerprint in self._running.items():
+            verdict = self._book.judge(fingerprint, now)
+            if not isinstance(verdict, records.Unsuspected):
+                return attempt_id
+        return None
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
@@ -0,0 +1,181 @@
+"""Book of lost endpoints and of the requests suspected of it."""
+
+from __future__ import annotations
+
+import math
+
+from chicoryweir_policy.quarantine import evidence
+from chicoryweir_policy.quarantine import records
+
+RETENTION_S = 12 * 3600.0
+SPREAD_HOLD_S = 0.25
+MAX_LOSSES = 128
+MAX_CLEARANCES = 4096
+MAX_FINGERPRINTS_PER_LOSS = 256
+
+
+class SuspicionBook:
+    """Losses known to one entry or agent; books converge by exchanging news."""
+
+    def __init__(self, conviction_losses: int = 2) -> None:
+        self._conviction_losses = conviction_losses
+        self._charges = evidence.Charges(conviction_losses)
+        self._losses: dict[records.LossId, frozenset[int]] = {}
+        self._lost_at: dict[records.LossId, float] = {}
+        self._learned_at: dict[records.LossId, float] = {}
+        self._cleared: dict[int, frozenset[records.LossId]] = {}
+        self._log: dict[records.LossId | int, int] = {}
+        self._cursor = 0
+        self._findings: evidence.Findings | None = None
+        self._expires_at = math.inf
+
+    def record_loss(
+        self,
+        instance: str,
+        incarnation: str,
+        fingerprints: frozenset[int],
+        now: float,
+    ) -> None:
+        """Records that an endpoint was lost while these requests ran on it."""
+        loss_id = records.LossId(instance, incarnation)
+        self._add_loss(records.Loss(loss_id, fingerprints), now)
+
+    def record_finished(self, fingerprint: int, now: float) -> None:
+        """Records that a request ran to its end, which clears it of known losses."""
+        self._expire(now)
+        charged = self._charges.get_losses(fingerprint)
+        if charged:
+            self._add_clearance(records.Clearance(fingerprint, charged))
+
+    def judge(self, fingerprint: int, now: float) -> records.Verdict:
+        """Tells whether and how a request may run."""
+        self._expire(now)
+        charged = self._charges.get_losses(fingerprint)
+        if not charged:
+            return records.Unsuspected()
+        findings = self._get_findings()
+        if fingerprint in findings.convicted:
+            times = sorted(self._lost_at[loss_id] for loss_id in charged)
+            holds_until = times[-self._conviction_losses] + RETENTION_S
+            return records.Quarantined(tuple(sorted(charged)), holds_until - now)
+        by_chance = self._charges.is_candidate(fingerprint)
+        if charged <= findings.explained and not by_chance:
+            return records.Unsuspected()
+        learned_at = max(self._learned_at[loss_id] for loss_id in charged)
+        lost_on = frozenset(loss_id.instance for loss_id in charged)
+        return records.Suspected(lost_on, learned_at + SPREAD_HOLD_S)
+
+    def export_news(self, now: float, after: int = 0) -> records.News:
+        """Returns what was learned since a position in the log.
+
+        Args:
+            now: Present time, monotonic seconds.
+            after: Cursor of the previous news for the same peer; 0 for all.
+        """
+        self._expire(now)
+        if after >= self._cursor:
+            return records.News(self._cursor)
+        losses = []
+        clearances = []
+        for key, position in self._log.items():
+            if position <= after:
+                continue
+            if isinstance(key, int):
+                clearances.append(records.Clearance(key, self._cleared[key]))
+            else:
+                age_s = now - self._lost_at[key]
+                losses.append(records.Loss(key, self._losses[key], age_s))
+        return records.News(self._cursor, tuple(losses), tuple(clearances))
+
+    def merge(self, news: records.News, now: float) -> bool:
+        """Adds the records of another book; tells whether any was new."""
+        before = self._cursor
+        for loss in news.losses:
+            self._add_loss(loss, now)
+        for clearance in news.clearances:
+            self._add_clearance(clearance)
+        return self._cursor > before
+
+    def _add_loss(self, loss: records.Loss, now: float) -> None:
+        self._expire(now)
+        lost_at = now - loss.age_s
+        if now >= lost_at + RETENTION_S:
+            return
+        known = self._losses.get(loss.loss_id, frozenset())
+        merged = known | loss.fingerprints
+        if len(merged) > MAX_FINGERPRINTS_PER_LOSS:
+            merged = frozenset(sorted(merged)[:MAX_FINGERPRINTS_PER_LOSS])
+        self._lost_at[loss.loss_id] = min(
+            lost_at, self._lost_at.get(loss.loss_id, lost_at)
+        )
+        self._expires_at = min(self._expires_at, lost_at + RETENTION_S)
+        self._learned_at.setdefault(loss.loss_id, now)
+        if loss.loss_id in self._losses and merged == known:
+            return
+        self._losses[loss.loss_id] = merged
+        only = frozenset((loss.loss_id,))
+        for fingerprint in known - merged:
+            self._charges.discharge(fingerprint, only)
+        for fingerprint in merged - known:
+            if loss.loss_id not in self._cleared.get(fingerprint, ()):
+                self._charges.charge(fingerprint, only)
+        self._note_change(loss.loss_id)
+        if len(self._losses) > MAX_LOSSES:
+            self._forget(self._select_surplus())
+
+    def _add_clearance(self, clearance: records.Clearance) -> None:
+        known = self._cleared.get(clearance.fingerprint, frozenset())
+        merged = known | clearance.losses
+        if len(merged) > MAX_LOSSES:
+            merged = frozenset(sorted(merged)[-MAX_LOSSES:])
+        if merged == known:
+            return
+        self._cleared[clearance.fingerprint] = merged
+        self._charges.discharge(clearance.fingerprint, merged)
+        self._note_change(clearance.fingerprint)
+        if len(self._cleared) > MAX_CLEARANCES:
+            oldest = next(iter(self._cleared))
+            del self._cleared[oldest], self._log[oldest]
+
+    def _note_change(self, key: records.LossId | int) -> None:
+        self._cursor += 1
+        self._log.pop(key, None)
+        self._log[key] = self._cursor
+        self._findings = None
+
+    def _get_findings(self) -> evidence.Findings:
+        if self._findings is None:
+            self._findings = self._charges.weigh()
+        return self._findings
+
+    def _select_surplus(self) -> records.LossId:
+        explained = self._get_findings().explained
+        return min(
+            self._losses,
+            key=lambda loss_id: (
+                loss_id in explained,
+                self._lost_at[loss_id],
+                loss_id,
+            ),
+        )
+
+    def _expire(self, now: float) -> None:
+        if now < self._expires_at:
+            return
+        for loss_id, lost_at in list(self._lost_at.items()):
+            if now >= lost_at + RETENTION_S:
+                self._forget(loss_id)
+        oldest = min(self._lost_at.values(), default=math.inf)
+        self._expires_at = oldest + RETENTION_S
+
+    def _forget(self, loss_id: records.LossId) -> None:
+        fingerprints = self._losses.pop(loss_id)
+        del self._lost_at[loss_id], self._learned_at[loss_id], self._log[loss_id]
+        for fingerprint in fingerprints:
+            self._charges.discharge(fingerprint, frozenset((loss_id,)))
+            remaining = self._cleared.get(fingerprint, frozenset()) - {loss_id}
+            if remaining:
+                self._cleared[fingerprint] = remaining
+            elif fingerprint in self._cleared:
+                del self._cleared[fingerprint], self._log[fingerprint]
+        self._findings = None
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/quarantine/test_isolation.py
@@ -0,0 +1,176 @@
+"""Tests of the fleet-wide bound on endpoints lost to one request."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+import xxhash
+
+from chicoryweir_policy.quarantine import isolation
+from chicoryweir_policy.quarantine import records
+from chicoryweir_policy.quarantine import suspicion
+from chicoryweir_policy.routing import selection
+from chicoryweir_policy.routing import views
+
+POISON = 0xF0F0_F0F0_F0F0_F0F0
+INNOCENTS = [index * 0x1111_1111_1111_1111 for index in range(6)]
+AGENTS = [f"agent-{index}" for index in range(5)]
+ENTRIES = [f"entry-{index}" for index in range(7)]
+
+
+def list_candidates(fingerprint, instances):
+    members = tuple(
+        views.Member(name, "telavi", 0.0, xxhash.xxh64_intdigest(name.encode()))
+        for name in instances
+    )
+    ranked = selection.rank_members(members, fingerprint)
+    return [member.instance for member in ranked[: selection.SUSPECT_CANDIDATES]]
+
+
+def test_one_suspect_at_a_time_runs_on_an_endpoint() -> None:
+    book = suspicion.SuspicionBook()
+    book.record_loss("x", "1", frozenset({1, 2}), 0.0)
+    here = isolation.Isolation(book, "y")
+    assert here.decide_start(1, 0.0) == isolation.Start()
+    here.note_started("a-1", 1)
+    assert here.decide_start(2, 0.0) == isolation.Hold("a-1")
+    assert here.decide_start(3, 0.0) == isolation.Start()
+    here.note_ended("a-1", ran_to_end=True, now=1.0)
+    assert here.decide_start(2, 1.0) == isolation.Start()
+
+
+def test_suspect_does_not_run_again_where_it_lost_the_endpoint() -> None:
+    book = suspicion.SuspicionBook()
+    here = isolation.Isolation(book, "x")
+    here.note_started("a-1", 1)
+    here.note_lost("1", 0.0)
+    assert isinstance(here.decide_start(1, 0.0), isolation.Refuse)
+
+
+@pytest.mark.parametrize("poison", range(50))
+def test_seven_copies_at_once_lose_two_endpoints_without_any_news(poison) -> None:
+    fingerprint = poison * 0x0123_4567_89AB_CDEF % 2**64
+    allowed = list_candidates(fingerprint, [f"agent-{index}" for index in range(16)])
+    books = {}
+    lost = 0
+    for copy in range(7):
+        agent = allowed[copy % len(allowed)]
+        book = books.setdefault(agent, suspicion.SuspicionBook())
+        here = isolation.Isolation(book, agent)
+        if here.decide_start(fingerprint, 0.0) == isolation.Start():
+            here.note_started(f"a-{copy}", fingerprint)
+            here.note_lost("1", 0.0)
+            lost += 1
+    assert lost == 2
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Entries and agents whose news is late, doubled, reordered or never comes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.books = {n: suspicion.SuspicionBook() for n in AGENTS + ENTRIES}
+        self.agents = {n: isolation.Isolation(self.books[n], n) for n in AGENTS}
+        self.running = {name: {} for name in AGENTS}
+        self.losses = []
+        self.news = []
+        self.attempts = 0
+        self.faults = 0
+        self.now = 0.0
+
+    def lose(self, agent) -> None:
+        self.losses.append((agent, set(self.running[agent].values())))
+        self.running[agent].clear()
+        self.agents[agent].note_lost(str(len(self.losses)), self.now)
+
+    @stateful.rule(
+        entry=strategies.sampled_from(ENTRIES),
+        fingerprint=strategies.sampled_from([POISON, POISON, *INNOCENTS]),
+        choice=strategies.integers(0, 5),
+        tell_first=strategies.booleans(),
+    )
+    def arrive(self, entry, fingerprint, choice, tell_first) -> None:
+        verdict = self.books[entry].judge(fingerprint, self.now)
+        if isinstance(verdict, records.Quarantined):
+            return
+        allowed = list_candidates(fingerprint, AGENTS)
+        if isinstance(verdict, records.Suspected):
+            allowed = [name for name in allowed if name not in verdict.lost_on]
+        if not allowed:
+            return
+        agent = allowed[choice % len(allowed)]
+        if tell_first:
+            self.books[agent].merge(self.books[entry].export_news(self.now), self.now)
+        decision = self.agents[agent].decide_start(fingerprint, self.now)
+        if decision != isolation.Start():
+            return
+        self.attempts += 1
+        self.agents[agent].note_started(f"a-{self.attempts}", fingerprint)
+        self.running[agent][f"a-{self.attempts}"] = fingerprint
+        if fingerprint == POISON:
+            self.lose(agent)
+
+    @stateful.rule(agent=strategies.sampled_from(AGENTS))
+    def finish_one(self, agent) -> None:
+        if self.running[agent]:
+            attempt_id = next(iter(self.running[agent]))
+            del self.running[agent][attempt_id]
+            self.agents[agent].note_ended(attempt_id, True, self.now)
+
+    @stateful.precondition(lambda self: self.faults < 2)
+    @stateful.rule(agent=strategies.sampled_from(AGENTS))
+    def fail_by_hardware(self, agent) -> None:
+        self.faults += 1
+        self.lose(agent)
+
+    @stateful.rule(sender=strategies.sampled_from(AGENTS + ENTRIES))
+    def send_news(self, sender) -> None:
+        self.news.append(self.books[sender].export_news(self.now))
+
+    @stateful.precondition(lambda self: self.news)
+    @stateful.rule(
+        receiver=strategies.sampled_from(AGENTS + ENTRIES), data=strategies.data()
+    )
+    def deliver_news(self, receiver, data) -> None:
+        news = data.draw(strategies.sampled_from(self.news))
+        self.books[receiver].merge(news, self.now)
+
+    @stateful.rule(step=strategies.floats(0.0, 60.0))
+    def pass_time(self, step) -> None:
+        self.now += step
+
+    @stateful.invariant()
+    def poison_costs_at_most_two_endpoints(self) -> None:
+        assert sum(POISON in ran for _, ran in self.losses) <= 2
+
+    @stateful.invariant()
+    def requests_with_fewer_losses_are_not_refused(self) -> None:
+        for fingerprint in INNOCENTS:
+            count = sum(fingerprint in ran for _, ran in self.losses)
+            for book in self.books.values() if count < 2 else ():
+                verdict = book.judge(fingerprint, self.now)
+                assert not isinstance(verdict, records.Quarantined)
+
+    def teardown(self) -> None:
+        for _ in range(2):
+            for sender in self.books.values():
+                news = sender.export_news(self.now)
+                for receiver in self.books.values():
+                    receiver.merge(news, self.now)
+        for fingerprint in [POISON, *INNOCENTS]:
+            verdicts = [
+                type(book.judge(fingerprint, self.now)) for book in self.books.values()
+            ]
+            assert len(set(verdicts)) == 1
+        if sum(POISON in ran for _, ran in self.losses) == 2:
+            assert isinstance(
+                self.books[ENTRIES[0]].judge(POISON, self.now), records.Quarantined
+            )
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=50
+)
+TestFleetMachine = FleetMachine.TestCase
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
@@ -0,0 +1,127 @@
+"""Tests of the book of suspected requests."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from chicoryweir_policy.quarantine import records
+from chicoryweir_policy.quarantine import suspicion
+
+POISON = 666
+
+
+def make_book(*losses):
+    book = suspicion.SuspicionBook()
+    for instance, fingerprints in losses:
+        book.record_loss(instance, "1", frozenset(fingerprints), 0.0)
+    return book
+
+
+def test_all_that_ran_on_a_lost_endpoint_are_suspects() -> None:
+    book = make_book(("x", {POISON, 1}))
+    for fingerprint in (POISON, 1):
+        verdict = book.judge(fingerprint, 0.0)
+        assert isinstance(verdict, records.Suspected)
+        assert verdict.lost_on == {"x"}
+    assert book.judge(2, 0.0) == records.Unsuspected()
+
+
+def test_second_loss_convicts_and_frees_those_that_shared_an_endpoint() -> None:
+    book = make_book(("x", {POISON, 1, 2}), ("y", {POISON, 3}))
+    verdict = book.judge(POISON, 10.0)
+    assert isinstance(verdict, records.Quarantined)
+    assert [loss.instance for loss in verdict.losses] == ["x", "y"]
+    assert all(book.judge(f, 10.0) == records.Unsuspected() for f in (1, 2, 3))
+
+
+def test_same_incarnation_reported_twice_counts_once() -> None:
+    book = make_book(("x", {POISON}), ("x", {POISON}))
+    assert isinstance(book.judge(POISON, 0.0), records.Suspected)
+
+
+def test_run_to_the_end_clears_a_suspect_and_even_a_convict() -> None:
+    book = make_book(("x", {1}))
+    book.record_finished(1, 1.0)
+    assert book.judge(1, 1.0) == records.Unsuspected()
+    book = make_book(("x", {1}), ("y", {1}))
+    book.record_finished(1, 1.0)
+    assert book.judge(1, 1.0) == records.Unsuspected()
+
+
+def test_innocent_that_shared_endpoints_with_two_crashing_requests_is_retried() -> None:
+    book = make_book(("x", {POISON, 1}), ("y", {POISON}), ("z", {7, 1}), ("w", {7}))
+    assert isinstance(book.judge(POISON, 0.0), records.Quarantined)
+    assert isinstance(book.judge(7, 0.0), records.Quarantined)
+    assert isinstance(book.judge(1, 0.0), records.Suspected)
+
+
+def test_requests_that_cannot_be_told_apart_cost_no_third_endpoint() -> None:
+    book = make_book(("x", {POISON, 1}), ("y", {POISON, 1}))
+    assert isinstance(book.judge(POISON, 0.0), records.Quarantined)
+    assert isinstance(book.judge(1, 0.0), records.Quarantined)
+
+
+def test_evidence_expires_also_when_peers_send_it_again() -> None:
+    book = make_book(("x", {POISON}))
+    news = book.export_news(suspicion.RETENTION_S - 1.0)
+    other = suspicion.SuspicionBook()
+    assert other.merge(news, 50.0)
+    assert other.judge(POISON, 50.5) != records.Unsuspected()
+    assert other.judge(POISON, 51.5) == records.Unsuspected()
+    assert book.judge(POISON, suspicion.RETENTION_S) == records.Unsuspected()
+
+
+def test_memory_stays_bounded_and_keeps_what_convicts() -> None:
+    book = make_book(("x", {POISON}), ("y", {POISON}))
+    unknown = frozenset({records.LossId("q", "1")})
+    for index in range(1000, 2000):
+        ran = frozenset(range(index * 1000, index * 1000 + 400))
+        book.record_loss(f"i-{index}", "1", ran, 1.0)
+        clearances = tuple(
+            records.Clearance(index * 10 + offset, unknown) for offset in range(10)
+        )
+        book.merge(records.News(0, clearances=clearances), 1.0)
+    news = book.export_news(1.0)
+    assert len(news.losses) == suspicion.MAX_LOSSES
+    assert len(news.clearances) <= suspicion.MAX_CLEARANCES
+    assert isinstance(book.judge(POISON, 1.0), records.Quarantined)
+    assert book.export_news(1.0, news.cursor) == records.News(news.cursor)
+
+
+LOSSES = strategies.builds(
+    records.Loss,
+    strategies.builds(
+        records.LossId,
+        strategies.sampled_from("wxyz"),
+        strategies.sampled_from(["1", "2"]),
+    ),
+    strategies.frozensets(strategies.integers(0, 5), min_size=1),
+)
+CLEARANCES = strategies.builds(
+    records.Clearance,
+    strategies.integers(0, 5),
+    strategies.frozensets(LOSSES.map(lambda loss: loss.loss_id), max_size=3),
+)
+NEWS = strategies.builds(
+    records.News,
+    strategies.just(1),
+    strategies.lists(LOSSES, max_size=2).map(tuple),
+    strategies.lists(CLEARANCES, max_size=2).map(tuple),
+)
+
+
+@hypothesis.given(strategies.lists(NEWS, max_size=6), strategies.data())
+def test_news_in_any_order_and_doubled_gives_the_same_verdicts(news, data) -> None:
+    again = data.draw(strategies.lists(strategies.sampled_from(news))) if news else []
+    shuffled = data.draw(strategies.permutations(news + again))
+    books = [suspicion.SuspicionBook(), suspicion.SuspicionBook()]
+    for book, messages in zip(books, (news, shuffled), strict=True):
+        for message in messages:
+            book.merge(message, 0.0)
+    relayed = suspicion.SuspicionBook()
+    relayed.merge(books[1].export_news(0.0), 0.0)
+    for fingerprint in range(6):
+        verdict = books[0].judge(fingerprint, 0.0)
+        assert verdict == books[1].judge(fingerprint, 0.0)
+        assert verdict == relayed.judge(fingerprint, 0.0)
