--- /dev/null
+++ b/packages/chicoryweir-policy/tests/admission/test_overload.py
@@ -0,0 +1,50 @@
+"""Tests of shedding at the entry."""
+
+from __future__ import annotations
+
+from chicoryweir_policy import requests
+from chicoryweir_policy.admission import overload
+
+BULK = requests.PriorityClass.BULK
+URGENT = requests.PriorityClass.URGENT
+
+
+def run_flood(throttle, workspace, priority, accept_every, seconds=30, per_s=50):
+    """Returns the share of a flood that is sent in its last third."""
+    sent = []
+    for index in range(seconds * per_s):
+        now = index / per_s
+        decision = throttle.decide(f"{workspace}-{index}", workspace, priority, now)
+        if isinstance(decision, overload.Sent):
+            sent.append(index)
+            accepted = index % accept_every == 0
+            throttle.note_settled(workspace, priority, accepted, now)
+    third = seconds * per_s * 2 // 3
+    return sum(index >= third for index in sent) / (seconds * per_s - third)
+
+
+def test_flood_that_agents_reject_is_shed_at_the_entry() -> None:
+    bulk = run_flood(overload.Throttle(), "clerks", BULK, accept_every=10)
+    urgent = run_flood(overload.Throttle(), "clerks", URGENT, accept_every=10)
+    assert 0.0 < bulk <= urgent < 0.6
+
+
+def test_work_that_agents_accept_is_never_shed() -> None:
+    throttle = overload.Throttle()
+    assert run_flood(throttle, "relay", BULK, accept_every=1) == 1.0
+
+
+def test_flood_of_one_workspace_or_class_sheds_no_other() -> None:
+    throttle = overload.Throttle()
+    run_flood(throttle, "clerks", BULK, accept_every=10_000)
+    assert throttle.decide("r", "relay", BULK, 30.0) == overload.Sent()
+    assert throttle.decide("r", "clerks", URGENT, 30.0) == overload.Sent()
+
+
+def test_shedding_ends_after_the_flood_and_tells_when_to_come_back() -> None:
+    throttle = overload.Throttle()
+    run_flood(throttle, "clerks", BULK, accept_every=10_000)
+    shed = [throttle.decide(str(i), "clerks", BULK, 30.0) for i in range(200)]
+    assert any(isinstance(d, overload.Shed) and d.retry_after_ms > 0 for d in shed)
+    later = [throttle.decide(str(i), "clerks", BULK, 90.0) for i in range(10)]
+    assert later == [overload.Sent()] * 10
