Mend late holds, late rows and releases before the first read of the row

A stage now takes all fields from the row, a hold counts only when its step is still ahead, and the holder reads a settled row again every few seconds.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/changes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/changes.py
@@ -50,6 +50,8 @@
         prepare_timeout_s: Time for all ranks to be prepared.
         retransmit_s: Time between messages that had no effect.
         query_s: Time between queries of a group where nothing changes.
+        refresh_s: Time between reads of the row where nothing changes; a write whose
+            reply was lost may take effect after the row was read.
         status_ttl_s: Age from which on a status no longer counts.
     """
 
@@ -58,6 +60,7 @@
     prepare_timeout_s: float = 4.0
     retransmit_s: float = 0.25
     query_s: float = 1.0
+    refresh_s: float = 5.0
     status_ttl_s: float = 3.0
 
 
@@ -100,7 +103,7 @@
             return self._read(now)
         planned = self._plan_write(fence, now)
         if planned is None:
-            return None
+            return self._read(now) if self.state == "settled" else None
         event, self._writing = planned
         self._move(event)
         key = rows.build_key(self.spec.group)
@@ -117,8 +120,11 @@
         match result:
             case store.Committed(versions) if self._writing is not None:
                 return self._take_written(versions[key], now)
-            case store.Rows() if self.state == "unread":
+            case store.Rows() if self.state in ("unread", "settled"):
+                self.step_down()
                 self._take_read(result.find(key), now)
+            case store.Refused() if self.state == "settled":
+                pass
             case _:
                 self.step_down()
         return ()
@@ -138,7 +144,9 @@
     def _read(self, now: float) -> store.Operation | None:
         if now < self._next_read_at:
             return None
-        self._next_read_at = now + self.settings.retransmit_s
+        calm = self.state == "settled"
+        pause = self.settings.refresh_s if calm else self.settings.retransmit_s
+        self._next_read_at = now + pause
         return store.Read((rows.build_key(self.spec.group),))
 
     def _take_read(self, row: store.Row | None, now: float) -> None:
@@ -147,7 +155,9 @@
         self._deadline = now + self.settings.prepare_timeout_s
         phase = rows.Phase.SETTLED if self.row is None else self.row.phase
         self._move(STATES_OF_ROW[phase])
-        self._next_send_at = now
+        self._next_read_at = now + self.settings.refresh_s
+        if self.state != "settled":
+            self._next_send_at = now
 
     def _take_written(
         self, version: int, now: float
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/member.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/member.py
@@ -174,9 +174,11 @@
     def _adopt_held(self, rank: events.RankObserved) -> None:
         """Takes up a change for which an earlier process prepared the engine."""
         self._prepared = rank.prepared
-        if self._stage.change_id == "":
-            prepared = messages.ChangePhase.PREPARED
-            self._stage = stages.Stage(rank.prepared, 0, rank.hold_at, (), prepared)
+        if self._stage.change_id != "":
+            return
+        late = self._engine.step >= rank.hold_at
+        phase = messages.ChangePhase.NONE if late else messages.ChangePhase.PREPARED
+        self._stage = stages.Stage(rank.prepared, 0, rank.hold_at, (), phase, late)
 
     def _has_passed_hold(self) -> bool:
         """Tells whether ranks went on past a step that they were to hold at."""
@@ -205,7 +207,9 @@
                 if order.change_id == self._released:
                     self._next_order_at = now + self._settings.retry_s
                 self._released = order.change_id
-            case events.ReleaseEngine() | events.JoinEngine():
+            case events.JoinEngine():
+                self._next_order_at = now + self._settings.retry_s
+            case events.ReleaseEngine():
                 pass
             case _ as never:
                 typing.assert_never(never)
@@ -213,12 +217,11 @@
     def _take_prepared(
         self, order: events.PrepareEngine, reply: events.EngineReplied
     ) -> None:
-        in_time = not self._is_joined() or reply.step < order.hold_at
         if reply.accepted:
             self._prepared = order.change_id
         if self._stage.change_id != order.change_id or not self._stage.is_undecided():
             return
-        if reply.accepted and in_time:
+        if reply.accepted and reply.step < order.hold_at:
             phase = messages.ChangePhase.PREPARED
             self._stage = dataclasses.replace(self._stage, phase=phase)
         else:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/stages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/stages.py
@@ -48,19 +48,21 @@
     """
     if stage.version > row.next_version:
         return stage
-    decision = rows.decide_change(row, row.change_id)
-    if stage.change_id == row.change_id and not stage.is_undecided():
-        return stage
-    prepared = stage.change_id == row.change_id and stage.phase
-    if decision is messages.ChangePhase.PREPARED:
-        decision = prepared or messages.ChangePhase.NONE
+    known = stage.change_id == row.change_id
+    phase = rows.decide_change(row, row.change_id)
+    if known and not stage.is_undecided():
+        phase = stage.phase
+    elif phase is messages.ChangePhase.PREPARED and not known:
+        phase = messages.ChangePhase.NONE
+    elif phase is messages.ChangePhase.PREPARED:
+        phase = stage.phase
     return Stage(
         row.change_id,
         row.next_version,
         row.hold_at,
         row.next_replicas,
-        decision,
-        stage.change_id == row.change_id and stage.refused,
+        phase,
+        known and stage.refused,
     )
 
 
--- a/packages/chicoryweir-policy/tests/groups/test_map_identity.py
+++ b/packages/chicoryweir-policy/tests/groups/test_map_identity.py
@@ -27,6 +27,7 @@
     prepare_timeout_s=0.6,
     retransmit_s=0.1,
     query_s=0.2,
+    refresh_s=1.0,
     status_ttl_s=1.0,
 )
 MEMBER = member.MemberSettings(observe_s=0.1, status_s=0.3, retry_s=0.2)
