--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/gates.py
@@ -0,0 +1,79 @@
+"""Decides when a better map is worth the weights that it moves."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateSettings:
+    """When to act.
+
+    Attributes:
+        enter_skew: Skew at which a better map is looked for.
+        leave_skew: Skew that a better map must reach, and below which the wait ends.
+        gain_min: Skew gained at the least.
+        keep_s: Time for which the skew must have stayed high, in seconds.
+        rest_s: Time between two changes at the least, in seconds.
+        move_cost_s: Time of the group that one move is taken to cost, in seconds.
+        horizon_s: Time for which a map is expected to keep its worth, in seconds.
+    """
+
+    enter_skew: float = 1.08
+    leave_skew: float = 1.05
+    gain_min: float = 0.02
+    keep_s: float = 60.0
+    rest_s: float = 120.0
+    move_cost_s: float = 0.2
+    horizon_s: float = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateState:
+    """What a gate remembers.
+
+    Attributes:
+        high_since: Since when the skew is high; None while it is not.
+        changed_at: When the map changed last; None when it never did.
+    """
+
+    high_since: float | None = None
+    changed_at: float | None = None
+
+
+def note_skew(
+    state: GateState, settings: GateSettings, skew: float, now: float
+) -> GateState:
+    """Takes in the skew of the map in force, with hysteresis between the bounds."""
+    if skew >= settings.enter_skew and state.high_since is None:
+        return dataclasses.replace(state, high_since=now)
+    if skew < settings.leave_skew and state.high_since is not None:
+        return dataclasses.replace(state, high_since=None)
+    return state
+
+
+def is_open(state: GateState, settings: GateSettings, now: float) -> bool:
+    """Tells whether a better map should be looked for at `now`."""
+    if state.high_since is None or now - state.high_since < settings.keep_s:
+        return False
+    return state.changed_at is None or now - state.changed_at >= settings.rest_s
+
+
+def pays(
+    settings: GateSettings, skew_before: float, skew_after: float, moves: int
+) -> bool:
+    """Tells whether a map is worth its moves.
+
+    A step lasts as long as its slowest rank, so the share of time that is gained is
+    the share by which the skew falls.
+    """
+    gain = skew_before - skew_after
+    if moves == 0 or gain < settings.gain_min:
+        return False
+    saved_s = settings.horizon_s * gain / skew_before
+    return saved_s > moves * settings.move_cost_s
+
+
+def note_change(state: GateState, now: float) -> GateState:
+    """Takes note that the map begins to change."""
+    return dataclasses.replace(state, high_since=None, changed_at=now)
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -0,0 +1,140 @@
+"""Repairs the map in force by the few moves that even out the load most."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from chicoryweir_policy.maps import placement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Edit:
+    """A change of the map.
+
+    Attributes:
+        gain: Drop of the sum of squared loads for each move.
+        moves: Weights to be fetched.
+        added: (expert, rank) pairs that come.
+        dropped: (expert, rank) pairs that go.
+    """
+
+    gain: float
+    moves: int
+    added: tuple[tuple[int, int], ...]
+    dropped: tuple[tuple[int, int], ...]
+
+
+class _Board:
+    """The map while it is edited, with the loads kept up to date."""
+
+    def __init__(self, start: placement.ExpertMap, shares: placement.Shares) -> None:
+        self.shares = shares
+        self.replicas = [set(ranks) for ranks in start.replicas]
+        self.experts = [set(experts) for experts in start.list_experts()]
+        self.loads = start.compute_loads(shares)
+
+    def compute_gain(self, deltas: dict[int, float]) -> float:
+        """Returns the drop of the sum of squared loads for changes of loads."""
+        loads = self.loads
+        return -sum(d * (2.0 * loads[rank] + d) for rank, d in deltas.items())
+
+    def apply(self, edit: _Edit) -> None:
+        """Makes an edit."""
+        touched = {expert for expert, _ in (*edit.added, *edit.dropped)}
+        for expert in sorted(touched):
+            self._shift(expert, -1.0)
+        for expert, rank in edit.dropped:
+            self.replicas[expert].discard(rank)
+            self.experts[rank].discard(expert)
+        for expert, rank in edit.added:
+            self.replicas[expert].add(rank)
+            self.experts[rank].add(expert)
+        for expert in sorted(touched):
+            self._shift(expert, 1.0)
+
+    def _shift(self, expert: int, sign: float) -> None:
+        part = self.shares[expert] / len(self.replicas[expert])
+        for rank in sorted(self.replicas[expert]):
+            self.loads[rank] += sign * part
+
+
+def repair_map(
+    start: placement.ExpertMap,
+    shares: placement.Shares,
+    budget: int,
+    target_skew: float,
+) -> placement.ExpertMap:
+    """Improves a map by moves around the slowest rank.
+
+    Each edit either gives an expert of the slowest rank one more replica in the place
+    of a replica that can be spared, or swaps two experts between two ranks.
+
+    Args:
+        start: Map in force.
+        shares: Share of the tokens of each expert.
+        budget: Moves at the most.
+        target_skew: Skew at which it is good enough.
+
+    Returns:
+        The map after the edits; `start` when none helps.
+    """
+    board = _Board(start, shares)
+    mean = sum(board.loads) / len(board.loads)
+    left = budget
+    while left > 0 and max(board.loads) > target_skew * mean:
+        slowest = max(range(len(board.loads)), key=lambda rank: board.loads[rank])
+        edits = [*_list_copies(board, slowest), *_list_swaps(board, slowest)]
+        best = max(
+            (edit for edit in edits if edit.moves <= left and edit.gain > 1e-12),
+            key=lambda edit: edit.gain,
+            default=None,
+        )
+        if best is None:
+            break
+        board.apply(best)
+        left -= best.moves
+    return placement.create_map(start.rank_count, board.replicas)
+
+
+def _list_copies(board: _Board, slowest: int) -> collections.abc.Iterator[_Edit]:
+    """Lists edits by which another rank takes a replica of one of its experts."""
+    for expert in sorted(board.experts[slowest]):
+        holders = board.replicas[expert]
+        count, share = len(holders), board.shares[expert]
+        eased = share / (count + 1) - share / count
+        for rank, experts in enumerate(board.experts):
+            if rank in holders or board.loads[rank] >= board.loads[slowest]:
+                continue
+            for other in sorted(experts):
+                rest = board.replicas[other] - {rank}
+                if not rest:
+                    continue
+                deltas = dict.fromkeys(holders, eased)
+                part = board.shares[other]
+                deltas[rank] = share / (count + 1) - part / (len(rest) + 1)
+                more = part / len(rest) - part / (len(rest) + 1)
+                for holder in rest:
+                    deltas[holder] = deltas.get(holder, 0.0) + more
+                gain = board.compute_gain(deltas)
+                yield _Edit(gain, 1, ((expert, rank),), ((other, rank),))
+
+
+def _list_swaps(board: _Board, slowest: int) -> collections.abc.Iterator[_Edit]:
+    """Lists edits that swap one of its experts with a lighter one elsewhere."""
+    for expert in sorted(board.experts[slowest]):
+        part = board.shares[expert] / len(board.replicas[expert])
+        for rank, experts in enumerate(board.experts):
+            if expert in experts or board.loads[rank] >= board.loads[slowest]:
+                continue
+            for other in sorted(experts - board.experts[slowest]):
+                less = part - board.shares[other] / len(board.replicas[other])
+                if less <= 0:
+                    continue
+                gain = board.compute_gain({slowest: -less, rank: less})
+                yield _Edit(
+                    gain / 2.0,
+                    2,
+                    ((expert, rank), (other, slowest)),
+                    ((expert, slowest), (other, rank)),
+                )
--- a/packages/chicoryweir-policy/tests/groups/test_map_identity.py
+++ b/packages/chicoryweir-policy/tests/groups/test_map_identity.py
@@ -337,16 +337,32 @@
     assert rows.decode_row(world.table["group/desk"].value).replicas == replicas
 
 
-def test_late_prepare_of_aborted_change_is_refused() -> None:
-    core = World().cores["agent-1"]
-    assert isinstance(core, member.MemberCore)
-    row = rows.create_row(1, SPEC.first_replicas)
-    row = dataclasses.replace(row, change_id="c", next_version=2, fence=5)
+def start_member(change_id: str, fence: int) -> member.MemberCore:
+    """Returns a member that has read a row whose last change was aborted."""
+    core = member.MemberCore("desk", (0,), "agent/1", MEMBER)
+    row = rows.create_row(fence, SPEC.first_replicas)
+    row = dataclasses.replace(row, change_id=change_id, next_version=2)
     seen = events.EngineObserved("i", 3, (events.RankObserved(0, 1, "", 0),), 0.05, ())
     core.step(seen, 0.0)
     table_row = store.Row("group/desk", 1, rows.encode_row(row))
     core.step(events.StoreReplied(1, store.Rows((table_row,))), 0.1)
-    for fence in (4, 5):
-        message = messages.PrepareMap("desk", fence, "c", 2, 90, SPEC.first_replicas)
-        out = core.step(events.MessageReceived("entry-1", message), 0.2)
-        assert not any(isinstance(c, events.PrepareEngine) for c in out)
+    return core
+
+
+def prepare(core: member.MemberCore, change_id: str, version: int, fence: int) -> bool:
+    """Tells whether a message to prepare reaches the engine."""
+    message = messages.PrepareMap(
+        "desk", fence, change_id, version, 90, SPEC.first_replicas
+    )
+    commands = core.step(events.MessageReceived("entry-1", message), 0.2)
+    return any(isinstance(command, events.PrepareEngine) for command in commands)
+
+
+def test_late_prepare_of_aborted_change_is_refused() -> None:
+    assert not prepare(start_member("c", fence=5), "c", version=2, fence=5)
+
+
+def test_order_with_lower_fence_is_refused() -> None:
+    core = start_member("c", fence=5)
+    assert not prepare(core, "d", version=3, fence=4)
+    assert prepare(core, "d", version=3, fence=5)
