Add orders that follow demand under fencing and the store's rate

Needs rise at once and fall by one after demand stayed low; a surplus replica stays until its room is needed.

--- /dev/null
+++ b/packages/chicoryweir-policy/benchmarks/orders.py
@@ -0,0 +1,185 @@
+"""Measures how orders follow demand: growth, loss of endpoints, and flapping."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import pathlib
+import random
+import statistics
+import sys
+
+from chicoryweir_policy.orders import allocation
+from chicoryweir_policy.orders import artifacts
+from chicoryweir_policy.orders import demand
+from chicoryweir_policy.orders import rates
+
+TICK_S = 10.0
+ENDPOINTS = 16
+CAPACITY_PER_S = 100.0
+LOAD_BYTES = 40e9
+STORE_BYTES_PER_S = 2e9
+LOAD_S = 30.0
+MODELS = tuple(artifacts.Artifact("model", name) for name in ("a", "b", "c"))
+BASE = (420.0, 270.0, 140.0)
+SHIFT_TICK = 360
+LOSS_TICK = 720
+END_TICK = 1440
+NOISE = 0.08
+HALF_LIFE_S = 60.0
+SEEDS = range(1, 11)
+
+
+@dataclasses.dataclass
+class Result:
+    """What one run gave.
+
+    Attributes:
+        grown_s: Time from the doubling of demand until it was served.
+        replaced_s: Time from the loss of two endpoints until they were replaced.
+        orders: Orders given in the whole run.
+        noise_orders: Orders given in the hours in which only noise moved demand.
+    """
+
+    grown_s: float = math.inf
+    replaced_s: float = math.inf
+    orders: int = 0
+    noise_orders: int = 0
+
+
+def compute_rates(tick: int, rng: random.Random) -> list[float]:
+    """Returns the demand of each model; that of the last doubles at a tick."""
+    means = list(BASE)
+    if tick >= SHIFT_TICK:
+        means[2] *= 2.0
+        means[0] -= BASE[2]
+    return [max(0.0, rng.gauss(mean, NOISE * mean)) for mean in means]
+
+
+def run(seed: int, steady: bool) -> Result:
+    """Runs the fleet; `steady` is ours, else each need follows demand at once."""
+    rng, result = random.Random(seed), Result()
+    settings = allocation.AllocationSettings(min_stay_s=300.0 if steady else 0.0)
+    needs = [demand.Need(1) for _ in MODELS]
+    held: dict[str, dict[artifacts.Artifact, float]] = {
+        f"agent-{number}": {} for number in range(ENDPOINTS)
+    }
+    lost: set[str] = set()
+    wanted = list(BASE)
+    budget = rates.create_budget(STORE_BYTES_PER_S, LOAD_BYTES, 0.0)
+    for tick in range(END_TICK):
+        now = tick * TICK_S
+        if tick == LOSS_TICK:
+            lost = set(sorted(n for n in held if MODELS[0] in held[n])[:2])
+        wanted = [
+            demand.average_rate(old, sample, TICK_S, HALF_LIFE_S)
+            for old, sample in zip(wanted, compute_rates(tick, rng), strict=True)
+        ]
+        if steady:
+            needs = [
+                demand.update_need(
+                    need, rate, CAPACITY_PER_S, demand.DemandSettings(), now
+                )
+                for need, rate in zip(needs, wanted, strict=True)
+            ]
+        else:
+            needs = [
+                demand.Need(max(1, math.ceil(rate / (0.75 * CAPACITY_PER_S))))
+                for rate in wanted
+            ]
+        by_model = {m: n.count for m, n in zip(MODELS, needs, strict=True)}
+        fleet = [
+            artifacts.Endpoint(
+                name,
+                "i",
+                f"place-{number % 3}",
+                name not in lost,
+                tuple(artifacts.Held(a, since) for a, since in found.items()),
+            )
+            for number, (name, found) in enumerate(held.items())
+        ]
+        budget = rates.refill(budget, now)
+        allowed = rates.count_loads(budget, LOAD_BYTES)
+        orders = allocation.plan_orders(fleet, by_model, settings, allowed, 1, 0, now)
+        for order in orders:
+            if order.action is artifacts.Action.LOAD:
+                held[order.instance][order.artifact] = now
+                budget = rates.take(budget, LOAD_BYTES, 1)
+            else:
+                del held[order.instance][order.artifact]
+        _note(result, tick, len(orders), held, lost, needs)
+    return result
+
+
+def _note(
+    result: Result,
+    tick: int,
+    orders: int,
+    held: dict[str, dict[artifacts.Artifact, float]],
+    lost: set[str],
+    needs: list[demand.Need],
+) -> None:
+    result.orders += orders
+    noise = range(SHIFT_TICK // 2, SHIFT_TICK), range(LOSS_TICK + 360, END_TICK)
+    if any(tick in hours for hours in noise):
+        result.noise_orders += orders
+    now = tick * TICK_S
+    ready = collections.Counter(
+        artifact
+        for name, found in held.items()
+        if name not in lost
+        for artifact, since in found.items()
+        if now - since >= LOAD_S
+    )
+    served = ready[MODELS[2]] * CAPACITY_PER_S * 0.75 >= 2.0 * BASE[2]
+    if tick >= SHIFT_TICK and math.isinf(result.grown_s) and served:
+        result.grown_s = now - SHIFT_TICK * TICK_S
+    if tick >= LOSS_TICK and math.isinf(result.replaced_s):
+        needed = zip(MODELS, needs, strict=True)
+        if all(ready[model] >= need.count for model, need in needed):
+            result.replaced_s = now - LOSS_TICK * TICK_S
+
+
+def format_row(name: str, results: list[Result]) -> str:
+    """Returns a row of the table."""
+    cells = (
+        f"{statistics.median(r.grown_s for r in results):.0f}",
+        f"{max(r.grown_s for r in results):.0f}",
+        f"{statistics.median(r.replaced_s for r in results):.0f}",
+        f"{max(r.replaced_s for r in results):.0f}",
+        f"{statistics.mean(r.orders for r in results):.1f}",
+        f"{statistics.mean(r.noise_orders for r in results):.1f}",
+    )
+    return f"| {name} | " + " | ".join(cells) + " |"
+
+
+def main(path: str) -> None:
+    """Runs both ways and writes the table."""
+    lines = [
+        format_row("hysteresis, minimum stay", [run(s, True) for s in SEEDS]),
+        format_row("follow demand at once", [run(s, False) for s in SEEDS]),
+    ]
+    text = TEMPLATE.format(seeds=len(SEEDS), rows="\n".join(lines))
+    pathlib.Path(path).write_text(text, encoding="utf-8")
+    print(text)
+
+
+TEMPLATE = """# Orders that follow demand
+
+Written by `python packages/chicoryweir-policy/benchmarks/orders.py FILE`.
+
+{seeds} seeds, 4 h each in ticks of 10 s. 16 endpoints with room for one model each,
+three models, demand with 8 % noise, averaged with a half-life of 60 s. A load takes
+30 s after its start and 20 s of the weight store. After 1 h the demand of one model
+doubles while another's falls; after 2 h two endpoints are lost for good. Times are in
+seconds until enough endpoints have the model loaded. The hours of noise are the second
+half hour and the last hour.
+
+| way | growth, median | most | replacement, median | most | orders | orders by noise |
+| --- | --- | --- | --- | --- | --- | --- |
+{rows}
+"""
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/orders/fencing.py
@@ -0,0 +1,73 @@
+"""An agent's guard before an endpoint that may not check who gives it an order."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryweir_policy.orders import artifacts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Guard:
+    """What an agent remembers of orders.
+
+    Attributes:
+        incarnation: Process of its endpoint.
+        highest_fence: Highest fencing number seen.
+        sequence: Number of the last order passed on under it.
+    """
+
+    incarnation: str
+    highest_fence: int = 0
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Passed:
+    """The order may go to the endpoint; `guard` is what to remember."""
+
+    guard: Guard
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Repeated:
+    """The order, or a later one of its sender, was passed on before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outdated:
+    """A newer holder of the lease was heard, or the endpoint has restarted.
+
+    Attributes:
+        highest_fence: Highest fencing number seen.
+        incarnation: Process of the endpoint.
+    """
+
+    highest_fence: int
+    incarnation: str
+
+
+Outcome = Passed | Repeated | Outdated
+
+
+def check_order(guard: Guard, order: artifacts.Order) -> Outcome:
+    """Decides whether an order goes to the endpoint."""
+    if order.fence < guard.highest_fence or order.incarnation != guard.incarnation:
+        return Outdated(guard.highest_fence, guard.incarnation)
+    if order.fence == guard.highest_fence and order.sequence <= guard.sequence:
+        return Repeated()
+    return Passed(Guard(guard.incarnation, order.fence, order.sequence))
+
+
+def note_fence(guard: Guard, fence: int) -> Guard:
+    """Takes note of a fencing number that the endpoint or a peer reports."""
+    if fence <= guard.highest_fence:
+        return guard
+    return Guard(guard.incarnation, fence)
+
+
+def note_restart(guard: Guard, incarnation: str) -> Guard:
+    """Takes note of the endpoint's process; it stays fenced."""
+    if incarnation == guard.incarnation:
+        return guard
+    return dataclasses.replace(guard, incarnation=incarnation)
