Send floods from several processes and over many clients

One client's connection pool grew quadratically with its connections: at 100 requests a second half of the time went into it, and arrivals were sent seconds late, which a flood then showed as late answers.

--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
@@ -10,6 +10,7 @@
 from chicoryweir_standins.load import arrivals
 from chicoryweir_standins.load import driver
 from chicoryweir_standins.load import results
+from chicoryweir_standins.load import sharding
 
 WINDOW_S = 10.0
 FLOOD = 5.0
@@ -85,7 +86,7 @@
         seed,
         one_way_s=deployment.client_one_way_s,
     )
-    ended = await driver.run_load(load)
+    ended = await sharding.run_sharded(load)
     for priority, tally in sorted(results.tally_by_class(ended).items()):
         print(f"  {priority}: {tally.describe()}")
     return ended
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/load/connections.py
@@ -0,0 +1,37 @@
+"""HTTP clients for many requests in flight."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import ssl
+
+import httpx
+
+_CLIENTS = 64
+_CONNECT_S = 2.0
+_READ_S = 60.0
+
+
+class ClientPool:
+    """Spreads requests over clients.
+
+    The work of one client's pool grows with the square of its connections, so
+    that a single client couldn't keep up with a flood.
+    """
+
+    def __init__(self, stack: contextlib.AsyncExitStack) -> None:
+        """Creates the clients; the stack closes them."""
+        context = ssl.create_default_context()
+        timeout = httpx.Timeout(_READ_S, connect=_CONNECT_S)
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=4)
+        clients = []
+        for _ in range(_CLIENTS):
+            client = httpx.AsyncClient(verify=context, timeout=timeout, limits=limits)
+            stack.push_async_callback(client.aclose)
+            clients.append(client)
+        self._turns = itertools.cycle(clients)
+
+    def pick(self) -> httpx.AsyncClient:
+        """Returns the next client."""
+        return next(self._turns)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
@@ -7,7 +7,6 @@
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 from chicoryweir_policy.cores import commands
-
 from chicoryweir_standins.worlds import endpoints
 
 
