--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
 from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import draining
 from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
@@ -15,9 +16,12 @@
 from chicoryweir_policy.cores.entry import claiming
 from chicoryweir_policy.cores.entry import delivery
 from chicoryweir_policy.cores.entry import dispatching
+from chicoryweir_policy.cores.entry import grouping
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import peers
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.groups import events as group_events
+from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
 from chicoryweir_policy.routing import loads
 from chicoryweir_policy.routing import prefix
@@ -41,6 +45,8 @@
         self._dispatcher = dispatching.Dispatcher(state, self._claimer)
         self._claimer.connect(self._dispatcher.submit)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
+        self.groups = grouping.Coordinators(state)
+        self._drain_watch = draining.DrainWatch(state.facts.instance, state.operations)
         self._leaving_at: float | None = None
         self._drain_until = 0.0
         self._stopped = False
@@ -71,6 +77,10 @@
                 self.peers.consume_list(event.instances, out)
             case events.DrainRequested():
                 self._drain(now, out)
+            case events.SettingsChanged(copy):
+                self.state.settings.accept_change(copy, now, out)
+            case events.NotesAsked():
+                self._ask_notes(event, now, out)
             case (
                 events.EndpointAnswered()
                 | events.EndpointSent()
@@ -78,6 +88,8 @@
                 | events.EndpointFailed()
                 | events.EndpointProbed()
                 | events.CacheChanged()
+                | group_events.EngineObserved()
+                | group_events.EngineReplied()
             ):
                 pass
             case _:
@@ -102,7 +114,19 @@
         )
         self._dispatcher.route(live, now, out)
 
-    def _receive(
+    def _ask_notes(
+        self, asked: events.NotesAsked, now: float, out: entry_state.Commands
+    ) -> None:
+        own = self.state.journal.list_notes(asked.request_id, now)
+        instance = self.state.facts.instance
+        out.append(commands.ReportNotes(asked.number, instance, own))
+        wanted = messages.NotesWanted(asked.number, asked.request_id)
+        for link in self.state.agents.values():
+            self.state.send(link, wanted, out)
+        for peer, session in self.peers.list_sessions():
+            out.append(commands.Send(peer, session, wanted))
+
+    def _receive(  # noqa: C901 - one branch for each kind of message
         self, event: events.MessageReceived, now: float, out: entry_state.Commands
     ) -> None:
         message = event.message
@@ -131,6 +155,14 @@
                 | messages.SettingsBody()
             ):
                 self.state.settings.consume_message(event, now, out)
+            case messages.NotesWanted(number, request_id):
+                notes = self.state.journal.list_notes(request_id, now)
+                found = messages.NotesFound(number, notes)
+                out.append(commands.Send(event.instance, event.session, found))
+            case messages.NotesFound(number, notes):
+                out.append(commands.ReportNotes(number, event.instance, notes))
+            case group_messages.RankStatus():
+                self.groups.consume_message(event.instance, message, now, out)
             case messages.EndpointLost():
                 self.state.prefixes.forget(message.instance)
             case _:
@@ -186,8 +218,14 @@
         purpose = self.state.operations.take(event.operation_id)
         if purpose is None:
             return
-        if not self._claimer.consume_reply(purpose, event.result, now, out):
-            self.state.settings.consume_result(purpose, event.result, now, out)
+        if self._claimer.consume_reply(purpose, event.result, now, out):
+            return
+        if self.groups.consume_reply(purpose, event.result, now, out):
+            return
+        if self._drain_watch.consume_result(purpose, event.result, out):
+            self._drain(now, out)
+            return
+        self.state.settings.consume_result(purpose, event.result, now, out)
 
     def _open_link(
         self, event: events.LinkOpened, now: float, out: entry_state.Commands
@@ -223,6 +261,8 @@
         self._dispatcher.run_deadlines(now, out)
         self._claimer.flush(out)
         self.peers.tick(now, out)
+        self.groups.tick(now, out)
+        self._drain_watch.tick(now, out)
         self.peers.keep_links(out)
 
     def _drain(self, now: float, out: entry_state.Commands) -> None:
@@ -246,6 +286,7 @@
         if len(self.state.requests) and now < self._drain_until:
             return
         self._stopped = True
+        self.groups.resign(now, out)
         for live in self.state.requests.list_all():
             out.append(
                 commands.Record(
