--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/audit.py
@@ -0,0 +1,162 @@
+"""The audit trail: who changed what, when and why, kept to a bounded length."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import json
+
+import xxhash
+
+from chicoryweir_policy import store
+from chicoryweir_policy.settings import difference
+
+PREFIX = "audit/"
+MAX_RECORDS = 5000
+MAX_CHANGES = 100
+MAX_VALUE_CHARS = 300
+TRIM_INTERVAL = 32
+TRIM_BATCH = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One act of an operator or of the system.
+
+    Attributes:
+        record_id: Identifier of the act; unique.
+        at: Time, wall-clock seconds, for people to read and to order by.
+        who: Operator or instance.
+        kind: Kind of the act, such as `settings` or `drain`.
+        reason: Reason given.
+        changes: What was changed; may be empty.
+        omitted: Number of changes left out of `changes`.
+    """
+
+    record_id: str
+    at: float
+    who: str
+    kind: str
+    reason: str
+    changes: tuple[difference.Change, ...] = ()
+    omitted: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One change of a record, as operators read it.
+
+    Attributes:
+        seq: Version of the row that holds it; grows with time.
+        record: The record it belongs to.
+        change: The change, or None for a record without changes.
+    """
+
+    seq: int
+    record: Record
+    change: difference.Change | None
+
+
+def make_write(record: Record) -> store.Write:
+    """Creates the write of a record, for the transaction that does the act."""
+    key = f"{PREFIX}{int(record.at * 1000):015d}-{record.record_id}"
+    listed = record.changes[:MAX_CHANGES]
+    omitted = record.omitted + len(record.changes) - len(listed)
+    return store.Write(
+        key,
+        {
+            "id": record.record_id,
+            "at": record.at,
+            "who": record.who,
+            "kind": record.kind,
+            "reason": record.reason,
+            "changes": [_render_change(change) for change in listed],
+            "omitted": omitted,
+        },
+    )
+
+
+def parse_record(value: store.Json) -> Record | None:
+    """Reads the value of an audit row; None when it is damaged."""
+    if not isinstance(value, dict):
+        return None
+    at = value.get("at")
+    omitted = value.get("omitted")
+    changes = value.get("changes")
+    return Record(
+        record_id=str(value.get("id", "")),
+        at=float(at) if isinstance(at, int | float) else 0.0,
+        who=str(value.get("who", "")),
+        kind=str(value.get("kind", "")),
+        reason=str(value.get("reason", "")),
+        changes=tuple(
+            difference.Change(
+                str(item.get("path", "")),
+                item.get("from", difference.ABSENT),
+                item.get("to", difference.ABSENT),
+            )
+            for item in (changes if isinstance(changes, list) else [])
+            if isinstance(item, dict)
+        ),
+        omitted=omitted if isinstance(omitted, int) else 0,
+    )
+
+
+def list_lines(
+    rows: collections.abc.Iterable[store.Row], after: int, limit: int
+) -> tuple[Line, ...]:
+    """Lists the lines after a sequence number, whole records at a time.
+
+    Args:
+        rows: Rows of the audit trail, in any order.
+        after: Sequence number of the last line known already.
+        limit: Number of lines after which no further record is begun.
+    """
+    lines: list[Line] = []
+    for row in sorted(rows, key=lambda row: row.version):
+        record = parse_record(row.value) if row.version > after else None
+        if record is None:
+            continue
+        if len(lines) >= limit:
+            break
+        changes = record.changes or (None,)
+        lines.extend(Line(row.version, record, change) for change in changes)
+    return tuple(lines)
+
+
+def is_trim_due(record_id: str) -> bool:
+    """Tells whether the writer of this record has to trim the trail.
+
+    One writer in `TRIM_INTERVAL` does, so that most writes cost no scan.
+    """
+    return xxhash.xxh3_64_intdigest(record_id.encode()) % TRIM_INTERVAL == 0
+
+
+def plan_trim(
+    rows: collections.abc.Sequence[store.Row], keep: int = MAX_RECORDS
+) -> store.Transact | None:
+    """Plans the deletion of the oldest rows beyond `keep`; None when none is due.
+
+    Two writers that trim at once delete the same rows, which is harmless.
+    """
+    keys = sorted(row.key for row in rows if row.key.startswith(PREFIX))
+    surplus = keys[: max(0, len(keys) - keep)][:TRIM_BATCH]
+    if not surplus:
+        return None
+    return store.Transact((), tuple(store.Write(key, None) for key in surplus))
+
+
+def _render_change(change: difference.Change) -> store.Json:
+    rendered: dict[str, store.Json] = {"path": change.path}
+    if not isinstance(change.before, difference.Absent):
+        rendered["from"] = _clip(change.before)
+    if not isinstance(change.after, difference.Absent):
+        rendered["to"] = _clip(change.after)
+    return rendered
+
+
+def _clip(value: store.Json) -> store.Json:
+    text = json.dumps(value, sort_keys=True)
+    if len(text) <= MAX_VALUE_CHARS:
+        return value
+    return text[:MAX_VALUE_CHARS] + "..."
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
@@ -0,0 +1,129 @@
+"""Text of JSON documents: with comments as people write it, canonical as stored."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import math
+import typing
+
+import jsonc
+import xxhash
+
+from chicoryweir_policy import store
+
+MAX_TEXT_BYTES = 32 << 20
+MAX_DIGITS = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decoded:
+    """A document was read."""
+
+    document: store.Json
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecodable:
+    """The text is no valid document.
+
+    Attributes:
+        detail: What is wrong with it.
+        line: Line of the fault, from 1; 0 where it is not known.
+        column: Column of the fault, from 1; 0 where it is not known.
+    """
+
+    detail: str
+    line: int = 0
+    column: int = 0
+
+
+Decoding = Decoded | Undecodable
+
+
+class _FaultError(ValueError):
+    """A valid JSON text that this project refuses."""
+
+
+def parse_text(data: bytes) -> Decoding:
+    """Reads JSON with comments and trailing commas; refuses doubled keys."""
+    return _decode(data, jsonc.loads)
+
+
+def decode_document(data: bytes) -> Decoding:
+    """Reads a stored document, which is plain JSON."""
+    return _decode(data, json.loads)
+
+
+def encode_document(document: store.Json) -> bytes:
+    """Writes a document in its canonical form, equal for equal documents.
+
+    Raises:
+        ValueError: The document holds a number that JSON cannot express.
+    """
+    return json.dumps(
+        document,
+        sort_keys=True,
+        separators=(",", ":"),
+        ensure_ascii=True,
+        allow_nan=False,
+    ).encode()
+
+
+def compute_digest(data: bytes) -> str:
+    """Returns the digest by which copies of an object are compared."""
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def _decode(data: bytes, loads: typing.Callable[..., typing.Any]) -> Decoding:
+    if len(data) > MAX_TEXT_BYTES:
+        return Undecodable(f"longer than {MAX_TEXT_BYTES} bytes")
+    try:
+        text = data.decode("utf-8-sig")
+        return Decoded(
+            loads(
+                text,
+                object_pairs_hook=_collect_pairs,
+                parse_constant=_refuse_constant,
+                parse_float=_parse_float,
+                parse_int=_parse_int,
+            )
+        )
+    except json.JSONDecodeError as error:
+        return Undecodable(error.msg, error.lineno, error.colno)
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        return Undecodable("not UTF-8 text", line)
+    except _FaultError as error:
+        return Undecodable(str(error))
+    except RecursionError:
+        return Undecodable("nested too deeply")
+
+
+def _collect_pairs(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
+    collected = dict(pairs)
+    if len(collected) == len(pairs):
+        return collected
+    seen: set[str] = set()
+    for key, _ in pairs:
+        if key in seen:
+            raise _FaultError(f"key {key!r} is doubled")
+        seen.add(key)
+    return collected
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise _FaultError(f"{name} is no JSON number")
+
+
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise _FaultError(f"number {text[:40]} is out of range")
+    return value
+
+
+def _parse_int(text: str) -> int:
+    if len(text) > MAX_DIGITS:
+        raise _FaultError(f"number {text[:40]}... has more than {MAX_DIGITS} digits")
+    return int(text)
