--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
@@ -276,7 +276,7 @@
 def _take_copy(book: VersionBook, copy: copies.Copy, source: str, now: float) -> Step:
     """Adopts a copy above the version in force, if it is whole."""
     held = book.held
-    if held is not None and copy.head.version < held.head.version:
+    if held is not None and copy.head.version <= held.head.version:
         return Step(book)
     tree = copies.load_tree(copy)
     if tree is None:
