--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import typing
@@ -16,6 +17,7 @@
 from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
+from chicoryweir_policy.cores import suspicions
 from chicoryweir_policy.cores.agent import attempts
 from chicoryweir_policy.cores.agent import grouping
 from chicoryweir_policy.cores.agent import load
@@ -23,6 +25,7 @@
 from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.quarantine import isolation
 
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
@@ -81,7 +84,9 @@
                 self._operations,
             )
         self._running: dict[str, attempts.Attempt] = {}
-        self._suspects: set[str] = set()
+        self._suspicions = suspicions.SuspicionTask()
+        self._isolation = isolation.Isolation(self._suspicions.book, facts.instance)
+        self._held: collections.deque[str] = collections.deque()
         self._leaving = False
         self._stopped = False
         self._drain_until = 0.0
@@ -161,6 +166,8 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case messages.SuspicionNews():
+                self._suspicions.merge(message, now, out)
             case messages.NotesWanted(number, request_id):
                 notes = self._journal.list_notes(request_id, now)
                 found = messages.NotesFound(number, notes)
@@ -232,8 +239,6 @@
             f"{len(self._queue)} waiting, {len(self._running)} running,"
             f" weight {effective.weight:g}, settings version {self._settings.version}",
         )
-        if submit.suspect:
-            self._suspects.add(submit.attempt_id)
         self._enqueue(entry, now, out)
 
     def _enqueue(self, entry: queued.Queued, now: float, out: Commands) -> None:
@@ -264,8 +269,6 @@
             return messages.RejectReason.LEAVING
         if not self._load.serving or not self._settings.is_ready:
             return messages.RejectReason.ENDPOINT_DOWN
-        if submit.suspect and self._suspects:
-            return messages.RejectReason.SUSPECT
         return None
 
     def _hint(self, reason: messages.RejectReason) -> int:
@@ -319,8 +322,8 @@
     def _end(self, attempt: attempts.Attempt, state: messages.AttemptState) -> None:
         attempt_id = attempt.submit.attempt_id
         self._attempts.end(attempt_id, state)
-        self._running.pop(attempt_id, None)
-        self._suspects.discard(attempt_id)
+        if self._running.pop(attempt_id, None) is not None:
+            self._isolation.forget(attempt_id)
 
     def _cancel(self, attempt_id: str, now: float, out: Commands) -> None:
         attempt = self._attempts.find(attempt_id)
@@ -354,14 +357,33 @@
         out.append(commands.Send(session.instance, session.session, status))
 
     def _pump(self, now: float, out: Commands) -> None:
+        for attempt_id in [self._held.popleft() for _ in range(len(self._held))]:
+            self._try_start(attempt_id, now, out)
         while len(self._running) < self._facts.slots and self._load.serving:
             entry = self._queue.pop(now)
             if entry is None:
                 return
-            attempt = self._attempts.find(entry.attempt_id)
-            if attempt is None or attempt.running:
-                continue
-            self._start(attempt, now, out)
+            self._try_start(entry.attempt_id, now, out)
+
+    def _try_start(self, attempt_id: str, now: float, out: Commands) -> None:
+        """Starts an attempt unless its content must wait or may not run here."""
+        attempt = self._attempts.find(attempt_id)
+        if attempt is None or attempt.running:
+            return
+        if len(self._running) >= self._facts.slots or not self._load.serving:
+            self._held.append(attempt_id)
+            return
+        decided = self._isolation.decide_start(attempt.submit.fingerprint, now)
+        match decided:
+            case isolation.Start():
+                self._start(attempt, now, out)
+            case isolation.Hold():
+                self._held.append(attempt_id)
+            case isolation.Refuse():
+                reason = messages.RejectReason.SUSPECT
+                self._reject_attempt(attempt_id, reason, _SUSPECT_RETRY_MS, out)
+            case _:
+                typing.assert_never(decided)
 
     def _start(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
         submit = attempt.submit
@@ -371,6 +393,7 @@
             self._reject_attempt(submit.attempt_id, reason, 0, out)
             return
         self._running[submit.attempt_id] = attempt
+        self._isolation.note_started(submit.attempt_id, submit.fingerprint)
         self._journal.note(submit.request_id, now, "endpoint", "sent")
         out.append(
             commands.CallEndpoint(
@@ -411,6 +434,7 @@
     def _settle(self, attempt: attempts.Attempt, now: float) -> None:
         submit = attempt.submit
         correction = self._load.note_end(attempt, now)
+        self._queue.set_speed(self._load.tokens_per_s)
         self._queue.note_served(submit.workspace, submit.priority, correction, now)
 
     def _finish(self, attempt_id: str, now: float, out: Commands) -> None:
@@ -418,6 +442,7 @@
         if attempt is None:
             return
         self._settle(attempt, now)
+        self._isolation.note_ended(attempt_id, True, now)
         self._end(attempt, messages.AttemptState.FINISHED)
         self._journal.note(
             attempt.submit.request_id, now, "endpoint", f"{attempt.payloads} pieces"
@@ -455,10 +480,12 @@
             return
         incarnation = self._load.incarnation
         self._load.note_lost()
+        self._isolation.note_lost(incarnation, now)
         running = list(self._running.values())
         fingerprints = tuple(sorted({item.submit.fingerprint for item in running}))
         lost = messages.EndpointLost(self._facts.instance, incarnation, fingerprints)
         self._broadcast(lost, out)
+        self._suspicions.spread(now, out)
         out.append(
             commands.Record(
                 catalogue.ENDPOINT_LOST, "", self._facts.instance, incarnation
@@ -485,15 +512,24 @@
             self._reject_attempt(attempt_id, reason, self._hint(reason), out)
 
     def _tick(self, now: float, out: Commands) -> None:
-        for expired in self._queue.expire(now):
-            reason = messages.RejectReason.EXPIRED
-            self._reject_attempt(expired.attempt_id, reason, 0, out)
+        self._expire(now, out)
+        self._suspicions.tick(now, out)
         self._settings.tick(now, out)
         self._drain_watch.tick(now, out)
         self._tell_ranks(group_events.Ticked(), now, out)
         if self._load.is_report_due(now):
             self._report(now, out)
 
+    def _expire(self, now: float, out: Commands) -> None:
+        overdue = [expired.attempt_id for expired in self._queue.expire(now)]
+        for attempt_id in self._held:
+            held = self._attempts.find(attempt_id)
+            if held is not None and held.deadline_at < now:
+                overdue.append(attempt_id)
+        reason = messages.RejectReason.EXPIRED
+        for attempt_id in overdue:
+            self._reject_attempt(attempt_id, reason, 0, out)
+
     def _report(self, now: float, out: Commands) -> None:
         measure = self._queue.measure(now)
         tokens = sum(
@@ -521,6 +557,7 @@
     ) -> None:
         self._sessions.open(event.hello, event.session)
         self._settings.open_link(event, now, out)
+        self._suspicions.open_link(event.hello.instance, event.session)
         if event.hello.role is instances.Role.ENTRY:
             linked = group_events.PeerLinked(event.hello.instance)
             self._tell_ranks(linked, now, out)
@@ -531,6 +568,7 @@
     ) -> None:
         session_id = event.session
         self._settings.close_link(event.instance, session_id, now)
+        self._suspicions.close_link(session_id)
         self._sessions.close(session_id)
         if self._sessions.find_instance(event.instance) is None:
             unlinked = group_events.PeerUnlinked(event.instance)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
@@ -11,7 +11,8 @@
 
 REPORT_PERIOD_S = 0.25
 DEFAULT_STEP_TIME_S = 0.02
-DURATION_DECAY = 0.2
+DURATION_DECAY = 0.1
+MIN_DURATION_S = 0.001
 
 
 class LoadMeter:
@@ -22,6 +23,8 @@
         self._step_time_s = DEFAULT_STEP_TIME_S
         self._models: tuple[str, ...] = ()
         self._reported_at = float("-inf")
+        self._cost_tokens = 0.0
+        self._duration_s = 0.0
         self.incarnation = ""
         self.serving = False
 
@@ -42,11 +45,32 @@
 
     def note_end(self, attempt: attempts.Attempt, now: float) -> float:
         """Takes the end of an attempt; returns its tokens beyond the estimate."""
+        self._learn(attempt.submit.cost_tokens, now - attempt.started_at)
         if attempt.submit.mode is requests.AnswerMode.EVENTS and attempt.payloads:
             prompt = attempt.submit.prompt_tokens
             return prompt + attempt.payloads - attempt.submit.cost_tokens
         return 0.0
 
+    def _learn(self, cost_tokens: float, duration_s: float) -> None:
+        if self._duration_s == 0.0:
+            self._cost_tokens = cost_tokens
+            self._duration_s = max(duration_s, MIN_DURATION_S)
+            return
+        self._cost_tokens += DURATION_DECAY * (cost_tokens - self._cost_tokens)
+        self._duration_s += DURATION_DECAY * (duration_s - self._duration_s)
+        self._duration_s = max(self._duration_s, MIN_DURATION_S)
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Estimated tokens that the endpoint works off in a second, all slots busy.
+
+        Learnt from how long attempts ran against their estimates, so that estimates
+        that are all too high cancel out.
+        """
+        if self._duration_s == 0.0:
+            return self._slots / self._step_time_s
+        return self._slots * self._cost_tokens / self._duration_s
+
     def is_report_due(self, now: float) -> bool:
         """Tells whether it is time for the next report."""
         return now - self._reported_at >= REPORT_PERIOD_S
@@ -72,7 +96,7 @@
             waiting=sum(item.depth for item in measure),
             unfinished_tokens=sum(item.tokens for item in measure) + running_tokens,
             slots=self._slots,
-            tokens_per_s=self._slots / self._step_time_s,
+            tokens_per_s=self.tokens_per_s,
             wait_s=tuple(item.newcomer_wait_s for item in measure),
             leaving=leaving,
             serving=self.serving,
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/admitting.py
@@ -0,0 +1,56 @@
+"""Admits requests: quarantine, limits and overload, before any is routed."""
+
+from __future__ import annotations
+
+import typing
+
+from chicoryweir_policy import outcomes
+from chicoryweir_policy.admission import limits
+from chicoryweir_policy.admission import overload
+from chicoryweir_policy.cores.entry import lives
+from chicoryweir_policy.cores.entry import problems
+from chicoryweir_policy.cores.entry import state as entry_state
+
+
+def admit_request(
+    state: entry_state.EntryState, live: lives.Live, now: float
+) -> outcomes.Problem | None:
+    """Decides whether a request is taken on; returns the problem if not.
+
+    A request that is taken on may count against its workspace's limits until it ends.
+    """
+    request = live.request
+    shed = state.throttle.decide(
+        request.request_id, request.workspace, request.priority, now
+    )
+    match shed:
+        case overload.Sent():
+            return _check_limits(state, live, now)
+        case overload.Shed(_, retry_after_ms):
+            return problems.make_shed(state.facts.instance, retry_after_ms)
+        case _:
+            typing.assert_never(shed)
+
+
+def _check_limits(
+    state: entry_state.EntryState, live: lives.Live, now: float
+) -> outcomes.Problem | None:
+    request = live.request
+    effective = live.effective
+    limit = limits.Limits(
+        effective.rate_tokens_per_s, effective.burst_tokens, effective.max_inflight
+    )
+    decided = state.limiter.decide(
+        request.request_id, request.workspace, limit, request.cost_tokens, now
+    )
+    match decided:
+        case limits.Allowed():
+            live.limited = (
+                limit.rate_tokens_per_s is not None or limit.max_inflight is not None
+            )
+            return None
+        case limits.OverLimit(reason, retry_after_ms):
+            peer = state.facts.instance
+            return problems.make_over_limit(peer, reason.value, retry_after_ms)
+        case _:
+            typing.assert_never(decided)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -7,12 +7,14 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
+from chicoryweir_policy.admission import limits
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import draining
 from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
+from chicoryweir_policy.cores.entry import admitting
 from chicoryweir_policy.cores.entry import claiming
 from chicoryweir_policy.cores.entry import delivery
 from chicoryweir_policy.cores.entry import dispatching
@@ -75,6 +77,7 @@
                 self._close_link(event, now, out)
             case events.InstancesListed():
                 self.peers.consume_list(event.instances, out)
+                self.state.limiter.set_entries(self.peers.count_entries(), now)
             case events.DrainRequested():
                 self._drain(now, out)
             case events.SettingsChanged(copy):
@@ -112,6 +115,11 @@
             f"{request.workspace} {request.priority.name.lower()} to"
             f" {request.service}, settings version {self.state.settings.version}",
         )
+        problem = admitting.admit_request(self.state, live, now)
+        if problem is not None:
+            self.state.refuse(live, problem, now, out)
+            return
+        self._dispatcher.note_request(live)
         self._dispatcher.route(live, now, out)
 
     def _ask_notes(
@@ -164,10 +172,28 @@
             case group_messages.RankStatus():
                 self.groups.consume_message(event.instance, message, now, out)
             case messages.EndpointLost():
-                self.state.prefixes.forget(message.instance)
+                self._note_lost(message, now, out)
+            case messages.SuspicionNews():
+                self.state.suspicions.merge(message, now, out)
+            case messages.LimitAsks(asks):
+                loans = messages.LimitLoans(self.state.limiter.lend(asks, now))
+                out.append(commands.Send(event.instance, event.session, loans))
+            case messages.LimitLoans(loans):
+                self.state.limiter.borrow(loans, now)
             case _:
                 pass
 
+    def _note_lost(
+        self, lost: messages.EndpointLost, now: float, out: entry_state.Commands
+    ) -> None:
+        self.state.prefixes.forget(lost.instance)
+        fingerprints = frozenset(lost.fingerprints)
+        if fingerprints:
+            self.state.suspicions.book.record_loss(
+                lost.instance, lost.endpoint_incarnation, fingerprints, now
+            )
+            self.state.suspicions.spread(now, out)
+
     def _receive_attempt(
         self,
         event: events.MessageReceived,
@@ -202,6 +228,9 @@
                 self._deliverer.consume_finished(live, message, now, out)
             case messages.AttemptStarted():
                 live.dispatch.started = True
+                self.state.throttle.note_settled(
+                    live.request.workspace, live.request.priority, True, now
+                )
                 self.state.journal.note(
                     live.request.request_id, now, "endpoint", "started"
                 )
@@ -232,6 +261,7 @@
     ) -> None:
         hello = event.hello
         self.state.settings.open_link(event, now, out)
+        self.state.suspicions.open_link(hello.instance, event.session)
         out.append(commands.Record(catalogue.LINK_OPENED, "", hello.instance, ""))
         if hello.role is instances.Role.ENTRY:
             self.peers.open_entry(hello, event.session, out)
@@ -247,6 +277,7 @@
         self, event: events.LinkClosed, now: float, out: entry_state.Commands
     ) -> None:
         self.state.settings.close_link(event.instance, event.session, now)
+        self.state.suspicions.close_link(event.session)
         self.peers.close_entry(event.instance, event.session)
         out.append(commands.Record(catalogue.LINK_CLOSED, "", event.instance, ""))
         link = self.state.agents.get(event.instance)
@@ -262,9 +293,18 @@
         self._claimer.flush(out)
         self.peers.tick(now, out)
         self.groups.tick(now, out)
+        self.state.suspicions.tick(now, out)
+        self._exchange_limits(now, out)
         self._drain_watch.tick(now, out)
         self.peers.keep_links(out)
 
+    def _exchange_limits(self, now: float, out: entry_state.Commands) -> None:
+        asks = self.state.limiter.tick(now)
+        if asks is None or not asks.asks:
+            return
+        for peer, session in self.peers.list_sessions():
+            out.append(commands.Send(peer, session, messages.LimitAsks(asks)))
+
     def _drain(self, now: float, out: entry_state.Commands) -> None:
         if self._leaving_at is not None:
             return
@@ -313,5 +353,9 @@
         settings=settings_task.SettingsTask(facts.instance, numbers),
         operations=numbers,
         journal=journal.Journal(),
+        limiter=limits.create_limiter(
+            facts.instance,
+            1 + sum(seed.role is instances.Role.ENTRY for seed in seeds),
+        ),
     )
     return EntryCore(state, seeds)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
@@ -14,6 +14,7 @@
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import problems
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.retries import failures
 
 EVENT_STREAM = "text/event-stream"
 _OK = 200
@@ -173,7 +174,9 @@
             problem = problems.make_attempt_broken(dispatch.instance, detail)
             self._state.refuse(live, problem, now, out)
             return
-        self._dispatcher.recover(live, dispatch.instance, detail, now, out)
+        kind = messages.FailureKind.ENDPOINT_ERROR
+        failure = failures.Failed(dispatch.instance, kind, detail)
+        self._dispatcher.retry(live, failure, now, out)
 
     def _complete(
         self,
@@ -189,16 +192,20 @@
         if failed and (live.begun or live.attempts < live.effective.max_attempts):
             self._dispatcher.detach(live)
             live.may_have_run = True
+            kind = messages.FailureKind.ENDPOINT_ERROR
             detail = f"endpoint answered {head.status}"
-            self._dispatcher.recover(live, dispatch.instance, detail, now, out)
+            failure = failures.Failed(dispatch.instance, kind, detail)
+            self._dispatcher.retry(live, failure, now, out)
             return
         self._dispatcher.detach(live)
         self._claimer.close(live, dispatch)
+        self._state.suspicions.book.record_finished(live.request.fingerprint, now)
         request_id = live.request.request_id
         self._state.journal.note(
             request_id, now, "answer", f"whole, status {head.status}"
         )
         self._state.requests.remove(live)
+        self._state.end_limited(live, now)
         if live.abandoned:
             return
         if not live.begun:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from chicoryweir_policy import catalogue
@@ -13,19 +14,20 @@
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import problems
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.quarantine import records
+from chicoryweir_policy.retries import budget
+from chicoryweir_policy.retries import decision
+from chicoryweir_policy.retries import failures
 from chicoryweir_policy.routing import selection
 
-RETRY_BASE_S = 0.02
-RETRY_MAX_S = 0.5
 EXPIRY_GRACE_S = 0.05
 STALL_TIMEOUT_S = 5.0
-REROUTED = frozenset(
+SUSPECT_WAIT_S = 0.1
+OVERLOADED = frozenset(
     {
-        messages.RejectReason.LEAVING,
-        messages.RejectReason.ENDPOINT_DOWN,
-        messages.RejectReason.STALE_SESSION,
-        messages.RejectReason.SUSPECT,
         messages.RejectReason.QUEUE_FULL,
+        messages.RejectReason.INFEASIBLE,
+        messages.RejectReason.EXPIRED,
     }
 )
 
@@ -38,10 +40,17 @@
     ) -> None:
         self._state = state
         self._claimer = claimer
+        self._budget = budget.make_budget(0.0)
+
+    def note_request(self, live: lives.Live) -> None:
+        """A request was admitted; it earns a part of a retry."""
+        self._budget.note_request(live.effective.retry_ratio)
 
     def route(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
         """Selects an endpoint and submits, or claims first, or gives up."""
         state = self._state
+        if not self._check_suspicion(live, now, out):
+            return
         selected = state.selector.select_endpoint(
             live.request,
             state.loads,
@@ -64,6 +73,43 @@
             case _:
                 typing.assert_never(selected)
 
+    def _check_suspicion(
+        self, live: lives.Live, now: float, out: entry_state.Commands
+    ) -> bool:
+        """Tells whether the content may be sent now; refuses or delays it if not."""
+        request = live.request
+        verdict = self._state.suspicions.book.judge(request.fingerprint, now)
+        match verdict:
+            case records.Unsuspected():
+                live.suspect = False
+                return True
+            case records.Quarantined(losses):
+                peer = self._state.facts.instance
+                outcome = self._conclude(live)
+                problem = problems.make_quarantined(peer, len(losses), outcome)
+                out.append(
+                    commands.Record(
+                        catalogue.REQUEST_QUARANTINED,
+                        request.request_id,
+                        peer,
+                        f"{request.fingerprint:016x}",
+                    )
+                )
+                self._claimer.release(live, out)
+                self._state.refuse(live, problem, now, out)
+                return False
+            case records.Suspected(lost_on, retry_at):
+                live.suspect = True
+                live.excluded |= lost_on
+                alone = not self._state.requests.is_content_sent(request.fingerprint)
+                if now >= retry_at and alone:
+                    return True
+                later = max(retry_at, now + SUSPECT_WAIT_S)
+                self._state.requests.set_retry(request.request_id, later)
+                return False
+            case _:
+                typing.assert_never(verdict)
+
     def _give_up_routing(
         self,
         live: lives.Live,
@@ -71,9 +117,13 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        if none.reason is selection.Reason.EXCLUDED and live.excluded:
+        if none.reason is selection.Reason.EXCLUDED and live.attempts < (
+            live.effective.max_attempts
+        ):
             live.excluded.clear()
-            if self._schedule_retry(live, now):
+            retry_at = now + SUSPECT_WAIT_S
+            if retry_at < live.request.deadline_at:
+                self._state.requests.set_retry(live.request.request_id, retry_at)
                 return
         outcome = outcomes.Outcome.NOT_RUN
         if live.may_have_run:
@@ -114,7 +164,8 @@
         """Sends an attempt to its agent, unless the link has changed since."""
         link = self._state.agents.get(dispatch.instance)
         if link is None or link.session != dispatch.session:
-            self.retry(live, dispatch.instance, "link changed", now, out)
+            stale = messages.RejectReason.STALE_SESSION
+            self.retry(live, failures.NotStarted(dispatch.instance, stale), now, out)
             return
         request = live.request
         link.sequence += 1
@@ -167,21 +218,19 @@
         if live.abandoned:
             self._claimer.release(live, out)
             self._state.requests.remove(live)
+            self._state.end_limited(live, now)
             return
         if live.expired or message.reason is messages.RejectReason.EXPIRED:
             self._expire(live, dispatch.instance, now, out)
             return
-        if message.reason in REROUTED:
-            self.retry(live, dispatch.instance, detail, now, out)
-            return
-        problem = problems.make_gave_up(
-            dispatch.instance,
-            detail,
-            self._conclude(live),
-            max(message.retry_after_ms, problems.CLAIM_RETRY_MS),
+        if message.reason in OVERLOADED:
+            self._state.throttle.note_settled(
+                live.request.workspace, live.request.priority, False, now
+            )
+        failure = failures.NotStarted(
+            dispatch.instance, message.reason, message.retry_after_ms
         )
-        self._claimer.release(live, out)
-        self._state.refuse(live, problem, now, out)
+        self.retry(live, failure, now, out)
 
     def consume_failed(
         self,
@@ -195,13 +244,11 @@
         if dispatch is None:
             return
         live.may_have_run = True
-        if message.kind is messages.FailureKind.ENDPOINT_LOST:
-            live.suspect = True
         if live.expired:
             self._expire(live, dispatch.instance, now, out)
             return
-        detail = f"{message.kind.value}: {message.detail}"
-        self.recover(live, dispatch.instance, detail, now, out)
+        failure = failures.Failed(dispatch.instance, message.kind, message.detail)
+        self.retry(live, failure, now, out)
 
     def consume_link_closed(
         self, session: str, now: float, out: entry_state.Commands
@@ -211,61 +258,62 @@
             dispatch = self.detach(live)
             if dispatch is not None:
                 live.may_have_run = True
-                self.recover(live, dispatch.instance, "link closed", now, out)
-
-    def recover(
-        self,
-        live: lives.Live,
-        instance: str,
-        detail: str,
-        now: float,
-        out: entry_state.Commands,
-    ) -> None:
-        """Tries an idempotent request again; ends any other as unknown."""
-        if live.is_idempotent:
-            self.retry(live, instance, detail, now, out)
-            return
-        problem = problems.make_attempt_broken(instance, detail)
-        self._state.refuse(live, problem, now, out)
+                self.retry(live, failures.Lost(dispatch.instance), now, out)
 
     def retry(
         self,
         live: lives.Live,
-        instance: str,
-        detail: str,
+        failure: failures.Failure,
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        """Tries a request on another endpoint, or gives up."""
+        """Tries a request again where that helps and is allowed, or gives up."""
         live.body.clear()
         live.body_bytes = 0
-        live.excluded.add(instance)
         if live.abandoned:
             self._claimer.release(live, out)
             self._state.requests.remove(live)
+            self._state.end_limited(live, now)
             return
-        if live.attempts < live.effective.max_attempts and self._schedule_retry(
-            live, now
-        ):
-            number = catalogue.REQUEST_RETRIED
-            if live.delivered:
-                number = catalogue.REQUEST_RESUMED
-            request_id = live.request.request_id
-            out.append(commands.Record(number, request_id, instance, detail))
-            return
-        problem = problems.make_gave_up(
-            instance, detail, self._conclude(live), problems.CLAIM_RETRY_MS
+        decided = decision.decide_retry(
+            _extend_begun(live, now),
+            failure,
+            self._describe_history(live, now),
+            decision.Limits(
+                live.effective.max_attempts, live.effective.quarantine_losses
+            ),
+            self._budget,
+            now,
         )
-        self._claimer.release(live, out)
-        self._state.refuse(live, problem, now, out)
+        match decided:
+            case decision.Retry(after_s, excluded, may_have_run):
+                live.excluded = set(excluded)
+                live.may_have_run = may_have_run
+                request_id = live.request.request_id
+                self._state.requests.set_retry(request_id, now + after_s)
+                resumes = live.delivered > 0
+                number = (
+                    catalogue.REQUEST_RESUMED if resumes else catalogue.REQUEST_RETRIED
+                )
+                record = commands.Record(
+                    number, request_id, failure.instance, type(failure).__name__
+                )
+                out.append(record)
+            case decision.GiveUp(problem):
+                self._claimer.release(live, out)
+                self._state.refuse(live, problem, now, out)
+            case _:
+                typing.assert_never(decided)
 
-    def _schedule_retry(self, live: lives.Live, now: float) -> bool:
-        doubled = RETRY_BASE_S * 2 ** max(0, live.attempts - 1)
-        at = now + min(RETRY_MAX_S, doubled)
-        if at >= live.request.deadline_at and not live.begun:
-            return False
-        self._state.requests.set_retry(live.request.request_id, at)
-        return True
+    def _describe_history(self, live: lives.Live, now: float) -> decision.History:
+        fingerprint = live.request.fingerprint
+        verdict = self._state.suspicions.book.judge(fingerprint, now)
+        losses = 0
+        if isinstance(verdict, records.Quarantined):
+            losses = len(verdict.losses)
+        return decision.History(
+            live.attempts, frozenset(live.excluded), live.may_have_run, losses
+        )
 
     def run_retries(self, now: float, out: entry_state.Commands) -> None:
         """Routes the requests whose time to be tried again has come."""
@@ -310,7 +358,9 @@
         instance = live.dispatch.instance
         self.detach(live)
         live.may_have_run = True
-        self.recover(live, instance, "the answer stalled", now, out)
+        kind = messages.FailureKind.ENDPOINT_ERROR
+        failure = failures.Failed(instance, kind, "the answer stalled")
+        self.retry(live, failure, now, out)
 
     def abandon(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
         """The caller is gone; what must run once runs on without it."""
@@ -322,6 +372,7 @@
             self._cancel(live, out)
             self._claimer.release(live, out)
             self._state.requests.remove(live)
+            self._state.end_limited(live, now)
 
     def _expire(
         self, live: lives.Live, peer: str, now: float, out: entry_state.Commands
@@ -362,3 +413,11 @@
         if dispatch is not None:
             self._state.loads.note_finished(dispatch.instance, dispatch.attempt_id)
         return dispatch
+
+
+def _extend_begun(live: lives.Live, now: float) -> requests.Request:
+    """Returns the request; a begun answer may go on past its deadline."""
+    if not live.begun:
+        return live.request
+    deadline_at = max(live.request.deadline_at, now + STALL_TIMEOUT_S)
+    return dataclasses.replace(live.request, deadline_at=deadline_at)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -52,6 +52,7 @@
         may_have_run: Whether an earlier attempt may have run.
         suspect: Whether an endpoint was lost while its content ran.
         expired: Whether its deadline passed and the agent's word is awaited.
+        limited: Whether it counts against the limits of its workspace.
         abandoned: Whether the caller is gone.
         claim_version: Version of its claim's row; 0 before it holds one.
     """
@@ -69,6 +70,7 @@
     may_have_run: bool = False
     suspect: bool = False
     expired: bool = False
+    limited: bool = False
     abandoned: bool = False
     claim_version: int = 0
 
@@ -84,6 +86,7 @@
     def __init__(self) -> None:
         self._lives: dict[str, Live] = {}
         self._attempts: dict[str, Live] = {}
+        self._contents: dict[int, int] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._retries: list[tuple[float, str]] = []
 
@@ -112,10 +115,16 @@
         """Returns the request whose attempt under way this is, or None."""
         return self._attempts.get(attempt_id)
 
+    def is_content_sent(self, fingerprint: int) -> bool:
+        """Tells whether an attempt with this content is under way."""
+        return self._contents.get(fingerprint, 0) > 0
+
     def attach(self, live: Live, dispatch: Dispatch) -> None:
         """Makes an attempt the one under way."""
         live.dispatch = dispatch
         self._attempts[dispatch.attempt_id] = live
+        fingerprint = live.request.fingerprint
+        self._contents[fingerprint] = self._contents.get(fingerprint, 0) + 1
 
     def detach(self, live: Live) -> Dispatch | None:
         """Takes the attempt under way off the request; its messages are late."""
@@ -123,6 +132,10 @@
         live.dispatch = None
         if dispatch is not None:
             self._attempts.pop(dispatch.attempt_id, None)
+            fingerprint = live.request.fingerprint
+            self._contents[fingerprint] -= 1
+            if self._contents[fingerprint] == 0:
+                del self._contents[fingerprint]
         return dispatch
 
     def remove(self, live: Live) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -114,6 +114,15 @@
         known += [peer.status for peer in self._entries.values() if peer.status]
         return tuple(status for status in known if not status.leaving)
 
+    def count_entries(self) -> int:
+        """Returns the number of entries known, this one included."""
+        roles = [
+            item.role
+            for name, item in self._known.items()
+            if name != self._state.facts.instance
+        ]
+        return 1 + roles.count(instances.Role.ENTRY)
+
     def list_sessions(self) -> list[tuple[str, str]]:
         """Returns instance and session of each linked entry."""
         return [(name, peer.session) for name, peer in self._entries.items()]
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/problems.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/problems.py
@@ -121,13 +121,41 @@
     )
 
 
-def make_quarantined(peer: str, losses: int) -> outcomes.Problem:
+def make_over_limit(peer: str, reason: str, retry_after_ms: int) -> outcomes.Problem:
+    """The workspace is over one of its limits."""
+    return outcomes.Problem(
+        429,
+        "Over limit",
+        f"the workspace is over its limit: {reason}",
+        outcomes.Outcome.NOT_RUN,
+        "admission",
+        peer,
+        retry_after_ms,
+    )
+
+
+def make_shed(peer: str, retry_after_ms: int) -> outcomes.Problem:
+    """The fleet takes no more of such work at present."""
+    return outcomes.Problem(
+        503,
+        "No capacity",
+        "endpoints refuse most of such work of this workspace at present",
+        outcomes.Outcome.NOT_RUN,
+        "admission",
+        peer,
+        retry_after_ms,
+    )
+
+
+def make_quarantined(
+    peer: str, losses: int, outcome: outcomes.Outcome
+) -> outcomes.Problem:
     """Endpoints died while this content ran."""
     return outcomes.Problem(
         422,
         "Request quarantined",
         f"{losses} endpoints died while a request with this content ran",
-        outcomes.Outcome.NOT_RUN,
+        outcome,
         "admission",
         peer,
     )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -7,10 +7,13 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
 from chicoryweir_policy import outcomes
+from chicoryweir_policy.admission import limits
+from chicoryweir_policy.admission import overload
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
+from chicoryweir_policy.cores import suspicions
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.routing import loads
 from chicoryweir_policy.routing import prefix
@@ -68,6 +71,11 @@
     settings: settings_task.SettingsTask
     operations: operations.Operations
     journal: journal.Journal
+    limiter: limits.WorkspaceLimiter
+    throttle: overload.Throttle = dataclasses.field(default_factory=overload.Throttle)
+    suspicions: suspicions.SuspicionTask = dataclasses.field(
+        default_factory=suspicions.SuspicionTask
+    )
     requests: lives.LiveTable = dataclasses.field(default_factory=lives.LiveTable)
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     attempts_made: int = 0
@@ -78,6 +86,7 @@
         """Gives a request its final answer: a problem, or a broken connection."""
         request_id = live.request.request_id
         self.requests.remove(live)
+        self.end_limited(live, now)
         detail = f"{problem.status} {problem.outcome.value}: {problem.detail}"
         self.journal.note(request_id, now, problem.step, detail)
         if live.abandoned:
@@ -90,6 +99,12 @@
             number = catalogue.REQUEST_REFUSED
         out.append(commands.Record(number, request_id, problem.peer, detail))
 
+    def end_limited(self, live: lives.Live, now: float) -> None:
+        """Tells the limiter that a request it allowed has ended."""
+        if live.limited:
+            live.limited = False
+            self.limiter.note_ended(live.request.workspace, 0.0, now)
+
     def send(self, link: AgentLink, message: messages.Message, out: Commands) -> None:
         """Sends a message to an agent."""
         out.append(commands.Send(link.instance, link.session, message))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -6,8 +6,10 @@
 import enum
 
 from chicoryweir_policy import requests
+from chicoryweir_policy.admission import shares
 from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.quarantine import records as suspicion_records
 from chicoryweir_policy.settings import heads
 
 
@@ -360,6 +362,27 @@
     notes: tuple[RequestNote, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionNews:
+    """Losses of endpoints and clearances that the receiver may not know."""
+
+    news: suspicion_records.News
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitAsks:
+    """An entry asks its peers for parts of workspaces' limits."""
+
+    asks: shares.Asks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitLoans:
+    """Answer to `LimitAsks`."""
+
+    loans: shares.Loans
+
+
 Message = (
     Hello
     | SubmitAttempt
@@ -382,6 +405,9 @@
     | Heartbeat
     | NotesWanted
     | NotesFound
+    | SuspicionNews
+    | LimitAsks
+    | LimitLoans
     | group_messages.QueryRanks
     | group_messages.PrepareMap
     | group_messages.ReleaseMap
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
@@ -80,6 +80,10 @@
         if fingerprint is not None and ran_to_end:
             self._book.record_finished(fingerprint, now)
 
+    def forget(self, attempt_id: str) -> None:
+        """Records that an attempt no longer runs, whatever its end."""
+        self._running.pop(attempt_id, None)
+
     def note_lost(self, incarnation: str, now: float) -> None:
         """Records that the endpoint was lost; nothing runs on it any more."""
         fingerprints = frozenset(self._running.values())
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/retries/problems.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/retries/problems.py
@@ -11,9 +11,7 @@
 OVERLOAD_RETRY_AFTER_MS = 1000
 STEP = "retry"
 
-_ENDED_KINDS = frozenset(
-    {messages.FailureKind.ENDPOINT_ERROR, messages.FailureKind.TOO_LARGE}
-)
+_ENDED_KINDS = frozenset({messages.FailureKind.TOO_LARGE})
 
 
 def describe_end(
--- a/packages/chicoryweir-wire/src/chicoryweir_wire/codec.py
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/codec.py
@@ -107,6 +107,17 @@
     return decode_fixed
 
 
+def _make_set_decoder(arguments: tuple[typing.Any, ...]) -> _Decoder:
+    decode_item = _make_decoder(arguments[0])
+
+    def decode(value: typing.Any) -> frozenset[typing.Any]:
+        if type(value) is not list or len(value) > MAX_ITEMS:
+            raise _FieldError(f"expected at most {MAX_ITEMS} items")
+        return frozenset([decode_item(item) for item in value])
+
+    return decode
+
+
 def _make_optional_decoder(arguments: tuple[typing.Any, ...]) -> _Decoder:
     kinds = [argument for argument in arguments if argument is not type(None)]
     if len(kinds) != 1 or len(kinds) == len(arguments):
@@ -144,6 +155,8 @@
     origin = typing.get_origin(hint)
     if origin is tuple:
         return _make_tuple_decoder(typing.get_args(hint))
+    if origin is frozenset:
+        return _make_set_decoder(typing.get_args(hint))
     if origin in (typing.Union, types.UnionType):
         return _make_optional_decoder(typing.get_args(hint))
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
@@ -158,6 +171,8 @@
         return value.value
     if isinstance(value, tuple):
         return [_encode_value(item) for item in value]
+    if isinstance(value, frozenset):
+        return sorted(_encode_value(item) for item in value)
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         names = value.__dataclass_fields__
         return [_encode_value(getattr(value, name)) for name in names]
