--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
@@ -14,6 +14,7 @@
 
 OTHER_PLACE_LATENCY_S = 0.0015
 RATE_MEMORY = 0.98
+MAX_PACE_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,8 +32,10 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _WaitSums:
+class _Sums:
     endpoints: int = 0
+    paced: int = 0
+    pace_s: float = 0.0
     waits_s: list[float] = dataclasses.field(
         default_factory=lambda: list(views.NO_WAITS)
     )
@@ -43,6 +46,9 @@
         self.endpoints += sign
         for priority, wait_s in enumerate(view.reported_wait_s):
             self.waits_s[priority] += sign * wait_s
+        if view.pace_s is not None:
+            self.paced += sign
+            self.pace_s += sign * view.pace_s
 
 
 class LoadBook:
@@ -66,7 +72,7 @@
         self._place_latency_s = dict(place_latency_s)
         self._endpoints: dict[str, _Endpoint] = {}
         self._members: dict[str, tuple[views.Member, ...]] = {}
-        self._sums: dict[str, _WaitSums] = {}
+        self._sums: dict[str, _Sums] = {}
 
     def note_endpoint(self, instance: str, place: str, service: str) -> None:
         """Records that an endpoint is a member of a service."""
@@ -185,6 +191,7 @@
             slots=report.slots,
             occupied=report.running + report.waiting,
             tokens_per_s=rate,
+            pace_s=_compute_pace(report),
             reported_at=now,
             reported_tokens=report.unfinished_tokens,
             reported_wait_s=report.wait_s,
@@ -227,13 +234,18 @@
             return 0.0
         return max(0.0, sums.waits_s[priority] / sums.endpoints)
 
+    def compute_mean_pace(self, service: str) -> float:
+        """Returns the mean seconds a token over a service's endpoints."""
+        sums = self._sum(service)
+        return max(0.0, sums.pace_s / sums.paced) if sums.paced else 0.0
+
     def _find_latency(self, place: str) -> float:
         if place == self._place:
             return 0.0
         return self._place_latency_s.get(place, OTHER_PLACE_LATENCY_S)
 
-    def _sum(self, service: str) -> _WaitSums:
-        return self._sums.setdefault(service, _WaitSums())
+    def _sum(self, service: str) -> _Sums:
+        return self._sums.setdefault(service, _Sums())
 
     def _replace(self, endpoint: _Endpoint, **changes: typing.Any) -> None:
         sums = self._sum(endpoint.view.service)
@@ -260,3 +272,11 @@
             endpoint.covered[attempt_id] = attempt
             own_tokens[attempt.priority] -= attempt.tokens
         return views.NO_WAITS
+
+
+def _compute_pace(report: messages.LoadReport) -> float | None:
+    if report.running == 0:
+        return None
+    if report.tokens_per_s <= 0.0:
+        return MAX_PACE_S
+    return min(MAX_PACE_S, report.running / report.tokens_per_s)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/outliers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/outliers.py
@@ -10,12 +10,12 @@
 MEMORY_S = 10.0
 MIN_PEERS = 3
 MIN_WEIGHT = 5.0
-SLOW_RATIO = 3.0
+SLOW_RATIO = 10.0
 FAILURE_EXCESS = 0.3
 MAX_EJECTED_SHARE = 0.34
-EJECT_S = 10.0
+EJECT_S = 3.0
 MAX_EJECT_S = 120.0
-FORGIVE_AFTER_S = 120.0
+FORGIVE_AFTER_S = 30.0
 MAX_PACE_S = 10.0
 
 
@@ -45,12 +45,14 @@
     weight: float = 0.0
     total: float = 0.0
     at: float = 0.0
+    latest: float = 0.0
 
     def add(self, value: float, now: float) -> None:
         kept = math.exp(-max(0.0, now - self.at) / MEMORY_S)
         self.weight = self.weight * kept + 1.0
         self.total = self.total * kept + value
         self.at = now
+        self.latest = value
 
     def weigh(self, now: float) -> float:
         return self.weight * math.exp(-max(0.0, now - self.at) / MEMORY_S)
@@ -71,7 +73,9 @@
     """Compares the endpoints of one service with one another.
 
     An endpoint is judged by its distance from the peers' median, so that none is
-    taken out when all are slow or all fail.
+    taken out when all are slow or all fail. Selection prices moderate slowness; what
+    is taken out here has all but stopped, or fails. One that fails again after its
+    return is out for longer each time.
     """
 
     def __init__(self) -> None:
@@ -128,8 +132,9 @@
         record = self._records[instance]
         if now - record.ejected_until > FORGIVE_AFTER_S:
             record.ejections = 0
-        record.ejections += 1
-        until = now + min(MAX_EJECT_S, EJECT_S * 2.0 ** (record.ejections - 1))
+        until = now + min(MAX_EJECT_S, EJECT_S * 2.0**record.ejections)
+        if badness.fails:
+            record.ejections += 1
         record.ejected_until = until
         ejected = Ejected(
             instance,
@@ -147,27 +152,32 @@
 class _Badness:
     excess: float
     median_pace_s: float
+    fails: bool
 
 
 def _find_outliers(
     peers: list[tuple[str, _Record]], now: float
 ) -> list[tuple[_Badness, str]]:
     paced = [rec.pace.compute() for _, rec in peers if _is_known(rec.pace, now)]
-    failing = [
+    failing_shares = [
         rec.failures.compute() for _, rec in peers if _is_known(rec.failures, now)
     ]
     pace_s = statistics.median(paced) if len(paced) >= MIN_PEERS else math.inf
-    failure_share = statistics.median(failing) if len(failing) >= MIN_PEERS else 1.0
+    failure_share = (
+        statistics.median(failing_shares) if len(failing_shares) >= MIN_PEERS else 1.0
+    )
     found: list[tuple[_Badness, str]] = []
     for name, record in peers:
-        excess = 0.0
+        slow = failing = 0.0
         if _is_known(record.pace, now) and pace_s > 0:
-            excess = record.pace.compute() / pace_s / SLOW_RATIO
+            slowest = min(record.pace.compute(), record.pace.latest)
+            slow = slowest / pace_s / SLOW_RATIO
         if _is_known(record.failures, now):
             above = record.failures.compute() - failure_share
-            excess = max(excess, above / FAILURE_EXCESS)
-        if excess > 1.0:
-            found.append((_Badness(excess, pace_s), name))
+            failing = above / FAILURE_EXCESS
+        if max(slow, failing) > 1.0:
+            badness = _Badness(max(slow, failing), pace_s, failing > slow)
+            found.append((badness, name))
     return sorted(found, key=lambda item: (-item[0].excess, item[1]))
 
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -12,8 +12,9 @@
 from chicoryweir_policy.routing import views
 
 NEAR_LATENCY_S = 0.005
+OTHER_PLACE_COST_S = 0.02
 SAVED_PER_BLOCK_S = 0.01
-SUSPECT_CANDIDATES = 2
+FIRST_CANDIDATES = 2
 SPILL_CANDIDATES = 4
 SPILL_WAIT_S = 0.25
 COME_BACK_MS = 500
@@ -102,14 +103,24 @@
 
     A member that joins or goes leaves the order of the others as it is.
     """
-    keyed = sorted(
-        [
-            ((member.name_hash ^ seed) * _MULTIPLIER & _MASK, index)
-            for index, member in enumerate(members)
-        ],
-        reverse=True,
-    )
-    return [members[index] for _, index in keyed]
+    scores = [(member.name_hash ^ seed) * _MULTIPLIER & _MASK for member in members]
+    order = sorted(range(len(members)), key=scores.__getitem__, reverse=True)
+    return [members[index] for index in order]
+
+
+def find_first_member(members: tuple[views.Member, ...], seed: int) -> views.Member:
+    """Finds the member that `rank_members` puts first."""
+    scores = [(member.name_hash ^ seed) * _MULTIPLIER & _MASK for member in members]
+    return members[scores.index(max(scores))]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Zones:
+    """Members of a service by their distance from the entry."""
+
+    members: tuple[views.Member, ...]
+    near: tuple[views.Member, ...]
+    far: tuple[views.Member, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +141,7 @@
 
     def __init__(self, prefixes: prefix.PrefixBook) -> None:
         self._prefixes = prefixes
+        self._zones: dict[str, _Zones] = {}
 
     def select_endpoint(
         self,
@@ -143,28 +155,41 @@
         spill_wait_s: float = SPILL_WAIT_S,
     ) -> Selection:
         """Selects an endpoint; see `Selector`."""
-        members = fleet.list_members(request.service)
-        near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S) or members
-        if not near:
+        zones = self._divide(request.service, fleet)
+        if not zones.members:
             return NoneAvailable(Reason.NO_ENDPOINT, COME_BACK_MS)
-        sequence = self._rank_candidates(request, near)
+        sequence = self._rank_candidates(request, zones.near)
         if suspect:
-            sequence = sequence[:SUSPECT_CANDIDATES]
+            sequence = sequence[:FIRST_CANDIDATES]
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
-        weighed = self._weigh(usable, SUSPECT_CANDIDATES, request, fleet, now)
+        weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
         best = _find_best(weighed)
         spilled = False
-        if not suspect and (best is None or best.wait_s > spill_wait_s):
-            more = _order_by_place(usable, place)[:SPILL_CANDIDATES]
-            weighed += self._weigh(iter(more), len(more), request, fleet, now)
-            if all(candidate.wait_s > spill_wait_s for candidate in weighed):
-                weighed += self._weigh_far(request, fleet, members, excluded, now)
+        if not suspect and not _is_short(best, spill_wait_s):
+            for _ in range(SPILL_CANDIDATES):
+                weighed += self._weigh(usable, 1, request, fleet, place, now)
+                if weighed and _is_short(weighed[-1], spill_wait_s):
+                    break
+            else:
+                weighed += self._weigh_far(
+                    request, fleet, zones.far, excluded, place, now
+                )
             first, best = best, _find_best(weighed)
             spilled = best is not first
         if best is None:
             return _explain_none(request, fleet, excluded, now, suspect)
         return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
 
+    def _divide(self, service: str, fleet: views.Fleet) -> _Zones:
+        members = fleet.list_members(service)
+        zones = self._zones.get(service)
+        if zones is None or zones.members is not members:
+            near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S)
+            far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
+            zones = _Zones(members, near or far, far if near else ())
+            self._zones[service] = zones
+        return zones
+
     def _rank_candidates(
         self, request: requests.Request, near: tuple[views.Member, ...]
     ) -> list[views.Member]:
@@ -173,21 +198,21 @@
         block = self._prefixes.find_home_block(blocks, 1.0 / len(near))
         if block == 0:
             return sequence
-        home = max(near, key=lambda m: (m.name_hash ^ block) * _MULTIPLIER & _MASK)
+        home = find_first_member(near, block)
         return [home, *(member for member in sequence if member is not home)]
 
     def _weigh_far(
         self,
         request: requests.Request,
         fleet: views.Fleet,
-        members: tuple[views.Member, ...],
+        far: tuple[views.Member, ...],
         excluded: frozenset[str],
+        place: str,
         now: float,
     ) -> list[_Candidate]:
-        far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
         sequence = rank_members(far, request.fingerprint)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
-        return self._weigh(usable, SPILL_CANDIDATES, request, fleet, now)
+        return self._weigh(usable, SPILL_CANDIDATES, request, fleet, place, now)
 
     def _weigh(
         self,
@@ -195,14 +220,18 @@
         count: int,
         request: requests.Request,
         fleet: views.Fleet,
+        place: str,
         now: float,
     ) -> list[_Candidate]:
         mean_wait_s = fleet.compute_mean_wait(request.service, request.priority)
+        mean_pace_s = fleet.compute_mean_pace(request.service)
         weighed: list[_Candidate] = []
         for _, view in zip(range(count), usable, strict=False):
             cached = self._prefixes.count_cached(view.instance, request.prefix_blocks)
             wait_s = view.predict_wait(request.priority, mean_wait_s, now)
             score_s = wait_s + 2 * view.latency_s - cached * SAVED_PER_BLOCK_S
+            score_s += OTHER_PLACE_COST_S if view.place != place else 0.0
+            score_s += request.cost_tokens * view.predict_pace(mean_pace_s, now)
             weighed.append(_Candidate(view.instance, score_s, wait_s, cached))
         return weighed
 
@@ -227,10 +256,8 @@
             yield view
 
 
-def _order_by_place(
-    usable: collections.abc.Iterator[views.EndpointView], place: str
-) -> list[views.EndpointView]:
-    return sorted(usable, key=lambda view: view.place != place)
+def _is_short(candidate: _Candidate | None, wait_s: float) -> bool:
+    return candidate is not None and candidate.wait_s <= wait_s
 
 
 def _find_best(weighed: list[_Candidate]) -> _Candidate | None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
@@ -13,7 +13,7 @@
 UNKNOWN_TOKENS_PER_S = 1000.0
 OCCUPANCY_COST_S = 0.05
 RETURN_S = 10.0
-RETURN_COST_S = 0.5
+RETURN_COST_S = 0.25
 NO_WAITS = (0.0,) * len(requests.PriorityClass)
 
 
@@ -35,6 +35,8 @@
         slots: Attempts that it runs at once; 0 when not known.
         occupied: Attempts that it had, running or waiting, at the last report.
         tokens_per_s: Tokens a second that it can generate.
+        pace_s: Seconds a token for each running attempt at the last report; None when
+            nothing ran.
         reported_at: Arrival of the last report; None before the first.
         reported_tokens: Unfinished tokens of all entries in the last report.
         reported_wait_s: Wait of each priority class in the last report.
@@ -60,6 +62,7 @@
     slots: int
     occupied: int
     tokens_per_s: float
+    pace_s: float | None
     reported_at: float | None
     reported_tokens: float
     reported_wait_s: tuple[float, ...]
@@ -100,8 +103,7 @@
         Returns:
             The wait in seconds, with a small cost for a fuller batch.
         """
-        age_s = 0.0 if self.reported_at is None else max(0.0, now - self.reported_at)
-        weight = math.exp(-age_s / RELAX_S)
+        weight = self._weigh_report(now)
         reported_s = self.reported_wait_s[priority]
         wait_s = mean_wait_s + (reported_s - mean_wait_s) * weight
         wait_s += self._compute_return_cost(now)
@@ -111,6 +113,23 @@
         ahead = sum(self.own_tokens[: priority + 1])
         return wait_s + OCCUPANCY_COST_S + ahead / self.tokens_per_s
 
+    def predict_pace(self, mean_pace_s: float, now: float) -> float:
+        """Predicts the seconds that a running request needs for a token.
+
+        Args:
+            mean_pace_s: Mean over the service, towards which a report loses its
+                weight as it ages.
+            now: Monotonic time in seconds.
+        """
+        if self.pace_s is None:
+            return mean_pace_s
+        return mean_pace_s + (self.pace_s - mean_pace_s) * self._weigh_report(now)
+
+    def _weigh_report(self, now: float) -> float:
+        if self.reported_at is None:
+            return 0.0
+        return math.exp(-max(0.0, now - self.reported_at) / RELAX_S)
+
     def _compute_return_cost(self, now: float) -> float:
         """Makes an endpoint that was taken out attract work again by and by."""
         passed_s = now - self.ejected_until
@@ -150,6 +169,9 @@
     ) -> float:
         """Returns the mean reported wait over a service's endpoints, in seconds."""
 
+    def compute_mean_pace(self, service: str) -> float:
+        """Returns the mean seconds a token over a service's endpoints."""
+
 
 def make_view(
     instance: str, place: str, service: str, latency_s: float
@@ -169,6 +191,7 @@
         slots=0,
         occupied=0,
         tokens_per_s=UNKNOWN_TOKENS_PER_S,
+        pace_s=None,
         reported_at=None,
         reported_tokens=0.0,
         reported_wait_s=NO_WAITS,
