Rank only endpoints that may hold the model, and keep leaving endpoints out

A suspect request gets the first two of its sequence and no others; where these lacked its model it could never run. A report sent before an agent learnt that it leaves no longer makes the endpoint look available again.

--- a/packages/chicoryweir-policy/benchmarks/routing.py
+++ b/packages/chicoryweir-policy/benchmarks/routing.py
@@ -14,8 +14,10 @@
 import pathlib
 import statistics
 import time
+import tracemalloc
 import unittest.mock
 
+import routing_endpoints
 import routing_model
 import routing_setup
 import routing_traffic
@@ -223,6 +225,32 @@
     return lines
 
 
+def measure_memory() -> list[str]:
+    """Measures the memory of an entry's books."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    book = loads.LoadBook("a", {})
+    for number in range(1000):
+        book.note_endpoint(f"agent-{number}", "a", "model")
+        book.note_link(f"agent-{number}", True, 0.0)
+        report = routing_endpoints.Engine("", "", "model").report(0)
+        book.note_report(f"agent-{number}", report, 0.0)
+    book.list_members("model")
+    after, _ = tracemalloc.get_traced_memory()
+    prefixes = prefix.PrefixBook()
+    for number in range(4000):
+        name = f"agent-{number % 48}"
+        prefixes.note_sent(name, prefix.hash_blocks(f"{number:256d}" * 8))
+    full, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return [
+        "\n## Memory of one entry\n",
+        f"- {(after - before) / 1000 / 1024:.2f} KiB for each endpoint linked",
+        f"- {(full - after) / 1024**2:.2f} MiB for a full book of "
+        f"{len(prefixes)} prompt blocks",
+    ]
+
+
 def _send_and_end(book: loads.LoadBook, instance: str) -> None:
     book.note_sent(instance, "x", 1, 60.0, requests.PriorityClass.STANDARD)
     book.note_finished(instance, "x")
@@ -250,6 +278,7 @@
         *measure_selection(),
         *measure_subsets(),
         *measure_processor_time(),
+        *measure_memory(),
     ]
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     OUTPUT.write_text("\n".join(lines) + "\n")
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import operator
 import typing
 
 import xxhash
@@ -71,7 +72,7 @@
         self._place = place
         self._place_latency_s = dict(place_latency_s)
         self._endpoints: dict[str, _Endpoint] = {}
-        self._members: dict[str, tuple[views.Member, ...]] = {}
+        self._members: dict[str, dict[str, tuple[views.Member, ...]]] = {}
         self._sums: dict[str, _Sums] = {}
 
     def note_endpoint(self, instance: str, place: str, service: str) -> None:
@@ -177,6 +178,8 @@
         endpoint = self._endpoints.get(instance)
         if endpoint is None:
             return
+        if report.models != endpoint.view.models:
+            self._members.pop(endpoint.view.service, None)
         own_tokens = self._cover(endpoint, report.acknowledged)
         rate = max(report.tokens_per_s, endpoint.view.tokens_per_s * RATE_MEMORY)
         first = endpoint.view.reported_at is None
@@ -185,7 +188,7 @@
         self._replace(
             endpoint,
             models=report.models,
-            leaving=report.leaving,
+            leaving=endpoint.view.leaving or report.leaving,
             serving=report.serving,
             incarnation=report.endpoint_incarnation,
             slots=report.slots,
@@ -200,24 +203,29 @@
             finished_tokens=0.0,
         )
 
-    def list_members(self, service: str) -> tuple[views.Member, ...]:
-        """Returns all known endpoints of a service, sorted by instance."""
-        members = self._members.get(service)
+    def list_members(self, service: str, model: str = "") -> tuple[views.Member, ...]:
+        """Returns the known endpoints of a service, sorted by instance.
+
+        Args:
+            service: The service.
+            model: Leaves out those that are known not to hold it; empty for any.
+
+        Returns:
+            The same object as before when nothing has changed.
+        """
+        by_model = self._members.setdefault(service, {})
+        members = by_model.get(model)
         if members is None:
             members = tuple(
-                views.Member(
-                    view.instance,
-                    view.place,
-                    view.latency_s,
-                    xxhash.xxh64_intdigest(view.instance.encode()),
-                )
-                for _, view in sorted(
-                    (instance, endpoint.view)
-                    for instance, endpoint in self._endpoints.items()
-                    if endpoint.view.service == service
+                _make_member(endpoint.view)
+                for _, endpoint in sorted(
+                    self._endpoints.items(), key=operator.itemgetter(0)
                 )
+                if endpoint.view.service == service and endpoint.view.may_hold(model)
             )
-            self._members[service] = members
+            if len(by_model) >= views.MAX_CACHED_MODELS:
+                by_model.clear()
+            by_model[model] = members
         return members
 
     def view(self, instance: str) -> views.EndpointView | None:
@@ -280,3 +288,8 @@
     if report.tokens_per_s <= 0.0:
         return MAX_PACE_S
     return min(MAX_PACE_S, report.running / report.tokens_per_s)
+
+
+def _make_member(view: views.EndpointView) -> views.Member:
+    name_hash = xxhash.xxh64_intdigest(view.instance.encode())
+    return views.Member(view.instance, view.place, view.latency_s, name_hash)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -141,7 +141,7 @@
 
     def __init__(self, prefixes: prefix.PrefixBook) -> None:
         self._prefixes = prefixes
-        self._zones: dict[str, _Zones] = {}
+        self._zones: dict[str, dict[str, _Zones]] = {}
 
     def select_endpoint(
         self,
@@ -155,9 +155,9 @@
         spill_wait_s: float = SPILL_WAIT_S,
     ) -> Selection:
         """Selects an endpoint; see `Selector`."""
-        zones = self._divide(request.service, fleet)
+        zones = self._divide(request, fleet)
         if not zones.members:
-            return NoneAvailable(Reason.NO_ENDPOINT, COME_BACK_MS)
+            return _explain_none(request, fleet, excluded, now, suspect)
         sequence = self._rank_candidates(request, zones.near)
         if suspect:
             sequence = sequence[:FIRST_CANDIDATES]
@@ -180,14 +180,17 @@
             return _explain_none(request, fleet, excluded, now, suspect)
         return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
 
-    def _divide(self, service: str, fleet: views.Fleet) -> _Zones:
-        members = fleet.list_members(service)
-        zones = self._zones.get(service)
+    def _divide(self, request: requests.Request, fleet: views.Fleet) -> _Zones:
+        members = fleet.list_members(request.service, request.model)
+        by_model = self._zones.setdefault(request.service, {})
+        zones = by_model.get(request.model)
         if zones is None or zones.members is not members:
             near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S)
             far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
             zones = _Zones(members, near or far, far if near else ())
-            self._zones[service] = zones
+            if len(by_model) >= views.MAX_CACHED_MODELS:
+                by_model.clear()
+            by_model[request.model] = zones
         return zones
 
     def _rank_candidates(
@@ -272,6 +275,8 @@
     suspect: bool,
 ) -> NoneAvailable:
     members = list(fleet.list_members(request.service))
+    if not members:
+        return NoneAvailable(Reason.NO_ENDPOINT, COME_BACK_MS)
     available = list(
         _iterate_available(members, request.model, fleet, frozenset(), now)
     )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
@@ -9,6 +9,7 @@
 from chicoryweir_policy import requests
 
 STALE_AFTER_S = 3.0
+MAX_CACHED_MODELS = 64
 RELAX_S = 2.0
 UNKNOWN_TOKENS_PER_S = 1000.0
 OCCUPANCY_COST_S = 0.05
@@ -83,6 +84,10 @@
             return False
         return not model or model in self.models
 
+    def may_hold(self, model: str) -> bool:
+        """Tells whether it holds a model, or has not reported what it holds."""
+        return not model or not self.models or model in self.models
+
     def estimate_tokens(self, now: float) -> float:
         """Estimates the unfinished tokens at `now`, each counted once."""
         age_s = 0.0 if self.reported_at is None else max(0.0, now - self.reported_at)
@@ -158,8 +163,8 @@
 class Fleet(typing.Protocol):
     """The endpoints among which a request is routed."""
 
-    def list_members(self, service: str) -> tuple[Member, ...]:
-        """Returns all known endpoints of a service, sorted by instance."""
+    def list_members(self, service: str, model: str = "") -> tuple[Member, ...]:
+        """Returns the endpoints of a service that may hold a model, sorted."""
 
     def view(self, instance: str) -> EndpointView | None:
         """Returns what is known of an endpoint, or None."""
--- a/packages/chicoryweir-policy/tests/routing/test_loads.py
+++ b/packages/chicoryweir-policy/tests/routing/test_loads.py
@@ -115,3 +115,12 @@
     book.note_link("agent-2", False, 0.0)
     assert not any(book.view(f"agent-{n}").is_available("", 1.0) for n in range(3))
     assert book.view("agent-1").is_available("", 2.0)
+
+
+def test_leaving_stays_known_until_the_endpoint_is_back(make_book, make_report) -> None:
+    book = make_book(1)
+    book.note_leaving("agent-0")
+    book.note_report("agent-0", make_report(), 0.5)
+    assert book.view("agent-0").leaving
+    book.note_link("agent-0", True, 1.0)
+    assert not book.view("agent-0").leaving
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -203,3 +203,16 @@
     assert shares[0] < shares[1] < shares[2]
     assert shares[0] > 0.0
     assert shares[2] > 0.45
+
+
+def test_suspect_pair_is_taken_from_the_endpoints_that_hold_the_model(
+    make_book, make_request, make_report
+):
+    book = make_book(16)
+    for number in range(14):
+        book.note_report(f"agent-{number}", make_report(models=("other",)), 0.0)
+    for number in range(20):
+        selected = _select(make_request(f"content-{number}"), book, suspect=True)
+        assert selected.instance in {"agent-14", "agent-15"}
+    book.note_link("agent-14", False, 1.0)
+    assert len(book.list_members("model-desk", "kakheti-1")) == 2
