Let a suspect request wait for its endpoints to come back

After a crash many innocent requests are suspects. Where the few endpoints that they may reach are only down, coming back helps; where those were lost to the request itself, it does not.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -29,7 +29,8 @@
         NO_ENDPOINT: The service has no known endpoint.
         UNAVAILABLE: Its endpoints are down, leaving, ejected, stale or lack the model.
         EXCLUDED: Those that are available were tried already.
-        SUSPECT: The few endpoints that a suspect request may reach are used up.
+        SUSPECT: The few endpoints that a suspect request may reach are used up, or,
+            where coming back helps, not available at present.
     """
 
     NO_ENDPOINT = "no_endpoint"
@@ -161,6 +162,8 @@
         sequence = self._rank_candidates(request, zones.near)
         if suspect:
             sequence = sequence[:FIRST_CANDIDATES]
+            if all(member.instance in excluded for member in sequence):
+                return NoneAvailable(Reason.SUSPECT, None)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
         weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
         best = _find_best(weighed)
@@ -283,6 +286,6 @@
     if not available:
         return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
     if suspect:
-        return NoneAvailable(Reason.SUSPECT, None)
+        return NoneAvailable(Reason.SUSPECT, COME_BACK_MS)
     assert any(view.instance in excluded for view in available)
     return NoneAvailable(Reason.EXCLUDED, COME_BACK_MS)
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -43,7 +43,10 @@
                 reached.add(selected.instance)
                 book.note_link(selected.instance, False, 0.0)
         assert len(reached) == 2
-        assert selected == selection.NoneAvailable(selection.Reason.SUSPECT, None)
+        assert selected.reason is selection.Reason.SUSPECT
+        assert selected.retry_after_ms == selection.COME_BACK_MS
+        used_up = _select(request, book, frozenset(reached), suspect=True)
+        assert used_up == selection.NoneAvailable(selection.Reason.SUSPECT, None)
 
 
 def test_repeated_prefix_returns_to_the_endpoint_that_caches_it(
