--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import operator
 import typing
 
 import xxhash
@@ -14,6 +15,7 @@
 
 OTHER_PLACE_LATENCY_S = 0.0015
 RATE_MEMORY = 0.98
+MAX_PACE_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,8 +33,10 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _WaitSums:
+class _Sums:
     endpoints: int = 0
+    paced: int = 0
+    pace_s: float = 0.0
     waits_s: list[float] = dataclasses.field(
         default_factory=lambda: list(views.NO_WAITS)
     )
@@ -43,6 +47,9 @@
         self.endpoints += sign
         for priority, wait_s in enumerate(view.reported_wait_s):
             self.waits_s[priority] += sign * wait_s
+        if view.pace_s is not None:
+            self.paced += sign
+            self.pace_s += sign * view.pace_s
 
 
 class LoadBook:
@@ -65,8 +72,8 @@
         self._place = place
         self._place_latency_s = dict(place_latency_s)
         self._endpoints: dict[str, _Endpoint] = {}
-        self._members: dict[str, tuple[views.Member, ...]] = {}
-        self._sums: dict[str, _WaitSums] = {}
+        self._members: dict[str, dict[str, tuple[views.Member, ...]]] = {}
+        self._sums: dict[str, _Sums] = {}
 
     def note_endpoint(self, instance: str, place: str, service: str) -> None:
         """Records that an endpoint is a member of a service."""
@@ -171,6 +178,8 @@
         endpoint = self._endpoints.get(instance)
         if endpoint is None:
             return
+        if report.models != endpoint.view.models:
+            self._members.pop(endpoint.view.service, None)
         own_tokens = self._cover(endpoint, report.acknowledged)
         rate = max(report.tokens_per_s, endpoint.view.tokens_per_s * RATE_MEMORY)
         first = endpoint.view.reported_at is None
@@ -179,12 +188,13 @@
         self._replace(
             endpoint,
             models=report.models,
-            leaving=report.leaving,
+            leaving=endpoint.view.leaving or report.leaving,
             serving=report.serving,
             incarnation=report.endpoint_incarnation,
             slots=report.slots,
             occupied=report.running + report.waiting,
             tokens_per_s=rate,
+            pace_s=_compute_pace(report),
             reported_at=now,
             reported_tokens=report.unfinished_tokens,
             reported_wait_s=report.wait_s,
@@ -193,24 +203,29 @@
             finished_tokens=0.0,
         )
 
-    def list_members(self, service: str) -> tuple[views.Member, ...]:
-        """Returns all known endpoints of a service, sorted by instance."""
-        members = self._members.get(service)
+    def list_members(self, service: str, model: str = "") -> tuple[views.Member, ...]:
+        """Returns the known endpoints of a service, sorted by instance.
+
+        Args:
+            service: The service.
+            model: Leaves out those that are known not to hold it; empty for any.
+
+        Returns:
+            The same object as before when nothing has changed.
+        """
+        by_model = self._members.setdefault(service, {})
+        members = by_model.get(model)
         if members is None:
             members = tuple(
-                views.Member(
-                    view.instance,
-                    view.place,
-                    view.latency_s,
-                    xxhash.xxh64_intdigest(view.instance.encode()),
-                )
-                for _, view in sorted(
-                    (instance, endpoint.view)
-                    for instance, endpoint in self._endpoints.items()
-                    if endpoint.view.service == service
+                _make_member(endpoint.view)
+                for _, endpoint in sorted(
+                    self._endpoints.items(), key=operator.itemgetter(0)
                 )
+                if endpoint.view.service == service and endpoint.view.may_hold(model)
             )
-            self._members[service] = members
+            if len(by_model) >= views.MAX_CACHED_MODELS:
+                by_model.clear()
+            by_model[model] = members
         return members
 
     def view(self, instance: str) -> views.EndpointView | None:
@@ -227,13 +242,18 @@
             return 0.0
         return max(0.0, sums.waits_s[priority] / sums.endpoints)
 
+    def compute_mean_pace(self, service: str) -> float:
+        """Returns the mean seconds a token over a service's endpoints."""
+        sums = self._sum(service)
+        return max(0.0, sums.pace_s / sums.paced) if sums.paced else 0.0
+
     def _find_latency(self, place: str) -> float:
         if place == self._place:
             return 0.0
         return self._place_latency_s.get(place, OTHER_PLACE_LATENCY_S)
 
-    def _sum(self, service: str) -> _WaitSums:
-        return self._sums.setdefault(service, _WaitSums())
+    def _sum(self, service: str) -> _Sums:
+        return self._sums.setdefault(service, _Sums())
 
     def _replace(self, endpoint: _Endpoint, **changes: typing.Any) -> None:
         sums = self._sum(endpoint.view.service)
@@ -260,3 +280,16 @@
             endpoint.covered[attempt_id] = attempt
             own_tokens[attempt.priority] -= attempt.tokens
         return views.NO_WAITS
+
+
+def _compute_pace(report: messages.LoadReport) -> float | None:
+    if report.running == 0:
+        return None
+    if report.tokens_per_s <= 0.0:
+        return MAX_PACE_S
+    return min(MAX_PACE_S, report.running / report.tokens_per_s)
+
+
+def _make_member(view: views.EndpointView) -> views.Member:
+    name_hash = xxhash.xxh64_intdigest(view.instance.encode())
+    return views.Member(view.instance, view.place, view.latency_s, name_hash)
