Bound the endpoints that one content can take down

Cause: a content could be tried at several endpoints at once, since each entry chose by its own view, copies queued before the news came were started, and a loss whose agent died with it was never told. Now every entry tries a suspect at the one endpoint that the content's hash gives, an agent refuses a suspect that its entry did not mark, a link that breaks under attempts counts as a loss until the endpoint reports again, and a stopping daemon flushes its links. Ruled out: a hold before the trial alone; it does not stop two entries that have both waited. The bound assumes that news arrives within the hold.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
@@ -56,11 +56,13 @@
 
     async def close(self) -> None:
         """Ends all links."""
+        open_links = list(self._links.values())
+        await asyncio.gather(*(link.flush() for link in open_links))
         for task in self._dialers.values():
             task.cancel()
         if self._server is not None:
             self._server.close()
-        for link in list(self._links.values()):
+        for link in open_links:
             await link.close()
 
     def _make_hello(self) -> messages.Hello:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -373,7 +373,8 @@
         if len(self._running) >= self._facts.slots or not self._load.serving:
             self._held.append(attempt_id)
             return
-        decided = self._isolation.decide_start(attempt.submit.fingerprint, now)
+        submit = attempt.submit
+        decided = self._isolation.decide_start(submit.fingerprint, submit.suspect, now)
         match decided:
             case isolation.Start():
                 self._start(attempt, now, out)
@@ -395,6 +396,8 @@
         self._running[submit.attempt_id] = attempt
         self._isolation.note_started(submit.attempt_id, submit.fingerprint)
         self._journal.note(submit.request_id, now, "endpoint", "sent")
+        started = messages.AttemptStarted(submit.attempt_id)
+        out.append(commands.Send(attempt.instance, attempt.session, started))
         out.append(
             commands.CallEndpoint(
                 attempt_id=submit.attempt_id,
@@ -409,8 +412,6 @@
                 resume_from=submit.resume_from,
             )
         )
-        started = messages.AttemptStarted(submit.attempt_id)
-        out.append(commands.Send(attempt.instance, attempt.session, started))
 
     def _relay_head(self, event: events.EndpointAnswered, out: Commands) -> None:
         attempt = self._running.get(event.attempt_id)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -21,6 +21,7 @@
 from chicoryweir_policy.cores.entry import grouping
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import peers
+from chicoryweir_policy.cores.entry import presumption
 from chicoryweir_policy.cores.entry import state as entry_state
 from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.groups import messages as group_messages
@@ -48,6 +49,7 @@
         self._claimer.connect(self._dispatcher.submit)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
+        self._presumption = presumption.Presumption(state.suspicions.book)
         self._drain_watch = draining.DrainWatch(state.facts.instance, state.operations)
         self._leaving_at: float | None = None
         self._drain_until = 0.0
@@ -150,6 +152,7 @@
                 self._receive_attempt(event, message, now, out)
             case messages.LoadReport():
                 self.state.loads.note_report(event.instance, message, now)
+                self._presumption.consume_report(event.instance, message, now)
             case messages.CacheNews():
                 self.state.prefixes.note_stored(event.instance, message.stored)
                 self.state.prefixes.note_evicted(event.instance, message.evicted)
@@ -282,10 +285,17 @@
         out.append(commands.Record(catalogue.LINK_CLOSED, "", event.instance, ""))
         link = self.state.agents.get(event.instance)
         if link is not None and link.session == event.session:
+            self._presume_loss(event, now)
             del self.state.agents[event.instance]
             self.state.loads.note_link(event.instance, False, now)
         self._dispatcher.consume_link_closed(event.session, now, out)
 
+    def _presume_loss(self, event: events.LinkClosed, now: float) -> None:
+        view = self.state.loads.view(event.instance)
+        broken = self.state.requests.list_session(event.session)
+        if view is not None:
+            self._presumption.presume(event.instance, view.incarnation, broken, now)
+
     def _tick(self, now: float, out: entry_state.Commands) -> None:
         self.state.settings.tick(now, out)
         self._dispatcher.run_retries(now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -54,7 +54,7 @@
         selected = state.selector.select_endpoint(
             live.request,
             state.loads,
-            frozenset(live.excluded),
+            live.lost_on if live.suspect else frozenset(live.excluded),
             state.facts.place,
             now,
             suspect=live.suspect,
@@ -100,7 +100,7 @@
                 return False
             case records.Suspected(lost_on, retry_at):
                 live.suspect = True
-                live.excluded |= lost_on
+                live.lost_on = lost_on
                 alone = not self._state.requests.is_content_sent(request.fingerprint)
                 if now >= retry_at and alone:
                     return True
@@ -117,14 +117,14 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        if none.reason is selection.Reason.EXCLUDED and live.attempts < (
-            live.effective.max_attempts
-        ):
+        may_wait = live.suspect and none.reason is selection.Reason.UNAVAILABLE
+        if none.reason is selection.Reason.EXCLUDED:
+            may_wait = live.attempts < live.effective.max_attempts
             live.excluded.clear()
-            retry_at = now + SUSPECT_WAIT_S
-            if retry_at < live.request.deadline_at:
-                self._state.requests.set_retry(live.request.request_id, retry_at)
-                return
+        retry_at = now + SUSPECT_WAIT_S
+        if may_wait and retry_at < live.request.deadline_at:
+            self._state.requests.set_retry(live.request.request_id, retry_at)
+            return
         outcome = outcomes.Outcome.NOT_RUN
         if live.may_have_run:
             outcome = outcomes.Outcome.UNKNOWN
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -51,6 +51,7 @@
         body_bytes: Size of those pieces.
         may_have_run: Whether an earlier attempt may have run.
         suspect: Whether an endpoint was lost while its content ran.
+        lost_on: Those endpoints.
         expired: Whether its deadline passed and the agent's word is awaited.
         limited: Whether it counts against the limits of its workspace.
         abandoned: Whether the caller is gone.
@@ -69,6 +70,7 @@
     body_bytes: int = 0
     may_have_run: bool = False
     suspect: bool = False
+    lost_on: frozenset[str] = frozenset()
     expired: bool = False
     limited: bool = False
     abandoned: bool = False
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
@@ -47,8 +47,15 @@
         self._instance = instance
         self._running: dict[str, int] = {}
 
-    def decide_start(self, fingerprint: int, now: float) -> Decision:
-        """Decides whether a request may start now."""
+    def decide_start(self, fingerprint: int, marked: bool, now: float) -> Decision:
+        """Decides whether a request may start now.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            marked: Whether its entry knew that it is suspected, and so sent it to
+                the one endpoint where suspects with this content are tried.
+            now: Present time, monotonic seconds.
+        """
         verdict = self._book.judge(fingerprint, now)
         match verdict:
             case records.Unsuspected():
@@ -56,7 +63,7 @@
             case records.Quarantined():
                 return Refuse(verdict)
             case records.Suspected():
-                if self._instance in verdict.lost_on:
+                if not marked or self._instance in verdict.lost_on:
                     return Refuse(verdict)
                 running = self._find_suspect(now)
                 return Start() if running is None else Hold(running)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -159,16 +159,16 @@
         zones = self._divide(request, fleet)
         if not zones.members:
             return _explain_none(request, fleet, excluded, now, suspect)
-        sequence = self._rank_candidates(request, zones.near)
         if suspect:
-            sequence = sequence[:FIRST_CANDIDATES]
-            if all(member.instance in excluded for member in sequence):
-                return NoneAvailable(Reason.SUSPECT, None)
+            return self._select_for_suspect(
+                request, zones.members, fleet, excluded, place, now
+            )
+        sequence = self._rank_candidates(request, zones.near)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
         weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
         best = _find_best(weighed)
         spilled = False
-        if not suspect and not _is_short(best, spill_wait_s):
+        if not _is_short(best, spill_wait_s):
             for _ in range(SPILL_CANDIDATES):
                 weighed += self._weigh(usable, 1, request, fleet, place, now)
                 if weighed and _is_short(weighed[-1], spill_wait_s):
@@ -183,6 +183,31 @@
             return _explain_none(request, fleet, excluded, now, suspect)
         return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
 
+    def _select_for_suspect(
+        self,
+        request: requests.Request,
+        members: tuple[views.Member, ...],
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+    ) -> Selection:
+        """Selects the one endpoint where every entry tries this content.
+
+        It does not move on while that endpoint is down, so that entries whose views
+        differ still try it at one endpoint.
+        """
+        ranked = rank_members(members, request.fingerprint)
+        sequence = [member for member in ranked if member.instance not in excluded][:1]
+        if not sequence:
+            return NoneAvailable(Reason.SUSPECT, None)
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        weighed = self._weigh(usable, 1, request, fleet, place, now)
+        if not weighed:
+            return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
+        only = weighed[0]
+        return Selected(only.instance, only.wait_s, only.cached_blocks, False)
+
     def _divide(self, request: requests.Request, fleet: views.Fleet) -> _Zones:
         members = fleet.list_members(request.service, request.model)
         by_model = self._zones.setdefault(request.service, {})
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
@@ -10,6 +10,7 @@
 from chicoryweir_standins.worlds import endpoints
 
 GONE = "gone"
+MAX_LOST_TO_POISON = 2
 
 
 class BrokenGuaranteeError(AssertionError):
@@ -120,3 +121,14 @@
         for key, count in by_key.items():
             if count > 1:
                 raise BrokenGuaranteeError(f"{key} ran {count} times")
+
+
+def check_poison(runs: list[endpoints.Run]) -> None:
+    """Checks how many endpoints each poisonous content took down."""
+    lost: dict[bytes, set[str]] = {}
+    for run in runs:
+        if run.body.startswith(endpoints.POISON):
+            lost.setdefault(run.body, set()).add(run.incarnation)
+    for body, incarnations in lost.items():
+        if len(incarnations) > MAX_LOST_TO_POISON:
+            raise BrokenGuaranteeError(f"{body!r} killed {sorted(incarnations)}")
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/exploration.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/exploration.py
@@ -10,13 +10,14 @@
 from chicoryweir_policy import requests
 from chicoryweir_policy.membership import instances
 from chicoryweir_standins.worlds import callers
+from chicoryweir_standins.worlds import endpoints
 from chicoryweir_standins.worlds import world
 
 ENTRIES = ("entry-1", "entry-2")
 AGENTS = ("agent-1", "agent-2", "agent-3")
 STEPS_A_WALK = 300
 CHECK_EVERY = 50
-MAX_PAUSE_S = 3.0
+PROMPT_S = 0.05
 _KEYS = ("k1", "k2", "k3", "k4")
 _WORKSPACES = ("small", "large")
 
@@ -43,8 +44,17 @@
 class Walker:
     """Chooses what happens next in one world."""
 
-    def __init__(self, walked: world.World, seed: int) -> None:
+    def __init__(self, walked: world.World, seed: int, prompt: bool = False) -> None:
+        """Starts a walk.
+
+        Args:
+            walked: The world.
+            seed: Seed of all choices.
+            prompt: Whether messages arrive within `PROMPT_S`, as the bound on the
+                endpoints lost to one content assumes.
+        """
         self.world = walked
+        self._prompt = prompt
         self._random = random.Random(seed)
         self._acts: list[tuple[Act, int]] = [
             (self._deliver, 60),
@@ -66,20 +76,32 @@
             (self._toggle_store, 1),
             (self._abandon, 1),
             (self._drain, 1),
+            (self._poison, 1),
         ]
 
     def walk(self, steps: int) -> None:
         """Takes steps, ends all faults, and checks that everyone got an answer."""
         acts = [act for act, _ in self._acts]
         weights = [weight for _, weight in self._acts]
+        if self._prompt:
+            slow = (self._lose, self._pause, self._cut)
+            weights = [
+                0 if act in slow else weight
+                for act, weight in zip(acts, weights, strict=True)
+            ]
         for step, act in enumerate(self._random.choices(acts, weights, k=steps)):
             act()
             if step % CHECK_EVERY == 0:
-                self.world.check()
+                self._check()
         self.world.settle()
-        self.world.check()
+        self._check()
         self._check_answered()
 
+    def _check(self) -> None:
+        self.world.check()
+        if self._prompt:
+            callers.check_poison(self.world.list_runs())
+
     def _check_answered(self) -> None:
         waiting = [
             told.request.request_id
@@ -163,7 +185,20 @@
         life_s = self._random.choice((0.3, 2.0, 10.0))
         self.world.call(node.name, body, idempotency, key, workspace, streamed, life_s)
 
+    def _poison(self) -> None:
+        node = self._pick(instances.Role.ENTRY, True)
+        if node is not None and not node.stopping:
+            body = endpoints.POISON + b"%d" % self._random.randrange(2)
+            idempotency = requests.Idempotency.IDEMPOTENT
+            self.world.call(node.name, body, idempotency)
+
     def _pass_time(self) -> None:
+        if self._prompt:
+            self.world.dial_all()
+            self.world.deliver_all()
+            self.world.pass_time(PROMPT_S)
+            self.world.deliver_all()
+            return
         self.world.pass_time(self._random.choice((0.01, 0.05, 0.3, 1.0)))
 
     def _probe(self) -> None:
@@ -178,7 +213,11 @@
 
     def _kill(self) -> None:
         node = self._pick_any(True)
-        if node is not None:
+        if node is None:
+            return
+        if self._prompt:
+            self.world.deliver_all()
+        if node.core is not None:
             self.world.kill(node.name)
 
     def _boot(self) -> None:
@@ -218,14 +257,16 @@
             self.world.drain(node.name)
 
 
-def walk_once(seed: int, steps: int = STEPS_A_WALK) -> world.World:
+def walk_once(
+    seed: int, steps: int = STEPS_A_WALK, prompt: bool = False
+) -> world.World:
     """Walks through one world; equal seeds give equal walks.
 
     Raises:
         BrokenGuaranteeError: A guarantee did not hold.
     """
     walked = world.World(ENTRIES, AGENTS)
-    Walker(walked, seed).walk(steps)
+    Walker(walked, seed, prompt).walk(steps)
     return walked
 
 
@@ -241,7 +282,7 @@
     while time.monotonic() < ends:
         seed = first_seed + walks
         try:
-            walked = walk_once(seed)
+            walked = walk_once(seed, prompt=seed % 2 == 1)
         except AssertionError as error:
             raise callers.BrokenGuaranteeError(f"seed {seed}: {error}") from error
         walks += 1
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
@@ -29,6 +29,7 @@
 QUEUE_LIMIT = 8
 TOKENS_PER_S = 1000.0
 LIFE_S = 10.0
+MAX_ROUNDS = 6
 
 Core = entry_core.EntryCore | agent_core.AgentCore
 
@@ -360,6 +361,17 @@
                 if _dials(dialer, listener):
                     self.dial(dialer.name, listener.name)
 
+    def deliver_all(self) -> None:
+        """Delivers every message that waits, and what follows from them."""
+        for _ in range(MAX_ROUNDS):
+            waiting = [
+                session
+                for session, link in self.links.items()
+                if any(link.queues.values())
+            ]
+            for session in waiting:
+                self._drain_link(session)
+
     def _drain_link(self, session: str) -> None:
         link = self.links.get(session)
         for to in (link.dialer, link.listener) if link is not None else ():
@@ -401,7 +413,18 @@
             self._carry_out(node, command)
         self._check_version(node)
         if node.stopping and not self.callers.list_open(node.name):
-            self.kill(node.name)
+            self._stop(node)
+
+    def _stop(self, node: Node) -> None:
+        """Ends a process that stopped gracefully: what it sent still arrives."""
+        node.stopping = False
+        node.core = None
+        for link in list(self.links.values()):
+            peer = link.listener if node.name == link.dialer else link.dialer
+            if node.name in (link.dialer, link.listener):
+                while link.session in self.links and link.queues[peer]:
+                    self.deliver(link.session, peer)
+        self.kill(node.name)
 
     def _check_version(self, node: Node) -> None:
         match node.core:
--- a/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
@@ -21,6 +21,7 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 4.0
+FLUSH_TIMEOUT_S = 1.0
 MAX_QUEUED_MESSAGES = 10_000
 
 
@@ -72,6 +73,13 @@
         with contextlib.suppress(websockets.exceptions.ConnectionClosed):
             while True:
                 await self.transmit(await self._outgoing.get())
+                self._outgoing.task_done()
+
+    async def flush(self) -> None:
+        """Waits until all queued messages were sent; gives up after a time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                await self._outgoing.join()
 
     async def transmit(self, message: messages.Message) -> None:
         """Sends one message, ahead of queued ones."""
