Clear requests that ran to their end shortly before a loss

A monitor's request that runs on every endpoint would be on both endpoints that a crashing one loses, could not be told apart from it, and would be refused for twelve hours. It ran to its end there before, which is as good as after.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 
 from chicoryweir_policy.quarantine import evidence
@@ -11,6 +12,8 @@
 SPREAD_HOLD_S = 0.25
 MAX_LOSSES = 128
 MAX_CLEARANCES = 4096
+RECENT_RUN_S = 600.0
+MAX_RECENT_RUNS = 1024
 MAX_FINGERPRINTS_PER_LOSS = 256
 
 
@@ -28,6 +31,9 @@
         self._cursor = 0
         self._findings: evidence.Findings | None = None
         self._expires_at = math.inf
+        self._finished_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
 
     def record_loss(
         self,
@@ -36,13 +42,25 @@
         fingerprints: frozenset[int],
         now: float,
     ) -> None:
-        """Records that an endpoint was lost while these requests ran on it."""
+        """Records that an endpoint was lost while these requests ran on it.
+
+        Those that ran to their end here shortly before are cleared at once.
+        """
         loss_id = records.LossId(instance, incarnation)
         self._add_loss(records.Loss(loss_id, fingerprints), now)
+        for fingerprint in sorted(fingerprints):
+            finished_at = self._finished_at.get(fingerprint, -math.inf)
+            if now - finished_at <= RECENT_RUN_S:
+                only = frozenset((loss_id,))
+                self._add_clearance(records.Clearance(fingerprint, only))
 
     def record_finished(self, fingerprint: int, now: float) -> None:
         """Records that a request ran to its end, which clears it of known losses."""
         self._expire(now)
+        self._finished_at[fingerprint] = now
+        self._finished_at.move_to_end(fingerprint)
+        if len(self._finished_at) > MAX_RECENT_RUNS:
+            self._finished_at.popitem(last=False)
         charged = self._charges.get_losses(fingerprint)
         if charged:
             self._add_clearance(records.Clearance(fingerprint, charged))
--- a/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
+++ b/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
@@ -49,6 +49,17 @@
     assert book.judge(1, 1.0) == records.Unsuspected()
 
 
+def test_request_that_ran_here_shortly_before_is_no_suspect() -> None:
+    book = suspicion.SuspicionBook()
+    book.record_finished(1, 0.0)
+    book.record_loss("x", "1", frozenset({POISON, 1}), 10.0)
+    book.record_loss("y", "1", frozenset({POISON, 1}), 20.0)
+    assert book.judge(1, 20.0) == records.Unsuspected()
+    assert isinstance(book.judge(POISON, 20.0), records.Quarantined)
+    book.record_loss("z", "1", frozenset({1}), suspicion.RECENT_RUN_S + 1.0)
+    assert isinstance(book.judge(1, suspicion.RECENT_RUN_S + 1.0), records.Suspected)
+
+
 def test_innocent_that_shared_endpoints_with_two_crashing_requests_is_retried() -> None:
     book = make_book(("x", {POISON, 1}), ("y", {POISON}), ("z", {7, 1}), ("w", {7}))
     assert isinstance(book.judge(POISON, 0.0), records.Quarantined)
