Price only a pace well beyond the mean

The pace of healthy endpoints differs with the size of their batches. Times the tokens of a long prompt, a tenth of it outweighed every wait.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -13,6 +13,8 @@
 
 NEAR_LATENCY_S = 0.005
 OTHER_PLACE_COST_S = 0.02
+PACE_TOLERANCE = 1.5
+MAX_PRICED_TOKENS = 500.0
 SAVED_PER_BLOCK_S = 0.01
 FIRST_CANDIDATES = 2
 SPILL_CANDIDATES = 4
@@ -231,13 +233,16 @@
     ) -> list[_Candidate]:
         mean_wait_s = fleet.compute_mean_wait(request.service, request.priority)
         mean_pace_s = fleet.compute_mean_pace(request.service)
+        usual_pace_s = mean_pace_s * PACE_TOLERANCE
+        priced_tokens = min(request.cost_tokens, MAX_PRICED_TOKENS)
         weighed: list[_Candidate] = []
         for _, view in zip(range(count), usable, strict=False):
             cached = self._prefixes.count_cached(view.instance, request.prefix_blocks)
             wait_s = view.predict_wait(request.priority, mean_wait_s, now)
             score_s = wait_s + 2 * view.latency_s - cached * SAVED_PER_BLOCK_S
             score_s += OTHER_PLACE_COST_S if view.place != place else 0.0
-            score_s += request.cost_tokens * view.predict_pace(mean_pace_s, now)
+            pace_s = view.predict_pace(mean_pace_s, now) - usual_pace_s
+            score_s += priced_tokens * max(0.0, pace_s)
             weighed.append(_Candidate(view.instance, score_s, wait_s, cached))
         return weighed
 
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -219,3 +219,18 @@
         assert selected.instance in {"agent-14", "agent-15"}
     book.note_link("agent-14", False, 1.0)
     assert len(book.list_members("model-desk", "kakheti-1")) == 2
+
+
+def test_slow_endpoint_is_avoided_and_usual_differences_are_not_priced(
+    make_book, make_request, make_report
+):
+    request = make_request("content")
+    book = make_book(16)
+    first = _select(request, book).instance
+    for member in book.list_members("model-desk"):
+        report = make_report(running=1, tokens_per_s=50.0)
+        book.note_report(member.instance, report, 0.0)
+    book.note_report(first, make_report(running=1, tokens_per_s=40.0), 0.0)
+    assert _select(request, book).instance == first
+    book.note_report(first, make_report(running=1, tokens_per_s=5.0), 0.0)
+    assert _select(request, book).instance != first
