--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/events.py
@@ -7,7 +7,9 @@
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
 from chicoryweir_policy import store
+from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.settings import copies
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,9 +19,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkOpened:
-    """A link to a peer is up; `hello` is what the peer said first."""
+    """A link to a peer is up.
+
+    Attributes:
+        hello: What the peer said first.
+        session: Identifier of the link, made by the side that listens.
+    """
 
     hello: messages.Hello
+    session: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,6 +155,21 @@
     evicted: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """A change that this process applied for an operator was accepted."""
+
+    copy: copies.Copy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesAsked:
+    """An operator asks what happened to a request."""
+
+    number: int
+    request_id: str
+
+
 Event = (
     Ticked
     | LinkOpened
@@ -163,4 +186,8 @@
     | EndpointFailed
     | EndpointProbed
     | CacheChanged
+    | SettingsChanged
+    | NotesAsked
+    | group_events.EngineObserved
+    | group_events.EngineReplied
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/membership/instances.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/membership/instances.py
@@ -1,32 +1,38 @@
-"""Instances as the platform lists them."""
+"""Instances as the platform's list names them."""
 
 from __future__ import annotations
 
 import dataclasses
+import enum
 
-from chicoryweir_policy import messages
+
+class Role(enum.Enum):
+    """What runs on an instance."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
-    """One daemon's instance.
+    """An instance of the fleet.
 
     Attributes:
-        instance: Name.
-        role: Role of the daemon on it.
-        place: Data centre.
-        service: Service of an agent's endpoint, or an empty string.
-        ip: IP number.
-        port: Port for callers, 0 for an agent.
-        link_port: Port for links between daemons.
-        leaving: Whether it is about to go.
+        instance: Name, unique in the fleet.
+        role: What runs on it.
+        place: Data centre it stands in.
+        service: Service its endpoint belongs to; empty for an entry.
+        ip: IP number it is reached at.
+        port: Port of its HTTP listener; 0 when it has none.
+        link_port: Port on which it accepts links of other daemons.
+        leaving: Whether the platform is about to stop it.
     """
 
     instance: str
-    role: messages.Role
+    role: Role
     place: str
     service: str
     ip: str
     port: int
     link_port: int
-    leaving: bool
+    leaving: bool = False
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -6,13 +6,11 @@
 import enum
 
 from chicoryweir_policy import requests
-
-
-class Role(enum.Enum):
-    """Role of a daemon."""
-
-    ENTRY = "entry"
-    AGENT = "agent"
+from chicoryweir_policy.admission import shares
+from chicoryweir_policy.groups import messages as group_messages
+from chicoryweir_policy.membership import instances
+from chicoryweir_policy.quarantine import records as suspicion_records
+from chicoryweir_policy.settings import heads
 
 
 class RejectReason(enum.Enum):
@@ -72,7 +70,7 @@
     """
 
     instance: str
-    role: Role
+    role: instances.Role
     place: str
     service: str
     incarnation: str
@@ -101,7 +99,8 @@
         content_type: Content type of the body.
         body: Body of the request.
         fingerprint: Hash of the request's content.
-        cost_tokens: Estimated tokens.
+        cost_tokens: Estimated prompt plus generated tokens.
+        prompt_tokens: Estimated tokens of the prompt alone.
         resume_from: Events of the answer that the caller already has.
         suspect: Whether an endpoint was lost while this content ran.
     """
@@ -123,6 +122,7 @@
     body: bytes
     fingerprint: int
     cost_tokens: float
+    prompt_tokens: float
     resume_from: int
     suspect: bool
 
@@ -306,26 +306,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsHead:
-    """The newest version of the settings that the sender knows."""
+    """The version of the settings in force at the sender; None for none."""
 
-    version: int
-    name: str
+    head: heads.Head | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsWanted:
-    """Asks a peer for a version of the settings."""
-
-    version: int
+    """Asks a peer for a copy of its version of the settings."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsBody:
     """A whole version of the settings."""
 
-    version: int
-    name: str
-    document: bytes
+    head: heads.Head
+    data: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -335,6 +331,58 @@
     sequence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestNote:
+    """One step of a request at the sender.
+
+    Attributes:
+        age_s: Time since, in seconds.
+        step: Step, such as `admission` or `routing`.
+        detail: What was decided and on what grounds.
+    """
+
+    age_s: float
+    step: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesWanted:
+    """Asks a peer for its notes on a request."""
+
+    number: int
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesFound:
+    """The notes asked for by `NotesWanted`; none if the request is not known."""
+
+    number: int
+    notes: tuple[RequestNote, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionNews:
+    """Losses of endpoints and clearances that the receiver may not know."""
+
+    news: suspicion_records.News
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitAsks:
+    """An entry asks its peers for parts of workspaces' limits."""
+
+    asks: shares.Asks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitLoans:
+    """Answer to `LimitAsks`."""
+
+    loans: shares.Loans
+
+
 Message = (
     Hello
     | SubmitAttempt
@@ -355,4 +403,13 @@
     | SettingsWanted
     | SettingsBody
     | Heartbeat
+    | NotesWanted
+    | NotesFound
+    | SuspicionNews
+    | LimitAsks
+    | LimitLoans
+    | group_messages.QueryRanks
+    | group_messages.PrepareMap
+    | group_messages.ReleaseMap
+    | group_messages.RankStatus
 )
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/load/driver.py
@@ -0,0 +1,68 @@
+"""Drives entries with open-loop arrivals."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+
+from chicoryweir_standins.load import addresses
+from chicoryweir_standins.load import arrivals
+from chicoryweir_standins.load import caller
+from chicoryweir_standins.load import connections
+from chicoryweir_standins.load import results
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to send, and where.
+
+    Attributes:
+        streams: Streams of requests.
+        seeds: Base URLs of the entries that are asked for addresses; with
+            `is_direct` the base URLs of engines.
+        service: Service whose addresses are looked up.
+        seed: Seed of the arrivals.
+        one_way_s: Latency injected between callers and entries, each way.
+        is_direct: Whether requests go straight to the engines.
+        shard: Which share of the arrivals this process sends.
+        shards: Number of processes that share the arrivals.
+        start_at: Monotonic time of the start; 0 for at once.
+    """
+
+    streams: tuple[arrivals.Stream, ...]
+    seeds: tuple[str, ...]
+    service: str
+    seed: int
+    one_way_s: float = 0.0
+    is_direct: bool = False
+    shard: int = 0
+    shards: int = 1
+    start_at: float = 0.0
+
+    def list_arrivals(self) -> list[arrivals.Arrival]:
+        """Returns the arrivals that this process sends."""
+        drawn = arrivals.draw_arrivals(self.streams, self.seed)
+        return drawn[self.shard :: self.shards]
+
+
+async def run_load(plan: LoadPlan) -> list[results.Result]:
+    """Sends all arrivals at their times; returns their results."""
+    async with contextlib.AsyncExitStack() as stack:
+        clients = connections.ClientPool(stack)
+        book = addresses.AddressBook(clients.pick(), plan.seeds, plan.service)
+        picks = random.Random(plan.seed)
+        started_at = max(time.monotonic(), plan.start_at)
+        tasks = []
+        for arrival in plan.list_arrivals():
+            due = started_at + arrival.at_s
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            urls = plan.seeds
+            if not plan.is_direct:
+                urls = await book.list_urls(time.monotonic())
+            target = caller.Target(picks.choice(urls), plan.one_way_s, plan.is_direct)
+            call = caller.call_model(clients.pick(), target, arrival, plan.seed, due)
+            tasks.append(asyncio.create_task(call))
+        return list(await asyncio.gather(*tasks))
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/switchboard.py
@@ -0,0 +1,127 @@
+"""Switchboard of the stand-ins: injects faults and counts runs."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import httpx
+import litestar
+from litestar import datastructures
+from litestar import params
+
+from chicoryweir_standins import reporting
+from chicoryweir_standins import serving
+from chicoryweir_standins.group import route
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SwitchboardConfig:
+    """Configuration of the switchboard.
+
+    Attributes:
+        ip: Address to listen on.
+        port: Port to listen on.
+        platform_url: Base URL of the platform's stand-in.
+        endpoint_urls: Base URL of each endpoint's stand-in by name.
+    """
+
+    ip: str
+    port: int
+    platform_url: str
+    endpoint_urls: dict[str, str]
+
+
+class RunCounts:
+    """Counts runs by idempotency key and by body."""
+
+    def __init__(self) -> None:
+        """Starts with no run."""
+        self.by_key: dict[str, int] = {}
+        self.by_body: dict[str, dict[str, int]] = {}
+        self._counted: set[str] = set()
+
+    def add(self, run: reporting.Run) -> None:
+        """Counts one run; a repeated report is ignored."""
+        if run.run_id in self._counted:
+            return
+        self._counted.add(run.run_id)
+        key = run.key
+        if key:
+            self.by_key[key] = self.by_key.get(key, 0) + 1
+        runs = self.by_body.setdefault(run.body_sha256, {})
+        runs[run.endpoint] = runs.get(run.endpoint, 0) + 1
+
+
+@litestar.post("/runs", status_code=200)
+async def add_runs(state: datastructures.State, data: params.JSONBody[Json]) -> Json:
+    """Takes the runs that an endpoint reports."""
+    for run in data["runs"]:
+        state.counts.add(reporting.Run(**run))
+    return {}
+
+
+@litestar.get("/runs")
+async def get_runs(state: datastructures.State) -> Json:
+    """Returns the runs by key and by body."""
+    return {"by_key": state.counts.by_key, "by_body": state.counts.by_body}
+
+
+@litestar.post("/platform", status_code=200)
+async def set_platform_faults(
+    state: datastructures.State, data: params.JSONBody[Json]
+) -> litestar.Response[Json]:
+    """Changes the platform's faults."""
+    url = state.config.platform_url + "/control/faults"
+    return await _forward(url, data)
+
+
+@litestar.post("/engine/{name:str}", status_code=200)
+async def set_engine_faults(
+    state: datastructures.State, name: params.FromPath[str], data: params.JSONBody[Json]
+) -> litestar.Response[Json]:
+    """Stalls an engine or a plain service, or lets it go on."""
+    url = state.config.endpoint_urls.get(name)
+    if url is None:
+        known = sorted(state.config.endpoint_urls)
+        return litestar.Response({"known": known}, status_code=404)
+    return await _forward(url + "/control/stall", data)
+
+
+async def _forward(url: str, data: Json) -> litestar.Response[Json]:
+    try:
+        async with httpx.AsyncClient(timeout=5.0) as client:
+            reply = await client.post(url, json=data)
+        return litestar.Response(reply.json(), status_code=reply.status_code)
+    except (httpx.HTTPError, ValueError) as error:
+        return litestar.Response({"detail": repr(error)}, status_code=502)
+
+
+def create_app(
+    config: SwitchboardConfig, coordinator: route.Coordinator
+) -> litestar.Litestar:
+    """Creates the switchboard's application."""
+    return litestar.Litestar(
+        route_handlers=[
+            add_runs,
+            get_runs,
+            set_platform_faults,
+            set_engine_faults,
+            route.serve_barrier,
+            route.get_violations,
+        ],
+        state=datastructures.State(
+            {"config": config, "counts": RunCounts(), "coordinator": coordinator}
+        ),
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+def run_switchboard(config: SwitchboardConfig) -> None:
+    """Serves until a signal."""
+    coordinator = route.Coordinator()
+    app = create_app(config, coordinator)
+    serving.run_app(app, config.ip, config.port, coordinator.run_steps)
