--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
@@ -59,6 +59,7 @@
             measured += await relay.measure_relay(running, seed)
     finally:
         await running.stop()
+    running.remove_files()
     return measured
 
 
@@ -76,4 +77,5 @@
                 await asyncio.sleep(_SETTLE_S)
     finally:
         await running.stop()
+    running.remove_files()
     return measured
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/demo/story.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/demo/story.py
@@ -26,7 +26,12 @@
         print(f"FAILED: {error!r}")
         code = 1
     print("8. Stopping: entries first, then agents, each after its last request")
-    return max(code, await _stop(running))
+    code = max(code, await _stop(running))
+    if code == 0:
+        running.remove_files()
+    else:
+        print(f"Configuration and logs are in {running.directory}")
+    return code
 
 
 async def _tell_story(running: fleet.Fleet) -> None:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import secrets
+import shutil
 import tempfile
 import typing
 
@@ -100,6 +101,10 @@
             codes.update(await processes.stop_all(chosen, timeout_s))
         return codes
 
+    def remove_files(self) -> None:
+        """Removes the configuration and the logs."""
+        shutil.rmtree(self.directory, ignore_errors=True)
+
     def describe(self) -> dict[str, typing.Any]:
         """Returns what a caller needs to use the fleet."""
         return {
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/up.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/up.py
@@ -44,4 +44,5 @@
         stopping.cancel()
         await asyncio.gather(starting, stopping, return_exceptions=True)
         await running.stop()
+    running.remove_files()
     return 0
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/command.py
@@ -54,7 +54,10 @@
         codes = await running.stop()
     kinds = {process.name: process.kind for process in running.plan.processes}
     found.exit_codes = {n: c for n, c in codes.items() if kinds[n] in _DAEMONS}
-    return _print_verdict(seed, found, runs, running)
+    code = _print_verdict(seed, found, runs, running)
+    if code == 0:
+        running.remove_files()
+    return code
 
 
 async def _run_faults(context: callers.CallerContext, seconds: float) -> None:
