--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/changes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/changes.py
@@ -169,7 +169,7 @@
         case Stage.COMMIT, store.Committed():
             return Applied(copies.Copy(_make_head(change), change.data))
         case Stage.COMMIT, store.Conflicted():
-            return _send(change, Stage.HEAD, _read_heads(change.proposal), now)
+            return _retry(change, Stage.HEAD, _read_heads(change.proposal), now)
         case Stage.COMMIT, store.Unknown():
             uncertain = dataclasses.replace(change, uncertain=True)
             return _retry(uncertain, Stage.HEAD, _read_heads(change.proposal), now)
