Stop a fleet that an interrupted command started

Bench and soak left their processes behind when they were ended by a signal: only up handled it. Signals now cancel the command, and the kernel ends the children of a launcher that was killed.

--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
@@ -12,6 +12,7 @@
 from chicoryweir_standins.bench import relay
 from chicoryweir_standins.bench import report
 from chicoryweir_standins.launch import fleet
+from chicoryweir_standins.launch import signals
 
 _SETTLE_S = 1.0
 
@@ -33,7 +34,7 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Runs the command; returns its exit code."""
-    return asyncio.run(_run_all(arguments))
+    return signals.run_cancellable(_run_all(arguments))
 
 
 async def _run_all(arguments: argparse.Namespace) -> int:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/demo/story.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/demo/story.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import httpx
 
 from chicoryweir_standins.demo import calls
@@ -17,14 +19,16 @@
     running = fleet.create_fleet(plan.FleetSize())
     names = ", ".join(process.name for process in running.plan.processes)
     print(f"1. Starting separate processes on loopback: {names}")
-    code = 0
+    code = 1
     try:
         await running.start()
         print("   All entries are ready.")
         await _tell_story(running)
+        code = 0
     except (fleet.StartError, calls.DemoError, httpx.HTTPError) as error:
         print(f"FAILED: {error!r}")
-        code = 1
+    except asyncio.CancelledError:
+        print("Interrupted")
     print("8. Stopping: entries first, then agents, each after its last request")
     code = max(code, await _stop(running))
     if code == 0:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/processes.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import ctypes
 import pathlib
 import signal
 import sys
@@ -13,6 +14,7 @@
 
 _DAEMONS = ("entry", "agent")
 _KILL_WAIT_S = 5.0
+_PR_SET_PDEATHSIG = 1
 
 
 class Child:
@@ -51,6 +53,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                preexec_fn=_end_with_parent,
             )
 
     async def wait(self) -> int:
@@ -91,6 +94,12 @@
         return "\n".join(text.splitlines()[-lines:])
 
 
+def _end_with_parent() -> None:
+    """Lets the kernel end a child whose launcher was killed."""
+    if sys.platform == "linux":
+        ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGTERM)
+
+
 async def stop_all(
     children: collections.abc.Iterable[Child], timeout_s: float
 ) -> dict[str, int | None]:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/up.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/up.py
@@ -4,20 +4,11 @@
 
 import asyncio
 import json
-import signal
 import sys
 
 from chicoryweir_standins.launch import fleet
 from chicoryweir_standins.launch import plan
-
-
-def install_stop_event() -> asyncio.Event:
-    """Returns an event that SIGINT and SIGTERM set."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stop.set)
-    return stop
+from chicoryweir_standins.launch import signals
 
 
 async def run_until_stopped(size: plan.FleetSize) -> int:
@@ -26,7 +17,7 @@
     Returns:
         The exit code.
     """
-    stop = install_stop_event()
+    stop = signals.create_stop_event()
     running = fleet.create_fleet(size)
     starting = asyncio.create_task(running.start())
     stopping = asyncio.create_task(stop.wait())
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/load/driver.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/load/driver.py
@@ -55,14 +55,17 @@
         book = addresses.AddressBook(clients.pick(), plan.seeds, plan.service)
         picks = random.Random(plan.seed)
         started_at = max(time.monotonic(), plan.start_at)
-        tasks = []
-        for arrival in plan.list_arrivals():
-            due = started_at + arrival.at_s
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            urls = plan.seeds
-            if not plan.is_direct:
-                urls = await book.list_urls(time.monotonic())
-            target = caller.Target(picks.choice(urls), plan.one_way_s, plan.is_direct)
-            call = caller.call_model(clients.pick(), target, arrival, plan.seed, due)
-            tasks.append(asyncio.create_task(call))
-        return list(await asyncio.gather(*tasks))
+        calls = []
+        async with asyncio.TaskGroup() as group:
+            for arrival in plan.list_arrivals():
+                due = started_at + arrival.at_s
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                urls = plan.seeds
+                if not plan.is_direct:
+                    urls = await book.list_urls(time.monotonic())
+                url = picks.choice(urls)
+                target = caller.Target(url, plan.one_way_s, plan.is_direct)
+                client = clients.pick()
+                call = caller.call_model(client, target, arrival, plan.seed, due)
+                calls.append(group.create_task(call))
+        return [call.result() for call in calls]
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/callers.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/callers.py
@@ -46,16 +46,13 @@
 async def send_payments(context: CallerContext, until: asyncio.Event) -> None:
     """Sends non-idempotent calls until the event, each of them more than once."""
     draws = random.Random(f"{context.seed}/payments")
-    pending: set[asyncio.Task[None]] = set()
     number = 0
-    while not until.is_set():
-        number += 1
-        urls = draws.choices(context.running.plan.entry_urls, k=_PAYMENT_SENDS)
-        task = asyncio.create_task(_send_payment(context, number, urls))
-        pending.add(task)
-        task.add_done_callback(pending.discard)
-        await asyncio.sleep(draws.expovariate(1 / _PAYMENT_GAP_S))
-    await asyncio.gather(*pending)
+    async with asyncio.TaskGroup() as payments:
+        while not until.is_set():
+            number += 1
+            urls = draws.choices(context.running.plan.entry_urls, k=_PAYMENT_SENDS)
+            payments.create_task(_send_payment(context, number, urls))
+            await asyncio.sleep(draws.expovariate(1 / _PAYMENT_GAP_S))
 
 
 async def _send_payment(context: CallerContext, number: int, urls: list[str]) -> None:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/command.py
@@ -11,6 +11,7 @@
 
 from chicoryweir_standins.launch import fleet
 from chicoryweir_standins.launch import plan
+from chicoryweir_standins.launch import signals
 from chicoryweir_standins.load import arrivals
 from chicoryweir_standins.load import driver
 from chicoryweir_standins.load import results
@@ -35,7 +36,7 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Runs the command; returns its exit code, 1 after a broken invariant."""
-    return asyncio.run(_soak(arguments.seed, arguments.seconds))
+    return signals.run_cancellable(_soak(arguments.seed, arguments.seconds))
 
 
 async def _soak(seed: int, seconds: float) -> int:
@@ -66,18 +67,16 @@
     endpoints = running.list_names("engine") + running.list_names("service")
     faults = schedule.draw_faults(context.seed, seconds, daemons, endpoints)
     done = asyncio.Event()
-    beside = [
-        asyncio.create_task(_send_answers(context, seconds)),
-        asyncio.create_task(callers.send_payments(context, done)),
-        asyncio.create_task(
-            operators.watch_versions(context.client, running, found, done)
-        ),
-    ]
     started_at = time.monotonic()
-    await injection.Injector(context).run(faults, started_at)
-    await asyncio.sleep(max(0.0, started_at + seconds - time.monotonic()))
-    done.set()
-    await asyncio.gather(*beside)
+    async with asyncio.TaskGroup() as beside:
+        beside.create_task(_send_answers(context, seconds))
+        beside.create_task(callers.send_payments(context, done))
+        beside.create_task(
+            operators.watch_versions(context.client, running, found, done)
+        )
+        await injection.Injector(context).run(faults, started_at)
+        await asyncio.sleep(max(0.0, started_at + seconds - time.monotonic()))
+        done.set()
 
 
 async def _send_answers(context: callers.CallerContext, seconds: float) -> None:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/soak/injection.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/soak/injection.py
@@ -37,15 +37,14 @@
 
     async def run(self, faults: list[schedule.Fault], started_at: float) -> None:
         """Brings about each fault at its time; returns once all are undone."""
-        tasks = []
         try:
-            for fault in faults:
-                due = started_at + fault.at_s
-                await asyncio.sleep(max(0.0, due - time.monotonic()))
-                print(f"  {fault.describe()}", flush=True)
-                self._number += 1
-                tasks.append(asyncio.create_task(self._inject(fault, self._number)))
-            await asyncio.gather(*tasks)
+            async with asyncio.TaskGroup() as lasting:
+                for fault in faults:
+                    due = started_at + fault.at_s
+                    await asyncio.sleep(max(0.0, due - time.monotonic()))
+                    print(f"  {fault.describe()}", flush=True)
+                    self._number += 1
+                    lasting.create_task(self._inject(fault, self._number))
         finally:
             for child in self._running.children.values():
                 child.send_signal(signal.SIGCONT)
