--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/processor.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/processor.py
@@ -1,4 +1,4 @@
-"""Processor time of a process."""
+"""Processor time and memory of a process."""
 
 from __future__ import annotations
 
@@ -16,3 +16,9 @@
     # The second field, the name, is in parentheses and may hold spaces.
     fields = stat.rpartition(")")[2].split()
     return (int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])) / _TICKS_PER_S
+
+
+def read_memory(pid: int) -> int:
+    """Returns the resident memory of a process, in bytes."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
