--- a/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/command.py
@@ -35,12 +35,16 @@
 
 async def _measure(output: pathlib.Path) -> int:
     samples = await idle.measure_idle()
+    _write_report(samples, output)
+    return 0
+
+
+def _write_report(samples: list[slopes.Sample], output: pathlib.Path) -> None:
     page = render_page(slopes.fit_slopes(samples))
     output.mkdir(parents=True, exist_ok=True)
     (output / "idle.md").write_text(page)
     (output / "idle.csv").write_text(render_table(samples))
     print(page)
-    return 0
 
 
 def render_page(fitted: list[slopes.Slope]) -> str:
