--- a/packages/chicoryweir-standins/src/chicoryweir_standins/demo/operators.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/demo/operators.py
@@ -50,8 +50,9 @@
 
 
 async def change_settings(running: fleet.Fleet) -> None:
-    """Gives the clerks half of the weight of other workspaces, and checks it."""
+    """Adds a workspace with half of the weight of the others."""
     tree = copy.deepcopy(running.plan.settings)
+    tree["workspaces"]["clerks"] = {"keys_sha256": []}
     clerks = {"clerks": {"settings": {"weight": 0.5}}}
     services = {"model-desk": {"workspaces": clerks}}
     tree["fleet"]["places"] = {"*": {"services": services}}
