Check settings documents and settle conflicting writes by reading back

The machine of random histories found a change reported as without effect although it was accepted: a transport that repeats a write makes it conflict with itself, and the read-back then timed out. A conflict now counts as uncertain until the history row tells whose change won.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/changes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/changes.py
@@ -112,7 +112,7 @@
         row_version: Version of the head row as last read.
         current: Copy of the version that the head names, once known.
         stored: Whether the object is stored.
-        uncertain: Whether a transaction was sent whose reply was lost.
+        uncertain: Whether a transaction was sent that may have taken effect.
     """
 
     proposal: Proposal
@@ -168,9 +168,8 @@
             return _commit(dataclasses.replace(change, stored=True), now)
         case Stage.COMMIT, store.Committed():
             return Applied(copies.Copy(_make_head(change), change.data))
-        case Stage.COMMIT, store.Conflicted():
-            return _retry(change, Stage.HEAD, _read_heads(change.proposal), now)
-        case Stage.COMMIT, store.Unknown():
+        case Stage.COMMIT, store.Conflicted() | store.Unknown():
+            # A transport that repeats a write makes it conflict with itself.
             uncertain = dataclasses.replace(change, uncertain=True)
             return _retry(uncertain, Stage.HEAD, _read_heads(change.proposal), now)
         case _:
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/settings/test_validation.py
@@ -0,0 +1,70 @@
+"""Tests of the checks: every fault at once, with its path and allowed values."""
+
+import copy
+import typing
+
+import pytest
+
+from chicoryweir_policy.settings import validation
+
+SOUND: dict[str, typing.Any] = {
+    "workspaces": {"relay": {"keys_sha256": ["ab" * 32]}},
+    "operators": {"dato": {"keys_sha256": ["cd" * 32]}},
+    "services": {"model-desk": {"kind": "model", "models": ["kakheti-1"]}},
+    "fleet": {
+        "places": {
+            "telavi": {"services": {"model-desk": {"workspaces": {"relay": {}}}}}
+        }
+    },
+}
+
+
+RELAY_NODE = "/fleet/places/telavi/services/model-desk/workspaces/relay"
+
+
+def test_sound_document_has_no_faults() -> None:
+    assert validation.find_faults(SOUND) == ()
+
+
+def test_every_fault_is_reported_at_once() -> None:
+    document = copy.deepcopy(SOUND)
+    document["fleet"]["settings"] = {"deadline_m": 1, "weight": -1, "max_attempts": "x"}
+    document["fleet"]["places"]["bad name"] = {}
+    document["services"]["ledger"] = {"kind": "odd"}
+    found = {fault.path: fault for fault in validation.find_faults(document)}
+    assert set(found) == {
+        "/fleet/places/bad name",
+        "/fleet/settings/deadline_m",
+        "/fleet/settings/max_attempts",
+        "/fleet/settings/weight",
+        "/services/ledger/kind",
+    }
+    assert "deadline_ms" in found["/fleet/settings/deadline_m"].problem
+    assert found["/fleet/settings/deadline_m"].key
+    assert "from 0.001 to 1000" in found["/fleet/settings/weight"].allowed
+    assert found["/services/ledger/kind"].allowed == "one of model, plain"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "fault_path"),
+    [
+        (["services", "model-desk", "kind"], "plain", "/services/model-desk/models"),
+        (["operators"], {}, "/operators"),
+        (
+            ["operators", "dato", "keys_sha256"],
+            ["AB" * 32],
+            "/operators/dato/keys_sha256/0",
+        ),
+        (["workspaces"], {}, RELAY_NODE),
+        (["fleet", "settings"], {"floor_share": 0.4}, "/fleet/settings/floor_share"),
+    ],
+)
+def test_parts_that_disagree_are_refused(
+    path: list[str], value: object, fault_path: str
+) -> None:
+    document = copy.deepcopy(SOUND)
+    target = document
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = value
+    assert [fault.path for fault in validation.find_faults(document)] == [fault_path]
--- a/packages/chicoryweir-policy/tests/settings/test_versions_machine.py
+++ b/packages/chicoryweir-policy/tests/settings/test_versions_machine.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.settings import versions
 
 PROCESSES = ("entry-1", "entry-2", "agent-1")
+LOSSES = ("", "before", "after", "late", "repeated")
 Reply = typing.Callable[[store.Result], None]
 
 
@@ -143,6 +144,9 @@
         elif loss == "after":
             self.table.run(operation)
             reply(lost)
+        elif loss == "repeated":
+            self.table.run(operation)
+            reply(self.table.run(operation))
         elif loss == "late":
             self.pending.append(lambda: self.table.run(operation) and None)
             reply(lost)
@@ -152,9 +156,13 @@
     def drive(
         self, name: str, process: Process, step: changes.Step, losses: list[str]
     ) -> None:
+        replied = False
+
         def reply(result: store.Result) -> None:
-            if not process.alive:
+            nonlocal replied
+            if not process.alive or replied:
                 return
+            replied = True
             after = changes.advance_change(step.change, result, self.now)
             if isinstance(after, changes.Step):
                 self.drive(name, process, after, losses)
@@ -186,7 +194,7 @@
     @stateful.rule(
         name=st.sampled_from(PROCESSES),
         behind=st.integers(0, 1),
-        losses=st.lists(st.sampled_from(["", "before", "after", "late"]), max_size=8),
+        losses=st.lists(st.sampled_from(LOSSES), max_size=8),
     )
     def propose(self, name: str, behind: int, losses: list[str]) -> None:
         held = self.fleet[name].book.held
