Add the operators' command line

settings check reads with tree-sitter-json, as it alone keeps the position of each value and finds every fault at once. Its grammar knows no plus in an exponent (1e+16), so the sign is dropped at equal length before parsing.

--- /dev/null
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the `chicoryweir` binary."""
+
+from __future__ import annotations
+
+from chicoryweir_cli import app
+
+
+def main() -> None:
+    """Runs the command line."""
+    app.app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/app.py
@@ -0,0 +1,107 @@
+"""The operators' commands."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+import uuid
+
+import typer
+
+from chicoryweir_cli import rendering
+from chicoryweir_cli import session
+from chicoryweir_cli import settings
+from chicoryweir_policy import store
+
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="Operate chicoryweir: settings, status, audit, drains.",
+)
+app.add_typer(settings.app, name="settings")
+
+After = typing.Annotated[int, typer.Option("--after", min=0, help="Last one seen.")]
+_STATUS_LISTS = ("outcomes", "endpoints", "entries", "groups")
+
+
+@app.command("status")
+def show_status(
+    client_file: session.ClientFile = None, as_json: session.JsonFlag = False
+) -> None:
+    """Show which outcomes are kept, and what the system is doing about the rest."""
+    body = session.fetch(client_file, "/operator/status")
+    if as_json:
+        rendering.print_json(body)
+        return
+    rest = {name: body[name] for name in body if name not in _STATUS_LISTS}
+    rendering.print_line(rendering.format_fields(rest))
+    for name in _STATUS_LISTS:
+        for item in rendering.list_items(body, name):
+            rendering.print_line(f"{name}: {rendering.format_fields(item)}")
+
+
+@app.command("audit")
+def show_audit(
+    after: After = 0,
+    limit: typing.Annotated[int, typer.Option("--limit", min=1, max=10_000)] = 200,
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """List who changed what, when and why."""
+    params = {"after": str(after), "limit": str(limit)}
+    body = session.fetch(client_file, "/operator/audit", params)
+    _print_items(body, "rows", as_json)
+
+
+@app.command("explain")
+def explain_request(
+    request_id: str,
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """Tell what the system decided about one request, and why."""
+    quoted = urllib.parse.quote(request_id, safe="")
+    body = session.fetch(client_file, f"/operator/explain/{quoted}")
+    if not as_json and body.get("found") is False:
+        rendering.print_line(f"no entry remembers request {request_id}")
+    _print_items(body, "records", as_json)
+
+
+@app.command("events")
+def show_events(
+    after: After = 0,
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """List what happened, by numbered event."""
+    body = session.fetch(client_file, "/operator/events", {"after": str(after)})
+    _print_items(body, "events", as_json)
+
+
+@app.command("drain")
+def drain_instance(
+    instance: str,
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """Take an instance out of service without cutting off its requests."""
+    request: dict[str, store.Json] = {
+        "instance": instance,
+        "change_id": uuid.uuid4().hex,
+    }
+    answer = session.open_client(client_file).post("/operator/drain", request)
+    body = session.accept(answer)
+    if as_json:
+        rendering.print_json(body)
+    else:
+        change_id = rendering.format_value(body.get("change_id"))
+        rendering.print_line(f"{instance} is draining (change {change_id})")
+
+
+def _print_items(body: dict[str, store.Json], name: str, as_json: bool) -> None:
+    if as_json:
+        rendering.print_json(body)
+        return
+    for item in rendering.list_items(body, name):
+        rendering.print_line(rendering.format_fields(item))
--- /dev/null
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/reading.py
@@ -0,0 +1,229 @@
+"""Reads JSON with comments and keeps the position of every value."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import json
+import math
+import re
+
+import tree_sitter
+import tree_sitter_json
+
+from chicoryweir_policy import store
+from chicoryweir_policy.settings import difference
+from chicoryweir_policy.settings import faults
+
+MAX_FILE_BYTES = 16 << 20
+MAX_DEPTH = 64
+MAX_DIGITS = 300
+MAX_SYNTAX_FAULTS = 100
+_LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
+_STRING_COMMENT_OR_SIGN = re.compile(
+    rb'("(?:\\.|[^"\\\n])*"|//[^\n]*|/\*.*?\*/)|(?<=[0-9])[eE]\+(?=[0-9])',
+    re.DOTALL,
+)
+_CONSTANTS: dict[str, store.Json] = {"true": True, "false": False, "null": None}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Position:
+    """Place in a file; line and column count from 1, columns in characters."""
+
+    line: int
+    column: int
+
+
+START = Position(1, 1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LocatedFault:
+    """A fault and where in the file it stands."""
+
+    position: Position
+    fault: faults.Fault
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """What a file holds.
+
+    Attributes:
+        document: The document; meaningless when there are faults.
+        values: Position of each value by JSON pointer.
+        keys: Position of each key by JSON pointer.
+        found: Faults of syntax, doubled keys included.
+    """
+
+    document: store.Json
+    values: collections.abc.Mapping[str, Position]
+    keys: collections.abc.Mapping[str, Position]
+    found: tuple[LocatedFault, ...]
+
+    def locate(self, fault: faults.Fault) -> Position:
+        """Returns the position of a fault, or of the nearest value around it."""
+        path = fault.path
+        if fault.key and path in self.keys:
+            return self.keys[path]
+        while path not in self.values and path:
+            path = path.rpartition("/")[0]
+        return self.values.get(path, START)
+
+
+def read_text(data: bytes) -> Reading:
+    """Reads a file; never raises, whatever the bytes are."""
+    if len(data) > MAX_FILE_BYTES:
+        return _refuse(START, "file is too long", f"{len(data)} bytes")
+    data = data.removeprefix(b"\xef\xbb\xbf")
+    try:
+        data.decode()
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        begin = data.rfind(b"\n", 0, error.start) + 1
+        column = len(data[begin : error.start].decode(errors="replace")) + 1
+        byte = f"byte 0x{data[error.start]:02x}"
+        return _refuse(Position(line, column), "file is not UTF-8 text", byte)
+    return _Reader(data).read()
+
+
+def _refuse(position: Position, problem: str, found: str) -> Reading:
+    fault = faults.Fault("", problem, found, f"JSON text up to {MAX_FILE_BYTES} bytes")
+    return Reading(None, {}, {}, (LocatedFault(position, fault),))
+
+
+class _Reader:
+    """Walks the syntax tree of one file."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self._lines = data.split(b"\n")
+        self._values: dict[str, Position] = {}
+        self._keys: dict[str, Position] = {}
+        self._found: list[LocatedFault] = []
+
+    def read(self) -> Reading:
+        text = _drop_exponent_signs(self._data)
+        root = tree_sitter.Parser(_LANGUAGE).parse(text).root_node
+        document: store.Json = None
+        tops = [node for node in root.named_children if node.type != "comment"]
+        if root.has_error:
+            self._find_syntax_faults(root)
+        elif len(tops) != 1:
+            node = tops[1] if tops else root
+            self._add(node, "", "file does not hold one value", "one JSON object")
+        if not self._found:
+            document = self._read_value(tops[0], "", 0)
+        return Reading(document, self._values, self._keys, tuple(self._found))
+
+    def _find_syntax_faults(self, root: tree_sitter.Node) -> None:
+        waiting = [root]
+        while waiting and len(self._found) < MAX_SYNTAX_FAULTS:
+            node = waiting.pop()
+            if node.is_missing and not _is_trailing_comma(node):
+                self._add(node, "", f"{node.type} is missing", f"{node.type} here")
+            elif node.type == "ERROR" and not _is_trailing_comma(node):
+                self._add(node, "", "text is not JSON", "JSON with comments")
+            elif node.has_error:
+                waiting.extend(reversed(node.children))
+
+    def _read_value(self, node: tree_sitter.Node, path: str, depth: int) -> store.Json:
+        self._values[path] = self._locate(node)
+        if depth > MAX_DEPTH:
+            self._add(node, path, "nested too deeply", f"up to {MAX_DEPTH} levels")
+            return None
+        match node.type:
+            case "object":
+                return self._read_object(node, path, depth)
+            case "array":
+                items = [n for n in node.named_children if _is_value(n)]
+                return [
+                    self._read_value(item, f"{path}/{index}", depth + 1)
+                    for index, item in enumerate(items)
+                ]
+            case "string":
+                return self._read_string(node, path)
+            case "number":
+                return self._read_number(node, path)
+            case _:
+                return _CONSTANTS.get(_text(node))
+
+    def _read_object(
+        self, node: tree_sitter.Node, path: str, depth: int
+    ) -> dict[str, store.Json]:
+        document: dict[str, store.Json] = {}
+        for pair in node.named_children:
+            key_node = pair.child_by_field_name("key")
+            value_node = pair.child_by_field_name("value")
+            if key_node is None or value_node is None:
+                continue
+            key = self._read_string(key_node, path)
+            inner = difference.join_pointer(path, key)
+            if key in document:
+                first = self._keys[inner]
+                problem = f"key is doubled; it stands first in line {first.line}"
+                self._add(key_node, inner, problem, "each key once")
+                continue
+            self._keys[inner] = self._locate(key_node)
+            document[key] = self._read_value(value_node, inner, depth + 1)
+        return document
+
+    def _read_string(self, node: tree_sitter.Node, path: str) -> str:
+        try:
+            value = str(json.loads(_text(node)))
+            value.encode()
+        except ValueError:
+            self._add(node, path, "string is malformed", "a JSON string")
+            return ""
+        return value
+
+    def _read_number(self, node: tree_sitter.Node, path: str) -> int | float:
+        text = _text(node)
+        try:
+            value = json.loads(text) if len(text) <= MAX_DIGITS else math.inf
+        except ValueError:
+            value = math.nan
+        if isinstance(value, float) and not math.isfinite(value):
+            self._add(node, path, "number is malformed or too long", "a JSON number")
+            return 0
+        return int(value) if isinstance(value, int) else float(value)
+
+    def _add(
+        self, node: tree_sitter.Node, path: str, problem: str, allowed: str
+    ) -> None:
+        fault = faults.Fault(path, problem, faults.show(_text(node)), allowed)
+        self._found.append(LocatedFault(self._locate(node), fault))
+
+    def _locate(self, node: tree_sitter.Node) -> Position:
+        row, column = node.start_point
+        before = self._lines[row][:column] if row < len(self._lines) else b""
+        return Position(row + 1, len(before.decode(errors="replace")) + 1)
+
+
+def _drop_exponent_signs(data: bytes) -> bytes:
+    """Writes `1e+9` as `1e09`, since the grammar knows no plus in an exponent."""
+    return _STRING_COMMENT_OR_SIGN.sub(lambda match: match[1] or b"e0", data)
+
+
+def _text(node: tree_sitter.Node) -> str:
+    return (node.text or b"").decode(errors="replace")
+
+
+def _is_value(node: tree_sitter.Node) -> bool:
+    return node.type not in ("comment", "ERROR") and not node.is_missing
+
+
+def _is_trailing_comma(node: tree_sitter.Node) -> bool:
+    """Tells whether an error node only stands for a comma before a bracket."""
+    before = node.prev_sibling
+    after = node.next_sibling
+    while before is not None and before.type == "comment":
+        before = before.prev_sibling
+    while after is not None and after.type == "comment":
+        after = after.next_sibling
+    if before is None or after is None:
+        return False
+    if node.type == "ERROR":
+        return node.text == b"," and before.type == "pair" and after.type == "}"
+    return before.type == "," and after.type == "]"
--- /dev/null
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
@@ -0,0 +1,219 @@
+"""Commands on the tree of settings."""
+
+from __future__ import annotations
+
+import getpass
+import pathlib
+import typing
+import uuid
+
+import typer
+
+from chicoryweir_cli import applying
+from chicoryweir_cli import checking
+from chicoryweir_cli import effective
+from chicoryweir_cli import exits
+from chicoryweir_cli import rendering
+from chicoryweir_cli import session
+from chicoryweir_policy import store
+from chicoryweir_policy.settings import difference
+
+app = typer.Typer(no_args_is_help=True, help="Check, show and change the settings.")
+
+SettingsFile = typing.Annotated[pathlib.Path, typer.Argument(metavar="FILE")]
+
+
+@app.command("check")
+def check_settings(file: SettingsFile, as_json: session.JsonFlag = False) -> None:
+    """Check a settings file; needs no running system."""
+    _load_document(file, as_json)
+    if as_json:
+        rendering.print_json({"file": str(file), "faults": []})
+    else:
+        rendering.print_line(f"{file}: no faults")
+
+
+@app.command("show")
+def show_settings(
+    path: typing.Annotated[str, typer.Argument(metavar="[PATH]")] = "",
+    show_effective: typing.Annotated[
+        bool,
+        typer.Option(
+            "--effective",
+            help="Show values in effect at PLACE/SERVICE/WORKSPACE/CLASS, "
+            "and the node that each came from.",
+        ),
+    ] = False,
+    file: typing.Annotated[
+        pathlib.Path | None, typer.Option("--file", help="Show a file instead.")
+    ] = None,
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """Show the settings in force, or the part of them at PATH."""
+    version: store.Json = None
+    if file is not None:
+        document = _load_document(file, as_json)
+    else:
+        body = session.fetch(client_file, applying.SETTINGS_URL)
+        version, document = body.get("version"), body.get("tree")
+    if show_effective:
+        _print_effective(document, path, as_json)
+        return
+    keys = difference.split_pointer("/" + path.strip("/")) if path.strip("/") else ()
+    for key in keys:
+        if not isinstance(document, dict) or key not in document:
+            raise session.stop(exits.ExitCode.REFUSED, f"nothing is set at {path}")
+        document = document[key]
+    if not as_json and version is not None:
+        rendering.print_line(f"// version {version}")
+    rendering.print_json(
+        {"version": version, "tree": document} if as_json else document
+    )
+
+
+@app.command("apply")
+def apply_settings(
+    file: SettingsFile,
+    expect_version: typing.Annotated[
+        int, typer.Option("--expect-version", min=0, help="Version you started from.")
+    ],
+    reason: typing.Annotated[str, typer.Option("--reason", help="Why.")] = "",
+    author: typing.Annotated[
+        str, typer.Option("--author", help="Who; the user's name by default.")
+    ] = "",
+    change_id: typing.Annotated[
+        str, typer.Option("--change-id", help="Repeat a change of unknown outcome.")
+    ] = "",
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """Put a settings file in force."""
+    document = _load_document(file, as_json)
+    request = applying.Request(
+        change_id or uuid.uuid4().hex,
+        expect_version,
+        author or _find_user(),
+        reason,
+        document,
+    )
+    outcome = applying.apply_change(session.open_client(client_file), request)
+    match outcome:
+        case applying.Applied(version):
+            done: store.Json = {"version": version, "change_id": request.change_id}
+            if as_json:
+                rendering.print_json(done)
+            else:
+                rendering.print_line(f"version {version} is accepted")
+        case applying.Refused(entry, status, body):
+            _print_refusal(body, as_json)
+            raise session.stop(
+                exits.ExitCode.REFUSED, session.describe_problem(entry, status, body)
+            )
+        case applying.Unknown(detail):
+            raise session.stop(
+                exits.ExitCode.UNKNOWN,
+                f"the outcome is not known: {detail}. Repeat the command with "
+                f"--change-id {request.change_id}; it cannot take effect twice",
+            )
+
+
+@app.command("history")
+def show_history(
+    client_file: session.ClientFile = None, as_json: session.JsonFlag = False
+) -> None:
+    """List the accepted versions."""
+    body = session.fetch(client_file, applying.HISTORY_URL)
+    if as_json:
+        rendering.print_json(body)
+        return
+    for item in rendering.list_items(body, "versions"):
+        names = ("version", "at", "author", "change_id", "reason")
+        rendering.print_line(rendering.format_fields(item, names))
+
+
+@app.command("diff")
+def diff_settings(
+    first: typing.Annotated[str, typer.Argument(metavar="A")],
+    second: typing.Annotated[str, typer.Argument(metavar="B")],
+    client_file: session.ClientFile = None,
+    as_json: session.JsonFlag = False,
+) -> None:
+    """List what differs from A to B; each is a version number or a file."""
+    changes = difference.find_changes(
+        _load_side(first, client_file, as_json),
+        _load_side(second, client_file, as_json),
+    )
+    rendered: list[store.Json] = [
+        {
+            "path": change.path,
+            "from": difference.render_side(change.before),
+            "to": difference.render_side(change.after),
+        }
+        for change in changes
+    ]
+    if as_json:
+        rendering.print_json({"changes": rendered})
+        return
+    for item in rendered:
+        rendering.print_line(rendering.format_fields(item))
+
+
+def _load_document(file: pathlib.Path, as_json: bool) -> store.Json:
+    """Reads and checks a file; ends the command when it has faults."""
+    checked = checking.check_text(session.read_file(file))
+    if not checked.found:
+        return checked.document
+    if as_json:
+        listed: list[store.Json] = [
+            checking.list_fault(str(file), located) for located in checked.found
+        ]
+        rendering.print_json({"file": str(file), "faults": listed})
+    else:
+        for located in checked.found:
+            rendering.print_line(checking.render_fault(str(file), located))
+    raise session.stop(exits.ExitCode.REFUSED, f"{file}: {len(checked.found)} faults")
+
+
+def _load_side(
+    side: str, client_file: pathlib.Path | None, as_json: bool
+) -> store.Json:
+    if side.isascii() and side.isdigit():
+        params = {"version": side}
+        return session.fetch(client_file, applying.SETTINGS_URL, params).get("tree")
+    return _load_document(pathlib.Path(side), as_json)
+
+
+def _print_effective(document: store.Json, path: str, as_json: bool) -> None:
+    place = effective.parse_place(path)
+    if place is None:
+        raise session.stop(
+            exits.ExitCode.USAGE,
+            f"{path}: not PLACE/SERVICE/WORKSPACE/CLASS or a node under /fleet; "
+            "CLASS is urgent, standard or bulk",
+        )
+    values = effective.list_values(document, place)
+    if as_json:
+        rendering.print_json({"values": list(values)})
+        return
+    for value in values:
+        rendering.print_line(rendering.format_fields(value))
+
+
+def _print_refusal(body: dict[str, store.Json], as_json: bool) -> None:
+    if as_json:
+        rendering.print_json(body)
+        return
+    if "current_version" in body:
+        current = rendering.format_value(body["current_version"])
+        rendering.print_line(f"the version in force is {current}; it differs in:")
+    for name in ("difference", "faults"):
+        for item in rendering.list_items(body, name):
+            rendering.print_line(rendering.format_fields(item))
+
+
+def _find_user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
--- /dev/null
+++ b/packages/chicoryweir-cli/tests/test_reading.py
@@ -0,0 +1,93 @@
+"""Tests of the decoder: it gives positions and never fails on any bytes."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from chicoryweir_cli import checking
+from chicoryweir_cli import reading
+from chicoryweir_policy.settings import documents
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(st.characters(codec="utf-8")),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=10,
+)
+fragments = st.sampled_from(
+    ['{"fleet":', "{", "}", "[", "]", ",", '"a"', ":", "1", "NaN", "1e999", "//x\n"]
+    + ["/*", "*/", "\\", '"', "true", "\ud7ff", "9" * 400, "\x00", "*", "settings"]
+)
+
+
+@hypothesis.given(json_values)
+def test_any_json_is_read_as_the_standard_library_reads_it(value: object) -> None:
+    text = json.dumps(value, indent=1)
+    read = reading.read_text(text.encode())
+    assert read.found == ()
+    assert read.document == json.loads(text)
+    assert documents.parse_text(text.encode()) == documents.Decoded(json.loads(text))
+
+
+@hypothesis.given(st.binary() | st.lists(fragments).map(lambda f: "".join(f).encode()))
+def test_no_bytes_make_it_fail(data: bytes) -> None:
+    checked = checking.check_text(data)
+    documents.parse_text(data)
+    documents.decode_document(data)
+    lines = data.count(b"\n") + 1
+    for located in checked.found:
+        assert 1 <= located.position.line <= lines
+        assert located.position.column >= 1
+        assert checking.render_fault("f", located).isprintable()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"[" * 100_000, b'{"a":' * 100_000, b"[" * 900 + b"]" * 900, b"/*" * 5_000],
+)
+def test_deep_nesting_is_a_fault_and_no_crash(data: bytes) -> None:
+    assert checking.check_text(data).found
+    documents.parse_text(data)
+
+
+def test_nesting_past_the_recursion_limit_is_undecodable() -> None:
+    data = b"[" * 100_000 + b"]" * 100_000
+    assert isinstance(documents.parse_text(data), documents.Undecodable)
+    assert isinstance(documents.decode_document(data), documents.Undecodable)
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "column", "problem"),
+    [
+        ('{"a": 1,\n "ä": 2, "a": 3}', 2, 10, "key is doubled"),
+        ('{"a": 1,,}', 1, 8, "text is not JSON"),
+        ("[,]", 1, 2, "text is not JSON"),
+        ('{\n"a": NaN}', 2, 1, "text is not JSON"),
+        ('{"a": 1e999}', 1, 7, "number is malformed"),
+        ('{"a": ' + "9" * 400 + "}", 1, 7, "number is malformed"),
+        ('{"a": "\\ud800"}', 1, 7, "string is malformed"),
+        ('{"a": 1', 1, 8, "} is missing"),
+        ("{} {}", 1, 4, "file does not hold one value"),
+        ("", 1, 1, "file does not hold one value"),
+    ],
+)
+def test_fault_stands_at_its_line_and_column(
+    text: str, line: int, column: int, problem: str
+) -> None:
+    first = reading.read_text(text.encode()).found[0]
+    assert first.position == reading.Position(line, column)
+    assert first.fault.problem.startswith(problem)
+
+
+def test_comments_and_trailing_commas_are_allowed() -> None:
+    text = '// top\n{"a": [1, 2, /* x */], "b": {"c": "// no",} /* y */, }\n//end'
+    read = reading.read_text(text.encode())
+    assert read.found == ()
+    assert read.document == {"a": [1, 2], "b": {"c": "// no"}}
+    assert read.values["/b/c"] == reading.Position(2, 35)
+    assert documents.parse_text(text.encode()) == documents.Decoded(read.document)
