--- a/packages/chicoryweir-cli/src/chicoryweir_cli/applying.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/applying.py
@@ -41,6 +41,13 @@
     body: dict[str, store.Json]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotTaken:
+    """No entry took the change, as none or its store was reachable."""
+
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
     """Nobody could tell whether the change is accepted."""
@@ -48,7 +55,7 @@
     detail: str
 
 
-Outcome = Applied | Refused | Unknown
+Outcome = Applied | Refused | NotTaken | Unknown
 
 
 def apply_change(entries: client.Client, request: Request) -> Outcome:
@@ -70,8 +77,13 @@
                 return Applied(version)
             if httpx.codes.is_client_error(status):
                 return Refused(entry, status, body)
-            return _read_back(entries, request, f"{entry} answered {status}")
-        case client.Unreachable(detail) | client.Lost(_, detail):
+            detail = f"{entry} answered {status}: {body.get('detail', '')}"
+            if status == httpx.codes.SERVICE_UNAVAILABLE:
+                return NotTaken(detail)
+            return _read_back(entries, request, detail)
+        case client.Unreachable(detail):
+            return NotTaken(detail)
+        case client.Lost(_, detail):
             return _read_back(entries, request, detail)
 
 
--- a/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
@@ -110,6 +110,11 @@
             raise session.stop(
                 exits.ExitCode.REFUSED, session.describe_problem(entry, status, body)
             )
+        case applying.NotTaken(detail):
+            raise session.stop(
+                exits.ExitCode.UNKNOWN,
+                f"no entry took the change, nothing was changed: {detail}",
+            )
         case applying.Unknown(detail):
             raise session.stop(
                 exits.ExitCode.UNKNOWN,
--- a/packages/chicoryweir-cli/tests/test_settings_commands.py
+++ b/packages/chicoryweir-cli/tests/test_settings_commands.py
@@ -119,6 +119,13 @@
     assert "--change-id other" in other.stderr
 
 
+def test_apply_without_the_store_says_that_nothing_changed(desk: Desk) -> None:
+    result = desk.run(APPLY, answer(503, detail="the store is down"))
+    assert result.exit_code == 3
+    assert "nothing was changed" in result.stderr
+    assert [line.split()[0] for line in desk.asked] == ["POST", "POST"]
+
+
 def test_unreachable_entries_exit_with_three(desk: Desk) -> None:
     def refuse(request: httpx.Request) -> httpx.Response:
         raise httpx.ConnectError("refused")
