--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/catalogue.py
@@ -36,7 +36,12 @@
         kind = "a whole number" if self.whole else "a number"
         unit = f" {self.unit}" if self.unit else ""
         null = ", or null" if self.nullable else ""
-        return f"{kind} from {self.minimum:g} to {self.maximum:g}{unit}{null}"
+        low, high = _format_bound(self.minimum), _format_bound(self.maximum)
+        return f"{kind} from {low} to {high}{unit}{null}"
+
+
+def _format_bound(bound: float) -> str:
+    return str(int(bound)) if bound == int(bound) else f"{bound:g}"
 
 
 def _count(
