Spread settings by deltas between successive versions

Each change stores, beside the whole document, an object with what changed since the version before. A process that holds that version takes the delta, checks its base and its result by digest, and falls back to the whole document at once when it does not fit.

The random histories run over both ways.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/changes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/changes.py
@@ -14,13 +14,13 @@
 from chicoryweir_policy import store
 from chicoryweir_policy.settings import audit
 from chicoryweir_policy.settings import copies
+from chicoryweir_policy.settings import delta
 from chicoryweir_policy.settings import difference
 from chicoryweir_policy.settings import documents
 from chicoryweir_policy.settings import heads
 
 RETRY_S = 0.25
 GIVE_UP_S = 8.0
-EMPTY_DOCUMENT: store.Json = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +95,7 @@
     HEAD = "head"
     CURRENT_DOCUMENT = "current_document"
     OBJECT_STORED = "object_stored"
+    DELTA_STORED = "delta_stored"
     COMMIT = "commit"
 
 
@@ -165,7 +166,9 @@
             current = copies.Copy(change.head, data)
             return _decide(dataclasses.replace(change, current=current), now)
         case Stage.OBJECT_STORED, store.ObjectStored():
-            return _commit(dataclasses.replace(change, stored=True), now)
+            return _store_delta(dataclasses.replace(change, stored=True), now)
+        case Stage.DELTA_STORED, store.ObjectStored():
+            return _commit(change, now)
         case Stage.COMMIT, store.Committed():
             return Applied(copies.Copy(_make_head(change), change.data))
         case Stage.COMMIT, store.Conflicted() | store.Unknown():
@@ -204,7 +207,7 @@
         return _send(change, Stage.CURRENT_DOCUMENT, operation, now)
     version = head.version if head is not None else 0
     if version != proposal.expect_version:
-        current = _decode(known) if head is not None else EMPTY_DOCUMENT
+        current = copies.read_document(known if head is not None else None)
         found = difference.find_changes(proposal.document, current)
         return Conflict(version, found)
     if change.stored:
@@ -214,10 +217,21 @@
     return _send(change, Stage.OBJECT_STORED, put, now)
 
 
+def _store_delta(change: Change, now: float) -> Step:
+    """Stores the delta, by which most processes take the version."""
+    base = change.current if change.head is not None else None
+    found = delta.compute_delta(base.data, change.data) if base is not None else None
+    if found is None:
+        return _commit(change, now)
+    name = heads.make_delta_name(_make_head(change).object_name)
+    put = store.PutObject(name, delta.encode_delta(found))
+    return _send(change, Stage.DELTA_STORED, put, now)
+
+
 def _commit(change: Change, now: float) -> Step:
     proposal = change.proposal
     head = _make_head(change)
-    base = _decode(change.current) if change.head is not None else EMPTY_DOCUMENT
+    base = copies.read_document(change.current if change.head is not None else None)
     record = audit.Record(
         record_id=proposal.change_id,
         at=proposal.at,
@@ -274,12 +288,3 @@
         return Unknown(detail) if change.uncertain else Unavailable(detail)
     sent = dataclasses.replace(change, stage=stage, operation=operation)
     return Step(sent, Run(operation, now + RETRY_S))
-
-
-def _decode(copy: copies.Copy | None) -> store.Json:
-    if copy is None:
-        return EMPTY_DOCUMENT
-    decoding = documents.decode_document(copy.data)
-    if isinstance(decoding, documents.Undecodable):
-        return EMPTY_DOCUMENT
-    return decoding.document
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/copies.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/copies.py
@@ -4,10 +4,14 @@
 
 import dataclasses
 
+from chicoryweir_policy import store
+from chicoryweir_policy.settings import delta
 from chicoryweir_policy.settings import documents
 from chicoryweir_policy.settings import heads
 from chicoryweir_policy.settings import tree as trees
 
+EMPTY_DOCUMENT: store.Json = {}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Copy:
@@ -17,6 +21,19 @@
     data: bytes
 
 
+def patch_copy(
+    held: Copy | None, head: heads.Head, encoded: bytes | None
+) -> Copy | None:
+    """Makes the copy of a version from the one before and an encoded delta.
+
+    None when there is no delta, or it does not fit the copy held.
+    """
+    if held is None or encoded is None:
+        return None
+    data = delta.apply_encoded(held.data, encoded)
+    return Copy(head, data) if data is not None else None
+
+
 def load_tree(copy: Copy) -> trees.Tree | None:
     """Parses a copy; None when it is not whole or is no settings document."""
     if copy.head.digest and documents.compute_digest(copy.data) != copy.head.digest:
@@ -28,3 +45,11 @@
         return trees.parse_tree(decoding.document)
     except (KeyError, ValueError, TypeError):
         return None
+
+
+def read_document(copy: Copy | None) -> store.Json:
+    """Returns the document of a copy; an empty one when it cannot be read."""
+    decoding = documents.decode_document(copy.data) if copy is not None else None
+    if not isinstance(decoding, documents.Decoded):
+        return EMPTY_DOCUMENT
+    return decoding.document
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/delta.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/delta.py
@@ -63,6 +63,12 @@
     return data if documents.compute_digest(data) == delta.digest else None
 
 
+def apply_encoded(base: bytes, encoded: bytes) -> bytes | None:
+    """Decodes a delta and applies it; None when it does not fit or is damaged."""
+    delta = decode_delta(encoded)
+    return apply_delta(base, delta) if delta is not None else None
+
+
 def encode_delta(delta: Delta) -> bytes:
     """Writes a delta as JSON."""
     return documents.encode_document(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/heads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/heads.py
@@ -39,6 +39,11 @@
     return f"settings/{version}-{change_id}"
 
 
+def make_delta_name(object_name: str) -> str:
+    """Returns the name of the object with the changes since the version before."""
+    return f"{object_name}.delta"
+
+
 def make_history_key(version: int) -> str:
     """Returns the key of a version's row in the history, in order of version."""
     return f"{HISTORY_PREFIX}{version:012d}"
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
@@ -17,6 +17,7 @@
 from chicoryweir_policy.settings import copies
 from chicoryweir_policy.settings import heads
 from chicoryweir_policy.settings import messages
+from chicoryweir_policy.settings import sources
 from chicoryweir_policy.settings import tree as trees
 
 STORE = "store"
@@ -38,15 +39,6 @@
     retry_s: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fetch:
-    """A copy that was asked for, and from whom."""
-
-    head: heads.Head
-    source: str
-    asked_at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionBook:
     """What one process knows of the settings versions.
@@ -76,7 +68,7 @@
     offers: collections.abc.Mapping[str, heads.Head] = dataclasses.field(
         default_factory=dict
     )
-    fetch: Fetch | None = None
+    fetch: sources.Fetch | None = None
     fetch_at: float = 0.0
     attempt: int = 0
     poll_at: float = 0.0
@@ -141,7 +133,7 @@
             return _take_sent_copy(book, peer, copy, now)
         case messages.ChangeAccepted(copy):
             seen = _see(book, copy.head, STORE, now)
-            taken = _take_copy(seen.book, copy, STORE, now)
+            taken = _take_copy(seen.book, copy, STORE)
             return Step(taken.book, seen.commands + taken.commands)
         case messages.PeerLost(peer):
             offers = {name: head for name, head in book.offers.items() if name != peer}
@@ -162,20 +154,21 @@
 
 def _pursue(book: VersionBook, now: float) -> Step:
     """Asks for a copy of the wanted version when one is due."""
-    if not _is_behind(book) or now < book.fetch_at or not _may_adopt(book, now):
+    wanted = book.wanted
+    if wanted is None or not _is_behind(book):
+        return Step(book)
+    if now < book.fetch_at or not _may_adopt(book, now):
         return Step(book)
-    assert book.wanted is not None
-    source = _choose_source(book)
+    source = _choose_source(book, wanted)
     book = dataclasses.replace(
         book,
-        fetch=Fetch(book.wanted, source, now),
+        fetch=sources.Fetch(wanted, source),
         fetch_at=now + book.timing.retry_s,
         attempt=book.attempt + 1,
     )
-    if source == STORE:
-        name = book.wanted.object_name if book.wanted else ""
-        return Step(book, (messages.FetchObject(store.GetObject(name)),))
-    return Step(book, (messages.AskCopy(source),))
+    if source.kind is sources.SourceKind.PEER:
+        return Step(book, (messages.AskCopy(source.name),))
+    return Step(book, (messages.FetchObject(store.GetObject(source.name)),))
 
 
 def _is_behind(book: VersionBook) -> bool:
@@ -190,17 +183,16 @@
     return now >= book.started_at + book.timing.gather_s
 
 
-def _choose_source(book: VersionBook) -> str:
-    """Takes turns between the store and the peers that hold the wanted version."""
-    assert book.wanted is not None
-    peers = [
+def _choose_source(book: VersionBook, wanted: heads.Head) -> sources.Source:
+    holders = [
         peer
         for peer, head in sorted(book.offers.items())
-        if head.version >= book.wanted.version
+        if head.version >= wanted.version
     ]
-    if not peers or (book.store_up and book.attempt % 2 == 0):
-        return STORE
-    return peers[(book.seed + book.attempt) % len(peers)]
+    held = book.held.head if book.held is not None else None
+    return sources.choose_source(
+        wanted, held, holders, book.store_up, book.attempt, book.seed
+    )
 
 
 def _take_head_row(book: VersionBook, result: store.Result, now: float) -> Step:
@@ -254,14 +246,18 @@
     book: VersionBook, name: str, result: store.Result, now: float
 ) -> Step:
     fetch = book.fetch
-    if fetch is None or fetch.head.object_name != name:
+    if fetch is None or fetch.source.name != name:
         return Step(book)
-    match result:
-        case store.ObjectFetched(_, data) if data is not None:
-            book = dataclasses.replace(book, fetch=None, store_up=True)
-            return _take_copy(book, copies.Copy(fetch.head, data), STORE, now)
-        case _:
-            return Step(dataclasses.replace(book, fetch=None, store_up=False))
+    book = dataclasses.replace(book, fetch=None)
+    if not isinstance(result, store.ObjectFetched):
+        return Step(dataclasses.replace(book, store_up=False))
+    copy: copies.Copy | None = None
+    if fetch.source.kind is sources.SourceKind.DELTA:
+        copy = copies.patch_copy(book.held, fetch.head, result.data)
+        book = dataclasses.replace(book, fetch_at=min(book.fetch_at, now))
+    elif result.data is not None:
+        copy = copies.Copy(fetch.head, result.data)
+    return _take_copy(book, copy, STORE) if copy is not None else Step(book)
 
 
 def _take_sent_copy(
@@ -270,10 +266,10 @@
     seen = _see(book, copy.head, peer, now)
     if seen.commands or not _may_adopt(seen.book, now):
         return seen
-    return _take_copy(seen.book, copy, peer, now)
+    return _take_copy(seen.book, copy, peer)
 
 
-def _take_copy(book: VersionBook, copy: copies.Copy, source: str, now: float) -> Step:
+def _take_copy(book: VersionBook, copy: copies.Copy, source: str) -> Step:
     """Adopts a copy above the version in force, if it is whole."""
     held = book.held
     if held is not None and copy.head.version <= held.head.version:
