--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/copies.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/copies.py
@@ -21,28 +21,45 @@
     data: bytes
 
 
-def patch_copy(
-    held: Copy | None, head: heads.Head, encoded: bytes | None
-) -> Copy | None:
-    """Makes the copy of a version from the one before and an encoded delta.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loaded:
+    """A whole copy and the tree parsed from it."""
 
-    None when there is no delta, or it does not fit the copy held.
-    """
-    if held is None or encoded is None:
-        return None
-    data = delta.apply_encoded(held.data, encoded)
-    return Copy(head, data) if data is not None else None
+    copy: Copy
+    tree: trees.Tree
 
 
-def load_tree(copy: Copy) -> trees.Tree | None:
+def load_copy(copy: Copy) -> Loaded | None:
     """Parses a copy; None when it is not whole or is no settings document."""
     if copy.head.digest and documents.compute_digest(copy.data) != copy.head.digest:
         return None
     decoding = documents.decode_document(copy.data)
     if isinstance(decoding, documents.Undecodable):
         return None
+    return _parse(copy, decoding.document)
+
+
+def load_patched(
+    held: Copy | None, head: heads.Head, encoded: bytes | None
+) -> Loaded | None:
+    """Makes the copy of a version from the one before and an encoded delta.
+
+    None when there is no delta, or it does not fit the copy held.
+    """
+    if held is None or encoded is None:
+        return None
+    decoded = delta.decode_delta(encoded)
+    if decoded is None or decoded.digest != head.digest:
+        return None
+    patched = delta.apply_delta(held.data, decoded)
+    if patched is None:
+        return None
+    return _parse(Copy(head, patched.data), patched.document)
+
+
+def _parse(copy: Copy, document: store.Json) -> Loaded | None:
     try:
-        return trees.parse_tree(decoding.document)
+        return Loaded(copy, trees.parse_tree(document))
     except (KeyError, ValueError, TypeError):
         return None
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/delta.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/delta.py
@@ -24,6 +24,14 @@
     changes: tuple[difference.Change, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patched:
+    """A document made from a base and a delta, with its canonical bytes."""
+
+    data: bytes
+    document: store.Json
+
+
 def compute_delta(base: bytes, target: bytes) -> Delta | None:
     """Computes the delta between two canonical documents.
 
@@ -41,15 +49,16 @@
         documents.compute_digest(target),
         difference.find_changes(before.document, after.document),
     )
-    return delta if apply_delta(base, delta) == target else None
+    patched = apply_delta(base, delta)
+    return delta if patched is not None and patched.data == target else None
 
 
-def apply_delta(base: bytes, delta: Delta) -> bytes | None:
+def apply_delta(base: bytes, delta: Delta) -> Patched | None:
     """Applies a delta to the bytes of its base.
 
     Returns:
-        The bytes of the other document, or None when the base or the result is
-        not the one that the delta was computed for.
+        The other document, or None when the base or the result is not the one
+        that the delta was computed for.
     """
     if documents.compute_digest(base) != delta.base_digest:
         return None
@@ -60,13 +69,9 @@
     for change in delta.changes:
         document = _apply_change(document, change)
     data = documents.encode_document(document)
-    return data if documents.compute_digest(data) == delta.digest else None
-
-
-def apply_encoded(base: bytes, encoded: bytes) -> bytes | None:
-    """Decodes a delta and applies it; None when it does not fit or is damaged."""
-    delta = decode_delta(encoded)
-    return apply_delta(base, delta) if delta is not None else None
+    if documents.compute_digest(data) != delta.digest:
+        return None
+    return Patched(data, document)
 
 
 def encode_delta(delta: Delta) -> bytes:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
@@ -18,7 +18,6 @@
 from chicoryweir_policy.settings import heads
 from chicoryweir_policy.settings import messages
 from chicoryweir_policy.settings import sources
-from chicoryweir_policy.settings import tree as trees
 
 STORE = "store"
 MAX_PENDING_POLLS = 5
@@ -251,13 +250,13 @@
     book = dataclasses.replace(book, fetch=None)
     if not isinstance(result, store.ObjectFetched):
         return Step(dataclasses.replace(book, store_up=False))
-    copy: copies.Copy | None = None
     if fetch.source.kind is sources.SourceKind.DELTA:
-        copy = copies.patch_copy(book.held, fetch.head, result.data)
         book = dataclasses.replace(book, fetch_at=min(book.fetch_at, now))
-    elif result.data is not None:
-        copy = copies.Copy(fetch.head, result.data)
-    return _take_copy(book, copy, STORE) if copy is not None else Step(book)
+        loaded = copies.load_patched(book.held, fetch.head, result.data)
+        return _adopt(book, loaded, STORE) if loaded is not None else Step(book)
+    if result.data is None:
+        return Step(book)
+    return _take_copy(book, copies.Copy(fetch.head, result.data), STORE)
 
 
 def _take_sent_copy(
@@ -274,21 +273,22 @@
     held = book.held
     if held is not None and copy.head.version <= held.head.version:
         return Step(book)
-    tree = copies.load_tree(copy)
-    if tree is None:
+    loaded = copies.load_copy(copy)
+    if loaded is None:
         fault = messages.Fault.DAMAGED
         return Step(book, (_report(book, fault, copy.head.version, source),))
-    return _adopt(book, copy, tree, source)
+    return _adopt(book, loaded, source)
 
 
-def _adopt(book: VersionBook, copy: copies.Copy, tree: trees.Tree, source: str) -> Step:
+def _adopt(book: VersionBook, loaded: copies.Loaded, source: str) -> Step:
     held = book.held
-    if held is not None and copy.head.version <= held.head.version:
+    head = loaded.copy.head
+    if held is not None and head.version <= held.head.version:
         fault = messages.Fault.WENT_BACK
-        return Step(book, (_report(book, fault, copy.head.version, source),))
+        return Step(book, (_report(book, fault, head.version, source),))
     return Step(
-        dataclasses.replace(book, held=copy, fetch=None),
-        (messages.Adopt(copy.head, tree), messages.AnnounceHead(copy.head)),
+        dataclasses.replace(book, held=loaded.copy, fetch=None),
+        (messages.Adopt(head, loaded.tree), messages.AnnounceHead(head)),
     )
 
 
--- a/packages/chicoryweir-policy/tests/settings/test_delta.py
+++ b/packages/chicoryweir-policy/tests/settings/test_delta.py
@@ -1,5 +1,7 @@
 """Tests of deltas between settings documents."""
 
+import json
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -22,7 +24,8 @@
         return
     sent = delta.decode_delta(delta.encode_delta(found))
     assert sent is not None
-    assert delta.apply_delta(base, sent) == target
+    patched = delta.apply_delta(base, sent)
+    assert patched == delta.Patched(target, json.loads(target))
 
 
 def test_other_base_or_damaged_change_is_refused() -> None:
