--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
@@ -17,7 +17,7 @@
 from chicoryweir_policy.settings import copies
 from chicoryweir_policy.settings import heads
 from chicoryweir_policy.settings import messages
-from chicoryweir_policy.settings import tree as trees
+from chicoryweir_policy.settings import sources
 
 STORE = "store"
 MAX_PENDING_POLLS = 5
@@ -38,15 +38,6 @@
     retry_s: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fetch:
-    """A copy that was asked for, and from whom."""
-
-    head: heads.Head
-    source: str
-    asked_at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionBook:
     """What one process knows of the settings versions.
@@ -76,7 +67,7 @@
     offers: collections.abc.Mapping[str, heads.Head] = dataclasses.field(
         default_factory=dict
     )
-    fetch: Fetch | None = None
+    fetch: sources.Fetch | None = None
     fetch_at: float = 0.0
     attempt: int = 0
     poll_at: float = 0.0
@@ -141,7 +132,7 @@
             return _take_sent_copy(book, peer, copy, now)
         case messages.ChangeAccepted(copy):
             seen = _see(book, copy.head, STORE, now)
-            taken = _take_copy(seen.book, copy, STORE, now)
+            taken = _take_copy(seen.book, copy, STORE)
             return Step(taken.book, seen.commands + taken.commands)
         case messages.PeerLost(peer):
             offers = {name: head for name, head in book.offers.items() if name != peer}
@@ -162,20 +153,21 @@
 
 def _pursue(book: VersionBook, now: float) -> Step:
     """Asks for a copy of the wanted version when one is due."""
-    if not _is_behind(book) or now < book.fetch_at or not _may_adopt(book, now):
+    wanted = book.wanted
+    if wanted is None or not _is_behind(book):
+        return Step(book)
+    if now < book.fetch_at or not _may_adopt(book, now):
         return Step(book)
-    assert book.wanted is not None
-    source = _choose_source(book)
+    source = _choose_source(book, wanted)
     book = dataclasses.replace(
         book,
-        fetch=Fetch(book.wanted, source, now),
+        fetch=sources.Fetch(wanted, source),
         fetch_at=now + book.timing.retry_s,
         attempt=book.attempt + 1,
     )
-    if source == STORE:
-        name = book.wanted.object_name if book.wanted else ""
-        return Step(book, (messages.FetchObject(store.GetObject(name)),))
-    return Step(book, (messages.AskCopy(source),))
+    if source.kind is sources.SourceKind.PEER:
+        return Step(book, (messages.AskCopy(source.name),))
+    return Step(book, (messages.FetchObject(store.GetObject(source.name)),))
 
 
 def _is_behind(book: VersionBook) -> bool:
@@ -190,17 +182,16 @@
     return now >= book.started_at + book.timing.gather_s
 
 
-def _choose_source(book: VersionBook) -> str:
-    """Takes turns between the store and the peers that hold the wanted version."""
-    assert book.wanted is not None
-    peers = [
+def _choose_source(book: VersionBook, wanted: heads.Head) -> sources.Source:
+    holders = [
         peer
         for peer, head in sorted(book.offers.items())
-        if head.version >= book.wanted.version
+        if head.version >= wanted.version
     ]
-    if not peers or (book.store_up and book.attempt % 2 == 0):
-        return STORE
-    return peers[(book.seed + book.attempt) % len(peers)]
+    held = book.held.head if book.held is not None else None
+    return sources.choose_source(
+        wanted, held, holders, book.store_up, book.attempt, book.seed
+    )
 
 
 def _take_head_row(book: VersionBook, result: store.Result, now: float) -> Step:
@@ -254,14 +245,18 @@
     book: VersionBook, name: str, result: store.Result, now: float
 ) -> Step:
     fetch = book.fetch
-    if fetch is None or fetch.head.object_name != name:
+    if fetch is None or fetch.source.name != name:
         return Step(book)
-    match result:
-        case store.ObjectFetched(_, data) if data is not None:
-            book = dataclasses.replace(book, fetch=None, store_up=True)
-            return _take_copy(book, copies.Copy(fetch.head, data), STORE, now)
-        case _:
-            return Step(dataclasses.replace(book, fetch=None, store_up=False))
+    book = dataclasses.replace(book, fetch=None)
+    if not isinstance(result, store.ObjectFetched):
+        return Step(dataclasses.replace(book, store_up=False))
+    if fetch.source.kind is sources.SourceKind.DELTA:
+        book = dataclasses.replace(book, fetch_at=min(book.fetch_at, now))
+        loaded = copies.load_patched(book.held, fetch.head, result.data)
+        return _adopt(book, loaded, STORE) if loaded is not None else Step(book)
+    if result.data is None:
+        return Step(book)
+    return _take_copy(book, copies.Copy(fetch.head, result.data), STORE)
 
 
 def _take_sent_copy(
@@ -270,29 +265,30 @@
     seen = _see(book, copy.head, peer, now)
     if seen.commands or not _may_adopt(seen.book, now):
         return seen
-    return _take_copy(seen.book, copy, peer, now)
+    return _take_copy(seen.book, copy, peer)
 
 
-def _take_copy(book: VersionBook, copy: copies.Copy, source: str, now: float) -> Step:
+def _take_copy(book: VersionBook, copy: copies.Copy, source: str) -> Step:
     """Adopts a copy above the version in force, if it is whole."""
     held = book.held
     if held is not None and copy.head.version <= held.head.version:
         return Step(book)
-    tree = copies.load_tree(copy)
-    if tree is None:
+    loaded = copies.load_copy(copy)
+    if loaded is None:
         fault = messages.Fault.DAMAGED
         return Step(book, (_report(book, fault, copy.head.version, source),))
-    return _adopt(book, copy, tree, source)
+    return _adopt(book, loaded, source)
 
 
-def _adopt(book: VersionBook, copy: copies.Copy, tree: trees.Tree, source: str) -> Step:
+def _adopt(book: VersionBook, loaded: copies.Loaded, source: str) -> Step:
     held = book.held
-    if held is not None and copy.head.version <= held.head.version:
+    head = loaded.copy.head
+    if held is not None and head.version <= held.head.version:
         fault = messages.Fault.WENT_BACK
-        return Step(book, (_report(book, fault, copy.head.version, source),))
+        return Step(book, (_report(book, fault, head.version, source),))
     return Step(
-        dataclasses.replace(book, held=copy, fetch=None),
-        (messages.Adopt(copy.head, tree), messages.AnnounceHead(copy.head)),
+        dataclasses.replace(book, held=loaded.copy, fetch=None),
+        (messages.Adopt(head, loaded.tree), messages.AnnounceHead(head)),
     )
 
 
