Tell isolation whether the entry marked a suspect

The tests of isolation call it with the mark that the entry sets; the fleet's state machine marks exactly what its entry suspects. A new test refuses an unmarked suspect.

--- a/packages/chicoryweir-policy/tests/quarantine/test_isolation.py
+++ b/packages/chicoryweir-policy/tests/quarantine/test_isolation.py
@@ -26,19 +26,26 @@
         for name in instances
     )
     ranked = selection.rank_members(members, fingerprint)
-    return [member.instance for member in ranked[: selection.SUSPECT_CANDIDATES]]
+    return [member.instance for member in ranked[: selection.FIRST_CANDIDATES]]
 
 
 def test_one_suspect_at_a_time_runs_on_an_endpoint() -> None:
     book = suspicion.SuspicionBook()
     book.record_loss("x", "1", frozenset({1, 2}), 0.0)
     here = isolation.Isolation(book, "y")
-    assert here.decide_start(1, 0.0) == isolation.Start()
+    assert here.decide_start(1, True, 0.0) == isolation.Start()
     here.note_started("a-1", 1)
-    assert here.decide_start(2, 0.0) == isolation.Hold("a-1")
-    assert here.decide_start(3, 0.0) == isolation.Start()
+    assert here.decide_start(2, True, 0.0) == isolation.Hold("a-1")
+    assert here.decide_start(3, False, 0.0) == isolation.Start()
     here.note_ended("a-1", ran_to_end=True, now=1.0)
-    assert here.decide_start(2, 1.0) == isolation.Start()
+    assert here.decide_start(2, True, 1.0) == isolation.Start()
+
+
+def test_suspect_that_its_entry_did_not_mark_is_refused() -> None:
+    book = suspicion.SuspicionBook()
+    book.record_loss("x", "1", frozenset({1}), 0.0)
+    here = isolation.Isolation(book, "y")
+    assert isinstance(here.decide_start(1, False, 0.0), isolation.Refuse)
 
 
 def test_suspect_does_not_run_again_where_it_lost_the_endpoint() -> None:
@@ -46,7 +53,7 @@
     here = isolation.Isolation(book, "x")
     here.note_started("a-1", 1)
     here.note_lost("1", 0.0)
-    assert isinstance(here.decide_start(1, 0.0), isolation.Refuse)
+    assert isinstance(here.decide_start(1, True, 0.0), isolation.Refuse)
 
 
 @pytest.mark.parametrize("poison", range(50))
@@ -59,7 +66,7 @@
         agent = allowed[copy % len(allowed)]
         book = books.setdefault(agent, suspicion.SuspicionBook())
         here = isolation.Isolation(book, agent)
-        if here.decide_start(fingerprint, 0.0) == isolation.Start():
+        if here.decide_start(fingerprint, False, 0.0) == isolation.Start():
             here.note_started(f"a-{copy}", fingerprint)
             here.note_lost("1", 0.0)
             lost += 1
@@ -103,7 +110,8 @@
         agent = allowed[choice % len(allowed)]
         if tell_first:
             self.books[agent].merge(self.books[entry].export_news(self.now), self.now)
-        decision = self.agents[agent].decide_start(fingerprint, self.now)
+        marked = isinstance(verdict, records.Suspected)
+        decision = self.agents[agent].decide_start(fingerprint, marked, self.now)
         if decision != isolation.Start():
             return
         self.attempts += 1
