--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -7,6 +7,9 @@
 
 from chicoryweir_policy.maps import placement
 
+FAST_RANKS = 10
+MIN_GAIN = 1e-12
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Edit:
@@ -65,7 +68,7 @@
     budget: int,
     target_skew: float,
 ) -> placement.ExpertMap:
-    """Improves a map by moves around the slowest rank.
+    """Improves a map by moves from the slowest rank to the fastest ones.
 
     Each edit either gives an expert of the slowest rank one more replica in the place
     of a replica that can be spared, or swaps two experts between two ranks.
@@ -83,13 +86,7 @@
     mean = sum(board.loads) / len(board.loads)
     left = budget
     while left > 0 and max(board.loads) > target_skew * mean:
-        slowest = max(range(len(board.loads)), key=lambda rank: board.loads[rank])
-        edits = [*_list_copies(board, slowest), *_list_swaps(board, slowest)]
-        best = max(
-            (edit for edit in edits if edit.moves <= left and edit.gain > 1e-12),
-            key=lambda edit: edit.gain,
-            default=None,
-        )
+        best = _find_best(board, left)
         if best is None:
             break
         board.apply(best)
@@ -97,16 +94,33 @@
     return placement.create_map(start.rank_count, board.replicas)
 
 
-def _list_copies(board: _Board, slowest: int) -> collections.abc.Iterator[_Edit]:
-    """Lists edits by which another rank takes a replica of one of its experts."""
+def _find_best(board: _Board, moves_left: int) -> _Edit | None:
+    """Returns the edit that gains most, from the fastest ranks if any of them does."""
+    order = sorted(range(len(board.loads)), key=lambda rank: board.loads[rank])
+    slowest, others = order[-1], order[:-1]
+    for targets in (others[:FAST_RANKS], others[FAST_RANKS:]):
+        edits = (
+            *_list_copies(board, slowest, targets),
+            *_list_swaps(board, slowest, targets),
+        )
+        useful = [e for e in edits if e.moves <= moves_left and e.gain > MIN_GAIN]
+        if useful:
+            return max(useful, key=lambda edit: edit.gain)
+    return None
+
+
+def _list_copies(
+    board: _Board, slowest: int, targets: list[int]
+) -> collections.abc.Iterator[_Edit]:
+    """Lists edits by which a fast rank takes a replica of one of its experts."""
     for expert in sorted(board.experts[slowest]):
         holders = board.replicas[expert]
         count, share = len(holders), board.shares[expert]
         eased = share / (count + 1) - share / count
-        for rank, experts in enumerate(board.experts):
-            if rank in holders or board.loads[rank] >= board.loads[slowest]:
+        for rank in targets:
+            if rank in holders:
                 continue
-            for other in sorted(experts):
+            for other in sorted(board.experts[rank]):
                 rest = board.replicas[other] - {rank}
                 if not rest:
                     continue
@@ -120,14 +134,16 @@
                 yield _Edit(gain, 1, ((expert, rank),), ((other, rank),))
 
 
-def _list_swaps(board: _Board, slowest: int) -> collections.abc.Iterator[_Edit]:
-    """Lists edits that swap one of its experts with a lighter one elsewhere."""
+def _list_swaps(
+    board: _Board, slowest: int, targets: list[int]
+) -> collections.abc.Iterator[_Edit]:
+    """Lists edits that swap one of its experts with a lighter one of a fast rank."""
     for expert in sorted(board.experts[slowest]):
         part = board.shares[expert] / len(board.replicas[expert])
-        for rank, experts in enumerate(board.experts):
-            if expert in experts or board.loads[rank] >= board.loads[slowest]:
+        for rank in targets:
+            if rank in board.replicas[expert]:
                 continue
-            for other in sorted(experts - board.experts[slowest]):
+            for other in sorted(board.experts[rank] - board.experts[slowest]):
                 less = part - board.shares[other] / len(board.replicas[other])
                 if less <= 0:
                     continue
--- a/packages/chicoryweir-policy/tests/maps/test_gates.py
+++ b/packages/chicoryweir-policy/tests/maps/test_gates.py
@@ -25,6 +25,18 @@
     assert gates.is_open(state, SETTINGS, 80.0)
 
 
+def test_steady_skew_below_the_sure_bound_opens_no_gate() -> None:
+    noisy = [1.079 + 0.004 * (number % 3) for number in range(500)]
+    for length in range(2, 500, 7):
+        state = feed(noisy[:length], 10.0)
+        assert not gates.is_open(state, SETTINGS, length * 10.0)
+
+
+def test_rise_past_the_lower_bound_opens_the_gate() -> None:
+    state = feed([1.04] * 60 + [1.085] * 8, 10.0)
+    assert gates.is_open(state, SETTINGS, 680.0)
+
+
 def test_gate_rests_after_a_change() -> None:
     state = gates.note_change(feed([1.2], 1.0), 0.0)
     state = gates.note_skew(state, SETTINGS, 1.2, 10.0)
