--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/journal.py
@@ -0,0 +1,39 @@
+"""What happened to recent requests, for an operator who asks."""
+
+from __future__ import annotations
+
+import collections
+
+from chicoryweir_policy import messages
+
+MAX_REQUESTS = 5_000
+MAX_NOTES = 40
+
+
+class Journal:
+    """Notes of the most recent requests, bounded in number."""
+
+    def __init__(self, max_requests: int = MAX_REQUESTS) -> None:
+        self._max_requests = max_requests
+        self._notes: collections.OrderedDict[str, list[tuple[float, str, str]]] = (
+            collections.OrderedDict()
+        )
+
+    def note(self, request_id: str, now: float, step: str, detail: str) -> None:
+        """Adds a note to a request."""
+        notes = self._notes.get(request_id)
+        if notes is None:
+            notes = self._notes[request_id] = []
+            if len(self._notes) > self._max_requests:
+                self._notes.popitem(last=False)
+        if len(notes) < MAX_NOTES:
+            notes.append((now, step, detail))
+
+    def list_notes(
+        self, request_id: str, now: float
+    ) -> tuple[messages.RequestNote, ...]:
+        """Returns the notes of a request, oldest first."""
+        return tuple(
+            messages.RequestNote(now - at, step, detail)
+            for at, step, detail in self._notes.get(request_id, ())
+        )
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -0,0 +1,321 @@
+"""Selects the endpoint for a request."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+from chicoryweir_policy import requests
+from chicoryweir_policy.routing import prefix
+from chicoryweir_policy.routing import views
+
+NEAR_LATENCY_S = 0.005
+OTHER_PLACE_COST_S = 0.02
+PACE_TOLERANCE = 1.5
+MAX_PRICED_TOKENS = 500.0
+SAVED_PER_BLOCK_S = 0.01
+FIRST_CANDIDATES = 2
+SPILL_CANDIDATES = 4
+SPILL_WAIT_S = 0.25
+COME_BACK_MS = 500
+_MASK = (1 << 64) - 1
+_MULTIPLIER = 0x9E3779B97F4A7C15
+
+
+class Reason(enum.Enum):
+    """Why no endpoint could be selected.
+
+    Attributes:
+        NO_ENDPOINT: The service has no known endpoint.
+        UNAVAILABLE: Its endpoints are down, leaving, ejected, stale or lack the model.
+        EXCLUDED: Those that are available were tried already.
+        SUSPECT: The few endpoints that a suspect request may reach are used up, or,
+            where coming back helps, not available at present.
+    """
+
+    NO_ENDPOINT = "no_endpoint"
+    UNAVAILABLE = "unavailable"
+    EXCLUDED = "excluded"
+    SUSPECT = "suspect"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selected:
+    """An endpoint was selected.
+
+    Attributes:
+        instance: Its instance.
+        wait_s: Predicted wait there, in seconds.
+        cached_blocks: Leading prompt blocks that it is thought to hold.
+        spilled: Whether the first candidates were passed over for their wait.
+    """
+
+    instance: str
+    wait_s: float
+    cached_blocks: int
+    spilled: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoneAvailable:
+    """No endpoint can take the request.
+
+    Attributes:
+        reason: Why.
+        retry_after_ms: Time after which coming back helps; None where it does not.
+    """
+
+    reason: Reason
+    retry_after_ms: int | None
+
+
+Selection = Selected | NoneAvailable
+
+
+class Selector(typing.Protocol):
+    """Selects endpoints; equal arguments give equal selections."""
+
+    def select_endpoint(
+        self,
+        request: requests.Request,
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+        *,
+        suspect: bool = False,
+        spill_wait_s: float = SPILL_WAIT_S,
+    ) -> Selection:
+        """Selects an endpoint for a request.
+
+        Args:
+            request: The request.
+            fleet: The endpoints.
+            excluded: Instances that must not be selected.
+            place: Place of the entry.
+            now: Monotonic time in seconds.
+            suspect: Whether an endpoint was lost while this content ran.
+            spill_wait_s: Predicted wait beyond which more endpoints are considered.
+        """
+
+
+def rank_members(members: tuple[views.Member, ...], seed: int) -> list[views.Member]:
+    """Ranks members by rendezvous hashing: the same seed gives the same order.
+
+    A member that joins or goes leaves the order of the others as it is.
+    """
+    scores = [(member.name_hash ^ seed) * _MULTIPLIER & _MASK for member in members]
+    order = sorted(range(len(members)), key=scores.__getitem__, reverse=True)
+    return [members[index] for index in order]
+
+
+def find_first_member(members: tuple[views.Member, ...], seed: int) -> views.Member:
+    """Finds the member that `rank_members` puts first."""
+    scores = [(member.name_hash ^ seed) * _MULTIPLIER & _MASK for member in members]
+    return members[scores.index(max(scores))]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Zones:
+    """Members of a service by their distance from the entry."""
+
+    members: tuple[views.Member, ...]
+    near: tuple[views.Member, ...]
+    far: tuple[views.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Candidate:
+    instance: str
+    score_s: float
+    wait_s: float
+    cached_blocks: int
+
+
+class AffineSelector:
+    """Weighs a home for the prompt's prefix against endpoints for the content.
+
+    The home holds the cache of the prompt's leading block that is not too popular;
+    the others come from a sequence that the content alone determines. So one content
+    reaches few endpoints, through however many entries it is sent.
+    """
+
+    def __init__(self, prefixes: prefix.PrefixBook) -> None:
+        self._prefixes = prefixes
+        self._zones: dict[str, dict[str, _Zones]] = {}
+
+    def select_endpoint(
+        self,
+        request: requests.Request,
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+        *,
+        suspect: bool = False,
+        spill_wait_s: float = SPILL_WAIT_S,
+    ) -> Selection:
+        """Selects an endpoint; see `Selector`."""
+        zones = self._divide(request, fleet)
+        if not zones.members:
+            return _explain_none(request, fleet, excluded, now, suspect)
+        if suspect:
+            return self._select_for_suspect(
+                request, zones.members, fleet, excluded, place, now
+            )
+        sequence = self._rank_candidates(request, zones.near)
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
+        best = _find_best(weighed)
+        spilled = False
+        if not _is_short(best, spill_wait_s):
+            for _ in range(SPILL_CANDIDATES):
+                weighed += self._weigh(usable, 1, request, fleet, place, now)
+                if weighed and _is_short(weighed[-1], spill_wait_s):
+                    break
+            else:
+                weighed += self._weigh_far(
+                    request, fleet, zones.far, excluded, place, now
+                )
+            first, best = best, _find_best(weighed)
+            spilled = best is not first
+        if best is None:
+            return _explain_none(request, fleet, excluded, now, suspect)
+        return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
+
+    def _select_for_suspect(
+        self,
+        request: requests.Request,
+        members: tuple[views.Member, ...],
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+    ) -> Selection:
+        """Selects the one endpoint where every entry tries this content.
+
+        It does not move on while that endpoint is down, so that entries whose views
+        differ still try it at one endpoint.
+        """
+        ranked = rank_members(members, request.fingerprint)
+        sequence = [member for member in ranked if member.instance not in excluded][:1]
+        if not sequence:
+            return NoneAvailable(Reason.SUSPECT, None)
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        weighed = self._weigh(usable, 1, request, fleet, place, now)
+        if not weighed:
+            return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
+        only = weighed[0]
+        return Selected(only.instance, only.wait_s, only.cached_blocks, False)
+
+    def _divide(self, request: requests.Request, fleet: views.Fleet) -> _Zones:
+        members = fleet.list_members(request.service, request.model)
+        by_model = self._zones.setdefault(request.service, {})
+        zones = by_model.get(request.model)
+        if zones is None or zones.members is not members:
+            near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S)
+            far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
+            zones = _Zones(members, near or far, far if near else ())
+            if len(by_model) >= views.MAX_CACHED_MODELS:
+                by_model.clear()
+            by_model[request.model] = zones
+        return zones
+
+    def _rank_candidates(
+        self, request: requests.Request, near: tuple[views.Member, ...]
+    ) -> list[views.Member]:
+        sequence = rank_members(near, request.fingerprint)
+        blocks = request.prefix_blocks
+        block = self._prefixes.find_home_block(blocks, 1.0 / len(near))
+        if block == 0:
+            return sequence
+        home = find_first_member(near, block)
+        return [home, *(member for member in sequence if member is not home)]
+
+    def _weigh_far(
+        self,
+        request: requests.Request,
+        fleet: views.Fleet,
+        far: tuple[views.Member, ...],
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+    ) -> list[_Candidate]:
+        sequence = rank_members(far, request.fingerprint)
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        return self._weigh(usable, SPILL_CANDIDATES, request, fleet, place, now)
+
+    def _weigh(
+        self,
+        usable: collections.abc.Iterator[views.EndpointView],
+        count: int,
+        request: requests.Request,
+        fleet: views.Fleet,
+        place: str,
+        now: float,
+    ) -> list[_Candidate]:
+        mean_wait_s = fleet.compute_mean_wait(request.service, request.priority)
+        mean_pace_s = fleet.compute_mean_pace(request.service)
+        usual_pace_s = mean_pace_s * PACE_TOLERANCE
+        priced_tokens = min(request.cost_tokens, MAX_PRICED_TOKENS)
+        weighed: list[_Candidate] = []
+        for _, view in zip(range(count), usable, strict=False):
+            cached = self._prefixes.count_cached(view.instance, request.prefix_blocks)
+            wait_s = view.predict_wait(request.priority, mean_wait_s, now)
+            score_s = wait_s + 2 * view.latency_s - cached * SAVED_PER_BLOCK_S
+            score_s += OTHER_PLACE_COST_S if view.place != place else 0.0
+            pace_s = view.predict_pace(mean_pace_s, now) - usual_pace_s
+            score_s += priced_tokens * max(0.0, pace_s)
+            weighed.append(_Candidate(view.instance, score_s, wait_s, cached))
+        return weighed
+
+
+def make_selector(prefixes: prefix.PrefixBook) -> Selector:
+    """Makes the selector that entries use."""
+    return AffineSelector(prefixes)
+
+
+def _iterate_available(
+    sequence: list[views.Member],
+    model: str,
+    fleet: views.Fleet,
+    excluded: frozenset[str],
+    now: float,
+) -> collections.abc.Iterator[views.EndpointView]:
+    for member in sequence:
+        view = fleet.view(member.instance)
+        if view is None or member.instance in excluded:
+            continue
+        if view.is_available(model, now):
+            yield view
+
+
+def _is_short(candidate: _Candidate | None, wait_s: float) -> bool:
+    return candidate is not None and candidate.wait_s <= wait_s
+
+
+def _find_best(weighed: list[_Candidate]) -> _Candidate | None:
+    return min(weighed, key=lambda candidate: candidate.score_s, default=None)
+
+
+def _explain_none(
+    request: requests.Request,
+    fleet: views.Fleet,
+    excluded: frozenset[str],
+    now: float,
+    suspect: bool,
+) -> NoneAvailable:
+    members = list(fleet.list_members(request.service))
+    if not members:
+        return NoneAvailable(Reason.NO_ENDPOINT, COME_BACK_MS)
+    available = list(
+        _iterate_available(members, request.model, fleet, frozenset(), now)
+    )
+    if not available:
+        return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
+    if suspect:
+        return NoneAvailable(Reason.SUSPECT, COME_BACK_MS)
+    assert any(view.instance in excluded for view in available)
+    return NoneAvailable(Reason.EXCLUDED, COME_BACK_MS)
