--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -13,6 +13,8 @@
 
 NEAR_LATENCY_S = 0.005
 OTHER_PLACE_COST_S = 0.02
+PACE_TOLERANCE = 1.5
+MAX_PRICED_TOKENS = 500.0
 SAVED_PER_BLOCK_S = 0.01
 FIRST_CANDIDATES = 2
 SPILL_CANDIDATES = 4
@@ -159,16 +161,16 @@
         zones = self._divide(request, fleet)
         if not zones.members:
             return _explain_none(request, fleet, excluded, now, suspect)
-        sequence = self._rank_candidates(request, zones.near)
         if suspect:
-            sequence = sequence[:FIRST_CANDIDATES]
-            if all(member.instance in excluded for member in sequence):
-                return NoneAvailable(Reason.SUSPECT, None)
+            return self._select_for_suspect(
+                request, zones.members, fleet, excluded, place, now
+            )
+        sequence = self._rank_candidates(request, zones.near)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
         weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
         best = _find_best(weighed)
         spilled = False
-        if not suspect and not _is_short(best, spill_wait_s):
+        if not _is_short(best, spill_wait_s):
             for _ in range(SPILL_CANDIDATES):
                 weighed += self._weigh(usable, 1, request, fleet, place, now)
                 if weighed and _is_short(weighed[-1], spill_wait_s):
@@ -183,6 +185,31 @@
             return _explain_none(request, fleet, excluded, now, suspect)
         return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
 
+    def _select_for_suspect(
+        self,
+        request: requests.Request,
+        members: tuple[views.Member, ...],
+        fleet: views.Fleet,
+        excluded: frozenset[str],
+        place: str,
+        now: float,
+    ) -> Selection:
+        """Selects the one endpoint where every entry tries this content.
+
+        It does not move on while that endpoint is down, so that entries whose views
+        differ still try it at one endpoint.
+        """
+        ranked = rank_members(members, request.fingerprint)
+        sequence = [member for member in ranked if member.instance not in excluded][:1]
+        if not sequence:
+            return NoneAvailable(Reason.SUSPECT, None)
+        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        weighed = self._weigh(usable, 1, request, fleet, place, now)
+        if not weighed:
+            return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
+        only = weighed[0]
+        return Selected(only.instance, only.wait_s, only.cached_blocks, False)
+
     def _divide(self, request: requests.Request, fleet: views.Fleet) -> _Zones:
         members = fleet.list_members(request.service, request.model)
         by_model = self._zones.setdefault(request.service, {})
@@ -231,13 +258,16 @@
     ) -> list[_Candidate]:
         mean_wait_s = fleet.compute_mean_wait(request.service, request.priority)
         mean_pace_s = fleet.compute_mean_pace(request.service)
+        usual_pace_s = mean_pace_s * PACE_TOLERANCE
+        priced_tokens = min(request.cost_tokens, MAX_PRICED_TOKENS)
         weighed: list[_Candidate] = []
         for _, view in zip(range(count), usable, strict=False):
             cached = self._prefixes.count_cached(view.instance, request.prefix_blocks)
             wait_s = view.predict_wait(request.priority, mean_wait_s, now)
             score_s = wait_s + 2 * view.latency_s - cached * SAVED_PER_BLOCK_S
             score_s += OTHER_PLACE_COST_S if view.place != place else 0.0
-            score_s += request.cost_tokens * view.predict_pace(mean_pace_s, now)
+            pace_s = view.predict_pace(mean_pace_s, now) - usual_pace_s
+            score_s += priced_tokens * max(0.0, pace_s)
             weighed.append(_Candidate(view.instance, score_s, wait_s, cached))
         return weighed
 
