--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/grouping.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/grouping.py
@@ -2,24 +2,35 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 import typing
 
 import xxhash
 
 from chicoryweir_policy import catalogue
+from chicoryweir_policy import requests
 from chicoryweir_policy import store
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.groups import balancer
 from chicoryweir_policy.groups import changes
 from chicoryweir_policy.groups import coordinator
 from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.groups import leases
 from chicoryweir_policy.groups import messages as group_messages
+from chicoryweir_policy.maps import gates
+from chicoryweir_policy.maps import placement
+from chicoryweir_policy.maps import rebalancers
+from chicoryweir_policy.settings import tree as trees
 
-Replicas = group_messages.Replicas
-Specs = collections.abc.Mapping[str, changes.GroupSpec]
+
+@dataclasses.dataclass(slots=True)
+class _Part:
+    """What this entry keeps for one group."""
+
+    group: trees.Group
+    core: coordinator.CoordinatorCore
+    balancer: balancer.MapBalancer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,28 +46,61 @@
 
     def __init__(self, state: entry_state.EntryState) -> None:
         self._state = state
-        self._cores: dict[str, coordinator.CoordinatorCore] = {}
-        self._specs: dict[str, changes.GroupSpec] = {}
+        self._parts: dict[str, _Part] = {}
+        self._version = 0
 
-    def sync(self, specs: Specs, now: float, out: entry_state.Commands) -> None:
+    def _sync(self, now: float, out: entry_state.Commands) -> None:
         """Follows the groups in the settings."""
-        for group in sorted(set(self._specs) - set(specs)):
-            self._carry_out(group, self._cores.pop(group).resign(now), out)
-            del self._specs[group]
-        for group, spec in specs.items():
-            if self._specs.get(group) == spec:
-                continue
-            self._specs[group] = spec
-            self._cores[group] = self._make_core(spec)
-
-    def _make_core(self, spec: changes.GroupSpec) -> coordinator.CoordinatorCore:
+        tree = self._state.settings.tree
+        if tree is None or self._version == self._state.settings.version:
+            return
+        self._version = self._state.settings.version
+        for name in sorted(set(self._parts) - set(tree.groups)):
+            self._carry_out(name, self._parts.pop(name).core.resign(now), out)
+        for name, group in tree.groups.items():
+            known = self._parts.get(name)
+            if known is None or known.group != group:
+                self._parts[name] = _Part(group, self._make_core(group))
+
+    def _make_core(self, group: trees.Group) -> coordinator.CoordinatorCore:
         facts = self._state.facts
         holder = f"{facts.instance}:{facts.incarnation}"
-        seed = xxhash.xxh3_64_intdigest(f"{holder}:{spec.group}".encode())
+        seed = xxhash.xxh3_64_intdigest(f"{holder}:{group.name}".encode())
+        even = (1.0 / group.experts,) * group.experts
+        first = placement.pack_experts(even, group.ranks, group.slots_per_rank)
+        spec = changes.GroupSpec(group.name, group.ranks, first.replicas)
         return coordinator.CoordinatorCore(
             holder, (spec,), leases.LeaseSettings(), changes.ChangeSettings(), seed
         )
 
+    def _make_balancer(self, group: trees.Group, now: float) -> balancer.MapBalancer:
+        effective = self._state.settings.resolve(
+            self._state.facts.place, group.service, "", requests.PriorityClass.STANDARD
+        )
+        gate = gates.GateSettings(
+            gain_min=effective.map_gain_min, keep_s=effective.map_keep_s
+        )
+        way = rebalancers.GatedRepair(gate, rebalancers.RepairSettings())
+        return balancer.MapBalancer(
+            group.ranks, group.experts, way, balancer.BalancerSettings(), now
+        )
+
+    def _balance(
+        self, name: str, part: _Part, now: float, out: entry_state.Commands
+    ) -> None:
+        """Proposes a better map while the group's lease is held here."""
+        if not part.core.holds(name, now):
+            part.balancer = None
+            return
+        if part.balancer is None:
+            part.balancer = self._make_balancer(part.group, now)
+        in_force = part.core.find_map(name)
+        if in_force is None:
+            return
+        proposal = part.balancer.propose_map(in_force, now)
+        if proposal is not None:
+            self._advance(name, group_events.MapProposed(name, proposal), now, out)
+
     def consume_message(
         self,
         instance: str,
@@ -67,6 +111,13 @@
         """Takes a message of an agent about its ranks."""
         received = group_events.MessageReceived(instance, message)
         self._advance(message.group, received, now, out)
+        part = self._parts.get(message.group)
+        if (
+            part is not None
+            and part.balancer is not None
+            and isinstance(message, group_messages.RankStatus)
+        ):
+            part.balancer.note_load(message.expert_load, now)
 
     def consume_reply(
         self,
@@ -82,31 +133,29 @@
         self._advance(purpose.group, replied, now, out)
         return True
 
-    def propose(
-        self, group: str, replicas: Replicas, now: float, out: entry_state.Commands
-    ) -> None:
-        """Proposes a better map for a group whose lease is held here."""
-        proposed = group_events.MapProposed(group, replicas)
-        self._advance(group, proposed, now, out)
-
     def tick(self, now: float, out: entry_state.Commands) -> None:
         """Lets every coordinator know that time passes."""
-        for group in self._cores:
-            self._advance(group, group_events.Ticked(), now, out)
+        self._sync(now, out)
+        for name, part in self._parts.items():
+            self._advance(name, group_events.Ticked(), now, out)
+            self._balance(name, part, now, out)
 
     def resign(self, now: float, out: entry_state.Commands) -> None:
         """Gives up all leases, before this process stops."""
-        for group, core in self._cores.items():
-            self._carry_out(group, core.resign(now), out)
-        self._cores.clear()
+        for name, part in self._parts.items():
+            self._carry_out(name, part.core.resign(now), out)
+        self._parts.clear()
 
     def list_held(self, now: float) -> list[str]:
         """Returns the groups whose lease is held here."""
-        return [group for group, core in self._cores.items() if core.holds(group, now)]
+        return [
+            name for name, part in self._parts.items() if part.core.holds(name, now)
+        ]
 
     def find_core(self, group: str) -> coordinator.CoordinatorCore | None:
         """Returns the coordinator of a group, or None."""
-        return self._cores.get(group)
+        part = self._parts.get(group)
+        return None if part is None else part.core
 
     def _advance(
         self,
@@ -115,9 +164,9 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        core = self._cores.get(group)
-        if core is not None:
-            self._carry_out(group, core.step(event, now), out)
+        part = self._parts.get(group)
+        if part is not None:
+            self._carry_out(group, part.core.step(event, now), out)
 
     def _carry_out(
         self,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
@@ -95,6 +95,11 @@
         items = self._contenders[group].leader.statuses.items()
         return tuple(status for _, status in items)
 
+    def find_map(self, group: str) -> messages.Replicas | None:
+        """Returns the map in force by the group's row, or None before it was read."""
+        row = self._contenders[group].leader.row
+        return None if row is None else row.replicas
+
     def find_state(self, group: str) -> str:
         """Returns the state of a group's change in the chart `map_change`."""
         return self._contenders[group].leader.state
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/schema.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/schema.py
@@ -8,6 +8,8 @@
 from chicoryweir_policy.settings import tree as trees
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"
+MAX_RANKS = 1024
+MAX_EXPERTS = 4096
 SHA256_PATTERN = r"^[0-9a-fA-F]{64}\Z"
 CLASS_NAMES = ("urgent", "standard", "bulk", trees.ANY_NAME)
 
@@ -29,6 +31,11 @@
                 "propertyNames": {"pattern": NAME_PATTERN},
                 "additionalProperties": _build_service(),
             },
+            "groups": {
+                "type": "object",
+                "propertyNames": {"pattern": NAME_PATTERN},
+                "additionalProperties": _build_group(),
+            },
             "fleet": _build_node(0),
         },
     }
@@ -71,6 +78,24 @@
     }
 
 
+def _build_group() -> Schema:
+    return {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["service", "ranks", "experts", "slots_per_rank"],
+        "properties": {
+            "service": {"type": "string", "pattern": NAME_PATTERN},
+            "ranks": {"type": "integer", "minimum": 1, "maximum": MAX_RANKS},
+            "experts": {"type": "integer", "minimum": 1, "maximum": MAX_EXPERTS},
+            "slots_per_rank": {
+                "type": "integer",
+                "minimum": 1,
+                "maximum": MAX_EXPERTS,
+            },
+        },
+    }
+
+
 def _build_node(depth: int) -> Schema:
     properties: Schema = {"settings": _build_settings()}
     if depth < len(trees.LEVELS):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/tree.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/tree.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 import types
+import typing
 
 from chicoryweir_policy import store
 from chicoryweir_policy.settings import catalogue
@@ -39,6 +40,25 @@
     models: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """A lock-step group of ranks.
+
+    Attributes:
+        name: Name of the group.
+        service: Service that its ranks answer for.
+        ranks: Number of ranks.
+        experts: Number of experts of a layer.
+        slots_per_rank: Experts that a rank holds at once.
+    """
+
+    name: str
+    service: str
+    ranks: int
+    experts: int
+    slots_per_rank: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Node:
     """A node of the tree.
@@ -60,6 +80,7 @@
         workspace_keys: SHA-256 hashes of the keys of each workspace.
         operator_keys: SHA-256 hashes of the keys of each operator.
         services: Services by name.
+        groups: Lock-step groups by name.
         fleet: Root node; beneath are places, services, workspaces, classes.
         workspace_by_key: Workspace that a key hash belongs to.
         operator_by_key: Operator that a key hash belongs to.
@@ -68,6 +89,7 @@
     workspace_keys: Names
     operator_keys: Names
     services: collections.abc.Mapping[str, Service]
+    groups: collections.abc.Mapping[str, Group]
     fleet: Node
     workspace_by_key: collections.abc.Mapping[str, str]
     operator_by_key: collections.abc.Mapping[str, str]
@@ -90,6 +112,12 @@
                 for name, value in _as_object(root.get("services")).items()
             }
         ),
+        groups=types.MappingProxyType(
+            {
+                name: _parse_group(name, _as_object(value))
+                for name, value in _as_object(root.get("groups")).items()
+            }
+        ),
         fleet=_parse_node(_as_object(root.get("fleet")), 0),
         workspace_by_key=_invert_keys(workspaces),
         operator_by_key=_invert_keys(operators),
@@ -140,6 +168,17 @@
     return values
 
 
+def _parse_group(name: str, value: dict[str, store.Json]) -> Group:
+    counts = typing.cast("dict[str, int]", value)
+    return Group(
+        name=name,
+        service=str(value["service"]),
+        ranks=counts["ranks"],
+        experts=counts["experts"],
+        slots_per_rank=counts["slots_per_rank"],
+    )
+
+
 def _parse_node(value: dict[str, store.Json], depth: int) -> Node:
     values = _parse_values(_as_object(value.get("settings")))
     children: dict[str, Node] = {}
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/plan.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/plan.py
@@ -14,6 +14,8 @@
 MODEL_SERVICE = "model-desk"
 PLAIN_SERVICE = "purchase-ledger"
 GROUP = "desk-1"
+EXPERTS = 128
+SPARE_SLOTS = 8
 PLACES = ("telavi", "gurjaani", "sighnaghi")
 
 
@@ -111,6 +113,14 @@
         keys: Secrets of the fleet; the tree holds their digests.
         workspaces: Further workspaces, which have no key.
     """
+    groups: Json = {}
+    if size.has_group:
+        groups[GROUP] = {
+            "service": size.model_service,
+            "ranks": size.engines,
+            "experts": EXPERTS,
+            "slots_per_rank": EXPERTS // size.engines + SPARE_SLOTS,
+        }
     return {
         "workspaces": {
             "relay": {"keys_sha256": [_digest(keys.caller)]},
@@ -121,6 +131,7 @@
             size.model_service: {"kind": "model", "models": [MODEL]},
             size.plain_service: {"kind": "plain"},
         },
+        "groups": groups,
         "fleet": {"settings": {}, "places": {}},
     }
 
