Test an operator's change step by step

Mutations of the code had survived the random histories: a conflict taken for an outage, a late reply for another object, a doubled copy.

--- a/packages/chicoryweir-policy/tests/settings/test_versions.py
+++ b/packages/chicoryweir-policy/tests/settings/test_versions.py
@@ -129,3 +129,19 @@
 def test_peer_that_lags_is_told_the_newer_version() -> None:
     _, commands = run([*hold(4), messages.HeadOffered("a", make_copy(3).head)])
     assert commands == [messages.AnnounceHead(make_copy(4).head, "a")]
+
+
+def test_late_reply_for_another_object_is_dropped() -> None:
+    book, _ = run([*hold(4), read_head(make_copy(9), 9)])
+    other = make_copy(8)
+    fetched = store.ObjectFetched(other.head.object_name, other.data)
+    late = messages.ObjectRead(other.head.object_name, fetched)
+    step = versions.advance(book, late, 0.1)
+    assert step == versions.Step(book)
+
+
+def test_doubled_or_older_copy_is_dropped_without_a_fault() -> None:
+    for version in (3, 4):
+        book, commands = run([*hold(4), messages.CopySent("a", make_copy(version))])
+        assert commands == []
+        assert book.held == make_copy(4)
--- a/packages/chicoryweir-policy/tests/settings/test_versions_machine.py
+++ b/packages/chicoryweir-policy/tests/settings/test_versions_machine.py
@@ -214,6 +214,10 @@
                 self.submit(name, self.proposals[change_id], [])
                 return
 
+    @stateful.rule(name=st.sampled_from(PROCESSES), peer=st.sampled_from(PROCESSES))
+    def send_copy(self, name: str, peer: str) -> None:
+        self.post(peer, messages.CopyAsked(name))
+
     @stateful.rule(data=st.data(), count=st.integers(1, 12), doubled=st.booleans())
     def deliver(self, data: st.DataObject, count: int, doubled: bool) -> None:
         for _ in range(min(count, len(self.pending))):
@@ -268,5 +272,5 @@
             assert (process.adopted[-1] if process.adopted else 0) == newest
 
 
-Fleet.TestCase.settings = hypothesis.settings(max_examples=150, stateful_step_count=40)
+Fleet.TestCase.settings = hypothesis.settings(max_examples=250, stateful_step_count=40)
 TestFleet = Fleet.TestCase
