Decode stored documents without hooks for each value

Stored documents are canonical, so doubled keys cannot occur in them. Scans of history and audit go page by page.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/answers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/answers.py
@@ -30,8 +30,16 @@
     body: dict[str, store.Json]
 
 
-HISTORY_SCAN = store.Scan(heads.HISTORY_PREFIX, limit=heads.MAX_HISTORY + 100)
-AUDIT_SCAN = store.Scan(audit.PREFIX, limit=audit.MAX_RECORDS + 1000)
+PAGE_ROWS = 1000
+HISTORY_SCAN = store.Scan(heads.HISTORY_PREFIX, limit=PAGE_ROWS)
+AUDIT_SCAN = store.Scan(audit.PREFIX, limit=PAGE_ROWS)
+
+
+def continue_scan(scan: store.Scan, page: store.Rows) -> store.Scan | None:
+    """Returns the scan of the next page; None after the last one."""
+    if len(page.rows) < scan.limit:
+        return None
+    return dataclasses.replace(scan, after=page.rows[-1].key)
 
 
 def parse_proposal(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import json
 import math
@@ -41,18 +42,14 @@
 Decoding = Decoded | Undecodable
 
 
-class _FaultError(ValueError):
-    """A valid JSON text that this project refuses."""
-
-
 def parse_text(data: bytes) -> Decoding:
     """Reads JSON with comments and trailing commas; refuses doubled keys."""
-    return _decode(data, jsonc.loads)
+    return _decode(data, _load_text)
 
 
 def decode_document(data: bytes) -> Decoding:
-    """Reads a stored document, which is plain JSON."""
-    return _decode(data, json.loads)
+    """Reads a stored document: plain JSON, written by `encode_document`."""
+    return _decode(data, _load_document)
 
 
 def encode_document(document: store.Json) -> bytes:
@@ -75,26 +72,35 @@
     return xxhash.xxh3_128_hexdigest(data)
 
 
-def _decode(data: bytes, loads: typing.Callable[..., typing.Any]) -> Decoding:
+def _load_text(text: str) -> store.Json:
+    document: store.Json = jsonc.loads(
+        text,
+        object_pairs_hook=_collect_pairs,
+        parse_constant=_refuse_constant,
+        parse_float=_parse_float,
+        parse_int=_parse_int,
+    )
+    return document
+
+
+def _load_document(text: str) -> store.Json:
+    document: store.Json = json.loads(
+        text, parse_constant=_refuse_constant, parse_float=_parse_float
+    )
+    return document
+
+
+def _decode(data: bytes, load: collections.abc.Callable[[str], store.Json]) -> Decoding:
     if len(data) > MAX_TEXT_BYTES:
         return Undecodable(f"longer than {MAX_TEXT_BYTES} bytes")
     try:
-        text = data.decode("utf-8-sig")
-        return Decoded(
-            loads(
-                text,
-                object_pairs_hook=_collect_pairs,
-                parse_constant=_refuse_constant,
-                parse_float=_parse_float,
-                parse_int=_parse_int,
-            )
-        )
+        return Decoded(load(data.decode("utf-8-sig")))
     except json.JSONDecodeError as error:
         return Undecodable(error.msg, error.lineno, error.colno)
     except UnicodeDecodeError as error:
         line = data.count(b"\n", 0, error.start) + 1
         return Undecodable("not UTF-8 text", line)
-    except _FaultError as error:
+    except ValueError as error:
         return Undecodable(str(error))
     except RecursionError:
         return Undecodable("nested too deeply")
@@ -107,23 +113,23 @@
     seen: set[str] = set()
     for key, _ in pairs:
         if key in seen:
-            raise _FaultError(f"key {key!r} is doubled")
+            raise ValueError(f"key {key!r} is doubled")
         seen.add(key)
     return collected
 
 
 def _refuse_constant(name: str) -> typing.NoReturn:
-    raise _FaultError(f"{name} is no JSON number")
+    raise ValueError(f"{name} is no JSON number")
 
 
 def _parse_float(text: str) -> float:
     value = float(text)
     if not math.isfinite(value):
-        raise _FaultError(f"number {text[:40]} is out of range")
+        raise ValueError(f"number {text[:40]} is out of range")
     return value
 
 
 def _parse_int(text: str) -> int:
     if len(text) > MAX_DIGITS:
-        raise _FaultError(f"number {text[:40]}... has more than {MAX_DIGITS} digits")
+        raise ValueError(f"number {text[:40]}... has more than {MAX_DIGITS} digits")
     return int(text)
--- a/packages/chicoryweir-policy/tests/settings/test_audit.py
+++ b/packages/chicoryweir-policy/tests/settings/test_audit.py
@@ -109,3 +109,11 @@
 def test_version_that_is_not_kept_is_not_found() -> None:
     assert answers.render_settings(7, None).status == 404
     assert answers.render_settings(7, b'{"fleet":{}}').body["tree"] == {"fleet": {}}
+
+
+def test_scan_goes_on_after_a_full_page() -> None:
+    rows = make_rows(3)
+    scan = store.Scan(audit.PREFIX, limit=3)
+    following = answers.continue_scan(scan, store.Rows(tuple(rows)))
+    assert following == store.Scan(audit.PREFIX, rows[-1].key, 3)
+    assert answers.continue_scan(scan, store.Rows(tuple(rows[:2]))) is None
