--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -17,6 +17,7 @@
 MAX_PRICED_TOKENS = 500.0
 SAVED_PER_BLOCK_S = 0.01
 FIRST_CANDIDATES = 2
+SUSPECT_CANDIDATES = 2
 SPILL_CANDIDATES = 4
 SPILL_WAIT_S = 0.25
 COME_BACK_MS = 500
@@ -163,7 +164,7 @@
             return _explain_none(request, fleet, excluded, now, suspect)
         sequence = self._rank_candidates(request, zones.near)
         if suspect:
-            sequence = sequence[:FIRST_CANDIDATES]
+            sequence = sequence[:SUSPECT_CANDIDATES]
             if all(member.instance in excluded for member in sequence):
                 return NoneAvailable(Reason.SUSPECT, None)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
