--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -117,7 +117,7 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        may_wait = live.suspect and none.reason is selection.Reason.UNAVAILABLE
+        may_wait = live.suspect and none.retry_after_ms is not None
         if none.reason is selection.Reason.EXCLUDED:
             may_wait = live.attempts < live.effective.max_attempts
             live.excluded.clear()
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -17,6 +17,7 @@
 MAX_PRICED_TOKENS = 500.0
 SAVED_PER_BLOCK_S = 0.01
 FIRST_CANDIDATES = 2
+SUSPECT_CANDIDATES = 2
 SPILL_CANDIDATES = 4
 SPILL_WAIT_S = 0.25
 COME_BACK_MS = 500
@@ -200,13 +201,15 @@
         differ still try it at one endpoint.
         """
         ranked = rank_members(members, request.fingerprint)
-        sequence = [member for member in ranked if member.instance not in excluded][:1]
+        allowed = ranked[:SUSPECT_CANDIDATES]
+        sequence = [member for member in allowed if member.instance not in excluded]
         if not sequence:
             return NoneAvailable(Reason.SUSPECT, None)
-        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
+        only_one = sequence[:1]
+        usable = _iterate_available(only_one, request.model, fleet, excluded, now)
         weighed = self._weigh(usable, 1, request, fleet, place, now)
         if not weighed:
-            return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
+            return NoneAvailable(Reason.SUSPECT, COME_BACK_MS)
         only = weighed[0]
         return Selected(only.instance, only.wait_s, only.cached_blocks, False)
 
