Let a rank of the stand-in prepare before it joins

A restarted rank that joins first and prepares afterwards may enter the step of the change under way on the old map. So the agent orders to prepare, to release where the change is committed, and only then to join; the stand-in refused the first and the group would have waited for ever.

The test that demanded the refusal was wrong for that reason. It is replaced by tests that a rank prepared before it joins holds and switches at the step, and that an evicted rank takes a committed change again.

--- a/packages/chicoryweir-standins/src/chicoryweir_standins/engine/rank_map.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/engine/rank_map.py
@@ -67,16 +67,17 @@
     def prepare(self, change: Change) -> None:
         """Prepares a map; a repeat is harmless.
 
+        A rank without a map prepares too, so that it joins with the change under way
+        and never enters the step of the change on the map before it.
+
         Raises:
-            RefusedError: It has no map, was decided before, comes too late, or
-                another change is prepared.
+            RefusedError: The change was aborted, comes too late, or another change
+                is prepared.
         """
         if self.prepared is not None and self.prepared.change_id == change.change_id:
             return
-        if not self.is_joined:
-            raise RefusedError("the rank has no map")
-        if change.change_id in self._decisions:
-            raise RefusedError("the change is decided already")
+        if self._decisions.get(change.change_id) is False:
+            raise RefusedError("the change was aborted")
         if self.prepared is not None:
             raise RefusedError(f"change {self.prepared.change_id} is prepared")
         if change.hold_at <= self.step:
