Read the row again for ranks that left the group without a restart

An engine's ranks may leave a group and join again within one process, and some groups step on without them. The row read at the first join could then be older than a change made since. A committed change whose step has passed is joined at once, and the row is read again while a change under way keeps ranks from joining.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/member.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/member.py
@@ -157,9 +157,13 @@
 
     def _observe(self, engine: events.EngineObserved) -> Commands:
         """Takes stock of the engine; returns a violation that it shows."""
-        if engine.incarnation != self._engine.incarnation:
-            self._prepared = self._released = ""
+        was_joined, restarted = (
+            self._is_joined(),
+            engine.incarnation != self._engine.incarnation,
+        )
         self._engine = engine
+        if restarted or (was_joined and not self._is_joined()):
+            self._forget_engine()
         self._add_load(engine.expert_load)
         held = {rank.prepared for rank in engine.ranks}
         self._over &= held
@@ -171,6 +175,12 @@
             return (events.MapViolation(self._group, engine.step, versions, "engine"),)
         return ()
 
+    def _forget_engine(self) -> None:
+        """Begins anew with an engine that restarted, or whose ranks left the group."""
+        self._prepared = self._released = self._row_for = ""
+        if self._reading_for is not None:
+            self._reading_for = ""
+
     def _adopt_held(self, rank: events.RankObserved) -> None:
         """Takes up a change for which an earlier process prepared the engine."""
         self._prepared = rank.prepared
@@ -243,6 +253,9 @@
         row, stage = self._row, self._stage
         if row is None or self._row_for != self._engine.incarnation:
             return None
+        passed = self._engine.step >= row.hold_at
+        if row.phase is rows.Phase.COMMITTED and passed:
+            return self._build_join(row.next_version, row.next_replicas)
         if row.phase in (rows.Phase.PREPARING, rows.Phase.COMMITTED):
             if stage.change_id != row.change_id:
                 self._row_for = ""
@@ -251,12 +264,17 @@
                 return self._build_prepare()
             if not stage.is_undecided() and self._released != stage.change_id:
                 return self._build_release(stage.change_id)
+        return self._build_join(row.map_version, row.replicas)
+
+    def _build_join(
+        self, map_version: int, replicas: messages.Replicas
+    ) -> events.JoinEngine:
         return events.JoinEngine(
             self._take_number(),
             self._engine.incarnation,
             self._highest_fence,
-            row.map_version,
-            row.replicas,
+            map_version,
+            replicas,
         )
 
     def _plan_release(self) -> Order | None:
@@ -298,6 +316,8 @@
             return False
         if self._row is None or self._row_for != self._engine.incarnation:
             return True
+        if not self._is_joined():
+            return self._row.phase is not rows.Phase.SETTLED
         stage = self._stage
         if self._find_held() - self._over - {stage.change_id}:
             return True
