--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
@@ -4,15 +4,17 @@
 
 import collections.abc
 import dataclasses
+import time
 import typing
 
 import litestar
 from litestar import response
 from litestar.handlers import asgi
+import xxhash
 
 from chicoryweir_daemon.entry import callers
 from chicoryweir_daemon.entry import metrics
-from chicoryweir_policy import messages
+from chicoryweir_policy.routing import addresses
 
 _PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -22,13 +24,16 @@
     """What the application reads of the entry's state.
 
     Attributes:
-        list_addresses: Returns the entries for a caller of a service.
+        rank_addresses: Returns the entries for a caller, best first, by a hash of the
+            caller and the present monotonic time.
         is_ready: Tells whether requests can be taken.
         address_ttl_ms: Time for which a caller may keep the addresses.
         meter: Measures of what callers got.
     """
 
-    list_addresses: collections.abc.Callable[[], tuple[messages.EntryStatus, ...]]
+    rank_addresses: collections.abc.Callable[
+        [int, float], tuple[addresses.EntryView, ...]
+    ]
     is_ready: collections.abc.Callable[[], bool]
     has_service: collections.abc.Callable[[str], bool]
     address_ttl_ms: int
@@ -47,14 +52,19 @@
         await front.serve(scope, receive, send)
 
     @litestar.get("/v1/addresses", sync_to_thread=False)
-    def list_addresses(service: str = "") -> response.Response[typing.Any]:
+    def list_addresses(
+        request: litestar.Request[typing.Any, typing.Any, typing.Any],
+        service: str = "",
+    ) -> response.Response[typing.Any]:
         if service and not views.has_service(service):
             return response.Response({"detail": "unknown service"}, status_code=404)
-        addresses = [
-            {"ip": status.ip, "port": status.port, "place": status.place}
-            for status in views.list_addresses()
+        host = request.client.host if request.client else ""
+        seed = xxhash.xxh3_64_intdigest(host.encode())
+        ranked = [
+            {"ip": view.ip, "port": view.port, "place": view.place}
+            for view in views.rank_addresses(seed, time.monotonic())
         ]
-        document = {"addresses": addresses, "ttl_ms": views.address_ttl_ms}
+        document = {"addresses": ranked, "ttl_ms": views.address_ttl_ms}
         return response.Response(document)
 
     @litestar.get("/healthz", sync_to_thread=False)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
@@ -36,7 +36,7 @@
         "endpoints": _describe_endpoints(core, now),
         "entries": [
             {"instance": item.instance, "place": item.place, "leaving": item.leaving}
-            for item in core.peers.list_entries()
+            for item in core.peers.rank_entries(0, now)
         ],
         "store": {
             "reachable": store_up,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -140,7 +140,7 @@
         get_resolver=lambda: settings.resolver,
     )
     views = application.Views(
-        list_addresses=core.peers.list_entries,
+        rank_addresses=core.peers.rank_entries,
         is_ready=lambda: settings.is_ready and bool(core.state.agents),
         has_service=lambda name: (
             settings.tree is not None and name in settings.tree.services
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -32,6 +32,7 @@
 LINK_REFUSED = 112
 ENDPOINT_LOST = 120
 ENDPOINT_SERVING = 121
+ENDPOINT_EJECTED = 122
 REQUEST_REFUSED = 200
 REQUEST_RETRIED = 201
 REQUEST_RESUMED = 202
@@ -92,6 +93,12 @@
         "An endpoint answers again.",
         "None.",
     ),
+    EventKind(
+        ENDPOINT_EJECTED,
+        "endpoint_ejected",
+        "An endpoint that is slow or fails beside its peers gets no work for a time.",
+        "Look at the engine and its machine.",
+    ),
     EventKind(
         REQUEST_REFUSED,
         "request_refused",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -10,6 +10,7 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
+from chicoryweir_policy.admission import delay
 from chicoryweir_policy.admission import queued
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import draining
@@ -30,6 +31,7 @@
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
 _SUSPECT_RETRY_MS = 300
+OPTIMISM = 0.5
 
 Commands = list[commands.Command]
 
@@ -215,6 +217,14 @@
         if reason is not None:
             self._reject(session, submit.attempt_id, reason, self._hint(reason), out)
             return
+        run_s = OPTIMISM * self._load.estimate_run(submit.cost_tokens)
+        wait_s = self._predict_wait(submit, now)
+        if wait_s + run_s > submit.deadline_in_s:
+            reason = messages.RejectReason.INFEASIBLE
+            late_s = wait_s + run_s - submit.deadline_in_s
+            hint_ms = delay.compute_retry_after_ms(submit.request_id, late_s)
+            self._reject(session, submit.attempt_id, reason, hint_ms, out)
+            return
         effective = self._settings.resolve(
             self._facts.place, self._facts.service, submit.workspace, submit.priority
         )
@@ -230,6 +240,7 @@
             cost_tokens=submit.cost_tokens,
             deadline_at=attempt.deadline_at,
             arrived_at=now,
+            run_s=run_s,
         )
         self._attempts.add(attempt)
         self._journal.note(
@@ -241,6 +252,11 @@
         )
         self._enqueue(entry, now, out)
 
+    def _predict_wait(self, submit: messages.SubmitAttempt, now: float) -> float:
+        if len(self._running) < self._facts.slots and not len(self._queue):
+            return 0.0
+        return self._queue.predict_wait(submit.workspace, submit.priority, now)
+
     def _enqueue(self, entry: queued.Queued, now: float, out: Commands) -> None:
         outcome = self._queue.push(entry, now)
         match outcome:
@@ -552,6 +568,15 @@
             self._lose_endpoint(now, out)
         if self._load.note_probe(event):
             self._report(now, out)
+            if self._load.serving:
+                out.append(
+                    commands.Record(
+                        catalogue.ENDPOINT_SERVING,
+                        "",
+                        self._facts.instance,
+                        event.incarnation,
+                    )
+                )
 
     def _open_session(
         self, event: events.LinkOpened, now: float, out: Commands
@@ -590,6 +615,9 @@
         if self._leaving:
             return
         self._leaving = True
+        out.append(
+            commands.Record(catalogue.DRAIN_STARTED, "", self._facts.instance, "")
+        )
         effective = self._settings.resolve(
             self._facts.place,
             self._facts.service,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
@@ -71,6 +71,16 @@
             return self._slots / self._step_time_s
         return self._slots * self._cost_tokens / self._duration_s
 
+    def estimate_run(self, cost_tokens: float) -> float:
+        """Estimates how long an attempt runs, in seconds; 0 while nothing is known.
+
+        An estimate above the usual is cut, since most answers end before the limit
+        that their callers set.
+        """
+        if self._duration_s == 0.0:
+            return 0.0
+        return self._duration_s * min(1.0, cost_tokens / max(self._cost_tokens, 1.0))
+
     def is_report_due(self, now: float) -> bool:
         """Tells whether it is time for the next report."""
         return now - self._reported_at >= REPORT_PERIOD_S
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -20,6 +20,7 @@
 from chicoryweir_policy.cores.entry import dispatching
 from chicoryweir_policy.cores.entry import grouping
 from chicoryweir_policy.cores.entry import lives
+from chicoryweir_policy.cores.entry import outlying
 from chicoryweir_policy.cores.entry import peers
 from chicoryweir_policy.cores.entry import presumption
 from chicoryweir_policy.cores.entry import state as entry_state
@@ -49,6 +50,7 @@
         self._claimer.connect(self._dispatcher.submit)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
+        self._outlying = outlying.Outlying(state)
         self._presumption = presumption.Presumption(state.suspicions.book)
         self._drain_watch = draining.DrainWatch(state.facts.instance, state.operations)
         self._leaving_at: float | None = None
@@ -153,13 +155,14 @@
             case messages.LoadReport():
                 self.state.loads.note_report(event.instance, message, now)
                 self._presumption.consume_report(event.instance, message, now)
+                self._outlying.consume_report(event.instance, message, now)
             case messages.CacheNews():
                 self.state.prefixes.note_stored(event.instance, message.stored)
                 self.state.prefixes.note_evicted(event.instance, message.evicted)
             case messages.AttemptStatus():
                 self._claimer.consume_status(message, now, out)
             case messages.EntryStatus():
-                self.peers.consume_status(event.instance, message)
+                self.peers.consume_status(event.instance, message, now)
             case (
                 messages.SettingsHead()
                 | messages.SettingsWanted()
@@ -304,6 +307,7 @@
         self.peers.tick(now, out)
         self.groups.tick(now, out)
         self.state.suspicions.tick(now, out)
+        self._outlying.tick(now, out)
         self._exchange_limits(now, out)
         self._drain_watch.tick(now, out)
         self.peers.keep_links(out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
@@ -198,6 +198,7 @@
             self._dispatcher.retry(live, failure, now, out)
             return
         self._dispatcher.detach(live)
+        self._state.detector.note_outcome(dispatch.instance, False, now)
         self._claimer.close(live, dispatch)
         self._state.suspicions.book.record_finished(live.request.fingerprint, now)
         request_id = live.request.request_id
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -247,6 +247,7 @@
         if live.expired:
             self._expire(live, dispatch.instance, now, out)
             return
+        self._state.detector.note_outcome(dispatch.instance, True, now)
         failure = failures.Failed(dispatch.instance, message.kind, message.detail)
         self.retry(live, failure, now, out)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/grouping.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/grouping.py
@@ -31,6 +31,7 @@
     group: trees.Group
     core: coordinator.CoordinatorCore
     balancer: balancer.MapBalancer | None = None
+    gate: gates.GateSettings | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,13 +74,17 @@
             holder, (spec,), leases.LeaseSettings(), changes.ChangeSettings(), seed
         )
 
-    def _make_balancer(self, group: trees.Group, now: float) -> balancer.MapBalancer:
+    def _resolve_gate(self, group: trees.Group) -> gates.GateSettings:
         effective = self._state.settings.resolve(
             self._state.facts.place, group.service, "", requests.PriorityClass.STANDARD
         )
-        gate = gates.GateSettings(
+        return gates.GateSettings(
             gain_min=effective.map_gain_min, keep_s=effective.map_keep_s
         )
+
+    def _make_balancer(
+        self, group: trees.Group, gate: gates.GateSettings, now: float
+    ) -> balancer.MapBalancer:
         way = rebalancers.GatedRepair(gate, rebalancers.RepairSettings())
         return balancer.MapBalancer(
             group.ranks, group.experts, way, balancer.BalancerSettings(), now
@@ -92,8 +97,10 @@
         if not part.core.holds(name, now):
             part.balancer = None
             return
-        if part.balancer is None:
-            part.balancer = self._make_balancer(part.group, now)
+        gate = self._resolve_gate(part.group)
+        if part.balancer is None or part.gate != gate:
+            part.gate = gate
+            part.balancer = self._make_balancer(part.group, gate, now)
         in_force = part.core.find_map(name)
         if in_force is None:
             return
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
@@ -0,0 +1,54 @@
+"""Eases endpoints out that are far slower or fail more than their peers."""
+
+from __future__ import annotations
+
+from chicoryweir_policy import catalogue
+from chicoryweir_policy import messages
+from chicoryweir_policy import requests
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores.entry import state as entry_state
+
+PERIOD_S = 1.0
+
+
+class Outlying:
+    """Feeds the outlier detector and acts on what it finds."""
+
+    def __init__(self, state: entry_state.EntryState) -> None:
+        self._state = state
+        self._due_at = float("-inf")
+
+    def consume_report(
+        self, instance: str, report: messages.LoadReport, now: float
+    ) -> None:
+        """Takes the pace of an endpoint that works."""
+        if report.running and report.tokens_per_s > 0:
+            pace_s = report.running / report.tokens_per_s
+            self._state.detector.note_pace(instance, pace_s, now)
+
+    def tick(self, now: float, out: entry_state.Commands) -> None:
+        """Looks for outliers in each service from time to time."""
+        if now < self._due_at:
+            return
+        self._due_at = now + PERIOD_S
+        services: dict[str, list[str]] = {}
+        for link in self._state.agents.values():
+            services.setdefault(link.service, []).append(link.instance)
+        for service, members in services.items():
+            self._eject(service, sorted(members), now, out)
+
+    def _eject(
+        self, service: str, members: list[str], now: float, out: entry_state.Commands
+    ) -> None:
+        effective = self._state.settings.resolve(
+            self._state.facts.place, service, "", requests.PriorityClass.STANDARD
+        )
+        found = self._state.detector.eject(members, now, effective.max_ejected_share)
+        for ejected in found:
+            self._state.loads.note_ejected(ejected.instance, ejected.until)
+            detail = (
+                f"pace {ejected.pace_s:.4f} s, median {ejected.median_pace_s:.4f} s,"
+                f" failing {ejected.failure_share:.2f}"
+            )
+            number = catalogue.ENDPOINT_EJECTED
+            out.append(commands.Record(number, "", ejected.instance, detail))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -8,6 +8,8 @@
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores.entry import state as entry_state
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.routing import addresses
+from chicoryweir_policy.routing import subsets
 
 STATUS_PERIOD_S = 1.0
 
@@ -16,6 +18,7 @@
 class _EntryPeer:
     session: str
     status: messages.EntryStatus | None = None
+    heard_at: float = 0.0
 
 
 class Peers:
@@ -50,18 +53,39 @@
     def keep_links(self, out: entry_state.Commands) -> None:
         """Says which peers to dial, when that has changed."""
         own = self._state.facts.instance
+        chosen = self._choose_agents()
         wanted: list[tuple[str, str, int]] = []
         for name in sorted(self._known):
             item = self._known[name]
-            if item.role is instances.Role.AGENT:
+            is_entry = item.role is instances.Role.ENTRY
+            if name in chosen:
                 self._state.loads.note_endpoint(name, item.place, item.service)
-                wanted.append((name, item.ip, item.link_port))
-            elif name < own:
+            if name in chosen or (is_entry and name < own):
                 wanted.append((name, item.ip, item.link_port))
         if tuple(wanted) != self._kept:
             self._kept = tuple(wanted)
             out.append(commands.KeepLinks(self._kept))
 
+    def _choose_agents(self) -> set[str]:
+        """Returns the agents of this entry's subset of each service."""
+        facts = self._state.facts
+        entries = [
+            subsets.Node(item.instance, item.place)
+            for item in self._known.values()
+            if item.role is instances.Role.ENTRY
+        ]
+        services: dict[str, list[subsets.Node]] = {}
+        for item in self._known.values():
+            if item.role is instances.Role.AGENT:
+                node = subsets.Node(item.instance, item.place)
+                services.setdefault(item.service, []).append(node)
+        own = subsets.Node(facts.instance, facts.place)
+        return {
+            name
+            for nodes in services.values()
+            for name in subsets.choose_subset(own, entries, nodes)
+        }
+
     def open_entry(
         self, hello: messages.Hello, session: str, out: entry_state.Commands
     ) -> None:
@@ -75,11 +99,14 @@
         if peer is not None and peer.session == session:
             del self._entries[instance]
 
-    def consume_status(self, instance: str, status: messages.EntryStatus) -> None:
+    def consume_status(
+        self, instance: str, status: messages.EntryStatus, now: float
+    ) -> None:
         """Another entry told of itself."""
         peer = self._entries.get(instance)
         if peer is not None:
             peer.status = status
+            peer.heard_at = now
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
         """Tells the other entries of this one from time to time."""
@@ -108,11 +135,18 @@
             facts.instance, facts.ip, facts.port, facts.place, self._leaving
         )
 
-    def list_entries(self) -> tuple[messages.EntryStatus, ...]:
-        """Returns the entries that callers may use: alive and not leaving."""
-        known = [self.describe_self()]
-        known += [peer.status for peer in self._entries.values() if peer.status]
-        return tuple(status for status in known if not status.leaving)
+    def rank_entries(self, seed: int, now: float) -> tuple[addresses.EntryView, ...]:
+        """Returns the entries that a caller may use, best first.
+
+        Args:
+            seed: Hash of the caller, so that callers spread over equal entries.
+            now: Present time, monotonic seconds.
+        """
+        known = [_make_view(self.describe_self(), now)]
+        for peer in self._entries.values():
+            if peer.status is not None:
+                known.append(_make_view(peer.status, peer.heard_at))
+        return addresses.rank_addresses(known, self._state.facts.place, seed, now)
 
     def count_entries(self) -> int:
         """Returns the number of entries known, this one included."""
@@ -126,3 +160,14 @@
     def list_sessions(self) -> list[tuple[str, str]]:
         """Returns instance and session of each linked entry."""
         return [(name, peer.session) for name, peer in self._entries.items()]
+
+
+def _make_view(status: messages.EntryStatus, heard_at: float) -> addresses.EntryView:
+    return addresses.EntryView(
+        status.instance,
+        status.ip,
+        status.port,
+        status.place,
+        status.leaving,
+        heard_at,
+    )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.cores import suspicions
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.routing import loads
+from chicoryweir_policy.routing import outliers
 from chicoryweir_policy.routing import prefix
 from chicoryweir_policy.routing import selection
 
@@ -72,6 +73,9 @@
     operations: operations.Operations
     journal: journal.Journal
     limiter: limits.WorkspaceLimiter
+    detector: outliers.OutlierDetector = dataclasses.field(
+        default_factory=outliers.OutlierDetector
+    )
     throttle: overload.Throttle = dataclasses.field(default_factory=overload.Throttle)
     suspicions: suspicions.SuspicionTask = dataclasses.field(
         default_factory=suspicions.SuspicionTask
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
@@ -180,6 +180,8 @@
                 )
             )
             return
+        if self.head is None:
+            out.append(commands.Record(catalogue.DAEMON_READY, "", self._instance, ""))
         self.head = head
         self._resolver = resolution.make_resolver(tree)
         out.append(
