Borrow at once where a limit is smaller than the number of entries

With four requests in progress allowed over seven entries, each first request was rejected for up to a second, until the next exchange. An entry that may not run a single request now asks at once.

So only an entry without any place asks early, and a lender counts the demand of the period that is not yet closed.

--- a/packages/chicoryweir-policy/benchmarks/admission.py
+++ b/packages/chicoryweir-policy/benchmarks/admission.py
@@ -8,6 +8,7 @@
 import pathlib
 import statistics
 
+import exchange
 import flow
 import operations
 
@@ -25,12 +26,20 @@
 
 One agent with {slots} slots and {entries} entries in virtual time, {duration:.0f} s
 after a warm-up of {warm:.0f} s, {seeds} seeds. Sizes are log-uniform and the
-estimates of them are off by up to {error:.0f} %. Callers do not come back. Made by
+estimates of them are off by up to {error:.0f} %. A caller that comes back does so at
+the time it was told, through the next entry, until its first deadline; such requests
+count again among those that reached the agent. Made by
 `python packages/chicoryweir-policy/benchmarks/admission.py --seeds {seeds}`.
 
 | measure | target | median | worst | first come: median | worst |
 | --- | --- | --- | --- | --- | --- |
 """
+LIMITS_HEAD = """
+Tokens admitted by {entries} entries, in per cent of a workspace's limit.
+
+| demand | median | least | most |
+| --- | --- | --- | --- |
+"""
 COST_HEAD = """
 Processor time of one operation in µs, best of {rounds} rounds; the queue holds four
 requests of each workspace. It differs between machines and runs.
@@ -38,6 +47,12 @@
 | operation | {columns} |
 | --- | {lines} |
 """
+MEMORY_HEAD = """
+Memory, by `tracemalloc`.
+
+| state | bytes |
+| --- | --- |
+"""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +70,7 @@
 
     streams: tuple[flow.Stream, ...]
     measures: dict[str, Measure]
+    comes_back: bool = False
 
 
 def count_in_time(
@@ -165,11 +181,21 @@
 }
 
 
+def list_scenarios() -> list[tuple[str, Scenario]]:
+    """Returns each scenario, and again with callers that come back when told to."""
+    scenarios = list(SCENARIOS.items())
+    for name, scenario in SCENARIOS.items():
+        returning = dataclasses.replace(scenario, comes_back=True)
+        scenarios.append((f"{name}, callers come back", returning))
+    return scenarios
+
+
 def run_scenario(scenario: Scenario, seed: int, fair: bool) -> Results:
     """Runs one scenario with the fair queue or in order of arrival."""
     create = queue.create_fair_queue if fair else first_come.create_first_come_queue
     arrivals = flow.draw_arrivals(scenario.streams, seed)
-    run = flow.Run(create(flow.QUEUE_LIMIT, flow.CAPACITY_TOKENS_PER_S), fair)
+    work = create(flow.QUEUE_LIMIT, flow.CAPACITY_TOKENS_PER_S)
+    run = flow.Run(work, fair, scenario.comes_back)
     run.simulate(arrivals)
     return arrivals, run
 
@@ -201,8 +227,13 @@
         seeds=seeds,
         error=100 * flow.ESTIMATE_ERROR,
     )
-    for name, scenario in SCENARIOS.items():
+    for name, scenario in list_scenarios():
         page += "\n".join(measure_scenario(name, scenario, seeds)) + "\n"
+    page += LIMITS_HEAD.format(entries=exchange.ENTRIES)
+    for title, (select, linked) in exchange.DEMANDS.items():
+        values = [exchange.measure_use(select, linked, seed) for seed in range(seeds)]
+        spread = (statistics.median(values), min(values), max(values))
+        page += f"| {title} | {' | '.join(f'{value:.1f}' for value in spread)} |\n"
     page += COST_HEAD.format(
         rounds=operations.ROUNDS,
         columns=" | ".join(f"{size:,} workspaces" for size in operations.SIZES),
@@ -211,6 +242,9 @@
     for title, costs in operations.measure_all().items():
         cells = " | ".join(f"{micros:.1f}" for micros in costs)
         page += f"| {title} | {cells} |\n"
+    page += MEMORY_HEAD
+    for title, size_bytes in operations.measure_memory().items():
+        page += f"| {title} | {size_bytes:,.0f} |\n"
     return page
 
 
--- a/packages/chicoryweir-policy/benchmarks/flow.py
+++ b/packages/chicoryweir-policy/benchmarks/flow.py
@@ -82,8 +82,9 @@
 class Run:
     """One agent with its endpoint, and the entries that send to it."""
 
-    def __init__(self, work: queued.Queue, shedding: bool) -> None:
+    def __init__(self, work: queued.Queue, shedding: bool, comes_back: bool) -> None:
         self._queue = work
+        self._comes_back = comes_back
         self._throttles = [overload.Throttle() for _ in range(ENTRIES)]
         self._shedding = shedding
         self._waits = [0.0] * len(requests.PriorityClass)
@@ -119,10 +120,25 @@
                 arrival.request_id, stream.workspace, stream.priority, self._now
             )
             if isinstance(decision, overload.Shed):
+                self._return(arrival, decision.retry_after_ms)
                 return
         if self._is_feasible(arrival, self._waits[stream.priority]):
             self._plan(self._now + LINK_S, lambda: self._push(arrival))
 
+    def _return(self, arrival: Arrival, retry_after_ms: int | None) -> None:
+        """Lets the caller come back through the next entry, while it has time."""
+        if not self._comes_back or retry_after_ms is None:
+            return
+        at = self._now + retry_after_ms / 1000
+        if at >= arrival.deadline_at:
+            return
+        back = dataclasses.replace(
+            arrival,
+            request_id=f"{arrival.request_id}+",
+            entry=(arrival.entry + 1) % ENTRIES,
+        )
+        self._plan(at, lambda: self._arrive(back))
+
     def _is_feasible(self, arrival: Arrival, wait_s: float) -> bool:
         facts = feasibility.Facts(
             arrival.request_id, arrival.estimate, arrival.deadline_at
@@ -130,7 +146,10 @@
         admission = feasibility.decide_admission(
             facts, wait_s, SLOT_TOKENS_PER_S, self._now
         )
-        return isinstance(admission, feasibility.Admitted)
+        if isinstance(admission, feasibility.Admitted):
+            return True
+        self._return(arrival, admission.problem.retry_after_ms)
+        return False
 
     def _push(self, arrival: Arrival) -> None:
         self.pushes += 1
@@ -154,9 +173,11 @@
         outcome = self._queue.push(entry, self._now)
         if isinstance(outcome, queued.Rejected):
             self._settle(arrival, False)
+            self._return(arrival, outcome.retry_after_ms)
             return
         for lost in outcome.evicted:
             self._settle(self._sent[lost.entry.attempt_id], False)
+            self._return(self._sent[lost.entry.attempt_id], lost.retry_after_ms)
         self._start()
 
     def _start(self) -> None:
@@ -172,7 +193,7 @@
 
     def _finish(self, arrival: Arrival) -> None:
         self._free += 1
-        self.finished[arrival.request_id] = self._now
+        self.finished[arrival.request_id.rstrip("+")] = self._now
         self._queue.note_served(
             arrival.stream.workspace,
             arrival.stream.priority,
--- a/packages/chicoryweir-policy/benchmarks/operations.py
+++ b/packages/chicoryweir-policy/benchmarks/operations.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import time
+import tracemalloc
 
 from chicoryweir_policy import requests
 from chicoryweir_policy.admission import limits
@@ -27,6 +28,54 @@
     return costs
 
 
+def measure_memory() -> dict[str, float]:
+    """Returns bytes for each workspace, request or book."""
+    count = 5000
+    limit = limits.Limits(1e6, 1e6, 1_000_000)
+    fair = queue.create_fair_queue(4 * count, 1000.0)
+    limiter = limits.create_limiter("entry-1", 7)
+    throttle = overload.Throttle()
+
+    def fill_limiter() -> None:
+        for index in range(count):
+            limiter.decide("r", f"workspace-{index}", limit, 10.0, 0.0)
+
+    def fill_throttle() -> None:
+        for index in range(count):
+            throttle.decide("r", f"workspace-{index}", _STANDARD, 0.0)
+
+    def push_round(turn: int) -> None:
+        for index in range(count):
+            fair.push(_make_entry(f"{turn}-{index}", index, count), 0.0)
+
+    return {
+        "queue: a workspace with one request": _trace(lambda: push_round(0)) / count,
+        "queue: each further request": _trace(lambda: push_round(1)) / count,
+        "limits: a workspace": _trace(fill_limiter) / count,
+        "overload: a workspace and class": _trace(fill_throttle) / count,
+        "quarantine: a full book": _trace(_fill_book),
+    }
+
+
+def _trace(fill: collections.abc.Callable[[], object]) -> float:
+    tracemalloc.start()
+    kept = fill()
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size_bytes)
+
+
+def _fill_book() -> suspicion.SuspicionBook:
+    book = suspicion.SuspicionBook()
+    per_loss = suspicion.MAX_FINGERPRINTS_PER_LOSS
+    for index in range(suspicion.MAX_LOSSES):
+        first = 2**40 + index * per_loss
+        ran = frozenset(range(first, first + per_loss))
+        book.record_loss(f"i-{index}", "1", ran, 0.0)
+    return book
+
+
 def _time_operation(operation: collections.abc.Callable[[int], object]) -> float:
     best = float("inf")
     for round_index in range(ROUNDS):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/admission/limits.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/limits.py
@@ -13,12 +13,13 @@
 
 from chicoryweir_policy.admission import delay
 from chicoryweir_policy.admission import shares
+from chicoryweir_policy.admission import usage
 
-EXCHANGE_PERIOD_S = 1.0
+# An entry that may not run a single request asks its peers without waiting for the
+# period: the limit of a workspace may be smaller than the number of entries.
+SHORT_PERIOD_S = 0.1
 MAX_PERIOD_S = 60.0
 REMEMBER_LOANS_S = 600.0
-HEADROOM = 1.2
-DEMAND_DECAY = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,42 +65,17 @@
 Decision = Allowed | OverLimit
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Usage:
-    """Use of one workspace's limits at this entry.
-
-    Attributes:
-        limits: Limits last in force.
-        level_tokens: Tokens that may be used now; below 0 after a large request.
-        share: Share of the limits when the level was last brought up to date.
-        updated_at: Time of that.
-        inflight: Requests in progress.
-        peak_inflight: Most requests wanted in progress in this period.
-        asked_tokens: Tokens asked for in this period, admitted or not.
-        asked_share: Share asked of each peer.
-        wanted: Share of the limits wanted here.
-    """
-
-    limits: Limits
-    level_tokens: float
-    share: float
-    updated_at: float
-    inflight: int = 0
-    peak_inflight: int = 0
-    asked_tokens: float = 0.0
-    asked_share: float = 0.0
-    wanted: float = 0.0
-
-
 class WorkspaceLimiter:
     """Decides at one entry whether requests are within their workspace's limits."""
 
     def __init__(self, instance: str, entries: int) -> None:
         self._instance = instance
         self._ledger = shares.ShareLedger(instance, entries)
-        self._usages: dict[str, _Usage] = {}
+        self._usages: dict[str, usage.Usage] = {}
         self._lent_idle_at: dict[str, float] = {}
         self._exchanged_at = float("-inf")
+        self._counted_since = float("-inf")
+        self._needs_share = False
 
     def set_entries(self, entries: int, now: float) -> None:
         """Sets the number of entries that the platform lists."""
@@ -121,18 +97,19 @@
         """Decides on a request; an allowed one is to be ended by `note_ended`."""
         if limits.rate_tokens_per_s is None and limits.max_inflight is None:
             return Allowed()
-        usage = self._refresh(workspace, limits, now)
-        usage.asked_tokens += cost_tokens
-        usage.peak_inflight = max(usage.peak_inflight, usage.inflight + 1)
-        if not _is_inflight_free(usage):
-            usage.peak_inflight += 1
-            return self._reject(request_id, Reason.INFLIGHT, EXCHANGE_PERIOD_S)
-        wait_s = _compute_wait(usage, cost_tokens)
-        if wait_s > 0.0:
-            return self._reject(request_id, Reason.RATE, wait_s)
-        if limits.rate_tokens_per_s is not None:
-            usage.level_tokens -= cost_tokens
-        usage.inflight += 1
+        used = self._refresh(workspace, limits, now)
+        used.note_asked(cost_tokens)
+        if not used.has_free_place():
+            used.peak_inflight += 1
+            self._needs_share = self._needs_share or used.inflight == 0
+            wait_s = usage.EXCHANGE_PERIOD_S if used.inflight else 2 * SHORT_PERIOD_S
+            return _reject(request_id, Reason.INFLIGHT, wait_s)
+        rate_wait_s = used.compute_wait(cost_tokens)
+        if rate_wait_s is None:
+            return _reject(request_id, Reason.RATE, shares.LEASE_S)
+        if rate_wait_s > 0.0:
+            return _reject(request_id, Reason.RATE, rate_wait_s)
+        used.take(cost_tokens)
         return Allowed()
 
     def note_ended(self, workspace: str, correction_tokens: float, now: float) -> None:
@@ -143,42 +120,39 @@
             correction_tokens: Tokens used beyond the estimate; negative where fewer.
             now: Present time, monotonic seconds.
         """
-        usage = self._usages.get(workspace)
-        if usage is None:
-            return
-        self._refill(workspace, usage, now)
-        usage.inflight = max(0, usage.inflight - 1)
-        if usage.limits.rate_tokens_per_s is not None:
-            capacity = usage.limits.burst_tokens * usage.share
-            raised = usage.level_tokens - correction_tokens
-            usage.level_tokens = min(raised, max(capacity, usage.level_tokens))
+        used = self._usages.get(workspace)
+        if used is not None:
+            used.refill(self._ledger.get_share(workspace, now), now)
+            used.give_back(correction_tokens)
 
     def tick(self, now: float) -> shares.Asks | None:
         """Returns what to ask of every peer entry, when it is time to ask."""
-        if now - self._exchanged_at < EXCHANGE_PERIOD_S:
+        wait_s = SHORT_PERIOD_S if self._needs_share else usage.EXCHANGE_PERIOD_S
+        if now - self._exchanged_at < wait_s:
             return None
-        period_s = min(now - self._exchanged_at, MAX_PERIOD_S)
         self._exchanged_at = now
+        self._needs_share = False
         self._refill_all(now)
         self._ledger.forget_ended(now)
-        self._lent_idle_at = {
-            workspace: lent_at
-            for workspace, lent_at in self._lent_idle_at.items()
-            if now - lent_at < REMEMBER_LOANS_S
-        }
+        if now - self._counted_since >= usage.EXCHANGE_PERIOD_S:
+            self._close_period(now)
         asks = []
-        for workspace, usage in list(self._usages.items()):
-            amount = self._update_demand(workspace, usage, period_s, now)
+        for workspace, used in self._usages.items():
+            amount = self._update_ask(workspace, used, now)
             if amount >= shares.MIN_LOAN:
                 asks.append(shares.Ask(workspace, amount))
-            elif self._is_idle(usage):
-                del self._usages[workspace]
         return shares.Asks(self._instance, now, tuple(asks))
 
     def lend(self, asks: shares.Asks, now: float) -> shares.Loans:
         """Answers the asks of a peer entry."""
         self._refill_all(now)
-        loans = self._ledger.lend(asks, self._get_wanted, now)
+        period_s = self._measure_period(now)
+
+        def get_wanted(workspace: str) -> float:
+            used = self._usages.get(workspace)
+            return used.estimate_wanted(period_s) if used is not None else 0.0
+
+        loans = self._ledger.lend(asks, get_wanted, now)
         for loan in loans.loans:
             if loan.workspace not in self._usages:
                 self._lent_idle_at[loan.workspace] = now
@@ -189,21 +163,25 @@
         self._refill_all(now)
         self._ledger.borrow(loans, now)
 
-    def _get_wanted(self, workspace: str) -> float:
-        usage = self._usages.get(workspace)
-        return usage.wanted if usage is not None else 0.0
-
-    def _refresh(self, workspace: str, limits: Limits, now: float) -> _Usage:
-        usage = self._usages.get(workspace)
-        if usage is None:
-            share = self._ledger.get_share(workspace, now)
-            level_tokens = self._compute_first_level(workspace, limits, now)
-            usage = _Usage(limits, level_tokens, share, now)
-            self._usages[workspace] = usage
-            return usage
-        self._refill(workspace, usage, now)
-        usage.limits = limits
-        return usage
+    def _refresh(self, workspace: str, limits: Limits, now: float) -> usage.Usage:
+        share = self._ledger.get_share(workspace, now)
+        used = self._usages.get(workspace)
+        if used is None:
+            used = usage.Usage(
+                limits.rate_tokens_per_s,
+                limits.burst_tokens,
+                limits.max_inflight,
+                self._compute_first_level(workspace, limits, now),
+                share,
+                now,
+            )
+            self._usages[workspace] = used
+            return used
+        used.refill(share, now)
+        used.rate_tokens_per_s = limits.rate_tokens_per_s
+        used.burst_tokens = limits.burst_tokens
+        used.max_inflight = limits.max_inflight
+        return used
 
     def _compute_first_level(self, workspace: str, limits: Limits, now: float) -> float:
         """Returns the level of a workspace not seen lately.
@@ -219,47 +197,40 @@
         return min(full, full * shares.KEPT_SHARE + rate * (now - lent_at))
 
     def _refill_all(self, now: float) -> None:
-        for workspace, usage in self._usages.items():
-            self._refill(workspace, usage, now)
+        for workspace, used in self._usages.items():
+            used.refill(self._ledger.get_share(workspace, now), now)
+
+    def _measure_period(self, now: float) -> float:
+        return min(now - self._counted_since, MAX_PERIOD_S)
+
+    def _close_period(self, now: float) -> None:
+        period_s = self._measure_period(now)
+        self._counted_since = now
+        for used in self._usages.values():
+            used.close_period(period_s)
+        self._usages = {
+            workspace: used
+            for workspace, used in self._usages.items()
+            if not used.is_idle
+        }
+        self._lent_idle_at = {
+            workspace: lent_at
+            for workspace, lent_at in self._lent_idle_at.items()
+            if now - lent_at < REMEMBER_LOANS_S
+        }
 
-    def _refill(self, workspace: str, usage: _Usage, now: float) -> None:
-        share = self._ledger.get_share(workspace, now)
-        rate = (usage.limits.rate_tokens_per_s or 0.0) * min(share, usage.share)
-        capacity = usage.limits.burst_tokens * share
-        filled = usage.level_tokens + rate * (now - usage.updated_at)
-        usage.level_tokens = min(filled, capacity)
-        usage.share = share
-        usage.updated_at = now
-
-    def _update_demand(
-        self, workspace: str, usage: _Usage, period_s: float, now: float
-    ) -> float:
-        wanted = 0.0
-        if usage.limits.rate_tokens_per_s:
-            rate = usage.asked_tokens / period_s
-            wanted = HEADROOM * rate / usage.limits.rate_tokens_per_s
-        if usage.limits.max_inflight:
-            wanted = max(wanted, usage.peak_inflight / usage.limits.max_inflight)
-        usage.wanted = min(1.0, max(wanted, DEMAND_DECAY * usage.wanted))
-        usage.asked_tokens = 0.0
-        usage.peak_inflight = usage.inflight
-        missing = usage.wanted - self._ledger.own
+    def _update_ask(self, workspace: str, used: usage.Usage, now: float) -> float:
+        wanted = used.estimate_wanted(self._measure_period(now))
+        missing = wanted - self._ledger.own
         if missing <= 0.0:
-            usage.asked_share = 0.0
+            used.asked_share = 0.0
             return 0.0
         borrowed = self._ledger.get_borrowed(workspace, now)
-        if borrowed > 0.0 and usage.asked_share > 0.0:
-            usage.asked_share = min(1.0, usage.asked_share * missing / borrowed)
+        if borrowed > 0.0 and used.asked_share > 0.0:
+            used.asked_share = min(1.0, used.asked_share * missing / borrowed)
         else:
-            usage.asked_share = missing
-        return usage.asked_share
-
-    def _is_idle(self, usage: _Usage) -> bool:
-        full = usage.level_tokens >= usage.limits.burst_tokens * usage.share
-        return full and usage.inflight == 0 and usage.wanted < shares.MIN_LOAN
-
-    def _reject(self, request_id: str, reason: Reason, wait_s: float) -> OverLimit:
-        return OverLimit(reason, delay.compute_retry_after_ms(request_id, wait_s))
+            used.asked_share = missing
+        return used.asked_share
 
 
 def create_limiter(instance: str, entries: int) -> WorkspaceLimiter:
@@ -272,19 +243,5 @@
     return WorkspaceLimiter(instance, max(entries, 1))
 
 
-def _is_inflight_free(usage: _Usage) -> bool:
-    if usage.limits.max_inflight is None:
-        return True
-    return usage.inflight + 1 <= usage.limits.max_inflight * usage.share + 1e-9
-
-
-def _compute_wait(usage: _Usage, cost_tokens: float) -> float:
-    if usage.limits.rate_tokens_per_s is None:
-        return 0.0
-    needed = min(cost_tokens, usage.limits.burst_tokens * usage.share)
-    if usage.share > 0.0 and usage.level_tokens >= needed:
-        return 0.0
-    rate = usage.limits.rate_tokens_per_s * usage.share
-    if rate <= 0.0:
-        return shares.LEASE_S
-    return max((needed - usage.level_tokens) / rate, 1e-3)
+def _reject(request_id: str, reason: Reason, wait_s: float) -> OverLimit:
+    return OverLimit(reason, delay.compute_retry_after_ms(request_id, wait_s))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
@@ -45,7 +45,8 @@
 
     def charge(self, fingerprint: int, losses: frozenset[records.LossId]) -> None:
         """Adds losses to a fingerprint."""
-        self._set(fingerprint, self.get_losses(fingerprint) | losses)
+        known = self._losses.get(fingerprint)
+        self._set(fingerprint, losses if known is None else known | losses)
 
     def discharge(self, fingerprint: int, losses: frozenset[records.LossId]) -> None:
         """Takes losses from a fingerprint."""
--- a/packages/chicoryweir-policy/tests/admission/test_limits.py
+++ b/packages/chicoryweir-policy/tests/admission/test_limits.py
@@ -80,6 +80,19 @@
     assert limiter.decide("4", "relay", bound, 1.0, 1.0) == limits.Allowed()
 
 
+def test_entry_borrows_soon_when_the_limit_is_smaller_than_the_number_of_entries() -> (
+    None
+):
+    limiters = make_limiters()
+    bound = limits.Limits(None, 0.0, 4)
+    exchange(limiters, 0.0)
+    first = limiters["e0"].decide("1", "relay", bound, 1.0, 0.5)
+    assert isinstance(first, limits.OverLimit)
+    assert first.retry_after_ms <= 300
+    exchange(limiters, 0.55)
+    assert limiters["e0"].decide("2", "relay", bound, 1.0, 0.6) == limits.Allowed()
+
+
 def test_request_larger_than_the_burst_passes_and_is_paid_off() -> None:
     limiter = limits.create_limiter("e0", 1)
     assert limiter.decide("1", "relay", RATE_ONLY, 2100.0, 0.0) == limits.Allowed()
