--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -10,6 +10,7 @@
 from chicoryweir_daemon import configuration
 from chicoryweir_daemon import logs
 from chicoryweir_daemon.agent import endpoints
+from chicoryweir_daemon.agent import ranks
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platforms
@@ -32,30 +33,43 @@
         raise ValueError("an agent needs an endpoint")
     incarnation = secrets.token_hex(8)
     facts = agent_core.AgentFacts(
-        own.instance, own.place, own.service, incarnation, own.endpoint.slots
+        own.instance,
+        own.place,
+        own.service,
+        incarnation,
+        own.endpoint.slots,
+        own.endpoint.group,
+        own.endpoint.ranks,
     )
     work = queue.create_fair_queue(QUEUE_LIMIT, INITIAL_TOKENS_PER_S)
     task = cores.CoreTask(agent_core.AgentCore(facts, work), TICK_S)
     log = logs.make_event_log(own.instance)
-    task.handle(commands.Record, lambda record: log.write(record, time.time()))
+
+    def write(record: commands.Record) -> None:
+        log.write(record, time.time())
+
+    task.handle(commands.Record, write)
     identity = links.Identity(
         own.instance, instances.Role.AGENT, own.place, own.service, incarnation
     )
     link_task = links.LinkTask(identity, own.cluster_secret, task)
-    platforms.StoreTask(http_store.create_store(own.platform_url), task)
+    platforms.StoreTask(http_store.create_store(own.platform_url), task, write)
     endpoint = endpoints.EndpointTask(own.endpoint, task)
+    rank_task = ranks.RankTask(own.endpoint.url, task)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.post, events.DrainRequested())
     background = [
+        asyncio.ensure_future(task.run()),
         asyncio.ensure_future(task.run_ticker()),
         asyncio.ensure_future(endpoint.run_probes()),
     ]
     await link_task.listen(own.link.ip, own.link.port)
-    log.write(commands.Record(catalogue.DAEMON_STARTED, "", "", "agent"), time.time())
-    await task.run()
+    write(commands.Record(catalogue.DAEMON_STARTED, "", "", "agent"))
+    await task.wait_stopped()
     for item in background:
         item.cancel()
     await link_task.close()
     await endpoint.close()
-    log.write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "agent"), time.time())
+    await rank_task.close()
+    write(commands.Record(catalogue.DAEMON_STOPPED, "", "", "agent"))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import typing
@@ -11,12 +12,20 @@
 from chicoryweir_policy import requests
 from chicoryweir_policy.admission import queued
 from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import draining
 from chicoryweir_policy.cores import events
+from chicoryweir_policy.cores import journal
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
+from chicoryweir_policy.cores import suspicions
 from chicoryweir_policy.cores.agent import attempts
+from chicoryweir_policy.cores.agent import grouping
 from chicoryweir_policy.cores.agent import load
 from chicoryweir_policy.cores.agent import sessions
+from chicoryweir_policy.groups import events as group_events
+from chicoryweir_policy.groups import messages as group_messages
+from chicoryweir_policy.membership import instances
+from chicoryweir_policy.quarantine import isolation
 
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
@@ -35,6 +44,8 @@
         service: Service of its endpoint.
         incarnation: Identifier of this process.
         slots: Attempts that the endpoint runs at once.
+        group: Lock-step group of its ranks, or an empty string.
+        ranks: Its ranks in that group.
     """
 
     instance: str
@@ -42,6 +53,8 @@
     service: str
     incarnation: str
     slots: int
+    group: str = ""
+    ranks: tuple[int, ...] = ()
 
 
 class AgentCore:
@@ -56,11 +69,24 @@
         self._queue = work
         self._sessions = sessions.SessionTable()
         self._attempts = attempts.AttemptTable()
-        self._load = load.LoadMeter(facts.slots)
         self._operations = operations.Operations()
+        self._journal = journal.Journal()
+        self._drain_watch = draining.DrainWatch(facts.instance, self._operations)
+        self._load = load.LoadMeter(facts.slots)
         self._settings = settings_task.SettingsTask(facts.instance, self._operations)
+        self._ranks: grouping.Ranks | None = None
+        if facts.group:
+            self._ranks = grouping.make_ranks(
+                facts.group,
+                facts.ranks,
+                facts.incarnation,
+                self._sessions,
+                self._operations,
+            )
         self._running: dict[str, attempts.Attempt] = {}
-        self._suspects: set[str] = set()
+        self._suspicions = suspicions.SuspicionTask()
+        self._isolation = isolation.Isolation(self._suspicions.book, facts.instance)
+        self._held: collections.deque[str] = collections.deque()
         self._leaving = False
         self._stopped = False
         self._drain_until = 0.0
@@ -106,11 +132,14 @@
             case events.DrainRequested():
                 self._drain(now, out)
             case events.StoreReplied():
-                purpose = self._operations.take(event.operation_id)
-                self._settings.consume_result(purpose, event.result, now, out)
+                self._consume_reply(event, now, out)
+            case group_events.EngineObserved() | group_events.EngineReplied():
+                self._tell_ranks(event, now, out)
             case (
                 events.InstancesListed()
                 | events.RequestArrived()
+                | events.SettingsChanged()
+                | events.NotesAsked()
                 | events.RequestAbandoned()
             ):
                 pass
@@ -137,9 +166,41 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case messages.SuspicionNews():
+                self._suspicions.merge(message, now, out)
+            case messages.NotesWanted(number, request_id):
+                notes = self._journal.list_notes(request_id, now)
+                found = messages.NotesFound(number, notes)
+                out.append(commands.Send(session.instance, session.session, found))
+            case (
+                group_messages.QueryRanks()
+                | group_messages.PrepareMap()
+                | group_messages.ReleaseMap()
+            ):
+                received = group_events.MessageReceived(event.instance, message)
+                self._tell_ranks(received, now, out)
             case _:
                 pass
 
+    def _tell_ranks(
+        self, event: group_events.MemberEvent, now: float, out: Commands
+    ) -> None:
+        if self._ranks is not None:
+            self._ranks.consume(event, now, out)
+
+    def _consume_reply(
+        self, event: events.StoreReplied, now: float, out: Commands
+    ) -> None:
+        purpose = self._operations.take(event.operation_id)
+        if isinstance(purpose, grouping.RankOperation):
+            if self._ranks is not None:
+                self._ranks.consume_reply(purpose, event.result, now, out)
+            return
+        if self._drain_watch.consume_result(purpose, event.result, out):
+            self._drain(now, out)
+            return
+        self._settings.consume_result(purpose, event.result, now, out)
+
     def _submit(
         self,
         session: sessions.Session,
@@ -171,8 +232,13 @@
             arrived_at=now,
         )
         self._attempts.add(attempt)
-        if submit.suspect:
-            self._suspects.add(submit.attempt_id)
+        self._journal.note(
+            submit.request_id,
+            now,
+            "queue",
+            f"{len(self._queue)} waiting, {len(self._running)} running,"
+            f" weight {effective.weight:g}, settings version {self._settings.version}",
+        )
         self._enqueue(entry, now, out)
 
     def _enqueue(self, entry: queued.Queued, now: float, out: Commands) -> None:
@@ -203,8 +269,6 @@
             return messages.RejectReason.LEAVING
         if not self._load.serving or not self._settings.is_ready:
             return messages.RejectReason.ENDPOINT_DOWN
-        if submit.suspect and self._suspects:
-            return messages.RejectReason.SUSPECT
         return None
 
     def _hint(self, reason: messages.RejectReason) -> int:
@@ -258,8 +322,8 @@
     def _end(self, attempt: attempts.Attempt, state: messages.AttemptState) -> None:
         attempt_id = attempt.submit.attempt_id
         self._attempts.end(attempt_id, state)
-        self._running.pop(attempt_id, None)
-        self._suspects.discard(attempt_id)
+        if self._running.pop(attempt_id, None) is not None:
+            self._isolation.forget(attempt_id)
 
     def _cancel(self, attempt_id: str, now: float, out: Commands) -> None:
         attempt = self._attempts.find(attempt_id)
@@ -293,14 +357,34 @@
         out.append(commands.Send(session.instance, session.session, status))
 
     def _pump(self, now: float, out: Commands) -> None:
+        for attempt_id in [self._held.popleft() for _ in range(len(self._held))]:
+            self._try_start(attempt_id, now, out)
         while len(self._running) < self._facts.slots and self._load.serving:
             entry = self._queue.pop(now)
             if entry is None:
                 return
-            attempt = self._attempts.find(entry.attempt_id)
-            if attempt is None or attempt.running:
-                continue
-            self._start(attempt, now, out)
+            self._try_start(entry.attempt_id, now, out)
+
+    def _try_start(self, attempt_id: str, now: float, out: Commands) -> None:
+        """Starts an attempt unless its content must wait or may not run here."""
+        attempt = self._attempts.find(attempt_id)
+        if attempt is None or attempt.running:
+            return
+        if len(self._running) >= self._facts.slots or not self._load.serving:
+            self._held.append(attempt_id)
+            return
+        submit = attempt.submit
+        decided = self._isolation.decide_start(submit.fingerprint, submit.suspect, now)
+        match decided:
+            case isolation.Start():
+                self._start(attempt, now, out)
+            case isolation.Hold():
+                self._held.append(attempt_id)
+            case isolation.Refuse():
+                reason = messages.RejectReason.SUSPECT
+                self._reject_attempt(attempt_id, reason, _SUSPECT_RETRY_MS, out)
+            case _:
+                typing.assert_never(decided)
 
     def _start(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
         submit = attempt.submit
@@ -310,6 +394,10 @@
             self._reject_attempt(submit.attempt_id, reason, 0, out)
             return
         self._running[submit.attempt_id] = attempt
+        self._isolation.note_started(submit.attempt_id, submit.fingerprint)
+        self._journal.note(submit.request_id, now, "endpoint", "sent")
+        started = messages.AttemptStarted(submit.attempt_id)
+        out.append(commands.Send(attempt.instance, attempt.session, started))
         out.append(
             commands.CallEndpoint(
                 attempt_id=submit.attempt_id,
@@ -324,8 +412,6 @@
                 resume_from=submit.resume_from,
             )
         )
-        started = messages.AttemptStarted(submit.attempt_id)
-        out.append(commands.Send(attempt.instance, attempt.session, started))
 
     def _relay_head(self, event: events.EndpointAnswered, out: Commands) -> None:
         attempt = self._running.get(event.attempt_id)
@@ -349,6 +435,7 @@
     def _settle(self, attempt: attempts.Attempt, now: float) -> None:
         submit = attempt.submit
         correction = self._load.note_end(attempt, now)
+        self._queue.set_speed(self._load.tokens_per_s)
         self._queue.note_served(submit.workspace, submit.priority, correction, now)
 
     def _finish(self, attempt_id: str, now: float, out: Commands) -> None:
@@ -356,7 +443,11 @@
         if attempt is None:
             return
         self._settle(attempt, now)
+        self._isolation.note_ended(attempt_id, True, now)
         self._end(attempt, messages.AttemptState.FINISHED)
+        self._journal.note(
+            attempt.submit.request_id, now, "endpoint", f"{attempt.payloads} pieces"
+        )
         finished = messages.AttemptFinished(
             attempt_id, attempt.chunks, attempt.digest.compute(), attempt.payloads
         )
@@ -390,10 +481,12 @@
             return
         incarnation = self._load.incarnation
         self._load.note_lost()
+        self._isolation.note_lost(incarnation, now)
         running = list(self._running.values())
         fingerprints = tuple(sorted({item.submit.fingerprint for item in running}))
         lost = messages.EndpointLost(self._facts.instance, incarnation, fingerprints)
         self._broadcast(lost, out)
+        self._suspicions.spread(now, out)
         out.append(
             commands.Record(
                 catalogue.ENDPOINT_LOST, "", self._facts.instance, incarnation
@@ -420,13 +513,24 @@
             self._reject_attempt(attempt_id, reason, self._hint(reason), out)
 
     def _tick(self, now: float, out: Commands) -> None:
-        for expired in self._queue.expire(now):
-            reason = messages.RejectReason.EXPIRED
-            self._reject_attempt(expired.attempt_id, reason, 0, out)
+        self._expire(now, out)
+        self._suspicions.tick(now, out)
         self._settings.tick(now, out)
+        self._drain_watch.tick(now, out)
+        self._tell_ranks(group_events.Ticked(), now, out)
         if self._load.is_report_due(now):
             self._report(now, out)
 
+    def _expire(self, now: float, out: Commands) -> None:
+        overdue = [expired.attempt_id for expired in self._queue.expire(now)]
+        for attempt_id in self._held:
+            held = self._attempts.find(attempt_id)
+            if held is not None and held.deadline_at < now:
+                overdue.append(attempt_id)
+        reason = messages.RejectReason.EXPIRED
+        for attempt_id in overdue:
+            self._reject_attempt(attempt_id, reason, 0, out)
+
     def _report(self, now: float, out: Commands) -> None:
         measure = self._queue.measure(now)
         tokens = sum(
@@ -454,6 +558,10 @@
     ) -> None:
         self._sessions.open(event.hello, event.session)
         self._settings.open_link(event, now, out)
+        self._suspicions.open_link(event.hello.instance, event.session)
+        if event.hello.role is instances.Role.ENTRY:
+            linked = group_events.PeerLinked(event.hello.instance)
+            self._tell_ranks(linked, now, out)
         self._report(now, out)
 
     def _close_session(
@@ -461,7 +569,11 @@
     ) -> None:
         session_id = event.session
         self._settings.close_link(event.instance, session_id, now)
+        self._suspicions.close_link(session_id)
         self._sessions.close(session_id)
+        if self._sessions.find_instance(event.instance) is None:
+            unlinked = group_events.PeerUnlinked(event.instance)
+            self._tell_ranks(unlinked, now, out)
         for attempt in self._attempts.list_session(session_id):
             if attempt.running and attempt.must_end:
                 continue
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 from chicoryweir_policy import store
+from chicoryweir_policy.groups import events as group_events
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +115,15 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportNotes:
+    """Gives an operator the notes of one instance on a request."""
+
+    number: int
+    instance: str
+    notes: tuple[messages.RequestNote, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
     """The work of this process is done; it ends."""
@@ -131,5 +141,10 @@
     | CallEndpoint
     | CancelCall
     | Record
+    | ReportNotes
     | Stop
+    | group_events.ObserveEngine
+    | group_events.PrepareEngine
+    | group_events.ReleaseEngine
+    | group_events.JoinEngine
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -46,11 +46,14 @@
         dispatch: The attempt under way, if any.
         begun: Whether a part of the answer went to the caller.
         delivered: Events of the answer that went to the caller.
+        progressed_at: When the last part of a begun answer came, monotonic seconds.
         body: Pieces of an opaque answer so far.
         body_bytes: Size of those pieces.
         may_have_run: Whether an earlier attempt may have run.
         suspect: Whether an endpoint was lost while its content ran.
+        lost_on: Those endpoints.
         expired: Whether its deadline passed and the agent's word is awaited.
+        limited: Whether it counts against the limits of its workspace.
         abandoned: Whether the caller is gone.
         claim_version: Version of its claim's row; 0 before it holds one.
     """
@@ -62,11 +65,14 @@
     dispatch: Dispatch | None = None
     begun: bool = False
     delivered: int = 0
+    progressed_at: float = 0.0
     body: list[bytes] = dataclasses.field(default_factory=list)
     body_bytes: int = 0
     may_have_run: bool = False
     suspect: bool = False
+    lost_on: frozenset[str] = frozenset()
     expired: bool = False
+    limited: bool = False
     abandoned: bool = False
     claim_version: int = 0
 
@@ -82,6 +88,7 @@
     def __init__(self) -> None:
         self._lives: dict[str, Live] = {}
         self._attempts: dict[str, Live] = {}
+        self._contents: dict[int, int] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._retries: list[tuple[float, str]] = []
 
@@ -110,10 +117,16 @@
         """Returns the request whose attempt under way this is, or None."""
         return self._attempts.get(attempt_id)
 
+    def is_content_sent(self, fingerprint: int) -> bool:
+        """Tells whether an attempt with this content is under way."""
+        return self._contents.get(fingerprint, 0) > 0
+
     def attach(self, live: Live, dispatch: Dispatch) -> None:
         """Makes an attempt the one under way."""
         live.dispatch = dispatch
         self._attempts[dispatch.attempt_id] = live
+        fingerprint = live.request.fingerprint
+        self._contents[fingerprint] = self._contents.get(fingerprint, 0) + 1
 
     def detach(self, live: Live) -> Dispatch | None:
         """Takes the attempt under way off the request; its messages are late."""
@@ -121,6 +134,10 @@
         live.dispatch = None
         if dispatch is not None:
             self._attempts.pop(dispatch.attempt_id, None)
+            fingerprint = live.request.fingerprint
+            self._contents[fingerprint] -= 1
+            if self._contents[fingerprint] == 0:
+                del self._contents[fingerprint]
         return dispatch
 
     def remove(self, live: Live) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -6,7 +6,10 @@
 import enum
 
 from chicoryweir_policy import requests
+from chicoryweir_policy.admission import shares
+from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.quarantine import records as suspicion_records
 from chicoryweir_policy.settings import heads
 
 
@@ -328,6 +331,58 @@
     sequence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestNote:
+    """One step of a request at the sender.
+
+    Attributes:
+        age_s: Time since, in seconds.
+        step: Step, such as `admission` or `routing`.
+        detail: What was decided and on what grounds.
+    """
+
+    age_s: float
+    step: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesWanted:
+    """Asks a peer for its notes on a request."""
+
+    number: int
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotesFound:
+    """The notes asked for by `NotesWanted`; none if the request is not known."""
+
+    number: int
+    notes: tuple[RequestNote, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionNews:
+    """Losses of endpoints and clearances that the receiver may not know."""
+
+    news: suspicion_records.News
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitAsks:
+    """An entry asks its peers for parts of workspaces' limits."""
+
+    asks: shares.Asks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitLoans:
+    """Answer to `LimitAsks`."""
+
+    loans: shares.Loans
+
+
 Message = (
     Hello
     | SubmitAttempt
@@ -348,4 +403,13 @@
     | SettingsWanted
     | SettingsBody
     | Heartbeat
+    | NotesWanted
+    | NotesFound
+    | SuspicionNews
+    | LimitAsks
+    | LimitLoans
+    | group_messages.QueryRanks
+    | group_messages.PrepareMap
+    | group_messages.ReleaseMap
+    | group_messages.RankStatus
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
@@ -47,8 +47,15 @@
         self._instance = instance
         self._running: dict[str, int] = {}
 
-    def decide_start(self, fingerprint: int, now: float) -> Decision:
-        """Decides whether a request may start now."""
+    def decide_start(self, fingerprint: int, marked: bool, now: float) -> Decision:
+        """Decides whether a request may start now.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            marked: Whether its entry knew that it is suspected, and so sent it to
+                the one endpoint where suspects with this content are tried.
+            now: Present time, monotonic seconds.
+        """
         verdict = self._book.judge(fingerprint, now)
         match verdict:
             case records.Unsuspected():
@@ -56,7 +63,7 @@
             case records.Quarantined():
                 return Refuse(verdict)
             case records.Suspected():
-                if self._instance in verdict.lost_on:
+                if not marked or self._instance in verdict.lost_on:
                     return Refuse(verdict)
                 running = self._find_suspect(now)
                 return Start() if running is None else Hold(running)
@@ -80,6 +87,10 @@
         if fingerprint is not None and ran_to_end:
             self._book.record_finished(fingerprint, now)
 
+    def forget(self, attempt_id: str) -> None:
+        """Records that an attempt no longer runs, whatever its end."""
+        self._running.pop(attempt_id, None)
+
     def note_lost(self, incarnation: str, now: float) -> None:
         """Records that the endpoint was lost; nothing runs on it any more."""
         fingerprints = frozenset(self._running.values())
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -32,18 +32,24 @@
         assert len(reached) <= 2
 
 
-def test_suspect_reaches_two_endpoints_whatever_is_down(make_book, make_request):
+def test_suspect_waits_for_its_one_endpoint_and_reaches_two_in_all(
+    make_book, make_request
+):
     for number in range(30):
         request = make_request(f"content-{number}", (number + 1,))
         book = make_book(16)
         reached = set()
-        for _ in range(4):
-            selected = _select(request, book, suspect=True)
-            if isinstance(selected, selection.Selected):
-                reached.add(selected.instance)
-                book.note_link(selected.instance, False, 0.0)
+        for _ in range(2):
+            selected = _select(request, book, frozenset(reached), suspect=True)
+            book.note_link(selected.instance, False, 0.0)
+            waiting = _select(request, book, frozenset(reached), suspect=True)
+            assert waiting == selection.NoneAvailable(
+                selection.Reason.SUSPECT, selection.COME_BACK_MS
+            )
+            reached.add(selected.instance)
         assert len(reached) == 2
-        assert selected == selection.NoneAvailable(selection.Reason.SUSPECT, None)
+        used_up = _select(request, book, frozenset(reached), suspect=True)
+        assert used_up == selection.NoneAvailable(selection.Reason.SUSPECT, None)
 
 
 def test_repeated_prefix_returns_to_the_endpoint_that_caches_it(
@@ -72,15 +78,34 @@
     assert not second.spilled
 
 
-def test_flood_spills_beyond_the_pair(make_book, make_request, make_report):
+def test_flood_spills_to_the_same_endpoint_through_any_entry(
+    make_book, make_request, make_report
+):
     request = make_request("content")
+    selector = selection.make_selector(prefix.PrefixBook())
+    spilled_to = set()
+    for place in ("telavi", "gurjaani", "sighnaghi"):
+        book = make_book(16, place=place)
+        for _ in range(2):
+            pair = selector.select_endpoint(request, book, NONE, place, 0.0).instance
+            book.note_report(pair, make_report(wait_s=5.0), 0.0)
+        selected = selector.select_endpoint(request, book, NONE, place, 0.0)
+        assert selected.spilled
+        spilled_to.add(selected.instance)
+    assert len(spilled_to) == 1
+
+
+def test_idle_fleet_serves_from_the_own_place_where_the_content_allows(
+    make_book, make_request
+):
     book = make_book(16)
-    for _ in range(2):
-        pair = _select(request, book).instance
-        book.note_report(pair, make_report(wait_s=5.0), 0.0)
-    selected = _select(request, book)
-    assert selected.spilled
-    assert book.view(selected.instance).place == "telavi"
+    members = book.list_members("model-desk")
+    for number in range(50):
+        request = make_request(f"content-{number}")
+        pair = selection.rank_members(members, request.fingerprint)[:2]
+        chosen = book.view(_select(request, book).instance)
+        if any(member.place == "telavi" for member in pair):
+            assert chosen.place == "telavi"
 
 
 def test_far_place_takes_work_only_in_a_flood(make_book, make_request, make_report):
@@ -143,3 +168,72 @@
         assert selection.rank_members(without, seed) == ranked[:3] + ranked[4:]
     assert len(firsts) == 16
     assert max(firsts.values()) < 1.3 * 4000 / 16
+
+
+def test_entries_with_one_stale_report_do_not_pick_one_endpoint(
+    make_book, make_request, make_report
+):
+    picks = collections.Counter()
+    for entry in range(7):
+        book = make_book(16)
+        for number in range(1, 16):
+            book.note_report(f"agent-{number}", make_report(wait_s=0.2), 0.0)
+        for number in range(40):
+            request = make_request(f"request-{entry}-{number}")
+            selected = _select(request, book)
+            book.note_sent(
+                selected.instance, str(number), number, 100.0, request.priority
+            )
+            picks[selected.instance] += 1
+    assert len(picks) == 16
+    assert picks["agent-0"] <= 0.2 * 7 * 40
+
+
+def test_endpoint_taken_out_returns_by_and_by(make_book, make_request, make_report):
+    book = make_book(2)
+    book.note_ejected("agent-0", until=0.0)
+    shares = []
+    for now in (0.1, 9.0, 11.0):
+        chosen = 0
+        for number in range(2):
+            report = make_report(running=16, acknowledged=1)
+            book.note_report(f"agent-{number}", report, now)
+        for number in range(300):
+            request = make_request(f"request-{now}-{number}")
+            selected = _select(request, book, now=now)
+            book.note_sent(
+                selected.instance, f"{now}/{number}", 1, 5.0, request.priority
+            )
+            chosen += selected.instance == "agent-0"
+        shares.append(chosen / 300)
+    assert shares[0] < shares[1] < shares[2]
+    assert shares[0] > 0.0
+    assert shares[2] > 0.45
+
+
+def test_suspect_pair_is_taken_from_the_endpoints_that_hold_the_model(
+    make_book, make_request, make_report
+):
+    book = make_book(16)
+    for number in range(14):
+        book.note_report(f"agent-{number}", make_report(models=("other",)), 0.0)
+    for number in range(20):
+        selected = _select(make_request(f"content-{number}"), book, suspect=True)
+        assert selected.instance in {"agent-14", "agent-15"}
+    book.note_link("agent-14", False, 1.0)
+    assert len(book.list_members("model-desk", "kakheti-1")) == 2
+
+
+def test_slow_endpoint_is_avoided_and_usual_differences_are_not_priced(
+    make_book, make_request, make_report
+):
+    request = make_request("content")
+    book = make_book(16)
+    first = _select(request, book).instance
+    for member in book.list_members("model-desk"):
+        report = make_report(running=1, tokens_per_s=50.0)
+        book.note_report(member.instance, report, 0.0)
+    book.note_report(first, make_report(running=1, tokens_per_s=40.0), 0.0)
+    assert _select(request, book).instance == first
+    book.note_report(first, make_report(running=1, tokens_per_s=5.0), 0.0)
+    assert _select(request, book).instance != first
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/floods.py
@@ -10,8 +10,9 @@
 from chicoryweir_standins.load import arrivals
 from chicoryweir_standins.load import driver
 from chicoryweir_standins.load import results
+from chicoryweir_standins.load import sharding
 
-WINDOW_S = 10.0
+WINDOW_S = 8.0
 FLOOD = 5.0
 SMALL_WORKSPACES = tuple(f"small-{n}" for n in range(1, 11))
 WORKSPACES = ("field", "clerks", "growers", "large", *SMALL_WORKSPACES)
@@ -44,8 +45,8 @@
 _FLOORS = {"standard": 0.3, "bulk": 0.1}
 _RAMP_S = 2.0
 _URGENT_MS = 3000
-_STANDARD_MS = 6000
-_BULK_MS = 10_000
+_STANDARD_MS = 5000
+_BULK_MS = 8000
 
 Experiment = collections.abc.Callable[
     [fleet.Fleet, deployments.Deployment, int],
@@ -85,7 +86,7 @@
         seed,
         one_way_s=deployment.client_one_way_s,
     )
-    ended = await driver.run_load(load)
+    ended = await sharding.run_sharded(load)
     for priority, tally in sorted(results.tally_by_class(ended).items()):
         print(f"  {priority}: {tally.describe()}")
     return ended
@@ -111,7 +112,7 @@
 async def measure_urgent_flood(
     running: fleet.Fleet, deployment: deployments.Deployment, seed: int
 ) -> list[measures.Measure]:
-    """Floods with urgent work while the other classes ask for more than their floors."""
+    """Floods with urgent work while the others ask for more than their floors."""
     streams = (
         _build_stream(deployment, "field", "urgent", FLOOD, _URGENT_MS),
         _build_stream(deployment, "growers", "standard", 0.6, _STANDARD_MS),
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/fleet.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import secrets
+import shutil
 import tempfile
 import typing
 
@@ -100,6 +101,10 @@
             codes.update(await processes.stop_all(chosen, timeout_s))
         return codes
 
+    def remove_files(self) -> None:
+        """Removes the configuration and the logs."""
+        shutil.rmtree(self.directory, ignore_errors=True)
+
     def describe(self) -> dict[str, typing.Any]:
         """Returns what a caller needs to use the fleet."""
         return {
@@ -113,6 +118,19 @@
             "control": self.plan.control_url,
         }
 
+    async def wait_exit(self, name: str, pid: int, timeout_s: float) -> int | None:
+        """Waits until one run of a process has ended.
+
+        Returns:
+            Its exit code, or None where it still runs after the timeout.
+        """
+        child = self.children[name]
+        for _ in range(int(timeout_s / _POLL_S)):
+            if pid in child.exit_codes:
+                return child.exit_codes[pid]
+            await asyncio.sleep(_POLL_S)
+        return None
+
     async def set_listing(self, name: str, state: str | None) -> None:
         """Changes an instance's state in the platform's list; None removes it."""
         listing = self.children[name].process.listing
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/callers.py
@@ -9,6 +9,9 @@
 from chicoryweir_policy.cores import commands
 from chicoryweir_standins.worlds import endpoints
 
+GONE = "gone"
+MAX_LOST_TO_POISON = 2
+
 
 class BrokenGuaranteeError(AssertionError):
     """A guarantee did not hold."""
@@ -59,7 +62,10 @@
             told.final = "cut"
 
     def consume(self, command: commands.Command) -> None:
-        """Takes a command for a caller."""
+        """Takes a command for a caller; one that is gone hears nothing."""
+        request_id = getattr(command, "request_id", "")
+        if request_id in self.told and self.told[request_id].final == GONE:
+            return
         match command:
             case commands.BeginAnswer(request_id):
                 self._open(request_id).begun = True
@@ -115,3 +121,14 @@
         for key, count in by_key.items():
             if count > 1:
                 raise BrokenGuaranteeError(f"{key} ran {count} times")
+
+
+def check_poison(runs: list[endpoints.Run]) -> None:
+    """Checks how many endpoints each poisonous content took down."""
+    lost: dict[bytes, set[str]] = {}
+    for run in runs:
+        if run.body.startswith(endpoints.POISON):
+            lost.setdefault(run.body, set()).add(run.incarnation)
+    for body, incarnations in lost.items():
+        if len(incarnations) > MAX_LOST_TO_POISON:
+            raise BrokenGuaranteeError(f"{body!r} killed {sorted(incarnations)}")
