Give a suspect one endpoint on which all entries agree

It now gets the first endpoint of the content's own sequence that it was not lost on, and the home is left out. Zones have a module of their own.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -10,8 +10,8 @@
 from chicoryweir_policy import requests
 from chicoryweir_policy.routing import prefix
 from chicoryweir_policy.routing import views
+from chicoryweir_policy.routing import zones
 
-NEAR_LATENCY_S = 0.005
 OTHER_PLACE_COST_S = 0.02
 PACE_TOLERANCE = 1.5
 MAX_PRICED_TOKENS = 500.0
@@ -118,15 +118,6 @@
     return members[scores.index(max(scores))]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Zones:
-    """Members of a service by their distance from the entry."""
-
-    members: tuple[views.Member, ...]
-    near: tuple[views.Member, ...]
-    far: tuple[views.Member, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Candidate:
     instance: str
@@ -145,7 +136,7 @@
 
     def __init__(self, prefixes: prefix.PrefixBook) -> None:
         self._prefixes = prefixes
-        self._zones: dict[str, dict[str, _Zones]] = {}
+        self._zones = zones.ZoneBook()
 
     def select_endpoint(
         self,
@@ -159,14 +150,15 @@
         spill_wait_s: float = SPILL_WAIT_S,
     ) -> Selection:
         """Selects an endpoint; see `Selector`."""
-        zones = self._divide(request, fleet)
-        if not zones.members:
+        zone = self._zones.divide(request.service, request.model, fleet)
+        if not zone.members:
             return _explain_none(request, fleet, excluded, now, suspect)
-        sequence = self._rank_candidates(request, zones.near)
         if suspect:
-            sequence = sequence[:SUSPECT_CANDIDATES]
-            if all(member.instance in excluded for member in sequence):
+            sequence = _find_suspect_candidates(request, zone.near, excluded)
+            if not sequence:
                 return NoneAvailable(Reason.SUSPECT, None)
+        else:
+            sequence = self._rank_candidates(request, zone.near)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
         weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
         best = _find_best(weighed)
@@ -178,7 +170,7 @@
                     break
             else:
                 weighed += self._weigh_far(
-                    request, fleet, zones.far, excluded, place, now
+                    request, fleet, zone.far, excluded, place, now
                 )
             first, best = best, _find_best(weighed)
             spilled = best is not first
@@ -186,19 +178,6 @@
             return _explain_none(request, fleet, excluded, now, suspect)
         return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
 
-    def _divide(self, request: requests.Request, fleet: views.Fleet) -> _Zones:
-        members = fleet.list_members(request.service, request.model)
-        by_model = self._zones.setdefault(request.service, {})
-        zones = by_model.get(request.model)
-        if zones is None or zones.members is not members:
-            near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S)
-            far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
-            zones = _Zones(members, near or far, far if near else ())
-            if len(by_model) >= views.MAX_CACHED_MODELS:
-                by_model.clear()
-            by_model[request.model] = zones
-        return zones
-
     def _rank_candidates(
         self, request: requests.Request, near: tuple[views.Member, ...]
     ) -> list[views.Member]:
@@ -268,6 +247,19 @@
             yield view
 
 
+def _find_suspect_candidates(
+    request: requests.Request,
+    near: tuple[views.Member, ...],
+    excluded: frozenset[str],
+) -> list[views.Member]:
+    """Returns one endpoint, on which all entries agree that know of the same losses.
+
+    The home is left out, since entries may differ about it.
+    """
+    first = rank_members(near, request.fingerprint)[:SUSPECT_CANDIDATES]
+    return [member for member in first if member.instance not in excluded][:1]
+
+
 def _is_short(candidate: _Candidate | None, wait_s: float) -> bool:
     return candidate is not None and candidate.wait_s <= wait_s
 
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -32,21 +32,51 @@
         assert len(reached) <= 2
 
 
-def test_suspect_reaches_two_endpoints_whatever_is_down(make_book, make_request):
+def _make_prefix_books():
+    books = [prefix.PrefixBook() for _ in range(7)]
+    for number, book in enumerate(books):
+        for sent in range(100):
+            block = 1 if sent < 15 * number else sent
+            book.note_sent("agent-0", (block, 2000 + sent % 5))
+    return books
+
+
+def test_suspect_takes_down_no_third_endpoint_through_any_entries(
+    make_book, make_request
+):
+    books = _make_prefix_books()
     for number in range(30):
-        request = make_request(f"content-{number}", (number + 1,))
+        request = make_request(f"content-{number}", (1, 2000 + number))
         book = make_book(16)
-        reached = set()
-        for _ in range(4):
-            selected = _select(request, book, suspect=True)
-            if isinstance(selected, selection.Selected):
-                reached.add(selected.instance)
-                book.note_link(selected.instance, False, 0.0)
-        assert len(reached) == 2
-        assert selected.reason is selection.Reason.SUSPECT
-        assert selected.retry_after_ms == selection.COME_BACK_MS
-        used_up = _select(request, book, frozenset(reached), suspect=True)
-        assert used_up == selection.NoneAvailable(selection.Reason.SUSPECT, None)
+        for first in books:
+            lost = {_select(request, book, prefixes=first).instance}
+            reached = {
+                _select(request, book, frozenset(lost), suspect=True, prefixes=other)
+                for other in books
+            }
+            assert len(reached) == 1
+            lost.add(reached.pop().instance)
+            again = [
+                _select(request, book, frozenset(lost), suspect=True, prefixes=other)
+                for other in books
+            ]
+            assert len({getattr(choice, "instance", None) for choice in again}) == 1
+            assert len(lost) == 2
+
+
+def test_suspect_waits_for_its_endpoint_to_come_back(make_book, make_request):
+    book = make_book(16)
+    request = make_request("content")
+    chosen = _select(request, book, suspect=True).instance
+    book.note_link(chosen, False, 0.0)
+    assert _select(request, book, suspect=True) == selection.NoneAvailable(
+        selection.Reason.SUSPECT, selection.COME_BACK_MS
+    )
+    second = _select(request, book, frozenset({chosen}), suspect=True).instance
+    both = frozenset({chosen, second})
+    assert _select(request, book, both, suspect=True) == selection.NoneAvailable(
+        selection.Reason.SUSPECT, None
+    )
 
 
 def test_repeated_prefix_returns_to_the_endpoint_that_caches_it(
