--- a/packages/chicoryweir-policy/benchmarks/routing.py
+++ b/packages/chicoryweir-policy/benchmarks/routing.py
@@ -19,16 +19,15 @@
 
 import routing_endpoints
 import routing_model
+import routing_scale
 import routing_setup
 import routing_traffic
-import xxhash
 
 from chicoryweir_policy import requests
 from chicoryweir_policy.routing import baselines
 from chicoryweir_policy.routing import loads
 from chicoryweir_policy.routing import prefix
 from chicoryweir_policy.routing import selection
-from chicoryweir_policy.routing import subsets
 from chicoryweir_policy.routing import views
 
 SEEDS = range(1, 11)
@@ -146,55 +145,6 @@
     return lines
 
 
-def measure_subsets() -> list[str]:
-    """Measures coverage and churn of subsets at 380 x 890."""
-    entries = [subsets.Node(f"entry-{n}", f"p{n % 8}") for n in range(380)]
-    endpoints = [subsets.Node(f"agent-{n}", f"p{n % 8}") for n in range(890)]
-
-    def by_ring(entry, entries, endpoints):  # noqa: ANN001, ANN202
-        return subsets.choose_subset(entry, entries, endpoints)
-
-    def by_rendezvous(entry, entries, endpoints):  # noqa: ANN001, ANN202
-        seed = xxhash.xxh64_intdigest(entry.instance.encode())
-        ranked = sorted(
-            endpoints,
-            key=lambda n: xxhash.xxh64_intdigest(n.instance.encode(), seed=seed),
-        )
-        return [node.instance for node in ranked[: subsets.SUBSET_SIZE]]
-
-    changes = {
-        "endpoint leaves": (entries, endpoints[:-1]),
-        "entry leaves": (entries[:-1], endpoints),
-        "entry replaced": ([*entries[1:], subsets.Node("entry-x", "p0")], endpoints),
-    }
-    lines = [
-        f"\n## Subsets of {subsets.SUBSET_SIZE} at 380 entries x 890 endpoints\n",
-        "| way | entries per endpoint, least/mean/most | ms per subset | "
-        + " | ".join(f"new links of an entry, {name}: mean/most" for name in changes)
-        + " |",
-        "| --- | --- | --- |" + " --- |" * len(changes),
-    ]
-    for name, choose in (("ring (in use)", by_ring), ("rendezvous", by_rendezvous)):
-        started = time.perf_counter()
-        before = {e: set(choose(e, entries, endpoints)) for e in entries}
-        spent_ms = (time.perf_counter() - started) * 1000 / len(entries)
-        covered = collections.Counter(i for chosen in before.values() for i in chosen)
-        counts = [covered[node.instance] for node in endpoints]
-        cells = [
-            f"{min(counts)} / {statistics.mean(counts):.1f} / {max(counts)}",
-            f"{spent_ms:.2f}",
-        ]
-        for members, nodes in changes.values():
-            new = [
-                len(set(choose(e, members, nodes)) - before[e])
-                for e in members
-                if e in before
-            ]
-            cells.append(f"{statistics.mean(new):.2f} / {max(new)}")
-        lines.append(f"| {name} | {' | '.join(cells)} |")
-    return lines
-
-
 def measure_processor_time() -> list[str]:
     """Measures the processor time of a decision and of the changes of a view."""
     lines = [
@@ -276,7 +226,7 @@
         "fails all that it is given. 7 of 10 conversations share one system "
         "prompt. Figures are the median over the seeds, in brackets the worst seed.",
         *measure_selection(),
-        *measure_subsets(),
+        *routing_scale.measure_subsets(),
         *measure_processor_time(),
         *measure_memory(),
     ]
