--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -310,7 +310,6 @@
         self._outlying.tick(now, out)
         self._exchange_limits(now, out)
         self._drain_watch.tick(now, out)
-        self.peers.keep_links(out)
 
     def _exchange_limits(self, now: float, out: entry_state.Commands) -> None:
         asks = self.state.limiter.tick(now)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -110,6 +110,8 @@
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
         """Tells the other entries of this one from time to time."""
+        if self._kept is None:
+            self.keep_links(out)
         if now - self._told_at < STATUS_PERIOD_S:
             return
         self._told_at = now
