--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/versions.py
@@ -110,7 +110,7 @@
     """Computes the next state and the commands after one event at `now`."""
     step = _take_event(book, event, now)
     polled = _poll(step.book, now)
-    fetched = _pursue(polled.book, now)
+    fetched = _fetch_wanted(polled.book, now)
     return Step(fetched.book, step.commands + polled.commands + fetched.commands)
 
 
@@ -151,7 +151,7 @@
     )
 
 
-def _pursue(book: VersionBook, now: float) -> Step:
+def _fetch_wanted(book: VersionBook, now: float) -> Step:
     """Asks for a copy of the wanted version when one is due."""
     wanted = book.wanted
     if wanted is None or not _is_behind(book):
