Work out a repair edit by edit, and propose maps only to a settled group

An entry that holds a group's lease also relays tokens, and a repair in one go kept it busy for 21 ms.

The map in force is told only while no change is under way: else a map that was just decided was proposed again and paid for twice. The coordinator's own way to ask a balancer is gone; the entry's core does that.

--- a/packages/chicoryweir-policy/benchmarks/expert_maps.py
+++ b/packages/chicoryweir-policy/benchmarks/expert_maps.py
@@ -145,6 +145,8 @@
         step = under_way.find_step(in_force)
         if step is None:
             proposed = way.propose_map(in_force, seen.compute_shares(), now)
+            while way.is_busy():
+                proposed = way.propose_map(in_force, seen.compute_shares(), now)
             if proposed is not None and limited:
                 under_way = plan.plan_moves(in_force, proposed, MOVES_PER_TICK)
                 step = under_way.find_step(in_force)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/balancer.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/balancer.py
@@ -73,10 +73,12 @@
         """
         if now < self._next_at:
             return None
-        self._next_at = now + self._settings.period_s
         self._budget = rates.refill(self._budget, now)
         in_force = placement.create_map(self._rank_count, replicas)
         step = self._plan.find_step(in_force) or self._find_first_step(in_force, now)
+        if self._way.is_busy():
+            return None
+        self._next_at = now + self._settings.period_s
         weight_bytes = self._settings.weight_bytes
         if step is None or rates.count_loads(self._budget, weight_bytes) == 0:
             return None
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
@@ -11,7 +11,6 @@
 import typing
 
 from chicoryweir_policy import store
-from chicoryweir_policy.groups import balancer
 from chicoryweir_policy.groups import changes
 from chicoryweir_policy.groups import events
 from chicoryweir_policy.groups import leases
@@ -26,7 +25,6 @@
 
     lease: leases.Lease
     leader: changes.GroupLeader
-    balancer: balancer.MapBalancer | None
     operation_id: int | None = None
 
 
@@ -40,7 +38,6 @@
         lease_settings: leases.LeaseSettings,
         change_settings: changes.ChangeSettings,
         seed: int,
-        balancers: collections.abc.Mapping[str, balancer.MapBalancer] | None = None,
     ) -> None:
         """Creates the core.
 
@@ -50,14 +47,11 @@
             lease_settings: Times of the leases.
             change_settings: Times of the changes.
             seed: Seed of the jitter.
-            balancers: Sources of better maps, by group; without one, maps come by
-                `MapProposed` only.
         """
         self._contenders = {
             spec.group: _Contender(
                 leases.create_lease(spec.group, holder, lease_settings, seed),
                 changes.GroupLeader(spec, change_settings),
-                (balancers or {}).get(spec.group),
             )
             for spec in specs
         }
@@ -96,9 +90,11 @@
         return tuple(status for _, status in items)
 
     def find_map(self, group: str) -> messages.Replicas | None:
-        """Returns the map in force by the group's row, or None before it was read."""
-        row = self._contenders[group].leader.row
-        return None if row is None else row.replicas
+        """Returns the map in force while no change is under way, else None."""
+        leader = self._contenders[group].leader
+        if leader.row is None or leader.state != "settled":
+            return None
+        return leader.row.replicas
 
     def find_state(self, group: str) -> str:
         """Returns the state of a group's change in the chart `map_change`."""
@@ -121,8 +117,6 @@
         if contender is None or not isinstance(message, messages.RankStatus):
             return ()
         violation = contender.leader.note_status(instance, message, now)
-        if contender.balancer is not None and message.expert_load:
-            contender.balancer.note_load(message.expert_load, now)
         contender.lease = leases.raise_floor(
             contender.lease, contender.leader.statuses.find_highest_fence()
         )
@@ -155,7 +149,6 @@
         if not holding:
             leader.step_down()
             return commands
-        _propose_map(contender, now)
         fence = contender.lease.fence
         if contender.operation_id is None:
             operation = leader.propose_operation(fence, now)
@@ -171,12 +164,3 @@
         self._last_operation_id += 1
         self._operations[self._last_operation_id] = (group, for_lease)
         return events.RunOperation(self._last_operation_id, operation)
-
-
-def _propose_map(contender: _Contender, now: float) -> None:
-    """Gives the leader the next map while nothing changes."""
-    leader = contender.leader
-    if contender.balancer is None or leader.row is None or leader.state != "settled":
-        return
-    if leader.proposal is None:
-        leader.proposal = contender.balancer.propose_map(leader.row.replicas, now)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/rebalancers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/rebalancers.py
@@ -16,7 +16,7 @@
     def propose_map(
         self, in_force: placement.ExpertMap, shares: placement.Shares, now: float
     ) -> placement.ExpertMap | None:
-        """Returns a better map, or None to keep the one in force.
+        """Returns a better map, or None to keep the one in force for now.
 
         Args:
             in_force: Map in force.
@@ -24,6 +24,9 @@
             now: Present time, in seconds.
         """
 
+    def is_busy(self) -> bool:
+        """Tells whether a map is being worked out, so that a call soon is of use."""
+
 
 class NeverRebalance:
     """Keeps the first map."""
@@ -34,6 +37,10 @@
         """Returns None."""
         return None
 
+    def is_busy(self) -> bool:
+        """Returns False."""
+        return False
+
 
 class AlwaysRebalance:
     """Packs a map from scratch once a period, whatever it moves."""
@@ -53,6 +60,10 @@
         self._next_at = now + self._period_s
         return placement.pack_experts(shares, in_force.rank_count, self._slots_per_rank)
 
+    def is_busy(self) -> bool:
+        """Returns False."""
+        return False
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RepairSettings:
@@ -77,24 +88,43 @@
         self._gate_settings = gate_settings
         self._repair_settings = repair_settings
         self._gate = gates.GateState()
+        self._start: placement.ExpertMap | None = None
+        self._repair: repair.Repair | None = None
 
     def propose_map(
         self, in_force: placement.ExpertMap, shares: placement.Shares, now: float
     ) -> placement.ExpertMap | None:
-        """Returns the repaired map if it pays."""
+        """Makes one edit a call; returns the repaired map at the end, if it pays."""
+        if self._repair is not None and self._start == in_force:
+            if self._repair.advance():
+                return None
+            return self._finish(in_force, self._repair.build_map(), shares, now)
+        self._repair = None
         skew = in_force.compute_skew(shares)
         self._gate = gates.note_skew(self._gate, self._gate_settings, skew, now)
-        if not gates.is_open(self._gate, self._gate_settings, now):
-            return None
-        repaired = repair.repair_map(
-            in_force,
-            shares,
-            self._repair_settings.budget,
-            self._repair_settings.target_skew,
-        )
+        if gates.is_open(self._gate, self._gate_settings, now):
+            bounds = self._repair_settings
+            self._start = in_force
+            self._repair = repair.Repair(
+                in_force, shares, bounds.budget, bounds.target_skew
+            )
+        return None
+
+    def is_busy(self) -> bool:
+        """Tells whether a repair is under way."""
+        return self._repair is not None
+
+    def _finish(
+        self,
+        in_force: placement.ExpertMap,
+        repaired: placement.ExpertMap,
+        shares: placement.Shares,
+        now: float,
+    ) -> placement.ExpertMap | None:
+        self._repair = None
         moves = placement.count_moves(in_force, repaired)
-        after = repaired.compute_skew(shares)
-        if not gates.pays(self._gate_settings, skew, after, moves):
+        before, after = in_force.compute_skew(shares), repaired.compute_skew(shares)
+        if not gates.pays(self._gate_settings, before, after, moves):
             return None
         self._gate = gates.note_change(self._gate, now)
         return repaired
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -82,16 +82,42 @@
     Returns:
         The map after the edits; `start` when none helps.
     """
-    board = _Board(start, shares)
-    mean = sum(board.loads) / len(board.loads)
-    left = budget
-    while left > 0 and max(board.loads) > target_skew * mean:
-        best = _find_best(board, left)
+    under_way = Repair(start, shares, budget, target_skew)
+    while under_way.advance():
+        pass
+    return under_way.build_map()
+
+
+class Repair:
+    """A repair that is made edit by edit, so that none of its steps takes long."""
+
+    def __init__(
+        self,
+        start: placement.ExpertMap,
+        shares: placement.Shares,
+        budget: int,
+        target_skew: float,
+    ) -> None:
+        """Begins with the map in force; for the arguments see `repair_map`."""
+        self._rank_count = start.rank_count
+        self._board = _Board(start, shares)
+        self._left = budget
+        self._target_load = target_skew * sum(self._board.loads) / start.rank_count
+
+    def advance(self) -> bool:
+        """Makes the best edit; False when none is left to make."""
+        if self._left <= 0 or max(self._board.loads) <= self._target_load:
+            return False
+        best = _find_best(self._board, self._left)
         if best is None:
-            break
-        board.apply(best)
-        left -= best.moves
-    return placement.create_map(start.rank_count, board.replicas)
+            return False
+        self._board.apply(best)
+        self._left -= best.moves
+        return True
+
+    def build_map(self) -> placement.ExpertMap:
+        """Returns the map as edited so far."""
+        return placement.create_map(self._rank_count, self._board.replicas)
 
 
 def _find_best(board: _Board, moves_left: int) -> _Edit | None:
--- a/packages/chicoryweir-policy/tests/maps/test_gates.py
+++ b/packages/chicoryweir-policy/tests/maps/test_gates.py
@@ -64,6 +64,8 @@
     proposals = []
     for number in range(50):
         found = way.propose_map(in_force, (0.4, 0.4, 0.1, 0.1), number * 10.0)
+        while way.is_busy():
+            found = way.propose_map(in_force, (0.4, 0.4, 0.1, 0.1), number * 10.0)
         if found is not None:
             proposals.append(found)
             in_force = found
