--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: setup test fix demo up soak bench capacity
+.PHONY: setup test fix types docs demo up soak bench capacity explore
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +23,12 @@
 	$(BIN)/mypy $(wildcard packages/*/src)
 	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6
 
+docs: setup
+	$(BIN)/python -m chicoryweir_daemon.eventdocs
+
+types: setup
+	$(BIN)/mypy $(wildcard packages/*/src)
+
 fix: setup
 	$(BIN)/ruff check --fix packages
 	$(BIN)/ruff format packages
@@ -36,6 +42,9 @@
 soak: setup
 	$(BIN)/python -m chicoryweir_standins soak --seed $(SEED) --seconds $(SECONDS)
 
+explore: setup
+	$(BIN)/python -m chicoryweir_standins explore --seed $(SEED) --seconds $(SECONDS)
+
 bench: setup
 	$(BIN)/python -m chicoryweir_standins bench
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -52,7 +52,7 @@
     identity = links.Identity(
         own.instance, instances.Role.AGENT, own.place, own.service, incarnation
     )
-    link_task = links.LinkTask(identity, own.cluster_secret, task)
+    link_task = links.LinkTask(identity, own.cluster_secret, task, write)
     platforms.StoreTask(http_store.create_store(own.platform_url), task, write)
     endpoint = endpoints.EndpointTask(own.endpoint, task)
     rank_task = ranks.RankTask(own.endpoint.url, task)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -71,7 +71,7 @@
     identity = links.Identity(
         own.instance, instances.Role.ENTRY, own.place, "", incarnation
     )
-    link_task = links.LinkTask(identity, own.cluster_secret, task)
+    link_task = links.LinkTask(identity, own.cluster_secret, task, write)
     platform = http_store.create_store(own.platform_url)
     store_task = platforms.StoreTask(platform, task, write)
     window = windows.Window()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import dataclasses
 import itertools
 import random
@@ -11,6 +12,7 @@
 import websockets.exceptions
 
 from chicoryweir_daemon.runtime import cores
+from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import events
@@ -35,10 +37,17 @@
 class LinkTask:
     """Dials the peers that the core wants, and accepts the links of others."""
 
-    def __init__(self, identity: Identity, secret: bytes, core: cores.CoreTask) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        secret: bytes,
+        core: cores.CoreTask,
+        log: collections.abc.Callable[[commands.Record], None],
+    ) -> None:
         self._identity = identity
         self._secret = secret
         self._core = core
+        self._log = log
         self._links: dict[str, links.Link] = {}
         self._dialers: dict[tuple[str, str, int], asyncio.Task[None]] = {}
         self._sessions = itertools.count(1)
@@ -95,17 +104,24 @@
                 self._dialers[peer] = asyncio.ensure_future(self._dial(peer))
 
     async def _dial(self, peer: tuple[str, str, int]) -> None:
-        _, ip, port = peer
+        instance, ip, port = peer
         wait_s = REDIAL_MIN_S
+        refused = False
         while True:
             try:
                 link, hello = await links.dial_link(
                     ip, port, self._secret, self._describe("")
                 )
-            except links.LinkError:
+            except links.LinkError as error:
+                if not refused:
+                    number = catalogue.LINK_REFUSED
+                    detail = f"{error.step}: {error.detail}"
+                    self._log(commands.Record(number, "", instance, detail))
+                refused = True
                 wait_s = min(REDIAL_MAX_S, wait_s * 2)
             else:
                 wait_s = REDIAL_MIN_S
+                refused = False
                 await self._run(link, hello, hello.session)
             await asyncio.sleep(wait_s * random.uniform(0.5, 1.0))
 
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -23,6 +23,7 @@
 from chicoryweir_standins.load import command as load_command
 from chicoryweir_standins.platform import app as platform_app
 from chicoryweir_standins.soak import command as soak_command
+from chicoryweir_standins.worlds import exploration
 
 
 def _read_config(path: str) -> dict[str, typing.Any]:
@@ -57,6 +58,12 @@
     return asyncio.run(up.run_until_stopped(plan.FleetSize()))
 
 
+def _run_explore(arguments: argparse.Namespace) -> int:
+    explored = exploration.explore(arguments.seed, arguments.seconds)
+    sys.stdout.write(f"{explored}\nno guarantee was broken\n")
+    return 0
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="chicoryweir_standins")
     commands = parser.add_subparsers(required=True)
@@ -83,6 +90,10 @@
     command = commands.add_parser("soak", help="a long randomised run")
     soak_command.add_arguments(command)
     command.set_defaults(run=soak_command.run)
+    command = commands.add_parser("explore", help="random walks through cores")
+    command.add_argument("--seed", type=int, default=1, help="first seed")
+    command.add_argument("--seconds", type=float, default=60.0, help="duration")
+    command.set_defaults(run=_run_explore)
     command = commands.add_parser("up", help="runs a fleet until a signal")
     command.set_defaults(run=_run_up)
     return parser
