Check a running fleet from outside, and pass the engines' cache events on

The checks found that an unknown path was answered with 400 and an unknown service of the address look-up without a problem document; both are 404 problems now.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/ruff check packages
 	$(BIN)/lint-imports
 	$(BIN)/mypy $(wildcard packages/*/src)
-	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6 --dist loadgroup
 
 docs: setup
 	$(BIN)/python -m chicoryweir_daemon.eventdocs
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
@@ -19,6 +19,7 @@
 CONNECT_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
 PROBE_PERIOD_S = 0.25
+CACHE_PERIOD_S = 1.0
 IDLE_CONNECTION_S = 2.0
 PIECE_BYTES = 64 * 1024
 _OK = 200
@@ -56,6 +57,23 @@
             self._core.post(await self._probe())
             await asyncio.sleep(PROBE_PERIOD_S)
 
+    async def run_cache_news(self) -> typing.NoReturn:
+        """Asks a model engine for changes of its prompt cache from time to time."""
+        after = 0
+        while True:
+            await asyncio.sleep(CACHE_PERIOD_S)
+            try:
+                answer = await self._client.get(
+                    "/cache/events", params={"after": after}, timeout=PROBE_TIMEOUT_S
+                )
+                document = answer.json()
+                after = int(document["next"])
+                news = _read_cache_events(document["events"])
+            except (httpx.HTTPError, ValueError, KeyError, TypeError):
+                continue
+            if news.stored or news.evicted:
+                self._core.post(news)
+
     def _start(self, command: commands.CallEndpoint) -> None:
         task = asyncio.ensure_future(self._call(command))
         self._calls[command.attempt_id] = task
@@ -164,6 +182,16 @@
     )
 
 
+def _read_cache_events(
+    listed: list[collections.abc.Mapping[str, typing.Any]],
+) -> events.CacheChanged:
+    """Returns what holds after the events; a later one of a block wins."""
+    kinds = {int(event["block"]): str(event["kind"]) for event in listed}
+    stored = tuple(block for block, kind in kinds.items() if kind == "stored")
+    evicted = tuple(block for block, kind in kinds.items() if kind == "evicted")
+    return events.CacheChanged(stored, evicted)
+
+
 def _make_headers(command: commands.CallEndpoint) -> dict[str, str]:
     headers = {
         "X-Request-Id": command.request_id,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -64,6 +64,8 @@
         asyncio.ensure_future(task.run_ticker()),
         asyncio.ensure_future(endpoint.run_probes()),
     ]
+    if own.endpoint.kind is configuration.EndpointKind.MODEL:
+        background.append(asyncio.ensure_future(endpoint.run_cache_news()))
     await link_task.listen(own.link.ip, own.link.port)
     write(commands.Record(catalogue.DAEMON_STARTED, "", "", "agent"))
     await task.wait_stopped()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/application.py
@@ -14,6 +14,7 @@
 
 from chicoryweir_daemon.entry import callers
 from chicoryweir_daemon.entry import metrics
+from chicoryweir_daemon.entry.operators import problems
 from chicoryweir_policy.routing import addresses
 
 _PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8"
@@ -57,7 +58,8 @@
         service: str = "",
     ) -> response.Response[typing.Any]:
         if service and not views.has_service(service):
-            return response.Response({"detail": "unknown service"}, status_code=404)
+            detail = f"no service is named {service[:100]!r}"
+            return problems.make_problem(404, "Unknown service", detail)
         host = request.client.host if request.client else ""
         seed = xxhash.xxh3_64_intdigest(host.encode())
         ranked = [
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/intake/faults.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/intake/faults.py
@@ -59,6 +59,19 @@
     )
 
 
+def make_wrong_method(method: str) -> outcomes.Problem:
+    """The path takes another method."""
+    return outcomes.Problem(
+        405,
+        "Method not allowed",
+        f"expected POST, found {method[:20]}",
+        outcomes.Outcome.NOT_RUN,
+        STEP,
+        "",
+        field="method",
+    )
+
+
 def make_too_large(field: str, limit_bytes: int) -> outcomes.Problem:
     """A part of the request is over its limit."""
     return outcomes.Problem(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/intake/heads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/intake/heads.py
@@ -76,6 +76,9 @@
     raw: RawHead, resolver: resolution.Resolver, place: str
 ) -> Head | outcomes.Problem:
     """Checks a head against the settings in force."""
+    misplaced = _check_path(raw)
+    if misplaced is not None:
+        return misplaced
     workspace = authenticate(raw, resolver.tree)
     if isinstance(workspace, outcomes.Problem):
         return workspace
@@ -94,6 +97,16 @@
     return _check_options(raw, workspace, service, path, priority, effective)
 
 
+def _check_path(raw: RawHead) -> outcomes.Problem | None:
+    if raw.path.startswith(SERVICES_PREFIX):
+        return None
+    if raw.path not in COMPLETION_PATHS:
+        return faults.make_unknown("path", raw.path)
+    if raw.method != "POST":
+        return faults.make_wrong_method(raw.method)
+    return None
+
+
 def _check_options(
     raw: RawHead,
     workspace: str,
--- /dev/null
+++ b/packages/chicoryweir-standins/tests/blackbox/test_operators.py
@@ -0,0 +1,107 @@
+"""The operators' interface of a running fleet, over HTTP and by command."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+pytestmark = pytest.mark.xdist_group("fleet")
+
+
+def _run(fleet, *arguments: str) -> subprocess.CompletedProcess[str]:
+    environment = {**os.environ, "CHICORYWEIR_CLIENT": fleet.ready["settings"]}
+    command = [sys.executable, "-m", "chicoryweir_cli", *arguments]
+    return subprocess.run(
+        command, env=environment, capture_output=True, text=True, check=False
+    )
+
+
+def _read_version(fleet) -> int:
+    version: int = fleet.operate("/settings").json()["version"]
+    return version
+
+
+def test_operator_needs_its_key(fleet) -> None:
+    caller = fleet.call("/operator/status", method="GET")
+    nobody = fleet.call("/operator/status", method="GET", key=None)
+    assert (caller.status_code, nobody.status_code) == (401, 401)
+
+
+def test_change_is_in_force_through_every_entry_and_audited(fleet) -> None:
+    shown = fleet.operate("/settings").json()
+    tree = shown["tree"]
+    tree["fleet"]["settings"]["max_attempts"] = 4
+    change = {"expect_version": shown["version"], "tree": tree, "reason": "test"}
+    applied = fleet.operate("/settings", change)
+    assert applied.json()["version"] == shown["version"] + 1
+    raced = fleet.operate("/settings", change, entry=1)
+    assert raced.status_code == 409
+    assert raced.json()["current_version"] == shown["version"] + 1
+    rows = fleet.operate("/audit").json()["rows"]
+    assert rows[-1]["path"] == "/fleet/settings/max_attempts"
+    assert rows[-1]["who"] == "dato"
+
+
+def test_invalid_change_names_every_fault(fleet) -> None:
+    shown = fleet.operate("/settings").json()
+    tree = shown["tree"]
+    tree["fleet"]["settings"]["weight"] = -1
+    tree["services"]["x"] = {"kind": "odd"}
+    change = {"expect_version": shown["version"], "tree": tree}
+    answer = fleet.operate("/settings", change)
+    paths = {fault["path"] for fault in answer.json()["faults"]}
+    assert answer.status_code == 422
+    assert paths == {"/fleet/settings/weight", "/services/x/kind"}
+
+
+def test_explain_tells_the_way_of_a_request(fleet) -> None:
+    answer = fleet.chat("explain me", max_tokens=2)
+    request_id = answer.headers["x-request-id"]
+    explained = fleet.operate(f"/explain/{request_id}", entry=1).json()
+    steps = {record["step"] for record in explained["records"]}
+    assert explained["found"]
+    assert {"admission", "routing", "queue", "endpoint", "answer"} <= steps
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("settings", "show"),
+        ("settings", "history"),
+        ("status",),
+        ("audit",),
+        ("events",),
+    ],
+)
+def test_command_prints_json(fleet, arguments) -> None:
+    done = _run(fleet, *arguments, "--json")
+    assert done.returncode == 0, done.stderr
+    json.loads(done.stdout)
+
+
+def test_apply_by_command_refuses_a_race(fleet, tmp_path: pathlib.Path) -> None:
+    shown = fleet.operate("/settings").json()
+    path = tmp_path / "settings.jsonc"
+    shown["tree"]["fleet"]["settings"]["retry_ratio"] = 0.2
+    path.write_text("// by hand\n" + json.dumps(shown["tree"]))
+    version = str(shown["version"])
+    first = _run(fleet, "settings", "apply", str(path), "--expect-version", version)
+    second = _run(fleet, "settings", "apply", str(path), "--expect-version", version)
+    assert (first.returncode, second.returncode) == (0, 1)
+    assert _read_version(fleet) == shown["version"] + 1
+
+
+def test_unreachable_fleet_is_told_by_the_exit_code(fleet, tmp_path) -> None:
+    path = tmp_path / "client.json"
+    path.write_text('{"entries": ["http://127.0.0.1:1"], "operator_key": "x"}')
+    done = subprocess.run(
+        [sys.executable, "-m", "chicoryweir_cli", "status", "--client", str(path)],
+        capture_output=True,
+        check=False,
+    )
+    assert done.returncode == 3
