Keep line and column right behind comments in documents

json-with-comments takes the newline away with a comment, so the position of a later fault was wrong, and reads 1/**/2 as 12. Comments and trailing commas are now blanked at equal length before the standard parser, in time linear in the text. A property test holds it against the reading of the command line.

What comes from outside is decoded strictly again; only stored documents take the fast way.

--- a/packages/chicoryweir-cli/src/chicoryweir_cli/reading.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/reading.py
@@ -21,7 +21,7 @@
 MAX_SYNTAX_FAULTS = 100
 _LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
 _STRING_COMMENT_OR_SIGN = re.compile(
-    rb'("(?:\\.|[^"\\\n])*"|//[^\n]*|/\*.*?\*/)|(?<=[0-9])[eE]\+(?=[0-9])',
+    rb'("(?:\\.|[^"\\\n])*"|//[^\n]*|/\*.*?(?:\*/|\Z))|(?<=[0-9])[eE]\+(?=[0-9])',
     re.DOTALL,
 )
 _CONSTANTS: dict[str, store.Json] = {"true": True, "false": False, "null": None}
--- a/packages/chicoryweir-cli/tests/test_reading.py
+++ b/packages/chicoryweir-cli/tests/test_reading.py
@@ -37,7 +37,9 @@
 @hypothesis.given(st.binary() | st.lists(fragments).map(lambda f: "".join(f).encode()))
 def test_no_bytes_make_it_fail(data: bytes) -> None:
     checked = checking.check_text(data)
-    documents.parse_text(data)
+    read = reading.read_text(data)
+    parsed = documents.parse_text(data)
+    assert read.found or parsed == documents.Decoded(read.document)
     documents.decode_document(data)
     lines = data.count(b"\n") + 1
     for located in checked.found:
@@ -48,7 +50,7 @@
 
 @pytest.mark.parametrize(
     "data",
-    [b"[" * 100_000, b'{"a":' * 100_000, b"[" * 900 + b"]" * 900, b"/*" * 5_000],
+    [b"[" * 100_000, b'{"a":' * 100_000, b"[" * 900 + b"]" * 900, b"/*" * 50_000],
 )
 def test_deep_nesting_is_a_fault_and_no_crash(data: bytes) -> None:
     assert checking.check_text(data).found
@@ -66,6 +68,7 @@
     [
         ('{"a": 1,\n "ä": 2, "a": 3}', 2, 10, "key is doubled"),
         ('{"a": 1,,}', 1, 8, "text is not JSON"),
+        ('{"a": 1/**/2}', 1, 12, "text is not JSON"),
         ("[,]", 1, 2, "text is not JSON"),
         ('{\n"a": NaN}', 2, 1, "text is not JSON"),
         ('{"a": 1e999}', 1, 7, "number is malformed"),
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/answers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/answers.py
@@ -107,7 +107,7 @@
 
 def render_settings(version: int, data: bytes | None) -> Answer:
     """Returns the answer with one version's document; None when there is none."""
-    decoding = documents.decode_document(data) if data is not None else None
+    decoding = documents.decode_stored(data) if data is not None else None
     if not isinstance(decoding, documents.Decoded):
         return _refuse(404, "No such version", f"version {version} is not kept")
     return Answer(200, {"version": version, "tree": decoding.document})
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/copies.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/copies.py
@@ -33,7 +33,7 @@
     """Parses a copy; None when it is not whole or is no settings document."""
     if copy.head.digest and documents.compute_digest(copy.data) != copy.head.digest:
         return None
-    decoding = documents.decode_document(copy.data)
+    decoding = documents.decode_stored(copy.data)
     if isinstance(decoding, documents.Undecodable):
         return None
     return _parse(copy, decoding.document)
@@ -66,7 +66,7 @@
 
 def read_document(copy: Copy | None) -> store.Json:
     """Returns the document of a copy; an empty one when it cannot be read."""
-    decoding = documents.decode_document(copy.data) if copy is not None else None
+    decoding = documents.decode_stored(copy.data) if copy is not None else None
     if not isinstance(decoding, documents.Decoded):
         return EMPTY_DOCUMENT
     return decoding.document
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/delta.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/delta.py
@@ -38,8 +38,8 @@
     Returns:
         The delta, or None when applying it does not give the target's bytes.
     """
-    before = documents.decode_document(base)
-    after = documents.decode_document(target)
+    before = documents.decode_stored(base)
+    after = documents.decode_stored(target)
     if not isinstance(before, documents.Decoded):
         return None
     if not isinstance(after, documents.Decoded):
@@ -62,7 +62,7 @@
     """
     if documents.compute_digest(base) != delta.base_digest:
         return None
-    decoding = documents.decode_document(base)
+    decoding = documents.decode_stored(base)
     if not isinstance(decoding, documents.Decoded):
         return None
     document: store.Json = decoding.document
@@ -92,7 +92,7 @@
 
 def decode_delta(data: bytes) -> Delta | None:
     """Reads a delta; None when it is damaged."""
-    decoding = documents.decode_document(data)
+    decoding = documents.decode_stored(data)
     if not isinstance(decoding, documents.Decoded):
         return None
     value = decoding.document
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
@@ -6,15 +6,19 @@
 import dataclasses
 import json
 import math
+import re
 import typing
 
-import jsonc
 import xxhash
 
 from chicoryweir_policy import store
 
 MAX_TEXT_BYTES = 32 << 20
 MAX_DIGITS = 300
+_STRING = r'("(?:\\.|[^"\\])*(?:"|\Z))'
+_COMMENT = re.compile(_STRING + r"|//[^\r\n]*|/\*.*?(?:\*/|\Z)", re.DOTALL)
+_TRAILING_COMMA = re.compile(_STRING + r"|,(?=\s*[\]}])", re.DOTALL)
+_NOT_NEWLINE = re.compile(r"[^\n]")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,10 +52,15 @@
 
 
 def decode_document(data: bytes) -> Decoding:
-    """Reads a stored document: plain JSON, written by `encode_document`."""
+    """Reads plain JSON from outside; refuses doubled keys."""
     return _decode(data, _load_document)
 
 
+def decode_stored(data: bytes) -> Decoding:
+    """Reads what `encode_document` wrote; faster, as no key can be doubled there."""
+    return _decode(data, _load_stored)
+
+
 def encode_document(document: store.Json) -> bytes:
     """Writes a document in its canonical form, equal for equal documents.
 
@@ -73,7 +82,16 @@
 
 
 def _load_text(text: str) -> store.Json:
-    document: store.Json = jsonc.loads(
+    return _load_document(_blank(_TRAILING_COMMA, _blank(_COMMENT, text)))
+
+
+def _blank(pattern: re.Pattern[str], text: str) -> str:
+    """Replaces what is no string by spaces, so that every position is kept."""
+    return pattern.sub(lambda match: match[1] or _NOT_NEWLINE.sub(" ", match[0]), text)
+
+
+def _load_document(text: str) -> store.Json:
+    document: store.Json = json.loads(
         text,
         object_pairs_hook=_collect_pairs,
         parse_constant=_refuse_constant,
@@ -83,7 +101,7 @@
     return document
 
 
-def _load_document(text: str) -> store.Json:
+def _load_stored(text: str) -> store.Json:
     document: store.Json = json.loads(
         text, parse_constant=_refuse_constant, parse_float=_parse_float
     )
