Plan the orders of a service between reports that lag

An order takes a while to show in an endpoint's report, and must not be given again meanwhile, nor forgotten if it never takes effect. The planner counts it as done until its time is up.

The first version took 59 s for one plan over 890 endpoints whose need could not be met: each missing replica looked at all of them in turn.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/orders/allocation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/orders/allocation.py
@@ -59,11 +59,12 @@
         """Returns what an endpoint holds of a kind."""
         return [found for found in self.held[instance] if found.kind == kind]
 
-    def count_place(self, artifact: artifacts.Artifact, place: str) -> int:
-        """Returns how many endpoints of a place hold an artifact."""
-        return sum(
-            endpoint.place == place and artifact in self.held[endpoint.instance]
+    def count_places(self, artifact: artifacts.Artifact) -> collections.Counter[str]:
+        """Returns how many endpoints of each place hold an artifact."""
+        return collections.Counter(
+            endpoint.place
             for endpoint in self.endpoints
+            if artifact in self.held[endpoint.instance]
         )
 
 
@@ -97,14 +98,18 @@
     missing = [
         artifact
         for artifact, need in needs.items()
-        for _ in range(need - fleet.counts[artifact])
+        for _ in range(min(need, len(fleet.endpoints)) - fleet.counts[artifact])
     ]
     missing.sort(key=lambda a: (fleet.counts[a] / needs[a], a))
+    full: set[artifacts.Artifact] = set()
     for artifact in missing:
         if len(orders) >= loads_allowed:
             break
+        if artifact in full:
+            continue
         plan = _plan_one(fleet, artifact, needs, settings, now)
         if plan is None:
+            full.add(artifact)
             continue
         last_sequence += 1
         endpoint, action, subject = plan
@@ -130,7 +135,8 @@
 ) -> _Planned | None:
     """Plans a load where there is room, else an unload that makes room."""
     lacking = [e for e in fleet.endpoints if artifact not in fleet.held[e.instance]]
-    lacking.sort(key=lambda endpoint: _rank_endpoint(fleet, artifact, endpoint))
+    places = fleet.count_places(artifact)
+    lacking.sort(key=lambda e: (places[e.place], *_rank_endpoint(fleet, artifact, e)))
     room = settings.find_room(artifact.kind)
     for endpoint in lacking:
         if len(fleet.list_kind(endpoint.instance, artifact.kind)) < room:
@@ -161,11 +167,10 @@
 
 def _rank_endpoint(
     fleet: _Fleet, artifact: artifacts.Artifact, endpoint: artifacts.Endpoint
-) -> tuple[int, int, int]:
-    """Orders endpoints: places with few replicas, then few artifacts, then a hash."""
+) -> tuple[int, int]:
+    """Orders the endpoints of a place: those with few artifacts first, then a hash."""
     text = f"{artifact.kind}/{artifact.name}/{endpoint.instance}"
     return (
-        fleet.count_place(artifact, endpoint.place),
         len(fleet.list_kind(endpoint.instance, artifact.kind)),
         xxhash.xxh64_intdigest(text.encode()),
     )
