--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -117,7 +117,7 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
-        may_wait = live.suspect and none.reason is selection.Reason.UNAVAILABLE
+        may_wait = live.suspect and none.retry_after_ms is not None
         if none.reason is selection.Reason.EXCLUDED:
             may_wait = live.attempts < live.effective.max_attempts
             live.excluded.clear()
@@ -247,6 +247,7 @@
         if live.expired:
             self._expire(live, dispatch.instance, now, out)
             return
+        self._state.detector.note_outcome(dispatch.instance, True, now)
         failure = failures.Failed(dispatch.instance, message.kind, message.detail)
         self.retry(live, failure, now, out)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -10,13 +10,14 @@
 from chicoryweir_policy import requests
 from chicoryweir_policy.routing import prefix
 from chicoryweir_policy.routing import views
+from chicoryweir_policy.routing import zones
 
-NEAR_LATENCY_S = 0.005
 OTHER_PLACE_COST_S = 0.02
 PACE_TOLERANCE = 1.5
 MAX_PRICED_TOKENS = 500.0
 SAVED_PER_BLOCK_S = 0.01
 FIRST_CANDIDATES = 2
+SUSPECT_CANDIDATES = 2
 SPILL_CANDIDATES = 4
 SPILL_WAIT_S = 0.25
 COME_BACK_MS = 500
@@ -117,15 +118,6 @@
     return members[scores.index(max(scores))]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Zones:
-    """Members of a service by their distance from the entry."""
-
-    members: tuple[views.Member, ...]
-    near: tuple[views.Member, ...]
-    far: tuple[views.Member, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Candidate:
     instance: str
@@ -144,7 +136,7 @@
 
     def __init__(self, prefixes: prefix.PrefixBook) -> None:
         self._prefixes = prefixes
-        self._zones: dict[str, dict[str, _Zones]] = {}
+        self._zones = zones.ZoneBook()
 
     def select_endpoint(
         self,
@@ -158,26 +150,27 @@
         spill_wait_s: float = SPILL_WAIT_S,
     ) -> Selection:
         """Selects an endpoint; see `Selector`."""
-        zones = self._divide(request, fleet)
-        if not zones.members:
+        zone = self._zones.divide(request.service, request.model, fleet)
+        if not zone.members:
             return _explain_none(request, fleet, excluded, now, suspect)
         if suspect:
-            return self._select_for_suspect(
-                request, zones.members, fleet, excluded, place, now
-            )
-        sequence = self._rank_candidates(request, zones.near)
+            sequence = _find_suspect_candidates(request, zone.members, excluded)
+            if not sequence:
+                return NoneAvailable(Reason.SUSPECT, None)
+        else:
+            sequence = self._rank_candidates(request, zone.near)
         usable = _iterate_available(sequence, request.model, fleet, excluded, now)
         weighed = self._weigh(usable, FIRST_CANDIDATES, request, fleet, place, now)
         best = _find_best(weighed)
         spilled = False
-        if not _is_short(best, spill_wait_s):
+        if not suspect and not _is_short(best, spill_wait_s):
             for _ in range(SPILL_CANDIDATES):
                 weighed += self._weigh(usable, 1, request, fleet, place, now)
                 if weighed and _is_short(weighed[-1], spill_wait_s):
                     break
             else:
                 weighed += self._weigh_far(
-                    request, fleet, zones.far, excluded, place, now
+                    request, fleet, zone.far, excluded, place, now
                 )
             first, best = best, _find_best(weighed)
             spilled = best is not first
@@ -185,44 +178,6 @@
             return _explain_none(request, fleet, excluded, now, suspect)
         return Selected(best.instance, best.wait_s, best.cached_blocks, spilled)
 
-    def _select_for_suspect(
-        self,
-        request: requests.Request,
-        members: tuple[views.Member, ...],
-        fleet: views.Fleet,
-        excluded: frozenset[str],
-        place: str,
-        now: float,
-    ) -> Selection:
-        """Selects the one endpoint where every entry tries this content.
-
-        It does not move on while that endpoint is down, so that entries whose views
-        differ still try it at one endpoint.
-        """
-        ranked = rank_members(members, request.fingerprint)
-        sequence = [member for member in ranked if member.instance not in excluded][:1]
-        if not sequence:
-            return NoneAvailable(Reason.SUSPECT, None)
-        usable = _iterate_available(sequence, request.model, fleet, excluded, now)
-        weighed = self._weigh(usable, 1, request, fleet, place, now)
-        if not weighed:
-            return NoneAvailable(Reason.UNAVAILABLE, COME_BACK_MS)
-        only = weighed[0]
-        return Selected(only.instance, only.wait_s, only.cached_blocks, False)
-
-    def _divide(self, request: requests.Request, fleet: views.Fleet) -> _Zones:
-        members = fleet.list_members(request.service, request.model)
-        by_model = self._zones.setdefault(request.service, {})
-        zones = by_model.get(request.model)
-        if zones is None or zones.members is not members:
-            near = tuple(m for m in members if m.latency_s <= NEAR_LATENCY_S)
-            far = tuple(m for m in members if m.latency_s > NEAR_LATENCY_S)
-            zones = _Zones(members, near or far, far if near else ())
-            if len(by_model) >= views.MAX_CACHED_MODELS:
-                by_model.clear()
-            by_model[request.model] = zones
-        return zones
-
     def _rank_candidates(
         self, request: requests.Request, near: tuple[views.Member, ...]
     ) -> list[views.Member]:
@@ -292,6 +247,19 @@
             yield view
 
 
+def _find_suspect_candidates(
+    request: requests.Request,
+    near: tuple[views.Member, ...],
+    excluded: frozenset[str],
+) -> list[views.Member]:
+    """Returns one endpoint, on which all entries agree that know of the same losses.
+
+    The home is left out, since entries may differ about it.
+    """
+    first = rank_members(near, request.fingerprint)[:SUSPECT_CANDIDATES]
+    return [member for member in first if member.instance not in excluded][:1]
+
+
 def _is_short(candidate: _Candidate | None, wait_s: float) -> bool:
     return candidate is not None and candidate.wait_s <= wait_s
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/answers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/answers.py
@@ -30,12 +30,20 @@
     body: dict[str, store.Json]
 
 
-HISTORY_SCAN = store.Scan(heads.HISTORY_PREFIX, limit=heads.MAX_HISTORY + 100)
-AUDIT_SCAN = store.Scan(audit.PREFIX, limit=audit.MAX_RECORDS + 1000)
+PAGE_ROWS = 1000
+HISTORY_SCAN = store.Scan(heads.HISTORY_PREFIX, limit=PAGE_ROWS)
+AUDIT_SCAN = store.Scan(audit.PREFIX, limit=PAGE_ROWS)
+
+
+def continue_scan(scan: store.Scan, page: store.Rows) -> store.Scan | None:
+    """Returns the scan of the next page; None after the last one."""
+    if len(page.rows) < scan.limit:
+        return None
+    return dataclasses.replace(scan, after=page.rows[-1].key)
 
 
 def parse_proposal(
-    body: store.Json, operator: str, wall_now: float
+    body: store.Json, operator: str, wall_now: float, base: store.Json = None
 ) -> changes.Proposal | Answer:
     """Checks the body of a posted change.
 
@@ -45,6 +53,7 @@
         body: Body of the request.
         operator: Operator whose key was given; recorded as the author.
         wall_now: Wall-clock time in seconds, recorded for people to read.
+        base: Document in force, which makes the check faster.
 
     Returns:
         The change to start, or the answer that refuses it.
@@ -58,7 +67,7 @@
     if not isinstance(change_id, str) or not _is_change_id(change_id):
         return _refuse(400, "Malformed change", "change_id is no short plain name")
     document = body.get("tree")
-    found = validation.find_faults(document)
+    found = validation.find_faults(document, base)
     if found:
         answer = _refuse(422, "Invalid settings", f"{len(found)} faults")
         answer.body["faults"] = [_render_fault(fault) for fault in found]
