Make no suspects of a common failure of many instances

When a rack or a data centre goes, every request that ran there became a suspect, and suspects run one at a time on an endpoint: hundreds of them would have waited past their deadlines. Four or more instances lost within five seconds now make no suspect by one loss.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
@@ -9,10 +9,36 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from chicoryweir_policy.quarantine import records
 
+# So many instances lost at nearly the same time have a cause of their own, such as the
+# loss of a rack.
+BURST_INSTANCES = 4
+BURST_WINDOW_S = 5.0
+
+
+def find_bursts(
+    lost_at: collections.abc.Mapping[records.LossId, float],
+) -> frozenset[records.LossId]:
+    """Finds the losses that belong to a failure of many instances at once.
+
+    Args:
+        lost_at: Time of each loss, in seconds of one clock.
+    """
+    ordered = sorted(lost_at, key=lambda loss_id: (lost_at[loss_id], loss_id))
+    found: set[records.LossId] = set()
+    first = 0
+    for last, loss_id in enumerate(ordered):
+        while lost_at[loss_id] - lost_at[ordered[first]] > BURST_WINDOW_S:
+            first += 1
+        together = ordered[first : last + 1]
+        if len({member.instance for member in together}) >= BURST_INSTANCES:
+            found.update(together)
+    return frozenset(found)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Findings:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/isolation.py
@@ -59,6 +59,9 @@
         verdict = self._book.judge(fingerprint, now)
         match verdict:
             case records.Unsuspected():
+                lost_on = self._book.list_lost_on(fingerprint)
+                if self._instance in lost_on:
+                    return Refuse(records.Suspected(lost_on, now))
                 return Start()
             case records.Quarantined():
                 return Refuse(verdict)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
@@ -30,6 +30,7 @@
         self._log: dict[records.LossId | int, int] = {}
         self._cursor = 0
         self._findings: evidence.Findings | None = None
+        self._bursts: frozenset[records.LossId] = frozenset()
         self._expires_at = math.inf
         self._finished_at: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
@@ -79,10 +80,18 @@
         by_chance = self._charges.is_candidate(fingerprint)
         if charged <= findings.explained and not by_chance:
             return records.Unsuspected()
+        if charged <= self._bursts and not by_chance:
+            return records.Unsuspected()
         learned_at = max(self._learned_at[loss_id] for loss_id in charged)
         lost_on = frozenset(loss_id.instance for loss_id in charged)
         return records.Suspected(lost_on, learned_at + SPREAD_HOLD_S)
 
+    def list_lost_on(self, fingerprint: int) -> frozenset[str]:
+        """Returns the instances lost while a request ran, whatever the cause."""
+        charged = self._charges.get_losses(fingerprint)
+        unexplained = charged - self._get_findings().explained
+        return frozenset(loss_id.instance for loss_id in unexplained)
+
     def export_news(self, now: float, after: int = 0) -> records.News:
         """Returns what was learned since a position in the log.
 
@@ -164,6 +173,7 @@
     def _get_findings(self) -> evidence.Findings:
         if self._findings is None:
             self._findings = self._charges.weigh()
+            self._bursts = evidence.find_bursts(self._lost_at)
         return self._findings
 
     def _select_surplus(self) -> records.LossId:
--- a/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
+++ b/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
@@ -49,6 +49,24 @@
     assert book.judge(1, 1.0) == records.Unsuspected()
 
 
+def test_failure_of_many_instances_at_once_makes_no_suspects() -> None:
+    book = make_book(*((name, {POISON if name == "z" else 1}) for name in "wxyz"))
+    assert book.judge(POISON, 0.0) == records.Unsuspected()
+    assert book.list_lost_on(POISON) == {"z"}
+    assert isinstance(book.judge(1, 0.0), records.Quarantined)
+    book.record_loss("v", "1", frozenset({POISON}), 10.0)
+    assert isinstance(book.judge(POISON, 10.0), records.Quarantined)
+
+
+def test_losses_of_few_instances_or_far_apart_are_no_common_failure() -> None:
+    book = suspicion.SuspicionBook()
+    for index in range(8):
+        book.record_loss("x", str(index), frozenset({100 + index}), 0.0)
+        book.record_loss(f"i-{index}", "1", frozenset({200 + index}), 20.0 + 4 * index)
+    assert isinstance(book.judge(100, 60.0), records.Suspected)
+    assert isinstance(book.judge(207, 60.0), records.Suspected)
+
+
 def test_request_that_ran_here_shortly_before_is_no_suspect() -> None:
     book = suspicion.SuspicionBook()
     book.record_finished(1, 0.0)
