--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/coordinator.py
@@ -39,7 +39,15 @@
         change_settings: changes.ChangeSettings,
         seed: int,
     ) -> None:
-        """Creates the core; no other process may ever have the name `holder`."""
+        """Creates the core.
+
+        Args:
+            holder: Name of this process, which no other process may ever have.
+            specs: Groups to contend for.
+            lease_settings: Times of the leases.
+            change_settings: Times of the changes.
+            seed: Seed of the jitter.
+        """
         self._contenders = {
             spec.group: _Contender(
                 leases.create_lease(spec.group, holder, lease_settings, seed),
@@ -81,6 +89,13 @@
         items = self._contenders[group].leader.statuses.items()
         return tuple(status for _, status in items)
 
+    def find_map(self, group: str) -> messages.Replicas | None:
+        """Returns the map in force while no change is under way, else None."""
+        leader = self._contenders[group].leader
+        if leader.row is None or leader.state != "settled":
+            return None
+        return leader.row.replicas
+
     def find_state(self, group: str) -> str:
         """Returns the state of a group's change in the chart `map_change`."""
         return self._contenders[group].leader.state
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -7,6 +7,9 @@
 
 from chicoryweir_policy.maps import placement
 
+FAST_RANKS = 10
+MIN_GAIN = 1e-12
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Edit:
@@ -65,7 +68,7 @@
     budget: int,
     target_skew: float,
 ) -> placement.ExpertMap:
-    """Improves a map by moves around the slowest rank.
+    """Improves a map by moves from the slowest rank to the fastest ones.
 
     Each edit either gives an expert of the slowest rank one more replica in the place
     of a replica that can be spared, or swaps two experts between two ranks.
@@ -79,34 +82,71 @@
     Returns:
         The map after the edits; `start` when none helps.
     """
-    board = _Board(start, shares)
-    mean = sum(board.loads) / len(board.loads)
-    left = budget
-    while left > 0 and max(board.loads) > target_skew * mean:
-        slowest = max(range(len(board.loads)), key=lambda rank: board.loads[rank])
-        edits = [*_list_copies(board, slowest), *_list_swaps(board, slowest)]
-        best = max(
-            (edit for edit in edits if edit.moves <= left and edit.gain > 1e-12),
-            key=lambda edit: edit.gain,
-            default=None,
-        )
+    under_way = Repair(start, shares, budget, target_skew)
+    while under_way.advance():
+        pass
+    return under_way.build_map()
+
+
+class Repair:
+    """A repair that is made edit by edit, so that none of its steps takes long."""
+
+    def __init__(
+        self,
+        start: placement.ExpertMap,
+        shares: placement.Shares,
+        budget: int,
+        target_skew: float,
+    ) -> None:
+        """Begins with the map in force; for the arguments see `repair_map`."""
+        self._rank_count = start.rank_count
+        self._board = _Board(start, shares)
+        self._left = budget
+        self._target_load = target_skew * sum(self._board.loads) / start.rank_count
+
+    def advance(self) -> bool:
+        """Makes the best edit; False when none is left to make."""
+        if self._left <= 0 or max(self._board.loads) <= self._target_load:
+            return False
+        best = _find_best(self._board, self._left)
         if best is None:
-            break
-        board.apply(best)
-        left -= best.moves
-    return placement.create_map(start.rank_count, board.replicas)
+            return False
+        self._board.apply(best)
+        self._left -= best.moves
+        return True
+
+    def build_map(self) -> placement.ExpertMap:
+        """Returns the map as edited so far."""
+        return placement.create_map(self._rank_count, self._board.replicas)
+
+
+def _find_best(board: _Board, moves_left: int) -> _Edit | None:
+    """Returns the edit that gains most, from the fastest ranks if any of them does."""
+    order = sorted(range(len(board.loads)), key=lambda rank: board.loads[rank])
+    slowest, others = order[-1], order[:-1]
+    for targets in (others[:FAST_RANKS], others[FAST_RANKS:]):
+        edits = (
+            *_list_copies(board, slowest, targets),
+            *_list_swaps(board, slowest, targets),
+        )
+        useful = [e for e in edits if e.moves <= moves_left and e.gain > MIN_GAIN]
+        if useful:
+            return max(useful, key=lambda edit: edit.gain)
+    return None
 
 
-def _list_copies(board: _Board, slowest: int) -> collections.abc.Iterator[_Edit]:
-    """Lists edits by which another rank takes a replica of one of its experts."""
+def _list_copies(
+    board: _Board, slowest: int, targets: list[int]
+) -> collections.abc.Iterator[_Edit]:
+    """Lists edits by which a fast rank takes a replica of one of its experts."""
     for expert in sorted(board.experts[slowest]):
         holders = board.replicas[expert]
         count, share = len(holders), board.shares[expert]
         eased = share / (count + 1) - share / count
-        for rank, experts in enumerate(board.experts):
-            if rank in holders or board.loads[rank] >= board.loads[slowest]:
+        for rank in targets:
+            if rank in holders:
                 continue
-            for other in sorted(experts):
+            for other in sorted(board.experts[rank]):
                 rest = board.replicas[other] - {rank}
                 if not rest:
                     continue
@@ -120,14 +160,16 @@
                 yield _Edit(gain, 1, ((expert, rank),), ((other, rank),))
 
 
-def _list_swaps(board: _Board, slowest: int) -> collections.abc.Iterator[_Edit]:
-    """Lists edits that swap one of its experts with a lighter one elsewhere."""
+def _list_swaps(
+    board: _Board, slowest: int, targets: list[int]
+) -> collections.abc.Iterator[_Edit]:
+    """Lists edits that swap one of its experts with a lighter one of a fast rank."""
     for expert in sorted(board.experts[slowest]):
         part = board.shares[expert] / len(board.replicas[expert])
-        for rank, experts in enumerate(board.experts):
-            if expert in experts or board.loads[rank] >= board.loads[slowest]:
+        for rank in targets:
+            if rank in board.replicas[expert]:
                 continue
-            for other in sorted(experts - board.experts[slowest]):
+            for other in sorted(board.experts[rank] - board.experts[slowest]):
                 less = part - board.shares[other] / len(board.replicas[other])
                 if less <= 0:
                     continue
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 
 from chicoryweir_policy.quarantine import evidence
@@ -11,6 +12,8 @@
 SPREAD_HOLD_S = 0.25
 MAX_LOSSES = 128
 MAX_CLEARANCES = 4096
+RECENT_RUN_S = 600.0
+MAX_RECENT_RUNS = 1024
 MAX_FINGERPRINTS_PER_LOSS = 256
 
 
@@ -27,7 +30,11 @@
         self._log: dict[records.LossId | int, int] = {}
         self._cursor = 0
         self._findings: evidence.Findings | None = None
+        self._bursts: frozenset[records.LossId] = frozenset()
         self._expires_at = math.inf
+        self._finished_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
 
     def record_loss(
         self,
@@ -36,13 +43,25 @@
         fingerprints: frozenset[int],
         now: float,
     ) -> None:
-        """Records that an endpoint was lost while these requests ran on it."""
+        """Records that an endpoint was lost while these requests ran on it.
+
+        Those that ran to their end here shortly before are cleared at once.
+        """
         loss_id = records.LossId(instance, incarnation)
         self._add_loss(records.Loss(loss_id, fingerprints), now)
+        for fingerprint in sorted(fingerprints):
+            finished_at = self._finished_at.get(fingerprint, -math.inf)
+            if now - finished_at <= RECENT_RUN_S:
+                only = frozenset((loss_id,))
+                self._add_clearance(records.Clearance(fingerprint, only))
 
     def record_finished(self, fingerprint: int, now: float) -> None:
         """Records that a request ran to its end, which clears it of known losses."""
         self._expire(now)
+        self._finished_at[fingerprint] = now
+        self._finished_at.move_to_end(fingerprint)
+        if len(self._finished_at) > MAX_RECENT_RUNS:
+            self._finished_at.popitem(last=False)
         charged = self._charges.get_losses(fingerprint)
         if charged:
             self._add_clearance(records.Clearance(fingerprint, charged))
@@ -61,10 +80,18 @@
         by_chance = self._charges.is_candidate(fingerprint)
         if charged <= findings.explained and not by_chance:
             return records.Unsuspected()
+        if charged <= self._bursts and not by_chance:
+            return records.Unsuspected()
         learned_at = max(self._learned_at[loss_id] for loss_id in charged)
         lost_on = frozenset(loss_id.instance for loss_id in charged)
         return records.Suspected(lost_on, learned_at + SPREAD_HOLD_S)
 
+    def list_lost_on(self, fingerprint: int) -> frozenset[str]:
+        """Returns the instances lost while a request ran, whatever the cause."""
+        charged = self._charges.get_losses(fingerprint)
+        unexplained = charged - self._get_findings().explained
+        return frozenset(loss_id.instance for loss_id in unexplained)
+
     def export_news(self, now: float, after: int = 0) -> records.News:
         """Returns what was learned since a position in the log.
 
@@ -146,6 +173,7 @@
     def _get_findings(self) -> evidence.Findings:
         if self._findings is None:
             self._findings = self._charges.weigh()
+            self._bursts = evidence.find_bursts(self._lost_at)
         return self._findings
 
     def _select_surplus(self) -> records.LossId:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -154,7 +154,7 @@
         if not zone.members:
             return _explain_none(request, fleet, excluded, now, suspect)
         if suspect:
-            sequence = _find_suspect_candidates(request, zone.near, excluded)
+            sequence = _find_suspect_candidates(request, zone.members, excluded)
             if not sequence:
                 return NoneAvailable(Reason.SUSPECT, None)
         else:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/documents.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import json
 import math
+import re
 import typing
 
-import jsonc
 import xxhash
 
 from chicoryweir_policy import store
 
 MAX_TEXT_BYTES = 32 << 20
 MAX_DIGITS = 300
+_STRING = r'("(?:\\.|[^"\\])*(?:"|\Z))'
+_COMMENT = re.compile(_STRING + r"|//[^\r\n]*|/\*.*?(?:\*/|\Z)", re.DOTALL)
+_TRAILING_COMMA = re.compile(_STRING + r"|,(?=\s*[\]}])", re.DOTALL)
+_NOT_NEWLINE = re.compile(r"[^\n]")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,18 +46,19 @@
 Decoding = Decoded | Undecodable
 
 
-class _FaultError(ValueError):
-    """A valid JSON text that this project refuses."""
-
-
 def parse_text(data: bytes) -> Decoding:
     """Reads JSON with comments and trailing commas; refuses doubled keys."""
-    return _decode(data, jsonc.loads)
+    return _decode(data, _load_text)
 
 
 def decode_document(data: bytes) -> Decoding:
-    """Reads a stored document, which is plain JSON."""
-    return _decode(data, json.loads)
+    """Reads plain JSON from outside; refuses doubled keys."""
+    return _decode(data, _load_document)
+
+
+def decode_stored(data: bytes) -> Decoding:
+    """Reads what `encode_document` wrote; faster, as no key can be doubled there."""
+    return _decode(data, _load_stored)
 
 
 def encode_document(document: store.Json) -> bytes:
@@ -75,26 +81,44 @@
     return xxhash.xxh3_128_hexdigest(data)
 
 
-def _decode(data: bytes, loads: typing.Callable[..., typing.Any]) -> Decoding:
+def _load_text(text: str) -> store.Json:
+    return _load_document(_blank(_TRAILING_COMMA, _blank(_COMMENT, text)))
+
+
+def _blank(pattern: re.Pattern[str], text: str) -> str:
+    """Replaces what is no string by spaces, so that every position is kept."""
+    return pattern.sub(lambda match: match[1] or _NOT_NEWLINE.sub(" ", match[0]), text)
+
+
+def _load_document(text: str) -> store.Json:
+    document: store.Json = json.loads(
+        text,
+        object_pairs_hook=_collect_pairs,
+        parse_constant=_refuse_constant,
+        parse_float=_parse_float,
+        parse_int=_parse_int,
+    )
+    return document
+
+
+def _load_stored(text: str) -> store.Json:
+    document: store.Json = json.loads(
+        text, parse_constant=_refuse_constant, parse_float=_parse_float
+    )
+    return document
+
+
+def _decode(data: bytes, load: collections.abc.Callable[[str], store.Json]) -> Decoding:
     if len(data) > MAX_TEXT_BYTES:
         return Undecodable(f"longer than {MAX_TEXT_BYTES} bytes")
     try:
-        text = data.decode("utf-8-sig")
-        return Decoded(
-            loads(
-                text,
-                object_pairs_hook=_collect_pairs,
-                parse_constant=_refuse_constant,
-                parse_float=_parse_float,
-                parse_int=_parse_int,
-            )
-        )
+        return Decoded(load(data.decode("utf-8-sig")))
     except json.JSONDecodeError as error:
         return Undecodable(error.msg, error.lineno, error.colno)
     except UnicodeDecodeError as error:
         line = data.count(b"\n", 0, error.start) + 1
         return Undecodable("not UTF-8 text", line)
-    except _FaultError as error:
+    except ValueError as error:
         return Undecodable(str(error))
     except RecursionError:
         return Undecodable("nested too deeply")
@@ -107,23 +131,23 @@
     seen: set[str] = set()
     for key, _ in pairs:
         if key in seen:
-            raise _FaultError(f"key {key!r} is doubled")
+            raise ValueError(f"key {key!r} is doubled")
         seen.add(key)
     return collected
 
 
 def _refuse_constant(name: str) -> typing.NoReturn:
-    raise _FaultError(f"{name} is no JSON number")
+    raise ValueError(f"{name} is no JSON number")
 
 
 def _parse_float(text: str) -> float:
     value = float(text)
     if not math.isfinite(value):
-        raise _FaultError(f"number {text[:40]} is out of range")
+        raise ValueError(f"number {text[:40]} is out of range")
     return value
 
 
 def _parse_int(text: str) -> int:
     if len(text) > MAX_DIGITS:
-        raise _FaultError(f"number {text[:40]}... has more than {MAX_DIGITS} digits")
+        raise ValueError(f"number {text[:40]}... has more than {MAX_DIGITS} digits")
     return int(text)
--- a/packages/chicoryweir-policy/tests/settings/test_versions_machine.py
+++ b/packages/chicoryweir-policy/tests/settings/test_versions_machine.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.settings import versions
 
 PROCESSES = ("entry-1", "entry-2", "agent-1")
+LOSSES = ("", "before", "after", "late", "repeated")
 Reply = typing.Callable[[store.Result], None]
 
 
@@ -143,6 +144,9 @@
         elif loss == "after":
             self.table.run(operation)
             reply(lost)
+        elif loss == "repeated":
+            self.table.run(operation)
+            reply(self.table.run(operation))
         elif loss == "late":
             self.pending.append(lambda: self.table.run(operation) and None)
             reply(lost)
@@ -152,9 +156,14 @@
     def drive(
         self, name: str, process: Process, step: changes.Step, losses: list[str]
     ) -> None:
+        replied = refused = False
+
         def reply(result: store.Result) -> None:
-            if not process.alive:
+            nonlocal replied, refused
+            refused = refused or isinstance(result, store.Refused)
+            if not process.alive or replied:
                 return
+            replied = True
             after = changes.advance_change(step.change, result, self.now)
             if isinstance(after, changes.Step):
                 self.drive(name, process, after, losses)
@@ -164,6 +173,8 @@
                 self.feed(name, process, messages.ChangeAccepted(after.copy))
 
         def arrive() -> None:
+            if refused:
+                return  # A refused operation has no effect, then or later.
             self.now = max(self.now, step.run.not_before)
             loss = losses.pop() if losses else ""
             self.post_write(step.run.operation, reply, loss)
@@ -186,7 +197,7 @@
     @stateful.rule(
         name=st.sampled_from(PROCESSES),
         behind=st.integers(0, 1),
-        losses=st.lists(st.sampled_from(["", "before", "after", "late"]), max_size=8),
+        losses=st.lists(st.sampled_from(LOSSES), max_size=8),
     )
     def propose(self, name: str, behind: int, losses: list[str]) -> None:
         held = self.fleet[name].book.held
@@ -206,6 +217,10 @@
                 self.submit(name, self.proposals[change_id], [])
                 return
 
+    @stateful.rule(name=st.sampled_from(PROCESSES), peer=st.sampled_from(PROCESSES))
+    def send_copy(self, name: str, peer: str) -> None:
+        self.post(peer, messages.CopyAsked(name))
+
     @stateful.rule(data=st.data(), count=st.integers(1, 12), doubled=st.booleans())
     def deliver(self, data: st.DataObject, count: int, doubled: bool) -> None:
         for _ in range(min(count, len(self.pending))):
@@ -260,5 +275,5 @@
             assert (process.adopted[-1] if process.adopted else 0) == newest
 
 
-Fleet.TestCase.settings = hypothesis.settings(max_examples=150, stateful_step_count=40)
+Fleet.TestCase.settings = hypothesis.settings(max_examples=250, stateful_step_count=40)
 TestFleet = Fleet.TestCase
