--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/member.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/member.py
@@ -12,12 +12,12 @@
 import typing
 
 from chicoryweir_policy import store
+from chicoryweir_policy.groups import engine_orders
 from chicoryweir_policy.groups import events
 from chicoryweir_policy.groups import messages
 from chicoryweir_policy.groups import rows
 from chicoryweir_policy.groups import stages
 
-Order = events.PrepareEngine | events.ReleaseEngine | events.JoinEngine
 Commands = tuple[events.MemberCommand, ...]
 NOT_ANSWERING = events.EngineObserved("", 0, (), 0.0, ())
 
@@ -63,7 +63,7 @@
         self._stage = stages.NO_STAGE
         self._prepared = ""
         self._released = ""
-        self._order: Order | None = None
+        self._order: engine_orders.Order | None = None
         self._violated = False
         self._reading_for: str | None = None
         self._reading_held: frozenset[str] = frozenset()
@@ -105,13 +105,10 @@
         if order is not None:
             self._order = order
             commands.append(order)
-        if (
-            self._needs_row()
-            and self._reading_for is None
-            and now >= (self._next_read_at)
-        ):
+        may_read = self._reading_for is None and now >= self._next_read_at
+        if may_read and self._needs_row():
             self._reading_for = self._engine.incarnation
-            self._reading_held = self._find_held()
+            self._reading_held = engine_orders.find_held(self._engine)
             key = rows.build_key(self._group)
             commands.append(
                 events.RunOperation(self._take_number(), store.Read((key,)))
@@ -157,12 +154,9 @@
 
     def _observe(self, engine: events.EngineObserved) -> Commands:
         """Takes stock of the engine; returns a violation that it shows."""
-        was_joined, restarted = (
-            self._is_joined(),
-            engine.incarnation != self._engine.incarnation,
-        )
-        self._engine = engine
-        if restarted or (was_joined and not self._is_joined()):
+        before, self._engine = self._engine, engine
+        has_left = engine_orders.is_joined(before) and not self._is_joined()
+        if has_left or engine.incarnation != before.incarnation:
             self._forget_engine()
         self._add_load(engine.expert_load)
         held = {rank.prepared for rank in engine.ranks}
@@ -237,78 +231,26 @@
         else:
             self._stage = dataclasses.replace(self._stage, refused=True)
 
-    def _plan_order(self, now: float) -> Order | None:
+    def _plan_order(self, now: float) -> engine_orders.Order | None:
         """Returns the next order that the engine needs, if any is due."""
         idle = self._order is None and self._engine.incarnation != ""
         if not idle or now < self._next_order_at or self._violated:
             return None
-        if not self._is_joined():
-            return self._plan_join()
-        stage = self._stage
-        if stage.phase is messages.ChangePhase.NONE and not stage.refused:
-            return self._build_prepare()
-        return self._plan_release()
-
-    def _plan_join(self) -> Order | None:
-        row, stage = self._row, self._stage
-        if row is None or self._row_for != self._engine.incarnation:
-            return None
-        passed = self._engine.step >= row.hold_at
-        if row.phase is rows.Phase.COMMITTED and passed:
-            return self._build_join(row.next_version, row.next_replicas)
-        if row.phase in (rows.Phase.PREPARING, rows.Phase.COMMITTED):
-            if stage.change_id != row.change_id:
-                self._row_for = ""
-                return None
-            if self._prepared != stage.change_id:
-                return self._build_prepare()
-            if not stage.is_undecided() and self._released != stage.change_id:
-                return self._build_release(stage.change_id)
-        return self._build_join(row.map_version, row.replicas)
-
-    def _build_join(
-        self, map_version: int, replicas: messages.Replicas
-    ) -> events.JoinEngine:
-        return events.JoinEngine(
-            self._take_number(),
-            self._engine.incarnation,
+        fresh = self._row_for == self._engine.incarnation
+        view = engine_orders.EngineView(
+            self._engine,
+            self._row if fresh else None,
+            self._stage,
+            self._prepared,
+            self._released,
+            self._over,
             self._highest_fence,
-            map_version,
-            replicas,
-        )
-
-    def _plan_release(self) -> Order | None:
-        """Returns a release from a change that the engine still holds for."""
-        held, change_id = self._find_held(), self._stage.change_id
-        for other in sorted(held & self._over - {change_id}):
-            return self._build_release(other)
-        if self._stage.is_undecided() or change_id == "":
-            return None
-        waits = self._prepared == change_id and self._released != change_id
-        return self._build_release(change_id) if waits or change_id in held else None
-
-    def _build_prepare(self) -> events.PrepareEngine:
-        stage = self._stage
-        return events.PrepareEngine(
-            self._take_number(),
-            self._engine.incarnation,
-            self._highest_fence,
-            stage.change_id,
-            stage.version,
-            stage.hold_at,
-            stage.replicas,
-        )
-
-    def _build_release(self, change_id: str) -> events.ReleaseEngine:
-        known = change_id == self._stage.change_id
-        commit = known and self._stage.phase is messages.ChangePhase.COMMITTED
-        return events.ReleaseEngine(
-            self._take_number(),
-            self._engine.incarnation,
-            self._highest_fence,
-            change_id,
-            commit,
+            self._last_number + 1,
         )
+        order = engine_orders.plan_order(view)
+        if order is not None:
+            self._last_number = order.call_id
+        return order
 
     def _needs_row(self) -> bool:
         """Tells whether the row must be read: after a start, or while ranks wait."""
@@ -319,18 +261,13 @@
         if not self._is_joined():
             return self._row.phase is not rows.Phase.SETTLED
         stage = self._stage
-        if self._find_held() - self._over - {stage.change_id}:
+        if engine_orders.find_held(self._engine) - self._over - {stage.change_id}:
             return True
         waiting = stage.hold_at > 0 and self._engine.step + 1 >= stage.hold_at
         return stage.phase is messages.ChangePhase.PREPARED and waiting
 
-    def _find_held(self) -> frozenset[str]:
-        """Returns the changes for which the engine holds ranks."""
-        return frozenset(r.prepared for r in self._engine.ranks if r.prepared)
-
     def _is_joined(self) -> bool:
-        ranks = self._engine.ranks
-        return bool(ranks) and all(rank.map_version > 0 for rank in ranks)
+        return engine_orders.is_joined(self._engine)
 
     def _tell(self, instance: str) -> events.SendMessage:
         """Builds a status; the load goes to the last holder of the lease heard of."""
