--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
@@ -22,9 +22,9 @@
         self, instance: str, report: messages.LoadReport, now: float
     ) -> None:
         """Takes the pace of an endpoint that works."""
-        if report.running and report.tokens_per_s > 0:
-            pace_s = report.running / report.tokens_per_s
-            self._state.detector.note_pace(instance, pace_s, now)
+        view = self._state.loads.view(instance)
+        if report.running and view is not None:
+            self._state.detector.note_pace(instance, view.pace_s, now)
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
         """Looks for outliers in each service from time to time."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/resolution.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/resolution.py
@@ -47,7 +47,7 @@
     queue_limit: int = 256
     drain_timeout_ms: int = 60_000
     quarantine_losses: int = 2
-    max_ejected_share: float = 0.3
+    max_ejected_share: float = 0.34
     map_gain_min: float = 0.05
     map_keep_s: float = 60.0
 
