--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
@@ -23,7 +23,7 @@
     ) -> None:
         """Takes the pace of an endpoint that works."""
         view = self._state.loads.view(instance)
-        if report.running and view is not None:
+        if report.running and view is not None and view.pace_s is not None:
             self._state.detector.note_pace(instance, view.pace_s, now)
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
