--- a/packages/chicoryweir-policy/benchmarks/operations.py
+++ b/packages/chicoryweir-policy/benchmarks/operations.py
@@ -137,6 +137,6 @@
         "overload: decide": lambda index: throttle.decide(
             "r", f"workspace-{index % size}", _STANDARD, 0.0
         ),
-        "quarantine: judge a suspect": lambda index: book.judge(index % 2048, 1.0),
-        "quarantine: judge another": lambda index: book.judge(10**9 + index, 1.0),
+        "quarantine: judge a suspect": lambda index: book.judge(index % 2048, 2000.0),
+        "quarantine: judge another": lambda index: book.judge(10**9 + index, 2000.0),
     }
