--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -71,7 +71,7 @@
     identity = links.Identity(
         own.instance, instances.Role.ENTRY, own.place, "", incarnation
     )
-    link_task = links.LinkTask(identity, own.cluster_secret, task)
+    link_task = links.LinkTask(identity, own.cluster_secret, task, write)
     platform = http_store.create_store(own.platform_url)
     store_task = platforms.StoreTask(platform, task, write)
     window = windows.Window()
@@ -140,7 +140,7 @@
         get_resolver=lambda: settings.resolver,
     )
     views = application.Views(
-        list_addresses=core.peers.list_entries,
+        rank_addresses=core.peers.rank_entries,
         is_ready=lambda: settings.is_ready and bool(core.state.agents),
         has_service=lambda name: (
             settings.tree is not None and name in settings.tree.services
