--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/ranks.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/ranks.py
@@ -16,6 +16,7 @@
 _MS_PER_S = 1000.0
 
 Json = dict[str, typing.Any]
+Order = events.PrepareEngine | events.ReleaseEngine | events.JoinEngine
 
 
 class RankTask:
@@ -27,6 +28,7 @@
             base_url=url, timeout=ORDER_TIMEOUT_S, trust_env=False
         )
         self._running: set[asyncio.Task[None]] = set()
+        self._incarnation = ""
         core.handle(events.ObserveEngine, lambda _: self._start(self._observe()))
         core.handle(events.PrepareEngine, self._prepare)
         core.handle(events.ReleaseEngine, self._release)
@@ -51,6 +53,7 @@
             observed = _read_group(answer.json())
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             observed = member.NOT_ANSWERING
+        self._incarnation = observed.incarnation
         self._core.post(observed)
 
     def _prepare(self, order: events.PrepareEngine) -> None:
@@ -61,7 +64,7 @@
             "hold_at": order.hold_at,
             "map": {"replicas": [list(ranks) for ranks in order.replicas]},
         }
-        self._start(self._order(order.call_id, "/group/prepare", body))
+        self._start(self._order(order, "/group/prepare", body))
 
     def _release(self, order: events.ReleaseEngine) -> None:
         body = {
@@ -69,7 +72,7 @@
             "change_id": order.change_id,
             "commit": order.commit,
         }
-        self._start(self._order(order.call_id, "/group/release", body))
+        self._start(self._order(order, "/group/release", body))
 
     def _join(self, order: events.JoinEngine) -> None:
         body = {
@@ -77,9 +80,14 @@
             "map_version": order.map_version,
             "map": {"replicas": [list(ranks) for ranks in order.replicas]},
         }
-        self._start(self._order(order.call_id, "/group/join", body))
-
-    async def _order(self, call_id: int, path: str, body: Json) -> None:
+        self._start(self._order(order, "/group/join", body))
+
+    async def _order(self, order: Order, path: str, body: Json) -> None:
+        """Sends an order, unless it is meant for an earlier process of the engine."""
+        call_id = order.call_id
+        if order.incarnation != self._incarnation:
+            self._core.post(events.EngineReplied(call_id, None, 0))
+            return
         try:
             answer = await self._client.post(path, json=body)
             step = int(answer.json().get("step", 0))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/problems.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/problems.py
@@ -6,9 +6,13 @@
 
 from litestar import response
 
+from chicoryweir_policy.settings import answers
+
 Json = dict[str, typing.Any]
 
 CONTENT_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+FIRST_PROBLEM = 400
 
 
 def make_problem(
@@ -24,3 +28,11 @@
         **extra,
     }
     return response.Response(document, status_code=status, media_type=CONTENT_TYPE)
+
+
+def render_answer(answer: answers.Answer) -> response.Response[Json]:
+    """Returns an answer as HTTP; from status 400 it is a problem document."""
+    media_type = CONTENT_TYPE if answer.status >= FIRST_PROBLEM else JSON_TYPE
+    return response.Response(
+        answer.body, status_code=answer.status, media_type=media_type
+    )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/state_routes.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/state_routes.py
@@ -10,12 +10,13 @@
 import litestar
 from litestar import response
 
+from chicoryweir_daemon.entry.operators import changes as changing
 from chicoryweir_daemon.entry.operators import desk
 from chicoryweir_daemon.entry.operators import problems
-from chicoryweir_daemon.entry.operators import rendering
 from chicoryweir_daemon.entry.operators import reports
 from chicoryweir_policy import store
 from chicoryweir_policy.cores import draining
+from chicoryweir_policy.settings import answers
 from chicoryweir_policy.settings import audit
 from chicoryweir_policy.settings import documents
 
@@ -56,25 +57,10 @@
 
 
 async def _list_audit(at: desk.Desk, after: int, limit: int) -> desk.Answer:
-    rows = await at.platform.run(store.Scan(audit.PREFIX, limit=desk.MAX_PAGE))
+    rows = await changing.scan_all(at.platform, answers.AUDIT_SCAN)
     if not isinstance(rows, store.Rows):
         return problems.make_problem(503, "Store unavailable", str(rows))
-    lines = audit.list_lines(rows.rows, after, limit)
-    return response.Response({"rows": [_render_line(line) for line in lines]})
-
-
-def _render_line(line: audit.Line) -> desk.Json:
-    change = line.change
-    return {
-        "seq": line.seq,
-        "at": line.record.at,
-        "who": line.record.who,
-        "kind": line.record.kind,
-        "path": change.path if change else "",
-        "from": rendering.render_side(change.before) if change else None,
-        "to": rendering.render_side(change.after) if change else None,
-        "reason": line.record.reason,
-    }
+    return problems.render_answer(answers.render_audit(rows.rows, after, limit))
 
 
 async def _drain_instance(at: desk.Desk, operator: str, body: bytes) -> desk.Answer:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -27,11 +27,14 @@
 from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
 from chicoryweir_policy.quarantine import isolation
+from chicoryweir_policy.settings import versions
 
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
 _SUSPECT_RETRY_MS = 300
 OPTIMISM = 0.5
+# Entries tell their agents of a new version at once; the poll is for lost words.
+SETTINGS_TIMING = versions.Timing(poll_s=10.0)
 
 Commands = list[commands.Command]
 
@@ -75,7 +78,9 @@
         self._journal = journal.Journal()
         self._drain_watch = draining.DrainWatch(facts.instance, self._operations)
         self._load = load.LoadMeter(facts.slots)
-        self._settings = settings_task.SettingsTask(facts.instance, self._operations)
+        self._settings = settings_task.SettingsTask(
+            facts.instance, self._operations, SETTINGS_TIMING
+        )
         self._ranks: grouping.Ranks | None = None
         if facts.group:
             self._ranks = grouping.make_ranks(
@@ -228,6 +233,9 @@
         effective = self._settings.resolve(
             self._facts.place, self._facts.service, submit.workspace, submit.priority
         )
+        of_class = self._settings.resolve(
+            self._facts.place, self._facts.service, "", submit.priority
+        )
         attempt = attempts.Attempt(
             submit, session.session, session.instance, now + submit.deadline_in_s
         )
@@ -236,7 +244,7 @@
             workspace=submit.workspace,
             priority=submit.priority,
             weight=effective.weight,
-            floor_share=effective.floor_share,
+            floor_share=of_class.floor_share,
             cost_tokens=submit.cost_tokens,
             deadline_at=attempt.deadline_at,
             arrived_at=now,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/settings.py
@@ -37,7 +37,13 @@
 class SettingsTask:
     """Holds the version in force; never goes below a version it has seen."""
 
-    def __init__(self, instance: str, numbers: operations.Operations) -> None:
+    def __init__(
+        self,
+        instance: str,
+        numbers: operations.Operations,
+        timing: versions.Timing | None = None,
+    ) -> None:
+        self._timing = timing
         self._instance = instance
         self._operations = numbers
         self._book: versions.VersionBook | None = None
@@ -136,7 +142,7 @@
         self, event: version_messages.Event, now: float, out: Commands
     ) -> None:
         if self._book is None:
-            self._book = versions.make_book(self._instance, now)
+            self._book = versions.make_book(self._instance, now, self._timing)
         step = versions.advance(self._book, event, now)
         self._book = step.book
         for command in step.commands:
