--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/command.py
@@ -27,6 +27,7 @@
         help="deployment to measure; all by default",
     )
     parser.add_argument("--skip-relay", action="store_true")
+    parser.add_argument("--skip-floods", action="store_true")
     parser.add_argument(
         "--output", type=pathlib.Path, default=pathlib.Path("docs/measurements")
     )
@@ -39,17 +40,22 @@
 
 async def _run_all(arguments: argparse.Namespace) -> int:
     seeds = range(1, arguments.seeds + 1)
-    measured: list[measures.Measure] = []
     if not arguments.skip_relay:
-        measured += await _measure_relay(seeds)
-        report.write_report(measured, arguments.output)
-    for name in arguments.deployment or deployments.ALL:
-        measured += await _measure_floods(deployments.ALL[name], seeds)
-        report.write_report(measured, arguments.output)
-    print(report.render_page(measures.summarise(measured)))
+        measured = await _measure_relay(seeds)
+        _report(measured, arguments.output, "relay")
+    if not arguments.skip_floods:
+        measured = []
+        for name in arguments.deployment or deployments.ALL:
+            measured += await _measure_floods(deployments.ALL[name], seeds)
+            _report(measured, arguments.output, "floods")
     return 0
 
 
+def _report(measured: list[measures.Measure], output: pathlib.Path, name: str) -> None:
+    report.write_report(measured, output, name)
+    print(report.render_page(measures.summarise(measured)))
+
+
 async def _measure_relay(seeds: range) -> list[measures.Measure]:
     running = fleet.create_fleet(deployments.RELAY_SIZE)
     measured = []
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/bench/report.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/bench/report.py
@@ -55,12 +55,14 @@
     return output.getvalue()
 
 
-def write_report(measured: list[measures.Measure], directory: pathlib.Path) -> None:
-    """Writes system.md and system.csv into a directory."""
+def write_report(
+    measured: list[measures.Measure], directory: pathlib.Path, name: str
+) -> None:
+    """Writes a page and a table of this name into a directory."""
     directory.mkdir(parents=True, exist_ok=True)
     page = render_page(measures.summarise(measured))
-    (directory / "system.md").write_text(page)
-    (directory / "system.csv").write_text(render_table(measured))
+    (directory / f"{name}.md").write_text(page)
+    (directory / f"{name}.csv").write_text(render_table(measured))
 
 
 def _word(is_met: bool) -> str:
