--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
@@ -27,6 +27,8 @@
         payloads: Payloads sent so far.
         size_bytes: Bytes of payload sent so far.
         digest: Digest of the payloads so far.
+        held: Payloads that go out with the next chunk.
+        relayed_at: When the last chunk went out, monotonic seconds.
     """
 
     submit: messages.SubmitAttempt
@@ -39,6 +41,8 @@
     payloads: int = 0
     size_bytes: int = 0
     digest: answers.Digest = dataclasses.field(default_factory=answers.Digest)
+    held: list[bytes] = dataclasses.field(default_factory=list)
+    relayed_at: float = float("-inf")
 
     @property
     def must_end(self) -> bool:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -118,7 +118,7 @@
             case events.MessageReceived():
                 self._receive(event, now, out)
             case events.EndpointSent():
-                self._relay(event, out)
+                self._relay(event, now, out)
             case events.EndpointAnswered():
                 self._relay_head(event, out)
             case events.EndpointFinished():
@@ -173,6 +173,8 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case messages.RelayPace(window_s):
+                session.window_s = window_s
             case messages.SuspicionNews():
                 self._suspicions.merge(message, now, out)
             case messages.NotesWanted(number, request_id):
@@ -446,14 +448,31 @@
         )
         out.append(commands.Send(attempt.instance, attempt.session, head))
 
-    def _relay(self, event: events.EndpointSent, out: Commands) -> None:
+    def _relay(self, event: events.EndpointSent, now: float, out: Commands) -> None:
         attempt = self._running.get(event.attempt_id)
         if attempt is None:
             return
-        chunk = messages.AttemptChunk(event.attempt_id, attempt.chunks, event.payloads)
+        attempt.held.extend(event.payloads)
+        self._relay_due(attempt, now, out)
+
+    def _relay_due(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
+        """Sends what is held back, unless the entry wants more of it together."""
+        session = self._sessions.find(attempt.session)
+        window_s = session.window_s if session is not None else 0.0
+        if now - attempt.relayed_at >= window_s:
+            self._relay_held(attempt, now, out)
+
+    def _relay_held(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
+        if not attempt.held:
+            return
+        payloads = tuple(attempt.held)
+        attempt.held.clear()
+        attempt_id = attempt.submit.attempt_id
+        chunk = messages.AttemptChunk(attempt_id, attempt.chunks, payloads)
+        attempt.relayed_at = now
         attempt.chunks += 1
-        attempt.payloads += len(event.payloads)
-        attempt.digest.update(event.payloads)
+        attempt.payloads += len(payloads)
+        attempt.digest.update(payloads)
         out.append(commands.Send(attempt.instance, attempt.session, chunk))
 
     def _settle(self, attempt: attempts.Attempt, now: float) -> None:
@@ -466,6 +485,7 @@
         attempt = self._running.get(attempt_id)
         if attempt is None:
             return
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         self._isolation.note_ended(attempt_id, True, now)
         self._end(attempt, messages.AttemptState.FINISHED)
@@ -484,6 +504,7 @@
             attempt = self._running.get(event.attempt_id)
         if attempt is None:
             return
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         if not event.sent:
             self._end(attempt, messages.AttemptState.TOMBSTONED)
@@ -522,6 +543,7 @@
 
     def _fail_lost(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
         attempt_id = attempt.submit.attempt_id
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         self._end(attempt, messages.AttemptState.UNKNOWN)
         out.append(commands.CancelCall(attempt_id))
@@ -538,6 +560,9 @@
 
     def _tick(self, now: float, out: Commands) -> None:
         self._expire(now, out)
+        for attempt in self._running.values():
+            if attempt.held:
+                self._relay_due(attempt, now, out)
         self._suspicions.tick(now, out)
         self._settings.tick(now, out)
         self._drain_watch.tick(now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
@@ -17,6 +17,7 @@
         instance: The entry.
         role: Role of the peer.
         acknowledged: Highest sequence of an attempt submitted on it.
+        window_s: Time between two chunks of one answer, in seconds.
         reports: Load reports sent on it.
         tombstones: Attempts that must never start on it.
     """
@@ -25,6 +26,7 @@
     instance: str
     role: instances.Role
     acknowledged: int = 0
+    window_s: float = 0.0
     reports: int = 0
     tombstones: set[str] = dataclasses.field(default_factory=set)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -21,6 +21,7 @@
 from chicoryweir_policy.cores.entry import grouping
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import outlying
+from chicoryweir_policy.cores.entry import pacing
 from chicoryweir_policy.cores.entry import peers
 from chicoryweir_policy.cores.entry import presumption
 from chicoryweir_policy.cores.entry import state as entry_state
@@ -51,6 +52,7 @@
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
         self._outlying = outlying.Outlying(state)
+        self._pacing = pacing.Pacing(state)
         self._presumption = presumption.Presumption(state.suspicions.book)
         self._drain_watch = draining.DrainWatch(state.facts.instance, state.operations)
         self._leaving_at: float | None = None
@@ -276,6 +278,7 @@
             hello.instance, event.session, hello.incarnation, hello.service
         )
         self.state.agents[hello.instance] = link
+        self._pacing.open_link(link, out)
         self.state.loads.note_endpoint(hello.instance, hello.place, hello.service)
         self.state.loads.note_link(hello.instance, True, now)
 
@@ -308,6 +311,7 @@
         self.groups.tick(now, out)
         self.state.suspicions.tick(now, out)
         self._outlying.tick(now, out)
+        self._pacing.tick(now, out)
         self._exchange_limits(now, out)
         self._drain_watch.tick(now, out)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/delivery.py
@@ -130,6 +130,7 @@
                 out.append(commands.BeginAnswer(request_id, _OK, EVENT_STREAM))
         live.progressed_at = now
         live.delivered += len(payloads)
+        self._state.relayed += len(payloads)
         if not live.abandoned:
             out.append(commands.SendAnswer(request_id, payloads))
 
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/pacing.py
@@ -0,0 +1,64 @@
+"""Asks agents to send several tokens of an answer together while the entry is busy.
+
+Relaying a token costs an entry about as much as relaying several at once. An entry
+with little to do has each passed on as it comes.
+"""
+
+from __future__ import annotations
+
+from chicoryweir_policy import messages
+from chicoryweir_policy.cores.entry import state as entry_state
+
+PERIOD_S = 1.0
+SMOOTHING = 0.5
+# Tokens a second from which on a window applies, and the window in seconds.
+WINDOWS = ((6000.0, 0.06), (1500.0, 0.04))
+# A window ends only when the rate is below this share of where it began.
+LEAVE_SHARE = 0.7
+
+
+def choose_window(rate_per_s: float, present_s: float) -> float:
+    """Returns for how long agents may hold tokens back, in seconds.
+
+    Args:
+        rate_per_s: Tokens relayed in a second.
+        present_s: Window in force.
+    """
+    for begins_at, window_s in WINDOWS:
+        share = LEAVE_SHARE if present_s >= window_s else 1.0
+        if rate_per_s >= begins_at * share:
+            return window_s
+    return 0.0
+
+
+class Pacing:
+    """Measures what the entry relays and tells its agents the window."""
+
+    def __init__(self, state: entry_state.EntryState) -> None:
+        self._state = state
+        self._rate_per_s = 0.0
+        self._window_s = 0.0
+        self._measured_at: float | None = None
+
+    def open_link(self, link: entry_state.AgentLink, out: entry_state.Commands) -> None:
+        """Tells an agent on a new link the window in force."""
+        if self._window_s:
+            self._state.send(link, messages.RelayPace(self._window_s), out)
+
+    def tick(self, now: float, out: entry_state.Commands) -> None:
+        """Measures the rate from time to time, and tells a changed window."""
+        if self._measured_at is None:
+            self._measured_at = now
+        elapsed_s = now - self._measured_at
+        if elapsed_s < PERIOD_S:
+            return
+        rate_per_s = self._state.relayed / elapsed_s
+        self._state.relayed = 0
+        self._measured_at = now
+        self._rate_per_s += SMOOTHING * (rate_per_s - self._rate_per_s)
+        window_s = choose_window(self._rate_per_s, self._window_s)
+        if window_s == self._window_s:
+            return
+        self._window_s = window_s
+        for link in self._state.agents.values():
+            self._state.send(link, messages.RelayPace(window_s), out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -63,7 +63,10 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryState:
-    """Shared state of an entry's core, owned by its one task."""
+    """Shared state of an entry's core, owned by its one task.
+
+    `relayed` counts the events of answers passed on since it was last reset.
+    """
 
     facts: EntryFacts
     selector: selection.Selector
@@ -83,6 +86,7 @@
     requests: lives.LiveTable = dataclasses.field(default_factory=lives.LiveTable)
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     attempts_made: int = 0
+    relayed: int = 0
 
     def refuse(
         self, live: lives.Live, problem: outcomes.Problem, now: float, out: Commands
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/messages.py
@@ -383,6 +383,17 @@
     loans: shares.Loans
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayPace:
+    """For how long an agent may hold tokens back to send several together.
+
+    Attributes:
+        window_s: Time between two chunks of one answer, in seconds; 0 for none.
+    """
+
+    window_s: float
+
+
 Message = (
     Hello
     | SubmitAttempt
@@ -408,6 +419,7 @@
     | SuspicionNews
     | LimitAsks
     | LimitLoans
+    | RelayPace
     | group_messages.QueryRanks
     | group_messages.PrepareMap
     | group_messages.ReleaseMap
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/cores/entry/test_pacing.py
@@ -0,0 +1,24 @@
+"""Tests of the window in which tokens are sent together."""
+
+from __future__ import annotations
+
+import pytest
+
+from chicoryweir_policy.cores.entry import pacing
+
+
+@pytest.mark.parametrize(
+    ("rate", "present", "window"),
+    [
+        (0.0, 0.0, 0.0),
+        (1400.0, 0.0, 0.0),
+        (1600.0, 0.0, 0.04),
+        (1200.0, 0.04, 0.04),
+        (900.0, 0.04, 0.0),
+        (7000.0, 0.04, 0.06),
+        (5000.0, 0.06, 0.06),
+        (4000.0, 0.06, 0.04),
+    ],
+)
+def test_window_follows_the_rate_with_hysteresis(rate, present, window) -> None:
+    assert pacing.choose_window(rate, present) == window
