Let the attempt's chart decide what may happen to it

The agent's table kept its own flags beside the chart. Now each change is an event of the chart, and one that the state does not allow is logged as a broken invariant. The chart gains the event of a call that never reached its endpoint; its key may be sent again.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
@@ -8,8 +8,21 @@
 from chicoryweir_policy import answers
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
+from chicoryweir_policy.charts import interpreter
 
+CHART = interpreter.load_chart("attempt")
 MAX_ENDED = 20_000
+_SENT = frozenset({"running", "cancelling"})
+_NO_KEY = ("", "")
+_STATES = {
+    "queued": messages.AttemptState.QUEUED,
+    "running": messages.AttemptState.RUNNING,
+    "cancelling": messages.AttemptState.RUNNING,
+    "tombstoned": messages.AttemptState.TOMBSTONED,
+    "finished": messages.AttemptState.FINISHED,
+    "failed": messages.AttemptState.UNKNOWN,
+    "unknown": messages.AttemptState.UNKNOWN,
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,7 +34,7 @@
         session: Session it came on.
         instance: The entry.
         deadline_at: Deadline by this agent's clock, monotonic seconds.
-        running: Whether it was sent to the endpoint.
+        state: State in the chart `attempt`.
         started_at: When it was sent.
         chunks: Chunks of the answer sent so far.
         payloads: Payloads sent so far.
@@ -35,7 +48,7 @@
     session: str
     instance: str
     deadline_at: float
-    running: bool = False
+    state: str = CHART.initial
     started_at: float = 0.0
     chunks: int = 0
     payloads: int = 0
@@ -44,6 +57,11 @@
     held: list[bytes] = dataclasses.field(default_factory=list)
     relayed_at: float = float("-inf")
 
+    @property
+    def running(self) -> bool:
+        """Whether it was sent to the endpoint and has not ended."""
+        return self.state in _SENT
+
     @property
     def must_end(self) -> bool:
         """Whether it is to run to its end even when nobody waits for it."""
@@ -72,38 +90,42 @@
 
     def add(self, attempt: Attempt) -> None:
         """Adds an attempt that waits."""
+        _move(attempt, "submit")
         self._live[attempt.submit.attempt_id] = attempt
 
     def start(self, attempt: Attempt, now: float) -> bool:
         """Marks an attempt as sent; False if its key was sent before."""
-        submit = attempt.submit
-        if submit.idempotency is requests.Idempotency.AT_MOST_ONCE:
-            key = (submit.workspace, submit.idempotency_key)
-            if key in self._keys:
-                return False
-            self._keys[key] = submit.attempt_id
+        key = _find_key(attempt)
+        if key is not None and key in self._keys:
+            return False
+        if not _move(attempt, "start"):
+            return False
+        if key is not None:
+            self._keys[key] = attempt.submit.attempt_id
             if len(self._keys) > MAX_ENDED:
                 self._keys.popitem(last=False)
-        attempt.running = True
         attempt.started_at = now
         return True
 
-    def end(self, attempt_id: str, state: messages.AttemptState) -> None:
-        """Removes a live attempt and remembers how it ended."""
-        if self._live.pop(attempt_id, None) is None:
-            return
-        self._ended[attempt_id] = state
+    def end(self, attempt: Attempt, event: str) -> bool:
+        """Ends a live attempt by an event; False if its state does not allow it."""
+        attempt_id = attempt.submit.attempt_id
+        if self._live.get(attempt_id) is not attempt or not _move(attempt, event):
+            return False
+        del self._live[attempt_id]
+        if event == "unsent":
+            self._keys.pop(_find_key(attempt) or _NO_KEY, None)
+        self._ended[attempt_id] = _STATES[attempt.state]
         if len(self._ended) > MAX_ENDED:
             self._ended.popitem(last=False)
+        return True
 
     def describe(self, attempt_id: str) -> messages.AttemptState | None:
         """Returns the state of an attempt, or None when it is not known."""
         live = self._live.get(attempt_id)
         if live is None:
             return self._ended.get(attempt_id)
-        if live.running:
-            return messages.AttemptState.RUNNING
-        return messages.AttemptState.QUEUED
+        return _STATES[live.state]
 
     def list_running(self) -> list[Attempt]:
         """Returns the attempts at the endpoint."""
@@ -121,3 +143,18 @@
 
     def __len__(self) -> int:
         return len(self._live)
+
+
+def _move(attempt: Attempt, event: str) -> bool:
+    outcome = interpreter.advance(CHART, attempt.state, event)
+    if isinstance(outcome, interpreter.Ignored):
+        return False
+    attempt.state = outcome.state
+    return True
+
+
+def _find_key(attempt: Attempt) -> tuple[str, str] | None:
+    submit = attempt.submit
+    if submit.idempotency is not requests.Idempotency.AT_MOST_ONCE:
+        return None
+    return (submit.workspace, submit.idempotency_key)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -331,7 +331,7 @@
         if attempt.running:
             out.append(self._record_violation(attempt, "rejected while it runs"))
             return
-        self._end(attempt, messages.AttemptState.TOMBSTONED)
+        self._end(attempt, "refuse", out)
         rejected = messages.AttemptRejected(attempt_id, reason, retry_after_ms)
         out.append(commands.Send(attempt.instance, attempt.session, rejected))
 
@@ -345,9 +345,12 @@
             detail,
         )
 
-    def _end(self, attempt: attempts.Attempt, state: messages.AttemptState) -> None:
+    def _end(self, attempt: attempts.Attempt, event: str, out: Commands) -> None:
+        """Ends an attempt by an event of its chart."""
         attempt_id = attempt.submit.attempt_id
-        self._attempts.end(attempt_id, state)
+        if not self._attempts.end(attempt, event):
+            detail = f"{event} in state {attempt.state}"
+            out.append(self._record_violation(attempt, detail))
         if self._running.pop(attempt_id, None) is not None:
             self._isolation.forget(attempt_id)
 
@@ -366,7 +369,7 @@
             return
         out.append(commands.CancelCall(attempt_id))
         self._settle(attempt, now)
-        self._end(attempt, messages.AttemptState.UNKNOWN)
+        self._end(attempt, "lose", out)
         failed = messages.AttemptFailed(
             attempt_id, messages.FailureKind.CANCELLED, "cancelled by the entry"
         )
@@ -488,7 +491,7 @@
         self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         self._isolation.note_ended(attempt_id, True, now)
-        self._end(attempt, messages.AttemptState.FINISHED)
+        self._end(attempt, "finish", out)
         self._journal.note(
             attempt.submit.request_id, now, "endpoint", f"{attempt.payloads} pieces"
         )
@@ -507,14 +510,14 @@
         self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         if not event.sent:
-            self._end(attempt, messages.AttemptState.TOMBSTONED)
+            self._end(attempt, "unsent", out)
             reason = messages.RejectReason.ENDPOINT_DOWN
             rejected = messages.AttemptRejected(
                 event.attempt_id, reason, _ENDPOINT_DOWN_RETRY_MS
             )
             out.append(commands.Send(attempt.instance, attempt.session, rejected))
             return
-        self._end(attempt, messages.AttemptState.UNKNOWN)
+        self._end(attempt, "fail", out)
         failed = messages.AttemptFailed(
             event.attempt_id, messages.FailureKind.ENDPOINT_ERROR, event.detail
         )
@@ -545,7 +548,7 @@
         attempt_id = attempt.submit.attempt_id
         self._relay_held(attempt, now, out)
         self._settle(attempt, now)
-        self._end(attempt, messages.AttemptState.UNKNOWN)
+        self._end(attempt, "lose", out)
         out.append(commands.CancelCall(attempt_id))
         failed = messages.AttemptFailed(
             attempt_id, messages.FailureKind.ENDPOINT_LOST, "endpoint died"
@@ -639,10 +642,10 @@
             if attempt.running:
                 out.append(commands.CancelCall(attempt_id))
                 self._settle(attempt, now)
-                self._end(attempt, messages.AttemptState.UNKNOWN)
+                self._end(attempt, "lose", out)
             else:
                 self._queue.remove(attempt_id)
-                self._end(attempt, messages.AttemptState.TOMBSTONED)
+                self._end(attempt, "cancel", out)
 
     def _drain(self, now: float, out: Commands) -> None:
         if self._leaving:
--- a/packages/chicoryweir-standins/tests/worlds/test_mechanisms.py
+++ b/packages/chicoryweir-standins/tests/worlds/test_mechanisms.py
@@ -37,7 +37,7 @@
 
 def _forget_keys(patch: pytest.MonkeyPatch) -> None:
     def start(self, attempt, now):
-        attempt.running = True
+        attempt.state = "running"
         attempt.started_at = now
         return True
 
