--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
@@ -78,15 +78,17 @@
     for name in sorted(state.agents):
         view = state.loads.view(name)
         if view is not None:
-            described.append(_describe_endpoint(view, now))
+            life = state.endpoints.describe(name)
+            described.append(_describe_endpoint(view, life, now))
     return described
 
 
-def _describe_endpoint(view: views.EndpointView, now: float) -> Json:
+def _describe_endpoint(view: views.EndpointView, life: str, now: float) -> Json:
     return {
         "instance": view.instance,
         "service": view.service,
         "place": view.place,
+        "state": life,
         "available": view.is_available("", now),
         "leaving": view.leaving,
         "serving": view.serving,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -158,6 +158,7 @@
                 self.state.loads.note_report(event.instance, message, now)
                 self._presumption.consume_report(event.instance, message, now)
                 self._outlying.consume_report(event.instance, message, now)
+                self.state.endpoints.consume_report(event.instance, message, now)
             case messages.CacheNews():
                 self.state.prefixes.note_stored(event.instance, message.stored)
                 self.state.prefixes.note_evicted(event.instance, message.evicted)
@@ -279,6 +280,7 @@
         )
         self.state.agents[hello.instance] = link
         self._pacing.open_link(link, out)
+        self.state.endpoints.open_link(hello.instance)
         self.state.loads.note_endpoint(hello.instance, hello.place, hello.service)
         self.state.loads.note_link(hello.instance, True, now)
 
@@ -293,6 +295,7 @@
         if link is not None and link.session == event.session:
             self._presume_loss(event, now)
             del self.state.agents[event.instance]
+            self.state.endpoints.close_link(event.instance)
             self.state.loads.note_link(event.instance, False, now)
         self._dispatcher.consume_link_closed(event.session, now, out)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
@@ -46,6 +46,7 @@
         found = self._state.detector.eject(members, now, effective.max_ejected_share)
         for ejected in found:
             self._state.loads.note_ejected(ejected.instance, ejected.until)
+            self._state.endpoints.eject(ejected.instance, ejected.until)
             detail = (
                 f"pace {ejected.pace_s:.4f} s, median {ejected.median_pace_s:.4f} s,"
                 f" failing {ejected.failure_share:.2f}"
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -14,6 +14,7 @@
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
 from chicoryweir_policy.cores import suspicions
+from chicoryweir_policy.cores.entry import lifecycle
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.routing import loads
 from chicoryweir_policy.routing import outliers
@@ -76,6 +77,9 @@
     operations: operations.Operations
     journal: journal.Journal
     limiter: limits.WorkspaceLimiter
+    endpoints: lifecycle.EndpointLives = dataclasses.field(
+        default_factory=lifecycle.EndpointLives
+    )
     detector: outliers.OutlierDetector = dataclasses.field(
         default_factory=outliers.OutlierDetector
     )
