Free no suspect because of a request convicted by chance

Cause: an innocent request that ran beside two crashing ones, on two endpoints, is convicted with the first of them. It then explained its second loss, so the second crashing request was no longer a suspect; two copies of it ran at once on two more endpoints, three in all.

Ruled out: the rule on failures of many instances (three agents cannot form one), and late news (the loss was known 50 ms before).

A loss is now explained only by a candidate that has two losses of its own.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
@@ -46,7 +46,7 @@
 
     Attributes:
         convicted: Fingerprints to refuse.
-        explained: Losses that a convicted request caused.
+        explained: Losses that a convicted request surely caused.
     """
 
     convicted: frozenset[int]
@@ -95,11 +95,34 @@
             if all(ran[loss_id] & needed for loss_id in self._losses[fingerprint])
         }
         convicted = frozenset(self._candidates - by_chance)
+        sure = frozenset(
+            fingerprint
+            for fingerprint in convicted
+            if self._count_own_losses(fingerprint, ran, convicted)
+            >= self._conviction_losses
+        )
         explained = frozenset(
-            loss_id for loss_id, fingerprints in ran.items() if fingerprints & convicted
+            loss_id for loss_id, fingerprints in ran.items() if fingerprints & sure
         )
         return Findings(convicted, explained)
 
+    def _count_own_losses(
+        self,
+        fingerprint: int,
+        ran: collections.abc.Mapping[records.LossId, set[int]],
+        convicted: frozenset[int],
+    ) -> int:
+        """Counts the losses that no convicted request with other losses shares.
+
+        One that shares a loss may be convicted by chance; then what else ran on its
+        other losses must not be taken for innocent.
+        """
+        own = self._losses[fingerprint]
+        return sum(
+            all(self._losses[other] == own for other in ran[loss_id] & convicted)
+            for loss_id in own
+        )
+
     def _set(self, fingerprint: int, losses: frozenset[records.LossId]) -> None:
         if losses:
             self._losses[fingerprint] = losses
--- a/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
+++ b/packages/chicoryweir-policy/tests/quarantine/test_suspicion.py
@@ -91,6 +91,15 @@
     assert isinstance(book.judge(1, 0.0), records.Quarantined)
 
 
+def test_innocent_convicted_by_chance_frees_no_suspect_of_its_other_loss() -> None:
+    innocent, other_poison = 1, 667
+    book = make_book(
+        ("x", {POISON}), ("y", {POISON, innocent}), ("z", {innocent, other_poison})
+    )
+    assert isinstance(book.judge(POISON, 0.0), records.Quarantined)
+    assert isinstance(book.judge(other_poison, 0.0), records.Suspected)
+
+
 def test_evidence_expires_also_when_peers_send_it_again() -> None:
     book = make_book(("x", {POISON}))
     news = book.export_news(suspicion.RETENTION_S - 1.0)
