Let a stopping agent refuse what was on its way to it

Cause: an agent with nothing to run stopped in the step in which it was told to. An attempt that was on the link by then ended as "unknown", and one that may not be repeated was given up: a planned stop cut a request off.

Ruled out: a handshake with each entry (a message more, and an entry that is paused would hold the stop up). The agent stays for a second after it told that it leaves, and refuses; entries then go elsewhere.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -32,6 +32,9 @@
 _LEAVING_RETRY_MS = 100
 _SUSPECT_RETRY_MS = 300
 OPTIMISM = 0.5
+# Entries that have not heard of a drain yet still submit; they are to be refused, for a
+# link that closes under an attempt leaves its end unknown.
+LINGER_S = 1.0
 
 Commands = list[commands.Command]
 
@@ -92,6 +95,7 @@
         self._leaving = False
         self._stopped = False
         self._drain_until = 0.0
+        self._linger_until = 0.0
 
     @property
     def settings_version(self) -> int:
@@ -625,12 +629,15 @@
             requests.PriorityClass.STANDARD,
         )
         self._drain_until = now + effective.drain_timeout_ms / 1000.0
+        self._linger_until = now + LINGER_S
         self._report(now, out)
         self._reject_waiting(messages.RejectReason.LEAVING, out)
 
     def _finish_drain(self, now: float, out: Commands) -> None:
         if not self._leaving or self._stopped:
             return
+        if now < self._linger_until:
+            return
         if self._running and now < self._drain_until:
             return
         self._stopped = True
