Hedge slow urgent requests at the entry

An urgent idempotent request at an endpoint that has stopped waits until its deadline, although others could answer it. With hedge_after_ms set, one second attempt starts on another endpoint out of a budget of its own; the first whose answer begins stays, the other is cancelled. One that is refused, fails or loses its link leaves the other to go on.

Requests that may be hedged earn the budget, so that a flood of other classes can't. A hedge doesn't count against max_attempts, as its budget bounds it. An answer of 500 or above doesn't win, as it would end in a retry while the other attempt is under way.

Attempts that end with their request's deadline or its caller now leave the load book too; before, they stayed in it until the next report.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -19,6 +19,7 @@
 from chicoryweir_policy.cores.entry import delivery
 from chicoryweir_policy.cores.entry import dispatching
 from chicoryweir_policy.cores.entry import grouping
+from chicoryweir_policy.cores.entry import hedging
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import outlying
 from chicoryweir_policy.cores.entry import peers
@@ -48,6 +49,7 @@
         self._claimer = claiming.Claimer(state)
         self._dispatcher = dispatching.Dispatcher(state, self._claimer)
         self._claimer.connect(self._dispatcher.submit)
+        self._hedger = hedging.Hedger(state, self._dispatcher)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
         self._outlying = outlying.Outlying(state)
@@ -124,6 +126,7 @@
             self.state.refuse(live, problem, now, out)
             return
         self._dispatcher.note_request(live)
+        self._hedger.note_request(live, now)
         self._dispatcher.route(live, now, out)
 
     def _ask_notes(
@@ -213,9 +216,10 @@
         out: entry_state.Commands,
     ) -> None:
         live = self.state.requests.find_attempt(message.attempt_id)
-        if live is None or live.dispatch is None:
+        dispatch = None if live is None else live.find_dispatch(message.attempt_id)
+        if live is None or dispatch is None:
             return
-        if live.dispatch.instance != event.instance:
+        if dispatch.instance != event.instance:
             out.append(
                 commands.Record(
                     catalogue.INVARIANT_VIOLATED,
@@ -225,6 +229,8 @@
                 )
             )
             return
+        if not self._hedger.settle(live, dispatch, message, now, out):
+            return
         match message:
             case messages.AttemptChunk():
                 self._deliverer.consume_chunk(live, message, now, out)
@@ -233,13 +239,7 @@
             case messages.AttemptFinished():
                 self._deliverer.consume_finished(live, message, now, out)
             case messages.AttemptStarted():
-                live.dispatch.started = True
-                self.state.throttle.note_settled(
-                    live.request.workspace, live.request.priority, True, now
-                )
-                self.state.journal.note(
-                    live.request.request_id, now, "endpoint", "started"
-                )
+                self._note_started(live, dispatch, now)
             case messages.AttemptRejected():
                 self._dispatcher.consume_rejected(live, message, now, out)
             case messages.AttemptFailed():
@@ -247,6 +247,18 @@
             case _:
                 typing.assert_never(message)
 
+    def _note_started(
+        self, live: lives.Live, dispatch: lives.Dispatch, now: float
+    ) -> None:
+        request = live.request
+        if not any(each.started for each in live.list_dispatches()):
+            self.state.throttle.note_settled(
+                request.workspace, request.priority, True, now
+            )
+        dispatch.started = True
+        detail = f"started at {dispatch.instance}"
+        self.state.journal.note(request.request_id, now, "endpoint", detail)
+
     def _consume_reply(
         self, event: events.StoreReplied, now: float, out: entry_state.Commands
     ) -> None:
@@ -291,17 +303,21 @@
             self._presume_loss(event, now)
             del self.state.agents[event.instance]
             self.state.loads.note_link(event.instance, False, now)
+        self._hedger.consume_link_closed(event.session, now)
         self._dispatcher.consume_link_closed(event.session, now, out)
 
     def _presume_loss(self, event: events.LinkClosed, now: float) -> None:
         view = self.state.loads.view(event.instance)
         broken = self.state.requests.list_session(event.session)
         if view is not None:
-            self._presumption.presume(event.instance, view.incarnation, broken, now)
+            self._presumption.presume(
+                event.instance, view.incarnation, event.session, broken, now
+            )
 
     def _tick(self, now: float, out: entry_state.Commands) -> None:
         self.state.settings.tick(now, out)
         self._dispatcher.run_retries(now, out)
+        self._hedger.run_hedges(now, out)
         self._dispatcher.run_deadlines(now, out)
         self._claimer.flush(out)
         self.peers.tick(now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -191,6 +191,7 @@
             resume_from=live.delivered,
             suspect=live.suspect,
         )
+        dispatch.sent_at = now
         self._state.requests.attach(live, dispatch)
         self._state.loads.note_sent(
             dispatch.instance,
@@ -201,6 +202,10 @@
         )
         self._state.prefixes.note_sent(dispatch.instance, request.prefix_blocks)
         self._state.send(link, submit, out)
+        hedge_after_ms = live.effective.hedge_after_ms
+        if hedge_after_ms is not None and not live.hedged:
+            due = now + hedge_after_ms / 1000.0
+            self._state.requests.set_hedge(request.request_id, due)
 
     def consume_rejected(
         self,
@@ -331,7 +336,8 @@
             if live.abandoned:
                 continue
             dispatch = live.dispatch
-            if dispatch is None or live.expired or dispatch.started:
+            started = any(each.started for each in live.list_dispatches())
+            if dispatch is None or live.expired or started:
                 if dispatch is not None:
                     live.may_have_run = True
                 self._cancel(live, out)
@@ -371,6 +377,7 @@
         live.abandoned = True
         if live.is_idempotent or live.dispatch is None:
             self._cancel(live, out)
+            self._detach_all(live)
             self._claimer.release(live, out)
             self._state.requests.remove(live)
             self._state.end_limited(live, now)
@@ -379,6 +386,7 @@
         self, live: lives.Live, peer: str, now: float, out: entry_state.Commands
     ) -> None:
         problem = problems.make_deadline_passed(peer, self._conclude(live))
+        self._detach_all(live)
         self._claimer.release(live, out)
         self._state.refuse(live, problem, now, out)
 
@@ -388,9 +396,13 @@
         return outcomes.Outcome.NOT_RUN
 
     def _cancel(self, live: lives.Live, out: entry_state.Commands) -> None:
-        dispatch = live.dispatch
-        if dispatch is None:
-            return
+        for dispatch in live.list_dispatches():
+            self.cancel_attempt(dispatch, out)
+
+    def cancel_attempt(
+        self, dispatch: lives.Dispatch, out: entry_state.Commands
+    ) -> None:
+        """Tells an agent that nobody waits for an attempt."""
         link = self._state.agents.get(dispatch.instance)
         if link is not None and link.session == dispatch.session:
             cancel = messages.CancelAttempt(dispatch.attempt_id)
@@ -410,11 +422,20 @@
 
     def detach(self, live: lives.Live) -> lives.Dispatch | None:
         """Takes the attempt under way off a request and off the load book."""
-        dispatch = self._state.requests.detach(live)
+        dispatch = live.dispatch
         if dispatch is not None:
-            self._state.loads.note_finished(dispatch.instance, dispatch.attempt_id)
+            self.drop(live, dispatch)
         return dispatch
 
+    def drop(self, live: lives.Live, dispatch: lives.Dispatch) -> None:
+        """Takes one attempt off a request and off the load book."""
+        self._state.requests.drop(live, dispatch)
+        self._state.loads.note_finished(dispatch.instance, dispatch.attempt_id)
+
+    def _detach_all(self, live: lives.Live) -> None:
+        for dispatch in live.list_dispatches():
+            self.drop(live, dispatch)
+
 
 def _extend_begun(live: lives.Live, now: float) -> requests.Request:
     """Returns the request; a begun answer may go on past its deadline."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -19,6 +19,8 @@
         attempt_id: The attempt.
         instance: Agent it went to.
         session: Session of the link it went on.
+        sent_at: When it was sent, monotonic seconds.
+        answering: Whether any of its answer has come.
         started: Whether the agent said that the endpoint has it.
         head: Beginning of the answer, once it came.
         assembler: Order, count and digest of the answer.
@@ -28,6 +30,8 @@
     attempt_id: str
     instance: str
     session: str
+    sent_at: float = 0.0
+    answering: bool = False
     started: bool = False
     head: messages.AttemptHead | None = None
     assembler: answers.Assembler = dataclasses.field(default_factory=answers.Assembler)
@@ -44,6 +48,8 @@
         attempts: Attempts made so far.
         excluded: Endpoints that are not to be tried again.
         dispatch: The attempt under way, if any.
+        second: A hedge beside it, until the answer of either begins.
+        hedged: Whether the request had its hedge.
         begun: Whether a part of the answer went to the caller.
         delivered: Events of the answer that went to the caller.
         progressed_at: When the last part of a begun answer came, monotonic seconds.
@@ -63,6 +69,8 @@
     attempts: int = 0
     excluded: set[str] = dataclasses.field(default_factory=set)
     dispatch: Dispatch | None = None
+    second: Dispatch | None = None
+    hedged: bool = False
     begun: bool = False
     delivered: int = 0
     progressed_at: float = 0.0
@@ -81,6 +89,25 @@
         """Whether the request may run more than once."""
         return self.request.idempotency is requests.Idempotency.IDEMPOTENT
 
+    def list_dispatches(self) -> list[Dispatch]:
+        """Returns the attempts under way: none, one, or one and its hedge."""
+        both = (self.dispatch, self.second)
+        return [dispatch for dispatch in both if dispatch is not None]
+
+    def find_dispatch(self, attempt_id: str) -> Dispatch | None:
+        """Returns the attempt under way with this identifier, or None."""
+        for dispatch in self.list_dispatches():
+            if dispatch.attempt_id == attempt_id:
+                return dispatch
+        return None
+
+    def find_on(self, session: str) -> Dispatch | None:
+        """Returns the attempt under way on a session, or None."""
+        for dispatch in self.list_dispatches():
+            if dispatch.session == session:
+                return dispatch
+        return None
+
 
 class LiveTable:
     """Requests in progress, by request and by attempt, with their timers."""
@@ -91,6 +118,7 @@
         self._contents: dict[int, int] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._retries: list[tuple[float, str]] = []
+        self._hedges: list[tuple[float, str]] = []
 
     def __len__(self) -> int:
         return len(self._lives)
@@ -109,6 +137,10 @@
         """Has `pop_retries` return the request at a time."""
         heapq.heappush(self._retries, (at, request_id))
 
+    def set_hedge(self, request_id: str, at: float) -> None:
+        """Has `pop_hedges` return the request at a time."""
+        heapq.heappush(self._hedges, (at, request_id))
+
     def find(self, request_id: str) -> Live | None:
         """Returns a request in progress, or None."""
         return self._lives.get(request_id)
@@ -122,8 +154,11 @@
         return self._contents.get(fingerprint, 0) > 0
 
     def attach(self, live: Live, dispatch: Dispatch) -> None:
-        """Makes an attempt the one under way."""
-        live.dispatch = dispatch
+        """Makes an attempt the one under way, or the hedge beside the one that is."""
+        if live.dispatch is None:
+            live.dispatch = dispatch
+        else:
+            live.second = dispatch
         self._attempts[dispatch.attempt_id] = live
         fingerprint = live.request.fingerprint
         self._contents[fingerprint] = self._contents.get(fingerprint, 0) + 1
@@ -131,26 +166,33 @@
     def detach(self, live: Live) -> Dispatch | None:
         """Takes the attempt under way off the request; its messages are late."""
         dispatch = live.dispatch
-        live.dispatch = None
         if dispatch is not None:
-            self._attempts.pop(dispatch.attempt_id, None)
-            fingerprint = live.request.fingerprint
-            self._contents[fingerprint] -= 1
-            if self._contents[fingerprint] == 0:
-                del self._contents[fingerprint]
+            self.drop(live, dispatch)
         return dispatch
 
+    def drop(self, live: Live, dispatch: Dispatch) -> None:
+        """Takes one attempt off; the other, if any, is the one under way."""
+        if live.dispatch is dispatch:
+            live.dispatch = live.second
+        live.second = None
+        del self._attempts[dispatch.attempt_id]
+        fingerprint = live.request.fingerprint
+        self._contents[fingerprint] -= 1
+        if self._contents[fingerprint] == 0:
+            del self._contents[fingerprint]
+
     def remove(self, live: Live) -> None:
         """Removes a request that has its final answer."""
-        self.detach(live)
+        for dispatch in live.list_dispatches():
+            self.drop(live, dispatch)
         self._lives.pop(live.request.request_id, None)
 
     def list_session(self, session: str) -> list[Live]:
         """Returns the requests with an attempt on a session."""
         return [
             live
-            for live in self._attempts.values()
-            if live.dispatch is not None and live.dispatch.session == session
+            for live in {id(live): live for live in self._attempts.values()}.values()
+            if live.find_on(session) is not None
         ]
 
     def list_all(self) -> list[Live]:
@@ -165,6 +207,10 @@
         """Returns the requests whose time to be tried again has come."""
         return self._pop(self._retries, now)
 
+    def pop_hedges(self, now: float) -> list[Live]:
+        """Returns the requests whose time to be hedged has come."""
+        return self._pop(self._hedges, now)
+
     def _pop(self, timers: list[tuple[float, str]], now: float) -> list[Live]:
         due: list[Live] = []
         while timers and timers[0][0] <= now:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/presumption.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/presumption.py
@@ -21,20 +21,26 @@
         self._presumed: dict[str, tuple[records.LossId, frozenset[int]]] = {}
 
     def presume(
-        self, instance: str, incarnation: str, broken: list[lives.Live], now: float
+        self,
+        instance: str,
+        incarnation: str,
+        session: str,
+        broken: list[lives.Live],
+        now: float,
     ) -> None:
         """Presumes that an endpoint was lost with the attempts that ran on it.
 
         Args:
             instance: Instance of the endpoint.
             incarnation: Its process, as last reported.
-            broken: Requests with an attempt on the link that closed.
+            session: Session of the link that closed.
+            broken: Requests with an attempt on it.
             now: Present time, monotonic seconds.
         """
         running = frozenset(
             live.request.fingerprint
             for live in broken
-            if live.dispatch is not None and live.dispatch.started
+            if (dispatch := live.find_on(session)) is not None and dispatch.started
         )
         if not running or not incarnation:
             return
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/exploration.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/exploration.py
@@ -18,6 +18,7 @@
 STEPS_A_WALK = 300
 CHECK_EVERY = 50
 PROMPT_S = 0.05
+HEDGE_AFTER_MS = 50
 _KEYS = ("k1", "k2", "k3", "k4")
 _WORKSPACES = ("small", "large")
 
@@ -262,10 +263,13 @@
 ) -> world.World:
     """Walks through one world; equal seeds give equal walks.
 
+    Two seeds of four have hedging on, so that it meets prompt and slow messages.
+
     Raises:
         BrokenGuaranteeError: A guarantee did not hold.
     """
-    walked = world.World(ENTRIES, AGENTS)
+    hedge_after_ms = HEDGE_AFTER_MS if seed % 4 < 2 else None
+    walked = world.World(ENTRIES, AGENTS, hedge_after_ms)
     Walker(walked, seed, prompt).walk(steps)
     return walked
 
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
@@ -85,8 +85,18 @@
     """Everything of one run; each method is one thing that may happen."""
 
     def __init__(
-        self, entry_names: tuple[str, ...], agent_names: tuple[str, ...]
+        self,
+        entry_names: tuple[str, ...],
+        agent_names: tuple[str, ...],
+        hedge_after_ms: int | None = None,
     ) -> None:
+        """Starts all processes.
+
+        Args:
+            entry_names: The entries.
+            agent_names: The agents, each with an endpoint.
+            hedge_after_ms: Setting of that name; None where hedging is off.
+        """
         self.now = 100.0
         self.store = storage.FakeStore()
         self.callers = callers.Callers()
@@ -97,7 +107,7 @@
         self.steps = 0
         self._requests = 0
         self._sessions = 0
-        self._put_settings()
+        self._put_settings(hedge_after_ms)
         for name in entry_names:
             self.nodes[name] = Node(name, instances.Role.ENTRY)
         for name in agent_names:
@@ -108,8 +118,11 @@
             self.boot(name)
         self.settle()
 
-    def _put_settings(self) -> None:
-        document = {"services": {SERVICE: {"kind": "plain"}}, "fleet": {}}
+    def _put_settings(self, hedge_after_ms: int | None) -> None:
+        document = {
+            "services": {SERVICE: {"kind": "plain"}},
+            "fleet": {"settings": {"hedge_after_ms": hedge_after_ms}},
+        }
         self.store.objects["settings/1"] = json.dumps(document).encode()
         head = heads.Head(1, "settings/1", "", "first", "", 0.0, "")
         self.store.apply(_write_head(head))
@@ -281,16 +294,19 @@
         workspace: str = "w",
         streamed: bool = True,
         life_s: float = LIFE_S,
+        priority: requests.PriorityClass | None = None,
     ) -> str:
         """Sends a request to an entry and returns its identifier."""
         self._requests += 1
+        if priority is None:
+            priority = requests.PriorityClass(self._requests % 3)
         request_id = f"r{self._requests}"
         request = requests.Request(
             request_id=request_id,
             workspace=workspace,
             service=SERVICE,
             model="",
-            priority=requests.PriorityClass(self._requests % 3),
+            priority=priority,
             arrived_at=self.now,
             deadline_at=self.now + life_s,
             idempotency=idempotency,
