--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -27,11 +27,14 @@
 from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
 from chicoryweir_policy.quarantine import isolation
+from chicoryweir_policy.settings import versions
 
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
 _SUSPECT_RETRY_MS = 300
 OPTIMISM = 0.5
+# Entries tell their agents of a new version at once; the poll is for lost words.
+SETTINGS_TIMING = versions.Timing(poll_s=10.0)
 
 Commands = list[commands.Command]
 
@@ -75,7 +78,9 @@
         self._journal = journal.Journal()
         self._drain_watch = draining.DrainWatch(facts.instance, self._operations)
         self._load = load.LoadMeter(facts.slots)
-        self._settings = settings_task.SettingsTask(facts.instance, self._operations)
+        self._settings = settings_task.SettingsTask(
+            facts.instance, self._operations, SETTINGS_TIMING
+        )
         self._ranks: grouping.Ranks | None = None
         if facts.group:
             self._ranks = grouping.make_ranks(
@@ -113,7 +118,7 @@
             case events.MessageReceived():
                 self._receive(event, now, out)
             case events.EndpointSent():
-                self._relay(event, out)
+                self._relay(event, now, out)
             case events.EndpointAnswered():
                 self._relay_head(event, out)
             case events.EndpointFinished():
@@ -168,6 +173,8 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case messages.RelayPace(window_s):
+                session.window_s = window_s
             case messages.SuspicionNews():
                 self._suspicions.merge(message, now, out)
             case messages.NotesWanted(number, request_id):
@@ -228,6 +235,9 @@
         effective = self._settings.resolve(
             self._facts.place, self._facts.service, submit.workspace, submit.priority
         )
+        of_class = self._settings.resolve(
+            self._facts.place, self._facts.service, "", submit.priority
+        )
         attempt = attempts.Attempt(
             submit, session.session, session.instance, now + submit.deadline_in_s
         )
@@ -236,7 +246,7 @@
             workspace=submit.workspace,
             priority=submit.priority,
             weight=effective.weight,
-            floor_share=effective.floor_share,
+            floor_share=of_class.floor_share,
             cost_tokens=submit.cost_tokens,
             deadline_at=attempt.deadline_at,
             arrived_at=now,
@@ -438,14 +448,31 @@
         )
         out.append(commands.Send(attempt.instance, attempt.session, head))
 
-    def _relay(self, event: events.EndpointSent, out: Commands) -> None:
+    def _relay(self, event: events.EndpointSent, now: float, out: Commands) -> None:
         attempt = self._running.get(event.attempt_id)
         if attempt is None:
             return
-        chunk = messages.AttemptChunk(event.attempt_id, attempt.chunks, event.payloads)
+        attempt.held.extend(event.payloads)
+        self._relay_due(attempt, now, out)
+
+    def _relay_due(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
+        """Sends what is held back, unless the entry wants more of it together."""
+        session = self._sessions.find(attempt.session)
+        window_s = session.window_s if session is not None else 0.0
+        if now - attempt.relayed_at >= window_s:
+            self._relay_held(attempt, now, out)
+
+    def _relay_held(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
+        if not attempt.held:
+            return
+        payloads = tuple(attempt.held)
+        attempt.held.clear()
+        attempt_id = attempt.submit.attempt_id
+        chunk = messages.AttemptChunk(attempt_id, attempt.chunks, payloads)
+        attempt.relayed_at = now
         attempt.chunks += 1
-        attempt.payloads += len(event.payloads)
-        attempt.digest.update(event.payloads)
+        attempt.payloads += len(payloads)
+        attempt.digest.update(payloads)
         out.append(commands.Send(attempt.instance, attempt.session, chunk))
 
     def _settle(self, attempt: attempts.Attempt, now: float) -> None:
@@ -458,6 +485,7 @@
         attempt = self._running.get(attempt_id)
         if attempt is None:
             return
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         self._isolation.note_ended(attempt_id, True, now)
         self._end(attempt, messages.AttemptState.FINISHED)
@@ -476,6 +504,7 @@
             attempt = self._running.get(event.attempt_id)
         if attempt is None:
             return
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         if not event.sent:
             self._end(attempt, messages.AttemptState.TOMBSTONED)
@@ -514,6 +543,7 @@
 
     def _fail_lost(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
         attempt_id = attempt.submit.attempt_id
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         self._end(attempt, messages.AttemptState.UNKNOWN)
         out.append(commands.CancelCall(attempt_id))
@@ -530,6 +560,9 @@
 
     def _tick(self, now: float, out: Commands) -> None:
         self._expire(now, out)
+        for attempt in self._running.values():
+            if attempt.held:
+                self._relay_due(attempt, now, out)
         self._suspicions.tick(now, out)
         self._settings.tick(now, out)
         self._drain_watch.tick(now, out)
