--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -27,6 +27,7 @@
 from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
 from chicoryweir_policy.quarantine import isolation
+from chicoryweir_policy.settings import versions
 
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
@@ -35,6 +36,8 @@
 # Entries that have not heard of a drain yet still submit; they are to be refused, for a
 # link that closes under an attempt leaves its end unknown.
 LINGER_S = 1.0
+# Entries tell their agents of a new version at once; the poll is for lost words.
+SETTINGS_TIMING = versions.Timing(poll_s=10.0)
 
 Commands = list[commands.Command]
 
@@ -78,7 +81,9 @@
         self._journal = journal.Journal()
         self._drain_watch = draining.DrainWatch(facts.instance, self._operations)
         self._load = load.LoadMeter(facts.slots)
-        self._settings = settings_task.SettingsTask(facts.instance, self._operations)
+        self._settings = settings_task.SettingsTask(
+            facts.instance, self._operations, SETTINGS_TIMING
+        )
         self._ranks: grouping.Ranks | None = None
         if facts.group:
             self._ranks = grouping.make_ranks(
@@ -117,7 +122,7 @@
             case events.MessageReceived():
                 self._receive(event, now, out)
             case events.EndpointSent():
-                self._relay(event, out)
+                self._relay(event, now, out)
             case events.EndpointAnswered():
                 self._relay_head(event, out)
             case events.EndpointFinished():
@@ -172,6 +177,8 @@
                 | messages.SettingsBody()
             ):
                 self._settings.consume_message(event, now, out)
+            case messages.RelayPace(window_s):
+                session.window_s = window_s
             case messages.SuspicionNews():
                 self._suspicions.merge(message, now, out)
             case messages.NotesWanted(number, request_id):
@@ -232,6 +239,9 @@
         effective = self._settings.resolve(
             self._facts.place, self._facts.service, submit.workspace, submit.priority
         )
+        of_class = self._settings.resolve(
+            self._facts.place, self._facts.service, "", submit.priority
+        )
         attempt = attempts.Attempt(
             submit, session.session, session.instance, now + submit.deadline_in_s
         )
@@ -240,7 +250,7 @@
             workspace=submit.workspace,
             priority=submit.priority,
             weight=effective.weight,
-            floor_share=effective.floor_share,
+            floor_share=of_class.floor_share,
             cost_tokens=submit.cost_tokens,
             deadline_at=attempt.deadline_at,
             arrived_at=now,
@@ -325,7 +335,7 @@
         if attempt.running:
             out.append(self._record_violation(attempt, "rejected while it runs"))
             return
-        self._end(attempt, messages.AttemptState.TOMBSTONED)
+        self._end(attempt, "refuse", out)
         rejected = messages.AttemptRejected(attempt_id, reason, retry_after_ms)
         out.append(commands.Send(attempt.instance, attempt.session, rejected))
 
@@ -339,9 +349,12 @@
             detail,
         )
 
-    def _end(self, attempt: attempts.Attempt, state: messages.AttemptState) -> None:
+    def _end(self, attempt: attempts.Attempt, event: str, out: Commands) -> None:
+        """Ends an attempt by an event of its chart."""
         attempt_id = attempt.submit.attempt_id
-        self._attempts.end(attempt_id, state)
+        if not self._attempts.end(attempt, event):
+            detail = f"{event} in state {attempt.state}"
+            out.append(self._record_violation(attempt, detail))
         if self._running.pop(attempt_id, None) is not None:
             self._isolation.forget(attempt_id)
 
@@ -360,7 +373,7 @@
             return
         out.append(commands.CancelCall(attempt_id))
         self._settle(attempt, now)
-        self._end(attempt, messages.AttemptState.UNKNOWN)
+        self._end(attempt, "lose", out)
         failed = messages.AttemptFailed(
             attempt_id, messages.FailureKind.CANCELLED, "cancelled by the entry"
         )
@@ -442,14 +455,31 @@
         )
         out.append(commands.Send(attempt.instance, attempt.session, head))
 
-    def _relay(self, event: events.EndpointSent, out: Commands) -> None:
+    def _relay(self, event: events.EndpointSent, now: float, out: Commands) -> None:
         attempt = self._running.get(event.attempt_id)
         if attempt is None:
             return
-        chunk = messages.AttemptChunk(event.attempt_id, attempt.chunks, event.payloads)
+        attempt.held.extend(event.payloads)
+        self._relay_due(attempt, now, out)
+
+    def _relay_due(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
+        """Sends what is held back, unless the entry wants more of it together."""
+        session = self._sessions.find(attempt.session)
+        window_s = session.window_s if session is not None else 0.0
+        if now - attempt.relayed_at >= window_s:
+            self._relay_held(attempt, now, out)
+
+    def _relay_held(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
+        if not attempt.held:
+            return
+        payloads = tuple(attempt.held)
+        attempt.held.clear()
+        attempt_id = attempt.submit.attempt_id
+        chunk = messages.AttemptChunk(attempt_id, attempt.chunks, payloads)
+        attempt.relayed_at = now
         attempt.chunks += 1
-        attempt.payloads += len(event.payloads)
-        attempt.digest.update(event.payloads)
+        attempt.payloads += len(payloads)
+        attempt.digest.update(payloads)
         out.append(commands.Send(attempt.instance, attempt.session, chunk))
 
     def _settle(self, attempt: attempts.Attempt, now: float) -> None:
@@ -462,9 +492,10 @@
         attempt = self._running.get(attempt_id)
         if attempt is None:
             return
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         self._isolation.note_ended(attempt_id, True, now)
-        self._end(attempt, messages.AttemptState.FINISHED)
+        self._end(attempt, "finish", out)
         self._journal.note(
             attempt.submit.request_id, now, "endpoint", f"{attempt.payloads} pieces"
         )
@@ -480,16 +511,17 @@
             attempt = self._running.get(event.attempt_id)
         if attempt is None:
             return
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
         if not event.sent:
-            self._end(attempt, messages.AttemptState.TOMBSTONED)
+            self._end(attempt, "unsent", out)
             reason = messages.RejectReason.ENDPOINT_DOWN
             rejected = messages.AttemptRejected(
                 event.attempt_id, reason, _ENDPOINT_DOWN_RETRY_MS
             )
             out.append(commands.Send(attempt.instance, attempt.session, rejected))
             return
-        self._end(attempt, messages.AttemptState.UNKNOWN)
+        self._end(attempt, "fail", out)
         failed = messages.AttemptFailed(
             event.attempt_id, messages.FailureKind.ENDPOINT_ERROR, event.detail
         )
@@ -518,8 +550,9 @@
 
     def _fail_lost(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
         attempt_id = attempt.submit.attempt_id
+        self._relay_held(attempt, now, out)
         self._settle(attempt, now)
-        self._end(attempt, messages.AttemptState.UNKNOWN)
+        self._end(attempt, "lose", out)
         out.append(commands.CancelCall(attempt_id))
         failed = messages.AttemptFailed(
             attempt_id, messages.FailureKind.ENDPOINT_LOST, "endpoint died"
@@ -534,6 +567,9 @@
 
     def _tick(self, now: float, out: Commands) -> None:
         self._expire(now, out)
+        for attempt in self._running.values():
+            if attempt.held:
+                self._relay_due(attempt, now, out)
         self._suspicions.tick(now, out)
         self._settings.tick(now, out)
         self._drain_watch.tick(now, out)
@@ -610,10 +646,10 @@
             if attempt.running:
                 out.append(commands.CancelCall(attempt_id))
                 self._settle(attempt, now)
-                self._end(attempt, messages.AttemptState.UNKNOWN)
+                self._end(attempt, "lose", out)
             else:
                 self._queue.remove(attempt_id)
-                self._end(attempt, messages.AttemptState.TOMBSTONED)
+                self._end(attempt, "cancel", out)
 
     def _drain(self, now: float, out: Commands) -> None:
         if self._leaving:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/outlying.py
@@ -23,7 +23,7 @@
     ) -> None:
         """Takes the pace of an endpoint that works."""
         view = self._state.loads.view(instance)
-        if report.running and view is not None:
+        if report.running and view is not None and view.pace_s is not None:
             self._state.detector.note_pace(instance, view.pace_s, now)
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
@@ -46,6 +46,7 @@
         found = self._state.detector.eject(members, now, effective.max_ejected_share)
         for ejected in found:
             self._state.loads.note_ejected(ejected.instance, ejected.until)
+            self._state.endpoints.eject(ejected.instance, ejected.until)
             detail = (
                 f"pace {ejected.pace_s:.4f} s, median {ejected.median_pace_s:.4f} s,"
                 f" failing {ejected.failure_share:.2f}"
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -14,6 +14,7 @@
 from chicoryweir_policy.cores import operations
 from chicoryweir_policy.cores import settings as settings_task
 from chicoryweir_policy.cores import suspicions
+from chicoryweir_policy.cores.entry import lifecycle
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.routing import loads
 from chicoryweir_policy.routing import outliers
@@ -63,7 +64,10 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryState:
-    """Shared state of an entry's core, owned by its one task."""
+    """Shared state of an entry's core, owned by its one task.
+
+    `relayed` counts the events of answers passed on since it was last reset.
+    """
 
     facts: EntryFacts
     selector: selection.Selector
@@ -73,6 +77,9 @@
     operations: operations.Operations
     journal: journal.Journal
     limiter: limits.WorkspaceLimiter
+    endpoints: lifecycle.EndpointLives = dataclasses.field(
+        default_factory=lifecycle.EndpointLives
+    )
     detector: outliers.OutlierDetector = dataclasses.field(
         default_factory=outliers.OutlierDetector
     )
@@ -83,6 +90,7 @@
     requests: lives.LiveTable = dataclasses.field(default_factory=lives.LiveTable)
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     attempts_made: int = 0
+    relayed: int = 0
 
     def refuse(
         self, live: lives.Live, problem: outcomes.Problem, now: float, out: Commands
