--- a/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -24,6 +24,7 @@
 from chicoryweir_standins.platform import app as platform_app
 from chicoryweir_standins.soak import command as soak_command
 from chicoryweir_standins.worlds import exploration
+from chicoryweir_standins.worlds import planned_stops
 
 
 def _read_config(path: str) -> dict[str, typing.Any]:
@@ -59,7 +60,8 @@
 
 
 def _run_explore(arguments: argparse.Namespace) -> int:
-    explored = exploration.explore(arguments.seed, arguments.seconds)
+    walk = planned_stops.walk_once if arguments.planned else exploration.walk_mixed
+    explored = exploration.explore(arguments.seed, arguments.seconds, walk)
     sys.stdout.write(f"{explored}\nno guarantee was broken\n")
     return 0
 
@@ -93,6 +95,9 @@
     command = commands.add_parser("explore", help="random walks through cores")
     command.add_argument("--seed", type=int, default=1, help="first seed")
     command.add_argument("--seconds", type=float, default=60.0, help="duration")
+    command.add_argument(
+        "--planned", action="store_true", help="only load and planned stops"
+    )
     command.set_defaults(run=_run_explore)
     command = commands.add_parser("up", help="runs a fleet until a signal")
     command.set_defaults(run=_run_up)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/exploration.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/exploration.py
@@ -283,9 +283,23 @@
     return walked
 
 
-def explore(first_seed: int, seconds: float) -> Explored:
+def walk_mixed(seed: int) -> world.World:
+    """Walks with messages that arrive promptly (odd seeds) or whenever (even ones)."""
+    return walk_once(seed, prompt=seed % 2 == 1)
+
+
+def explore(
+    first_seed: int,
+    seconds: float,
+    walk: collections.abc.Callable[[int], world.World] = walk_mixed,
+) -> Explored:
     """Walks through one world after another for a time.
 
+    Args:
+        first_seed: Seed of the first walk; it counts up.
+        seconds: Duration.
+        walk: Walks through the world of a seed.
+
     Raises:
         BrokenGuaranteeError: A guarantee did not hold; the message names the seed.
     """
@@ -295,7 +309,7 @@
     while time.monotonic() < ends:
         seed = first_seed + walks
         try:
-            walked = walk_once(seed, prompt=seed % 2 == 1)
+            walked = walk(seed)
         except AssertionError as error:
             raise callers.BrokenGuaranteeError(f"seed {seed}: {error}") from error
         walks += 1
