Show that settings, workspaces and the hold need their mechanisms

Without word between processes a version is late by more than 5 s, without the workspace in a claim's key one caller is refused for another's run, and without the hold two maps meet in a step. Calls that fail and that are cancelled in the run are points of the killing tests too.

--- a/packages/chicoryweir-policy/tests/groups/test_group_kill_points.py
+++ b/packages/chicoryweir-policy/tests/groups/test_group_kill_points.py
@@ -151,3 +151,16 @@
         if kills >= KILLS:
             return
     raise AssertionError(f"{kills} kills at {kind.__name__}")
+
+
+def _kill_many() -> None:
+    for seed in range(MAX_SEEDS):
+        run_with_kills(AgentWorld(messages.PrepareMap, True), seed)
+
+
+def test_group_without_the_hold_has_two_maps(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        map_identity.Engine, "may_enter", lambda self, step: self.map_version > 0
+    )
+    with pytest.raises(AssertionError):
+        _kill_many()
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/worlds/world.py
@@ -449,6 +449,10 @@
 
     # Steps
 
+    def post(self, name: str, event: events.Event) -> None:
+        """Gives an event to a process; one that is frozen takes it later."""
+        self._post(self.nodes[name], event)
+
     def _post(self, node: Node, event: events.Event) -> None:
         if node.core is None:
             return
--- a/packages/chicoryweir-standins/tests/worlds/test_kill_points.py
+++ b/packages/chicoryweir-standins/tests/worlds/test_kill_points.py
@@ -10,6 +10,7 @@
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 from chicoryweir_policy import store
+from chicoryweir_policy.cores import events
 from chicoryweir_standins.worlds import planned_stops
 from chicoryweir_standins.worlds import world
 
@@ -125,6 +126,27 @@
     return True
 
 
+def _fail_in_run(scene: Scene) -> bool:
+    """The call breaks, though the endpoint lives."""
+    if not _runs(scene):
+        return False
+    agent = scene.find_agent()
+    endpoint = scene.world.endpoints[agent]
+    for attempt_id in endpoint.list_calls():
+        endpoint.cancel(attempt_id)
+        failed = events.EndpointFailed(attempt_id, True, False, "reset")
+        scene.world.post(agent, failed)
+    return True
+
+
+def _is_cancelled_in_run(scene: Scene) -> bool:
+    if not _runs(scene):
+        return False
+    scene.world.abandon(scene.request_id)
+    scene.world.deliver_all()
+    return True
+
+
 def _is_cancelled(scene: Scene) -> bool:
     """The caller of a waiting request goes away, and its agent hears of it."""
     if not _is_queued(scene):
@@ -150,14 +172,17 @@
     "queued": _is_queued,
     "cancelled in the queue": _is_cancelled,
     "running": _runs,
+    "cancelled in the run": _is_cancelled_in_run,
     "running, answered in part": _has_answered_in_part,
     "lost with its endpoint, entry not told": _crash_in_run,
+    "failed, entry not told": _fail_in_run,
     "finished, entry not told": lambda scene: scene.has_waiting(
         messages.AttemptFinished
     ),
     "answered, before the closing write": lambda scene: scene.is_final(),
 }
 WAITING = {"queued", "cancelled in the queue"}
+ABANDONED = {"cancelled in the queue", "cancelled in the run"}
 CLAIMING = {"before the claim's write", "after the write, its reply lost"}
 
 ANSWERED = "answered"
@@ -173,8 +198,10 @@
     "queued": (ANSWERED, UNKNOWN),
     "cancelled in the queue": (ANSWERED, UNKNOWN),
     "running": (RAN, UNKNOWN),
+    "cancelled in the run": (RAN, UNKNOWN),
     "running, answered in part": (RAN, UNKNOWN),
     "lost with its endpoint, entry not told": (UNKNOWN, UNKNOWN),
+    "failed, entry not told": (UNKNOWN, UNKNOWN),
     "finished, entry not told": (RAN, UNKNOWN),
     "answered, before the closing write": (RAN, RAN),
 }
@@ -212,7 +239,7 @@
 
 
 @pytest.mark.parametrize(
-    "point", [point for point in POINTS if point not in CLAIMING | WAITING]
+    "point", [point for point in POINTS if point not in CLAIMING | WAITING | ABANDONED]
 )
 def test_idempotent_request_is_picked_up_when_its_agent_dies(point: str) -> None:
     scene = reach(point, requests.Idempotency.IDEMPOTENT, agents=2)
@@ -234,7 +261,7 @@
 
 @pytest.mark.parametrize(
     "point",
-    [point for point in POINTS if point not in {"cancelled in the queue"}],
+    [point for point in POINTS if point not in ABANDONED],
 )
 @pytest.mark.parametrize("name", [ENTRY, "agent-1"])
 def test_planned_stop_at_the_point_cuts_nothing_off(point: str, name: str) -> None:
@@ -242,5 +269,5 @@
     scene.world.drain(name)
     scene.world.settle()
     scene.world.check()
-    if "lost" not in point:
+    if "entry not told" not in point or "finished" in point:
         planned_stops.check_unnoticed(scene.world)
--- a/packages/chicoryweir-standins/tests/worlds/test_mechanisms.py
+++ b/packages/chicoryweir-standins/tests/worlds/test_mechanisms.py
@@ -9,7 +9,10 @@
 from chicoryweir_policy import answers
 from chicoryweir_policy import messages
 from chicoryweir_policy import outcomes
+from chicoryweir_policy import requests
 from chicoryweir_policy.claims import decisions
+from chicoryweir_policy.claims import records as claim_records
+from chicoryweir_policy.cores import settings
 from chicoryweir_policy.cores.agent import attempts
 from chicoryweir_policy.cores.agent import sessions
 from chicoryweir_policy.cores.entry import dispatching
@@ -17,6 +20,7 @@
 from chicoryweir_policy.quarantine import suspicion
 from chicoryweir_standins.worlds import callers
 from chicoryweir_standins.worlds import exploration
+from chicoryweir_standins.worlds import world
 
 MAX_WALKS = 150
 
@@ -135,3 +139,28 @@
     found = _find_violation(prompt)
     assert found
     assert broken in found
+
+
+def test_world_without_word_between_processes_has_old_settings_too_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        settings.SettingsTask, "_send", lambda self, instance, message, out: None
+    )
+    found = _find_violation(False)
+    assert "without version" in found
+
+
+def test_world_whose_claims_forget_the_workspace_mixes_callers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        claim_records, "make_key", lambda workspace, key: f"claim/{key}"
+    )
+    walked = world.World(exploration.ENTRIES, exploration.AGENTS)
+    once = requests.Idempotency.AT_MOST_ONCE
+    for workspace in ("small", "large"):
+        walked.call("entry-1", b"pay", once, "k", workspace)
+        walked.settle()
+    with pytest.raises(callers.BrokenGuaranteeError, match="is the only one"):
+        walked.check()
