--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -32,7 +32,7 @@
 _ENDPOINT_DOWN_RETRY_MS = 1000
 _LEAVING_RETRY_MS = 100
 _SUSPECT_RETRY_MS = 300
-OPTIMISM = 0.5
+RUN_MARGIN = 1.15
 # Entries tell their agents of a new version at once; the poll is for lost words.
 SETTINGS_TIMING = versions.Timing(poll_s=10.0)
 # Entries that have not heard of a drain yet still submit; they are to be refused, for a
@@ -228,7 +228,7 @@
         if reason is not None:
             self._reject(session, submit.attempt_id, reason, self._hint(reason), out)
             return
-        run_s = OPTIMISM * self._load.estimate_run(submit.cost_tokens)
+        run_s = RUN_MARGIN * self._load.estimate_run(submit.cost_tokens)
         wait_s = self._predict_wait(submit, now)
         if wait_s + run_s > submit.deadline_in_s:
             reason = messages.RejectReason.INFEASIBLE
