Hedge until the first event of an answer, and measure hedges

A trial with a stalled engine showed no hedge at all: the engine sends the head of its stream at once, and the head counted as the beginning of the answer. Now the first event or piece decides between the two attempts; a head is kept with its attempt.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/hedging.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/hedging.py
@@ -78,7 +78,7 @@
         return hedging.Progress(
             sent_at=dispatch.sent_at,
             attempts_open=len(live.list_dispatches()),
-            answer_begun=live.begun or dispatch.answering,
+            answer_begun=live.begun or dispatch.answering or _is_failing(dispatch),
             suspect=live.suspect or not isinstance(verdict, records.Unsuspected),
         )
 
@@ -123,35 +123,32 @@
         """Settles what a message of one attempt means for the other.
 
         Returns:
-            Whether the message is to be handled as one of the request's only attempt;
-            if not, that attempt is off the request and the other goes on.
+            Whether the message is still to be handled as one of the attempt under
+            way; if not, both go on as they are, or only the other does.
         """
+        if isinstance(message, messages.AttemptChunk | messages.AttemptFinished):
+            dispatch.answering = True
+        if live.second is None:
+            return True
         match message:
             case messages.AttemptStarted():
                 return True
             case messages.AttemptHead(status=status) if status >= _SERVER_ERROR:
-                dispatch.answering = True
-                if live.second is None:
-                    return True
                 self._dispatcher.cancel_attempt(dispatch, out)
                 self._lose(live, dispatch, now, f"answered {status}")
                 return False
-            case (
-                messages.AttemptHead()
-                | messages.AttemptChunk()
-                | messages.AttemptFinished()
-            ):
-                dispatch.answering = True
+            case messages.AttemptHead():
+                # Engines send the head of a stream before its first token.
+                dispatch.head = message
+                dispatch.started = True
+                return False
+            case messages.AttemptChunk() | messages.AttemptFinished():
                 self._choose(live, dispatch, now, out)
                 return True
             case messages.AttemptRejected():
-                if live.second is None:
-                    return True
                 self._drop(live, dispatch, now, f"refused: {message.reason.value}")
                 return False
             case messages.AttemptFailed():
-                if live.second is None:
-                    return True
                 self._lose(live, dispatch, now, f"failed: {message.kind.value}")
                 return False
             case _:
@@ -199,6 +196,10 @@
         self._state.journal.note(live.request.request_id, now, "hedge", detail)
 
 
+def _is_failing(dispatch: lives.Dispatch) -> bool:
+    return dispatch.head is not None and dispatch.head.status >= _SERVER_ERROR
+
+
 def _compute_delay(live: lives.Live) -> float | None:
     hedge_after_ms = live.effective.hedge_after_ms
     return None if hedge_after_ms is None else hedge_after_ms / 1000.0
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -20,7 +20,7 @@
         instance: Agent it went to.
         session: Session of the link it went on.
         sent_at: When it was sent, monotonic seconds.
-        answering: Whether any of its answer has come.
+        answering: Whether any of its answer has come; the head alone is none.
         started: Whether the agent said that the endpoint has it.
         head: Beginning of the answer, once it came.
         assembler: Order, count and digest of the answer.
--- a/packages/chicoryweir-policy/tests/cores/entry/test_hedges.py
+++ b/packages/chicoryweir-policy/tests/cores/entry/test_hedges.py
@@ -146,17 +146,23 @@
     assert len(harness.submitted) == 1
 
 
-@pytest.mark.parametrize("kind", ["head", "chunk"])
-def test_request_whose_answer_began_is_not_hedged(kind: str) -> None:
+@pytest.mark.parametrize("headed", [False, True])
+def test_request_whose_answer_began_is_not_hedged(headed: bool) -> None:
     harness = Harness()
-    if kind == "head":
+    if headed:
         harness.hear(0, messages.AttemptHead, 200, "", EVENTS)
-    else:
-        harness.hear(0, messages.AttemptChunk, 0, (b"a",))
+    harness.hear(0, messages.AttemptChunk, 0, (b"a",))
     harness.tick(DUE)
     assert len(harness.submitted) == 1
 
 
+def test_head_of_a_stream_without_an_event_does_not_hold_off_the_hedge() -> None:
+    harness = Harness()
+    harness.hear(0, messages.AttemptHead, 200, "", EVENTS)
+    harness.tick(DUE)
+    assert len(harness.submitted) == 2
+
+
 def test_content_that_came_under_suspicion_is_not_hedged() -> None:
     harness = Harness()
     book = harness.core.state.suspicions.book
@@ -180,7 +186,10 @@
     first: int,
 ) -> None:
     harness = _hedge()
-    harness.hear(first, messages.AttemptHead, 200, "", EVENTS)
+    for number in (0, 1):
+        harness.hear(number, messages.AttemptHead, 200, "", EVENTS)
+    assert not harness.cancelled
+    harness.hear(first, messages.AttemptChunk, 0, (b"a",))
     assert harness.cancelled == [harness.submitted[1 - first][1]]
     live = harness.live
     assert live is not None
@@ -188,8 +197,10 @@
         harness.submitted[first][1]
     ]
     assert harness.count_loads() == 1
-    harness.hear(1 - first, messages.AttemptHead, 200, "", EVENTS)
+    harness.hear(1 - first, messages.AttemptChunk, 0, (b"a",))
     assert len(harness.cancelled) == 1
+    sent = [each for each in harness.told if isinstance(each, commands.SendAnswer)]
+    assert [each.payloads for each in sent] == [(b"a",)]
 
 
 @pytest.mark.parametrize("first", [0, 1])
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/__main__.py
@@ -13,6 +13,7 @@
 from chicoryweir_standins import serving
 from chicoryweir_standins import switchboard
 from chicoryweir_standins.bench import command as bench_command
+from chicoryweir_standins.bench import hedges
 from chicoryweir_standins.capacity import command as capacity_command
 from chicoryweir_standins.demo import story
 from chicoryweir_standins.engine import app as engine_app
@@ -84,6 +85,9 @@
     command = commands.add_parser("bench", help="measures a fleet of its own")
     bench_command.add_arguments(command)
     command.set_defaults(run=bench_command.run)
+    command = commands.add_parser("hedges", help="measures hedges on a fleet")
+    hedges.add_arguments(command)
+    command.set_defaults(run=hedges.run)
     command = commands.add_parser("capacity", help="measures idle daemons")
     capacity_command.add_arguments(command)
     command.set_defaults(run=capacity_command.run)
