Measure what control costs by the size of the fleet

make capacity fitted processor time and memory of idle fleets only. It now also counts bytes over links, store operations, the spread of settings, the takeover of a killed lease holder, steps of the cores and idle interpreters, and varies entries, agents and workspaces. Entries count the bytes of their links in /metrics. A run that is broken off writes what it has measured.

Not run as a whole for this commit: the takeover has not been measured by it yet.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import core as prometheus_core
 
 from chicoryweir_daemon.entry import windows
+from chicoryweir_daemon.runtime import links
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 
@@ -25,8 +26,13 @@
 class Meter:
     """Counts outcomes and records latencies by priority class."""
 
-    def __init__(self, window: windows.Window) -> None:
+    def __init__(
+        self,
+        window: windows.Window,
+        measure_traffic: collections.abc.Callable[[], links.Traffic],
+    ) -> None:
         self._window = window
+        self._measure_traffic = measure_traffic
         self._outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
         self._problems: collections.Counter[tuple[int, str]] = collections.Counter()
         self._first = _make_histograms()
@@ -71,6 +77,7 @@
         for (status, outcome), count in sorted(self._problems.items()):
             problems.add_metric((str(status), outcome), count)
         yield problems
+        yield _make_traffic_family(self._measure_traffic())
         yield _make_family("first_part", "Time to the first part.", self._first)
         yield _make_family("answer", "Time to the whole answer.", self._whole)
 
@@ -95,6 +102,19 @@
     into.record_value(max(LOWEST_US, int(seconds * _US_PER_S)))
 
 
+def _make_traffic_family(
+    traffic: links.Traffic,
+) -> prometheus_core.CounterMetricFamily:
+    family = prometheus_core.CounterMetricFamily(
+        "chicoryweir_link_bytes",
+        "Bytes over the links to other daemons, callers' answers included.",
+        labels=("direction",),
+    )
+    family.add_metric(("sent",), traffic.sent_bytes)
+    family.add_metric(("received",), traffic.received_bytes)
+    return family
+
+
 def _make_family(
     name: str, text: str, histograms: Histograms
 ) -> prometheus_core.GaugeMetricFamily:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -84,7 +84,8 @@
         explainer=explanations.Explainer(task),
         is_store_up=lambda: store_task.is_up,
     )
-    server = _make_server(own, core, task, metrics.Meter(window), at)
+    meter = metrics.Meter(window, link_task.measure_traffic)
+    server = _make_server(own, core, task, meter, at)
     listing = http_instances.create_instance_list(own.platform_url)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
@@ -34,6 +34,14 @@
     incarnation: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Traffic:
+    """Bytes that went over links, before the websockets' own framing."""
+
+    sent_bytes: int
+    received_bytes: int
+
+
 class LinkTask:
     """Dials the peers that the core wants, and accepts the links of others."""
 
@@ -52,8 +60,7 @@
         self._dialers: dict[tuple[str, str, int], asyncio.Task[None]] = {}
         self._sessions = itertools.count(1)
         self._server: typing.Any = None
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self._ended = Traffic(0, 0)
         core.handle(commands.Send, self._send)
         core.handle(commands.KeepLinks, self._keep)
 
@@ -74,6 +81,10 @@
         for link in open_links:
             await link.close()
 
+    def measure_traffic(self) -> Traffic:
+        """Returns the bytes over all links so far, ended ones included."""
+        return _add_links(self._ended, *self._links.values())
+
     def _make_hello(self) -> messages.Hello:
         session = f"{self._identity.incarnation}:{next(self._sessions)}"
         return self._describe(session)
@@ -145,5 +156,13 @@
         finally:
             sender.cancel()
             self._links.pop(session, None)
+            self._ended = _add_links(self._ended, link)
             self._core.post(events.LinkClosed(hello.instance, session))
             await link.close()
+
+
+def _add_links(base: Traffic, *added: links.Link) -> Traffic:
+    return Traffic(
+        base.sent_bytes + sum(link.sent_bytes for link in added),
+        base.received_bytes + sum(link.received_bytes for link in added),
+    )
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/command.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/command.py
@@ -8,17 +8,17 @@
 import pathlib
 
 from chicoryweir_standins.capacity import idle
+from chicoryweir_standins.capacity import interpreters
+from chicoryweir_standins.capacity import page
 from chicoryweir_standins.capacity import slopes
+from chicoryweir_standins.capacity import steps
+from chicoryweir_standins.capacity import takeover
 from chicoryweir_standins.launch import signals
 
-_HEADER = """# What daemons spend while idle
-
-Written by `make capacity`: real processes on loopback, all on one machine, without
-requests. Each line is fitted by least squares through idle fleets of several sizes.
-
-| role | measured | for each of | at none | for each one | samples |
-| --- | --- | --- | --- | --- | --- |
-"""
+_ENTRIES = 380
+_AGENTS = 890
+_PLACES = 8
+_GROUP_AGENTS = 4
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -34,27 +34,30 @@
 
 
 async def _measure(output: pathlib.Path) -> int:
-    samples = await idle.measure_idle()
-    _write_report(samples, output)
+    samples: list[slopes.Sample] = []
+    measured = page.Measured(
+        costs=steps.measure_steps(),
+        reports=steps.measure_reports(),
+        coverage=steps.measure_coverage(_ENTRIES, _AGENTS, _PLACES, _GROUP_AGENTS),
+        interpreters=await interpreters.measure_interpreters(),
+    )
+    try:
+        await idle.measure_fleets(samples)
+        measured.takeovers = await takeover.time_takeovers()
+    finally:
+        measured.fitted = slopes.fit_slopes(samples)
+        _write_report(measured, samples, output)
     return 0
 
 
-def _write_report(samples: list[slopes.Sample], output: pathlib.Path) -> None:
-    page = render_page(slopes.fit_slopes(samples))
+def _write_report(
+    measured: page.Measured, samples: list[slopes.Sample], output: pathlib.Path
+) -> None:
     output.mkdir(parents=True, exist_ok=True)
-    (output / "idle.md").write_text(page)
-    (output / "idle.csv").write_text(render_table(samples))
-    print(page)
-
-
-def render_page(fitted: list[slopes.Slope]) -> str:
-    """Returns the page with one line for each slope."""
-    lines = [
-        f"| {s.role} | {s.quantity} | {s.driver} | {s.base:.3g} | {s.each:.3g} "
-        f"| {s.samples} |\n"
-        for s in fitted
-    ]
-    return _HEADER + "".join(lines)
+    text = page.render_page(measured)
+    (output / "capacity.md").write_text(text)
+    (output / "capacity.csv").write_text(render_table(samples))
+    print(text)
 
 
 def render_table(samples: list[slopes.Sample]) -> str:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/idle.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/idle.py
@@ -1,63 +1,151 @@
-"""Measures what daemons spend while no request arrives."""
+"""Measures what control costs in fleets of several sizes without requests."""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import re
 import time
 
+import httpx
+
 from chicoryweir_standins.bench import processor
 from chicoryweir_standins.capacity import slopes
+from chicoryweir_standins.capacity import spread
 from chicoryweir_standins.launch import fleet
 from chicoryweir_standins.launch import plan
 
-PROCESSOR = "idle processor time (% of a core)"
+PROCESSOR = "processor time (% of a core)"
 MEMORY = "resident memory (MiB)"
+SENT = "links, sent (B/s)"
+RECEIVED = "links, received (B/s)"
+READS = "reads (1/s)"
+WRITES = "writes (1/s)"
 
-_AGENT_COUNTS = (2, 6, 12)
-_ENTRY_COUNTS = (1, 4, 8)
-_FIXED_AGENTS = 2
-_FIXED_ENTRIES = 1
-_SETTLE_S = 4.0
-_WINDOW_S = 10.0
+_SETTLE_S = 3.0
+_WINDOW_S = 6.0
+_CHANGES = 2
 _MIB = 1024 * 1024
 _ROLES = ("entry", "agent")
+_TRAFFIC = re.compile(r'^chicoryweir_link_bytes_total\{direction="(\w+)"\} (\S+)', re.M)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Size of a fleet; all its agents but one stand before one model engine."""
+
+    entries: int = 2
+    agents: int = 4
+    workspaces: int = 10
+
+
+_SHAPES = (
+    Shape(),
+    Shape(entries=8),
+    Shape(agents=16),
+    Shape(workspaces=6200),
+    Shape(agents=64),
+    Shape(entries=4),
+    Shape(workspaces=600),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reading:
+    at: float
+    processor_s: dict[int, float]
+    traffic: dict[str, dict[str, float]]
+    counts: dict[str, int]
+
 
+async def measure_fleets(samples: list[slopes.Sample]) -> None:
+    """Measures fleets of several sizes, one after the other.
 
-async def measure_idle() -> list[slopes.Sample]:
-    """Measures idle fleets of several sizes, one after the other."""
-    samples = []
-    for agents in _AGENT_COUNTS:
-        samples += await _measure(_FIXED_ENTRIES, agents, "agents", agents)
-    for entries in _ENTRY_COUNTS:
-        samples += await _measure(entries, _FIXED_AGENTS, "entries", entries)
-    return samples
+    Args:
+        samples: Where samples are added after each fleet, so that a run that is
+            broken off keeps those of the fleets before.
+    """
+    for shape in _SHAPES:
+        measured = await _measure(shape)
+        for driver in dataclasses.fields(Shape):
+            if _is_varied(shape, driver.name):
+                size = getattr(shape, driver.name)
+                samples += [
+                    slopes.Sample(role, quantity, driver.name, size, value)
+                    for role, quantity, value in measured
+                ]
 
 
-async def _measure(
-    entries: int, agents: int, driver: str, size: int
-) -> list[slopes.Sample]:
-    print(f"  idle, {entries} entries, {agents} agents", flush=True)
-    fleet_size = plan.FleetSize(
-        entries=entries, engines=agents - 1, services=1, has_group=False
+def _is_varied(shape: Shape, driver: str) -> bool:
+    """Tells whether a fleet has the usual size but for one driver."""
+    usual = Shape()
+    return shape == dataclasses.replace(usual, **{driver: getattr(shape, driver)})
+
+
+async def _measure(shape: Shape) -> list[tuple[str, str, float]]:
+    print(f"  {shape}", flush=True)
+    size = plan.FleetSize(
+        entries=shape.entries,
+        engines=shape.agents - 1,
+        services=1,
+        has_group=False,
+        shares_engine=True,
     )
-    running = fleet.create_fleet(fleet_size)
+    names = tuple(f"workspace-{i}" for i in range(shape.workspaces - 1))
+    running = fleet.create_fleet(size, names)
     try:
         await running.start()
         await asyncio.sleep(_SETTLE_S)
-        pids = running.list_pids()
-        samples = []
-        spent = {p: processor.read_processor_time(p) for r in _ROLES for p in pids[r]}
-        started_at = time.monotonic()
-        await asyncio.sleep(_WINDOW_S)
-        elapsed_s = time.monotonic() - started_at
-        for role in _ROLES:
-            for pid in pids[role]:
-                busy_s = processor.read_processor_time(pid) - spent[pid]
-                share = 100.0 * busy_s / elapsed_s
-                memory = processor.read_memory(pid) / _MIB
-                samples.append(slopes.Sample(role, PROCESSOR, driver, size, share))
-                samples.append(slopes.Sample(role, MEMORY, driver, size, memory))
+        async with httpx.AsyncClient(timeout=30.0) as client:
+            before = await _read(client, running)
+            await asyncio.sleep(_WINDOW_S)
+            after = await _read(client, running)
+            measured = _compare(running, before, after)
+            measured += _read_memory(running)
+            for change in range(_CHANGES):
+                times = await spread.time_change(client, running, change)
+                measured.append(("fleet", spread.MEDIAN, times.median_s))
+                measured.append(("fleet", spread.WORST, times.worst_s))
     finally:
         await running.stop()
     running.remove_files()
-    return samples
+    return measured
+
+
+async def _read(client: httpx.AsyncClient, running: fleet.Fleet) -> _Reading:
+    pids = running.list_pids()
+    spent = {p: processor.read_processor_time(p) for r in _ROLES for p in pids[r]}
+    traffic = {}
+    for url in running.plan.entry_urls:
+        text = (await client.get(url + "/metrics")).text
+        traffic[url] = {kind: float(value) for kind, value in _TRAFFIC.findall(text)}
+    counts = (await client.get(running.plan.platform_url + "/control/counts")).json()
+    return _Reading(time.monotonic(), spent, traffic, counts)
+
+
+def _compare(
+    running: fleet.Fleet, before: _Reading, after: _Reading
+) -> list[tuple[str, str, float]]:
+    elapsed_s = after.at - before.at
+    measured = []
+    for role, pids in running.list_pids().items():
+        for pid in pids if role in _ROLES else ():
+            busy_s = after.processor_s[pid] - before.processor_s[pid]
+            measured.append((role, PROCESSOR, 100.0 * busy_s / elapsed_s))
+    for url, seen in after.traffic.items():
+        for kind, name in (("sent", SENT), ("received", RECEIVED)):
+            grown = seen[kind] - before.traffic[url][kind]
+            measured.append(("entry", name, grown / elapsed_s))
+    for kind, name in (("reads", READS), ("writes", WRITES)):
+        grown = after.counts[kind] - before.counts[kind]
+        measured.append(("store", name, grown / elapsed_s))
+    return measured
+
+
+def _read_memory(running: fleet.Fleet) -> list[tuple[str, str, float]]:
+    pids = running.list_pids()
+    return [
+        (role, MEMORY, processor.read_memory(pid) / _MIB)
+        for role in _ROLES
+        for pid in pids[role]
+    ]
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/slopes.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/slopes.py
@@ -7,6 +7,8 @@
 import dataclasses
 import statistics
 
+_MIN_POINTS = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
@@ -27,6 +29,16 @@
     value: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Point:
+    """The samples of one size."""
+
+    size: float
+    least: float
+    median: float
+    most: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Slope:
     """A line through the samples of one quantity and one driver.
@@ -37,7 +49,7 @@
         driver: What was varied.
         base: Value at size 0.
         each: Growth by each one of the driver.
-        samples: Number of samples.
+        points: The samples by size.
     """
 
     role: str
@@ -45,20 +57,34 @@
     driver: str
     base: float
     each: float
-    samples: int
+    points: tuple[Point, ...]
 
 
 def fit_slopes(samples: collections.abc.Iterable[Sample]) -> list[Slope]:
-    """Fits a line by least squares for each role, quantity and driver."""
+    """Fits a line by least squares through the medians of each size.
+
+    A driver of which fewer than two sizes were measured is left out.
+    """
     groups: dict[tuple[str, str, str], list[Sample]] = collections.defaultdict(list)
     for sample in samples:
         groups[sample.role, sample.quantity, sample.driver].append(sample)
     slopes = []
     for (role, quantity, driver), group in groups.items():
+        points = _summarise(group)
+        if len(points) < _MIN_POINTS:
+            continue
         fit = statistics.linear_regression(
-            [sample.size for sample in group], [sample.value for sample in group]
-        )
-        slopes.append(
-            Slope(role, quantity, driver, fit.intercept, fit.slope, len(group))
+            [point.size for point in points], [point.median for point in points]
         )
+        slopes.append(Slope(role, quantity, driver, fit.intercept, fit.slope, points))
     return slopes
+
+
+def _summarise(samples: list[Sample]) -> tuple[Point, ...]:
+    values: dict[float, list[float]] = collections.defaultdict(list)
+    for sample in samples:
+        values[sample.size].append(sample.value)
+    return tuple(
+        Point(size, min(found), statistics.median(found), max(found))
+        for size, found in sorted(values.items())
+    )
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/spread.py
@@ -0,0 +1,88 @@
+"""Times a change of the settings from the operator's answer to every daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import json
+import pathlib
+import statistics
+import time
+
+import httpx
+
+from chicoryweir_policy import catalogue
+from chicoryweir_standins.launch import fleet
+
+MEDIAN = "settings in force after (s), median"
+WORST = "settings in force after (s), worst"
+
+_LIMIT_S = 20.0
+_POLL_S = 0.25
+_ROLES = ("entry", "agent")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpreadTimes:
+    """Times from the operator's answer to the daemons' adoption, in seconds."""
+
+    median_s: float
+    worst_s: float
+
+
+async def time_change(
+    client: httpx.AsyncClient, running: fleet.Fleet, change: int
+) -> SpreadTimes:
+    """Applies one change and waits until every daemon has adopted it.
+
+    A daemon may adopt it before the operator is answered; its time is then below 0.
+    A daemon that has not adopted it after 20 s counts as having taken that long.
+    """
+    url = running.plan.entry_urls[change % len(running.plan.entry_urls)]
+    headers = {"Authorization": f"Bearer {running.plan.keys.operator}"}
+    path = f"{url}/operator/settings"
+    shown = await client.get(path, headers=headers)
+    current = shown.raise_for_status().json()
+    tree = current["tree"]
+    tree["fleet"].setdefault("settings", {})["deadline_ms"] = 10_000 + change
+    document = {
+        "expect_version": current["version"],
+        "tree": tree,
+        "change_id": f"capacity-{change}",
+        "reason": "capacity",
+    }
+    answer = await client.post(path, headers=headers, json=document)
+    answered_at = time.time()
+    version = int(answer.raise_for_status().json()["version"])
+    return await _await_adoption(running, version, answered_at)
+
+
+async def _await_adoption(
+    running: fleet.Fleet, version: int, answered_at: float
+) -> SpreadTimes:
+    names = [name for role in _ROLES for name in running.list_names(role)]
+    waiting = set(names)
+    times: list[float] = []
+    while waiting and time.time() < answered_at + _LIMIT_S:
+        await asyncio.sleep(_POLL_S)
+        for name in sorted(waiting):
+            at = find_adoption(running.directory / f"{name}.log", version)
+            if at is not None:
+                waiting.discard(name)
+                times.append(at - answered_at)
+    times += [_LIMIT_S] * len(waiting)
+    return SpreadTimes(statistics.median(times), max(times))
+
+
+def find_adoption(log: pathlib.Path, version: int) -> float | None:
+    """Returns when a daemon adopted a version by its log, in wall seconds."""
+    for line in log.read_text(errors="replace").splitlines():
+        if not line.startswith("{"):
+            continue
+        event = json.loads(line)
+        if event.get("event_id") != catalogue.SETTINGS_ADOPTED:
+            continue
+        if event["detail"] == str(version):
+            return datetime.datetime.fromisoformat(event["timestamp"]).timestamp()
+    return None
--- /dev/null
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/capacity/takeover.py
@@ -0,0 +1,63 @@
+"""Times how long a group has no lease holder after its holder was killed."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from chicoryweir_platform import http_store
+from chicoryweir_platform import protocols
+from chicoryweir_policy import store
+from chicoryweir_standins.launch import fleet
+from chicoryweir_standins.launch import plan
+
+_ENTRIES = 3
+_KILLS = 2
+_LIMIT_S = 40.0
+_POLL_S = 0.1
+_SETTLE_S = 3.0
+_LEASE = f"lease/{plan.GROUP}"
+
+
+async def time_takeovers() -> list[float | None]:
+    """Kills lease holders in turn; returns the seconds until the next one held it.
+
+    None stands for a lease that nobody took over in 40 s.
+    """
+    print("  lease holders that are killed", flush=True)
+    running = fleet.create_fleet(plan.FleetSize(entries=_ENTRIES))
+    try:
+        await running.start()
+        client = http_store.create_store(running.plan.platform_url)
+        times = [await _kill_holder(running, client) for _ in range(_KILLS)]
+    finally:
+        await running.stop()
+    running.remove_files()
+    return times
+
+
+async def _kill_holder(running: fleet.Fleet, client: protocols.Store) -> float | None:
+    holder = await _await_holder(client, "")
+    if holder is None:
+        return None
+    await asyncio.sleep(_SETTLE_S)
+    running.children[holder.partition(":")[0]].send_signal(signal.SIGKILL)
+    killed_at = time.monotonic()
+    if await _await_holder(client, holder) is None:
+        return None
+    return time.monotonic() - killed_at
+
+
+async def _await_holder(client: protocols.Store, former: str) -> str | None:
+    """Returns who holds the lease, once that is another than `former`."""
+    until = time.monotonic() + _LIMIT_S
+    while time.monotonic() < until:
+        rows = await client.run(store.Read((_LEASE,)))
+        row = rows.find(_LEASE) if isinstance(rows, store.Rows) else None
+        if row is not None and isinstance(row.value, dict):
+            holder = str(row.value["holder"])
+            if holder and holder != former:
+                return holder
+        await asyncio.sleep(_POLL_S)
+    return None
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/plan.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/plan.py
@@ -37,6 +37,8 @@
         places: Data centres; instances are spread over them in turn.
         model_service: Name of the model engines' service.
         plain_service: Name of the plain services' service.
+        shares_engine: Whether all agents of engines stand before the first engine,
+            so that a fleet of many agents needs few processes.
     """
 
     entries: int = 2
@@ -52,6 +54,7 @@
     places: tuple[str, ...] = PLACES
     model_service: str = MODEL_SERVICE
     plain_service: str = PLAIN_SERVICE
+    shares_engine: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,7 +161,11 @@
         self._control_url = _build_url(self._control)
 
     def plan(self, settings: Json) -> FleetPlan:
-        endpoints = [self._plan_endpoint(i) for i in range(len(self._agents))]
+        endpoints = [
+            self._plan_endpoint(i)
+            for i in range(len(self._agents))
+            if self._find_endpoint(i) == i
+        ]
         agents = [self._plan_agent(i) for i in range(len(self._agents))]
         entries = [self._plan_entry(i) for i in range(len(self._entries))]
         front = [self._plan_platform(), self._plan_switchboard(endpoints)]
@@ -217,12 +224,17 @@
             config["group"] = self._plan_group(index)
         return Process(name, "engine", config)
 
+    def _find_endpoint(self, index: int) -> int:
+        shared = self._size.shares_engine and index < self._size.engines
+        return 0 if shared else index
+
     def _plan_group(self, index: int) -> Json:
         barrier = self._control_url.replace("http://", "ws://") + "/barrier"
         return {"group": GROUP, "rank": index, "barrier_url": barrier}
 
     def _plan_agent(self, index: int) -> Process:
-        port, link = self._agents[index]
+        port = self._agents[self._find_endpoint(index)][0]
+        link = self._agents[index][1]
         is_model = index < self._size.engines
         endpoint: Json = {
             "kind": "model" if is_model else "plain",
--- a/packages/chicoryweir-standins/tests/capacity/test_slopes.py
+++ b/packages/chicoryweir-standins/tests/capacity/test_slopes.py
@@ -15,3 +15,19 @@
     assert (entry.role, agent.role) == ("entry", "agent")
     assert entry.base == pytest.approx(30.0)
     assert agent.each == pytest.approx(2.0)
+
+
+def test_a_driver_with_one_size_gets_no_line() -> None:
+    samples = [slopes.Sample("entry", "memory", "agents", 4, 30.0)]
+    assert slopes.fit_slopes(samples) == []
+
+
+def test_a_line_goes_through_the_medians_and_keeps_the_extremes() -> None:
+    samples = [
+        slopes.Sample("entry", "memory", "agents", size, size + off)
+        for size in (2, 6)
+        for off in (-1.0, 0.0, 4.0)
+    ]
+    (line,) = slopes.fit_slopes(samples)
+    assert line.each == pytest.approx(1.0)
+    assert line.points[0] == slopes.Point(2, 1.0, 2.0, 6.0)
--- /dev/null
+++ b/packages/chicoryweir-standins/tests/capacity/test_spread.py
@@ -0,0 +1,22 @@
+"""Tests of finding adoptions in the daemons' logs."""
+
+import json
+import pathlib
+
+from chicoryweir_policy import catalogue
+from chicoryweir_standins.capacity import spread
+
+
+def test_adoption_of_the_version_asked_for_is_found(tmp_path: pathlib.Path) -> None:
+    log = tmp_path / "agent-1.log"
+    lines = [
+        {
+            "event_id": catalogue.SETTINGS_ADOPTED,
+            "detail": str(version),
+            "timestamp": f"1970-01-01T00:00:0{version}Z",
+        }
+        for version in (2, 3)
+    ]
+    log.write_text("not an event\n" + "\n".join(map(json.dumps, lines)))
+    assert spread.find_adoption(log, 3) == 3.0
+    assert spread.find_adoption(log, 4) is None
