Send a load report only when it says something new, or each second

An agent told every linked entry its load every 0.25 s, changed or not. A report is now left out while it would say what the entry was told last, for up to 1 s, well below the 3 s after which an entry takes the load as unknown.

An agent at work still sends up to four a second.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -557,7 +557,9 @@
             report = self._load.make_report(
                 session, measure, len(self._running), tokens, self._leaving
             )
-            out.append(commands.Send(session.instance, session.session, report))
+            if load.is_news(session, report, now):
+                load.note_told(session, report, now)
+                out.append(commands.Send(session.instance, session.session, report))
         self._load.note_reported(now)
 
     def _note_probe(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from chicoryweir_policy import messages
 from chicoryweir_policy import requests
 from chicoryweir_policy.admission import queued
@@ -10,6 +12,7 @@
 from chicoryweir_policy.cores.agent import sessions
 
 REPORT_PERIOD_S = 0.25
+REFRESH_PERIOD_S = 1.0
 DEFAULT_STEP_TIME_S = 0.02
 DURATION_DECAY = 0.1
 MIN_DURATION_S = 0.001
@@ -97,10 +100,9 @@
         running_tokens: float,
         leaving: bool,
     ) -> messages.LoadReport:
-        """Returns the report for one entry."""
-        session.reports += 1
+        """Returns the next report for one entry; `note_told` counts it as sent."""
         return messages.LoadReport(
-            sequence=session.reports,
+            sequence=session.reports + 1,
             acknowledged=session.acknowledged,
             running=running,
             waiting=sum(item.depth for item in measure),
@@ -113,3 +115,24 @@
             endpoint_incarnation=self.incarnation,
             models=self._models,
         )
+
+
+def is_news(session: sessions.Session, report: messages.LoadReport, now: float) -> bool:
+    """Tells whether an entry has to be sent a report.
+
+    One that says what the last one said is only sent to keep the entry from taking
+    the endpoint's load as unknown.
+    """
+    told = session.told
+    if told is None or now - session.told_at >= REFRESH_PERIOD_S:
+        return True
+    return dataclasses.replace(report, sequence=told.sequence) != told
+
+
+def note_told(
+    session: sessions.Session, report: messages.LoadReport, now: float
+) -> None:
+    """Notes that a report was sent to an entry."""
+    session.reports = report.sequence
+    session.told = report
+    session.told_at = now
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
@@ -18,6 +18,8 @@
         role: Role of the peer.
         acknowledged: Highest sequence of an attempt submitted on it.
         reports: Load reports sent on it.
+        told: Last of them, or None.
+        told_at: Time of that, monotonic seconds.
         tombstones: Attempts that must never start on it.
     """
 
@@ -26,6 +28,8 @@
     role: instances.Role
     acknowledged: int = 0
     reports: int = 0
+    told: messages.LoadReport | None = None
+    told_at: float = 0.0
     tombstones: set[str] = dataclasses.field(default_factory=set)
 
 
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/cores/agent/test_load_reports.py
@@ -0,0 +1,52 @@
+"""Tests of when an agent tells an entry of its load."""
+
+import dataclasses
+
+from chicoryweir_policy import messages
+from chicoryweir_policy.cores.agent import load
+from chicoryweir_policy.cores.agent import sessions
+from chicoryweir_policy.membership import instances
+from chicoryweir_policy.routing import views
+
+
+def _open_session() -> sessions.Session:
+    return sessions.Session("s", "entry-1", instances.Role.ENTRY)
+
+
+def _make_report(session: sessions.Session) -> messages.LoadReport:
+    return load.LoadMeter(16).make_report(session, (), 0, 0.0, False)
+
+
+def test_first_report_is_news() -> None:
+    session = _open_session()
+    assert load.is_news(session, _make_report(session), 10.0)
+
+
+def test_a_report_that_says_the_same_waits_for_the_refresh() -> None:
+    session = _open_session()
+    load.note_told(session, _make_report(session), 10.0)
+    again = _make_report(session)
+    assert not load.is_news(session, again, 10.0 + 0.9 * load.REFRESH_PERIOD_S)
+    assert load.is_news(session, again, 10.0 + load.REFRESH_PERIOD_S)
+
+
+def test_a_report_with_another_load_or_acknowledgement_is_news_at_once() -> None:
+    session = _open_session()
+    load.note_told(session, _make_report(session), 10.0)
+    changed = dataclasses.replace(_make_report(session), running=1)
+    assert load.is_news(session, changed, 10.0)
+    session.acknowledged = 5
+    assert load.is_news(session, _make_report(session), 10.0)
+
+
+def test_refreshes_come_before_a_report_counts_as_stale() -> None:
+    longest_s = load.REFRESH_PERIOD_S + load.REPORT_PERIOD_S
+    assert 2 * longest_s < views.STALE_AFTER_S
+
+
+def test_numbers_of_sent_reports_follow_each_other() -> None:
+    session = _open_session()
+    for number in (1, 2, 3):
+        report = _make_report(session)
+        assert report.sequence == number
+        load.note_told(session, report, float(number))
