--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
@@ -19,6 +19,8 @@
         acknowledged: Highest sequence of an attempt submitted on it.
         window_s: Time between two chunks of one answer, in seconds.
         reports: Load reports sent on it.
+        told: Last of them, or None.
+        told_at: Time of that, monotonic seconds.
         tombstones: Attempts that must never start on it.
     """
 
@@ -28,6 +30,8 @@
     acknowledged: int = 0
     window_s: float = 0.0
     reports: int = 0
+    told: messages.LoadReport | None = None
+    told_at: float = 0.0
     tombstones: set[str] = dataclasses.field(default_factory=set)
 
 
