Read the claim of a key before saying that a request was not run

Cause: a payment whose endpoint and entry died came back while no endpoint was free, and was refused as not run before its claim was looked at. It did not run twice, but its caller could take the answer for the key and send it anew under another. Ruled out: "unknown" for every such refusal; then a first request over a limit could not be told that it was not run.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/claims/records.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/claims/records.py
@@ -4,10 +4,14 @@
 
 import dataclasses
 import enum
+import hashlib
 import typing
 
+from chicoryweir_policy import requests
 from chicoryweir_policy import store
 
+DIGEST_BYTES = 8
+
 
 class ClaimState(enum.Enum):
     """State of a claim.
@@ -47,6 +51,18 @@
     return f"claim/{len(workspace)}/{workspace}/{idempotency_key}"
 
 
+def find_key(request: requests.Request) -> str:
+    """Returns the key of a request's row."""
+    return make_key(request.workspace, request.idempotency_key)
+
+
+def digest_request(request: requests.Request) -> int:
+    """Returns the digest of method, path and body that a claim compares."""
+    digest = hashlib.blake2b(request.body, digest_size=DIGEST_BYTES)
+    digest.update(f"\x00{request.method}\x00{request.path}".encode())
+    return int.from_bytes(digest.digest(), "big")
+
+
 def encode_claim(claim: Claim) -> store.Json:
     """Returns the value of the row."""
     return {
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/claiming.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/claiming.py
@@ -4,7 +4,6 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 import typing
 
 from chicoryweir_policy import catalogue
@@ -49,8 +48,7 @@
     @property
     def key(self) -> str:
         """Key of the row."""
-        request = self.live.request
-        return records.make_key(request.workspace, request.idempotency_key)
+        return records.find_key(self.live.request)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,9 +84,10 @@
         out: entry_state.Commands,
     ) -> None:
         """Starts to claim the key of a request for an attempt."""
+        live.claim_tried = True
         claim = records.Claim(
             token=live.request.request_id,
-            fingerprint=_digest_content(live),
+            fingerprint=records.digest_request(live.request),
             attempt_id=dispatch.attempt_id,
             agent=dispatch.instance,
             agent_incarnation=link.incarnation,
@@ -304,8 +303,7 @@
         """Gives up the claim of a request that never ran."""
         if live.claim_version == 0 or live.may_have_run:
             return
-        request = live.request
-        key = records.make_key(request.workspace, request.idempotency_key)
+        key = records.find_key(live.request)
         check = (store.Check(key, live.claim_version),)
         operation = store.Transact(check, (store.Write(key, None),))
         self._flushes += 1
@@ -319,23 +317,16 @@
         request = live.request
         claim = records.Claim(
             token=request.request_id,
-            fingerprint=_digest_content(live),
+            fingerprint=records.digest_request(live.request),
             attempt_id=dispatch.attempt_id,
             agent=dispatch.instance,
             agent_incarnation="",
             state=records.ClaimState.DONE,
         )
-        key = records.make_key(request.workspace, request.idempotency_key)
+        key = records.find_key(request)
         self._closing.append(store.Write(key, records.encode_claim(claim)))
 
 
-def _digest_content(live: lives.Live) -> int:
-    request = live.request
-    digest = hashlib.blake2b(request.body, digest_size=8)
-    digest.update(f"\x00{request.method}\x00{request.path}".encode())
-    return int.from_bytes(digest.digest(), "big")
-
-
 def _split_batch(waiting: list[Pending]) -> tuple[list[Pending], list[Pending]]:
     """Takes a batch in which each key stands once."""
     batch: dict[str, Pending] = {}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -26,6 +26,7 @@
 from chicoryweir_policy.cores.entry import peers
 from chicoryweir_policy.cores.entry import presumption
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.cores.entry import verifying
 from chicoryweir_policy.groups import events as group_events
 from chicoryweir_policy.groups import messages as group_messages
 from chicoryweir_policy.membership import instances
@@ -48,6 +49,7 @@
         self.state = state
         self.peers = peers.Peers(state, seeds)
         self._claimer = claiming.Claimer(state)
+        self._verifier = verifying.Verifier(state)
         self._dispatcher = dispatching.Dispatcher(state, self._claimer)
         self._claimer.connect(self._dispatcher.submit)
         self._hedger = hedging.Hedger(state, self._dispatcher)
@@ -270,6 +272,8 @@
             return
         if self._claimer.consume_reply(purpose, event.result, now, out):
             return
+        if self._verifier.consume_reply(purpose, event.result, now, out):
+            return
         if self.groups.consume_reply(purpose, event.result, now, out):
             return
         if self._drain_watch.consume_result(purpose, event.result, out):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -62,6 +62,7 @@
         limited: Whether it counts against the limits of its workspace.
         abandoned: Whether the caller is gone.
         claim_version: Version of its claim's row; 0 before it holds one.
+        claim_tried: Whether its claim was written or read at least once.
     """
 
     request: requests.Request
@@ -83,6 +84,7 @@
     limited: bool = False
     abandoned: bool = False
     claim_version: int = 0
+    claim_tried: bool = False
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from chicoryweir_policy import catalogue
@@ -22,6 +23,7 @@
 from chicoryweir_policy.routing import selection
 
 Commands = list[commands.Command]
+Verify = collections.abc.Callable[[lives.Live, outcomes.Problem, Commands], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +68,8 @@
 class EntryState:
     """Shared state of an entry's core, owned by its one task.
 
-    `relayed` counts the events of answers passed on since it was last reset.
+    `relayed` counts the events of answers passed on since it was last reset. `verify`
+    may hold a refusal back until more is known.
     """
 
     facts: EntryFacts
@@ -90,12 +93,15 @@
     requests: lives.LiveTable = dataclasses.field(default_factory=lives.LiveTable)
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     attempts_made: int = 0
+    verify: Verify | None = None
     relayed: int = 0
 
     def refuse(
         self, live: lives.Live, problem: outcomes.Problem, now: float, out: Commands
     ) -> None:
         """Gives a request its final answer: a problem, or a broken connection."""
+        if self.verify is not None and self.verify(live, problem, out):
+            return
         request_id = live.request.request_id
         self.requests.remove(live)
         self.end_limited(live, now)
