--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -22,7 +22,7 @@
 from chicoryweir_policy.cores.agent import core as agent_core
 from chicoryweir_policy.membership import instances
 
-TICK_S = 0.02
+TICK_S = 0.03
 QUEUE_LIMIT = 256
 INITIAL_TOKENS_PER_S = 500.0
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -36,7 +36,7 @@
 from chicoryweir_policy.cores.entry import state as entry_state
 from chicoryweir_policy.membership import instances
 
-TICK_S = 0.01
+TICK_S = 0.02
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
 LAST_REQUESTS_S = 5
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/pacing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/pacing.py
@@ -12,7 +12,7 @@
 PERIOD_S = 1.0
 SMOOTHING = 0.5
 # Tokens a second from which on a window applies, and the window in seconds.
-WINDOWS = ((6000.0, 0.045), (1500.0, 0.03))
+WINDOWS = ((6000.0, 0.035), (1500.0, 0.03))
 # A window ends only when the rate is below this share of where it began.
 LEAVE_SHARE = 0.7
 
