Bound what an entry links to and reads as the fleet grows

Worked out at full size, a full mesh of entries took some 34 % of a core and 18.6 KB/s of each, the whole instance list read each second 180 KB/s, and no entry was linked to all agents of most groups. Entries beyond nine now form a ring with at most eight links each, a long list is read less often, and three entries contend for a group and link to the agents that the settings name for it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platforms.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platforms.py
@@ -15,6 +15,7 @@
 from chicoryweir_policy.cores import events
 
 LIST_PERIOD_S = 1.0
+LIST_PAGE_ROWS = 40
 MAX_CONCURRENT = 16
 
 
@@ -58,9 +59,15 @@
 async def poll_instances(
     listing: protocols.InstanceList, core: cores.CoreTask
 ) -> typing.NoReturn:
-    """Reads the platform's list of instances from time to time."""
+    """Reads the platform's list of instances; a long list less often.
+
+    So the bytes of it in a second stay the same as the fleet grows. Links tell sooner
+    than the list, which lags, which instances are gone.
+    """
     while True:
         listed = await listing.list_instances()
+        pages = 1.0
         if not isinstance(listed, store.Refused):
             core.post(events.InstancesListed(listed))
-        await asyncio.sleep(LIST_PERIOD_S * random.uniform(0.8, 1.2))
+            pages = max(1.0, len(listed) / LIST_PAGE_ROWS)
+        await asyncio.sleep(LIST_PERIOD_S * pages * random.uniform(0.8, 1.2))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores.entry import state as entry_state
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.membership import neighbours
 from chicoryweir_policy.routing import addresses
 from chicoryweir_policy.routing import subsets
 
@@ -32,6 +33,7 @@
         self._listed: frozenset[str] = frozenset()
         self._entries: dict[str, _EntryPeer] = {}
         self._kept: tuple[tuple[str, str, int], ...] | None = None
+        self._kept_for = 0
         self._told_at = float("-inf")
         self._leaving = False
 
@@ -52,15 +54,16 @@
 
     def keep_links(self, out: entry_state.Commands) -> None:
         """Says which peers to dial, when that has changed."""
-        own = self._state.facts.instance
-        chosen = self._choose_agents()
+        chosen = self._choose_agents() | self._choose_group_agents()
+        dialled = neighbours.choose_entries(
+            self._state.facts.instance, self._list_entry_names()
+        )
         wanted: list[tuple[str, str, int]] = []
         for name in sorted(self._known):
             item = self._known[name]
-            is_entry = item.role is instances.Role.ENTRY
             if name in chosen:
                 self._state.loads.note_endpoint(name, item.place, item.service)
-            if name in chosen or (is_entry and name < own):
+            if name in chosen or name in dialled:
                 wanted.append((name, item.ip, item.link_port))
         if tuple(wanted) != self._kept:
             self._kept = tuple(wanted)
@@ -86,6 +89,28 @@
             for name in subsets.choose_subset(own, entries, nodes)
         }
 
+    def _list_entry_names(self) -> list[str]:
+        return [
+            item.instance
+            for item in self._known.values()
+            if item.role is instances.Role.ENTRY
+        ]
+
+    def _choose_group_agents(self) -> set[str]:
+        """Returns the agents of the groups whose leases this entry contends for."""
+        tree = self._state.settings.tree
+        if tree is None:
+            return set()
+        own = self._state.facts.instance
+        entries = self._list_entry_names()
+        return {
+            agent
+            for group in tree.groups.values()
+            if group.agents and neighbours.contends(own, entries, group.name)
+            for agent in group.agents
+            if agent in self._known
+        }
+
     def open_entry(
         self, hello: messages.Hello, session: str, out: entry_state.Commands
     ) -> None:
@@ -110,7 +135,9 @@
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
         """Tells the other entries of this one from time to time."""
-        if self._kept is None:
+        version = self._state.settings.version
+        if self._kept is None or version != self._kept_for:
+            self._kept_for = version
             self.keep_links(out)
         if now - self._told_at < STATUS_PERIOD_S:
             return
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/schema.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/schema.py
@@ -92,6 +92,11 @@
                 "minimum": 1,
                 "maximum": MAX_EXPERTS,
             },
+            "agents": {
+                "type": "array",
+                "uniqueItems": True,
+                "items": {"type": "string", "pattern": NAME_PATTERN},
+            },
         },
     }
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/tree.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/tree.py
@@ -50,6 +50,7 @@
         ranks: Number of ranks.
         experts: Number of experts of a layer.
         slots_per_rank: Experts that a rank holds at once.
+        agents: Instances of its agents; empty where every entry links to all.
     """
 
     name: str
@@ -57,6 +58,7 @@
     ranks: int
     experts: int
     slots_per_rank: int
+    agents: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +170,10 @@
     return values
 
 
+def _parse_names(value: store.Json) -> tuple[str, ...]:
+    return tuple(str(item) for item in value) if isinstance(value, list) else ()
+
+
 def _parse_group(name: str, value: dict[str, store.Json]) -> Group:
     counts = typing.cast("dict[str, int]", value)
     return Group(
@@ -176,6 +182,7 @@
         ranks=counts["ranks"],
         experts=counts["experts"],
         slots_per_rank=counts["slots_per_rank"],
+        agents=_parse_names(value.get("agents")),
     )
 
 
