--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/sessions.py
@@ -7,6 +7,8 @@
 from chicoryweir_policy import messages
 from chicoryweir_policy.membership import instances
 
+MAX_TOMBSTONES = 20_000
+
 
 @dataclasses.dataclass(slots=True)
 class Session:
@@ -21,7 +23,7 @@
         reports: Load reports sent on it.
         told: Last of them, or None.
         told_at: Time of that, monotonic seconds.
-        tombstones: Attempts that must never start on it.
+        tombstones: Attempts that must never start on it, oldest first.
     """
 
     session: str
@@ -32,7 +34,16 @@
     reports: int = 0
     told: messages.LoadReport | None = None
     told_at: float = 0.0
-    tombstones: set[str] = dataclasses.field(default_factory=set)
+    tombstones: dict[str, None] = dataclasses.field(default_factory=dict)
+
+    def bury(self, attempt_id: str) -> None:
+        """Puts a tombstone for an attempt; the oldest makes room.
+
+        What it was for has long arrived by then, as a link keeps the order.
+        """
+        self.tombstones[attempt_id] = None
+        if len(self.tombstones) > MAX_TOMBSTONES:
+            del self.tombstones[next(iter(self.tombstones))]
 
 
 class SessionTable:
@@ -78,4 +89,4 @@
     def bury(self, attempt_id: str) -> None:
         """Puts a tombstone for an attempt on every live session."""
         for session in self._sessions.values():
-            session.tombstones.add(attempt_id)
+            session.bury(attempt_id)
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/cores/agent/test_sessions.py
@@ -0,0 +1,28 @@
+"""Tests of an agent's sessions."""
+
+from __future__ import annotations
+
+from chicoryweir_policy import messages
+from chicoryweir_policy.cores.agent import sessions
+from chicoryweir_policy.membership import instances
+
+_HELLO = messages.Hello("entry-1", instances.Role.ENTRY, "p", "", "i", "", 0)
+
+
+def test_tombstones_of_a_session_are_bounded_and_keep_the_newest() -> None:
+    table = sessions.SessionTable()
+    session = table.open(_HELLO, "s1")
+    for number in range(sessions.MAX_TOMBSTONES + 5):
+        table.bury(f"a-{number}")
+    assert len(session.tombstones) == sessions.MAX_TOMBSTONES
+    assert f"a-{sessions.MAX_TOMBSTONES + 4}" in session.tombstones
+    assert "a-0" not in session.tombstones
+
+
+def test_newest_link_of_an_instance_is_found() -> None:
+    table = sessions.SessionTable()
+    table.open(_HELLO, "s1")
+    newest = table.open(_HELLO, "s2")
+    assert table.find_instance("entry-1") is newest
+    table.close("s2")
+    assert table.find("s2") is None
