Be ready once every entry was heard, so that the first look-up names all

Cause: an entry was ready before its peers had told of themselves, so the first callers were given one address of two (seen once by the check from outside).

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -147,7 +147,11 @@
     )
     views = application.Views(
         rank_addresses=core.peers.rank_entries,
-        is_ready=lambda: settings.is_ready and bool(core.state.agents),
+        is_ready=lambda: (
+            settings.is_ready
+            and bool(core.state.agents)
+            and core.peers.is_settled(time.monotonic())
+        ),
         has_service=lambda name: (
             settings.tree is not None and name in settings.tree.services
         ),
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -13,6 +13,7 @@
 from chicoryweir_policy.routing import subsets
 
 STATUS_PERIOD_S = 1.0
+SETTLE_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,6 +35,7 @@
         self._entries: dict[str, _EntryPeer] = {}
         self._kept: tuple[tuple[str, str, int], ...] | None = None
         self._kept_for = 0
+        self._started_at: float | None = None
         self._told_at = float("-inf")
         self._leaving = False
 
@@ -135,6 +137,8 @@
 
     def tick(self, now: float, out: entry_state.Commands) -> None:
         """Tells the other entries of this one from time to time."""
+        if self._started_at is None:
+            self._started_at = now
         version = self._state.settings.version
         if self._kept is None or version != self._kept_for:
             self._kept_for = version
@@ -177,6 +181,15 @@
                 known.append(_make_view(peer.status, peer.heard_at))
         return addresses.rank_addresses(known, self._state.facts.place, seed, now)
 
+    def is_settled(self, now: float) -> bool:
+        """Tells whether every entry known was heard, or there was time for it."""
+        if self._started_at is None:
+            return False
+        if now - self._started_at >= SETTLE_S:
+            return True
+        heard = {name for name, peer in self._entries.items() if peer.status}
+        return heard.issuperset(self._list_entry_names())
+
     def count_entries(self) -> int:
         """Returns the number of entries known, this one included."""
         roles = [
