--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.cores import settings as settings_task
 from chicoryweir_policy.cores.entry import admitting
 from chicoryweir_policy.cores.entry import claiming
+from chicoryweir_policy.cores.entry import deadlines
 from chicoryweir_policy.cores.entry import delivery
 from chicoryweir_policy.cores.entry import dispatching
 from chicoryweir_policy.cores.entry import grouping
@@ -52,6 +53,7 @@
         self._verifier = verifying.Verifier(state)
         self._dispatcher = dispatching.Dispatcher(state, self._claimer)
         self._claimer.connect(self._dispatcher.submit)
+        self._deadlines = deadlines.Deadlines(state, self._dispatcher, self._claimer)
         self._hedger = hedging.Hedger(state, self._dispatcher)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
@@ -76,7 +78,7 @@
             case events.RequestAbandoned():
                 live = self.state.requests.find(event.request_id)
                 if live is not None:
-                    self._dispatcher.abandon(live, now, out)
+                    self._deadlines.abandon(live, now, out)
             case events.Ticked():
                 self._tick(now, out)
             case events.StoreReplied():
@@ -328,7 +330,7 @@
         self.state.settings.tick(now, out)
         self._dispatcher.run_retries(now, out)
         self._hedger.run_hedges(now, out)
-        self._dispatcher.run_deadlines(now, out)
+        self._deadlines.run(now, out)
         self._claimer.flush(out)
         self.peers.tick(now, out)
         self.groups.tick(now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -14,15 +14,14 @@
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import problems
 from chicoryweir_policy.cores.entry import state as entry_state
+from chicoryweir_policy.cores.entry import suspecting
 from chicoryweir_policy.quarantine import records
 from chicoryweir_policy.retries import budget
 from chicoryweir_policy.retries import decision
 from chicoryweir_policy.retries import failures
 from chicoryweir_policy.routing import selection
 
-EXPIRY_GRACE_S = 0.05
 STALL_TIMEOUT_S = 5.0
-SUSPECT_WAIT_S = 0.1
 OVERLOADED = frozenset(
     {
         messages.RejectReason.QUEUE_FULL,
@@ -49,7 +48,7 @@
     def route(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
         """Selects an endpoint and submits, or claims first, or gives up."""
         state = self._state
-        if not self._check_suspicion(live, now, out):
+        if not self._may_send(live, now, out):
             return
         selected = state.selector.select_endpoint(
             live.request,
@@ -73,42 +72,26 @@
             case _:
                 typing.assert_never(selected)
 
-    def _check_suspicion(
+    def _may_send(
         self, live: lives.Live, now: float, out: entry_state.Commands
     ) -> bool:
         """Tells whether the content may be sent now; refuses or delays it if not."""
-        request = live.request
-        verdict = self._state.suspicions.book.judge(request.fingerprint, now)
-        match verdict:
-            case records.Unsuspected():
-                live.suspect = False
+        decided = suspecting.check_suspicion(self._state, live, now)
+        request_id = live.request.request_id
+        match decided:
+            case suspecting.Free():
                 return True
-            case records.Quarantined(losses):
-                peer = self._state.facts.instance
-                outcome = self._conclude(live)
-                problem = problems.make_quarantined(peer, len(losses), outcome)
-                out.append(
-                    commands.Record(
-                        catalogue.REQUEST_QUARANTINED,
-                        request.request_id,
-                        peer,
-                        f"{request.fingerprint:016x}",
-                    )
-                )
+            case suspecting.Delayed(until):
+                self._state.requests.set_retry(request_id, until)
+            case suspecting.Refused(problem):
+                number = catalogue.REQUEST_QUARANTINED
+                detail = f"{live.request.fingerprint:016x}"
+                out.append(commands.Record(number, request_id, problem.peer, detail))
                 self._claimer.release(live, out)
                 self._state.refuse(live, problem, now, out)
-                return False
-            case records.Suspected(lost_on, retry_at):
-                live.suspect = True
-                live.lost_on = lost_on
-                alone = not self._state.requests.is_content_sent(request.fingerprint)
-                if now >= retry_at and alone:
-                    return True
-                later = max(retry_at, now + SUSPECT_WAIT_S)
-                self._state.requests.set_retry(request.request_id, later)
-                return False
             case _:
-                typing.assert_never(verdict)
+                typing.assert_never(decided)
+        return False
 
     def _give_up_routing(
         self,
@@ -121,17 +104,14 @@
         if none.reason is selection.Reason.EXCLUDED:
             may_wait = live.attempts < live.effective.max_attempts
             live.excluded.clear()
-        retry_at = now + SUSPECT_WAIT_S
+        retry_at = now + suspecting.WAIT_S
         if may_wait and retry_at < live.request.deadline_at:
             self._state.requests.set_retry(live.request.request_id, retry_at)
             return
-        outcome = outcomes.Outcome.NOT_RUN
-        if live.may_have_run:
-            outcome = outcomes.Outcome.UNKNOWN
         problem = problems.make_no_endpoint(
             self._state.facts.instance,
             f"no endpoint of {live.request.service} can take it: {none.reason.value}",
-            outcome,
+            live.outcome,
             none.retry_after_ms or problems.CLAIM_RETRY_MS,
         )
         self._claimer.release(live, out)
@@ -226,7 +206,7 @@
             self._state.end_limited(live, now)
             return
         if live.expired or message.reason is messages.RejectReason.EXPIRED:
-            self._expire(live, dispatch.instance, now, out)
+            self.expire(live, dispatch.instance, now, out)
             return
         if message.reason in OVERLOADED:
             self._state.throttle.note_settled(
@@ -250,7 +230,7 @@
             return
         live.may_have_run = True
         if live.expired:
-            self._expire(live, dispatch.instance, now, out)
+            self.expire(live, dispatch.instance, now, out)
             return
         self._state.detector.note_outcome(dispatch.instance, True, now)
         failure = failures.Failed(dispatch.instance, message.kind, message.detail)
@@ -327,75 +307,17 @@
             if live.dispatch is None and not live.expired:
                 self.route(live, now, out)
 
-    def run_deadlines(self, now: float, out: entry_state.Commands) -> None:
-        """Ends the requests whose deadline passed; a begun answer goes on."""
-        for live in self._state.requests.pop_due(now):
-            if live.begun:
-                self._check_stall(live, now, out)
-                continue
-            if live.abandoned:
-                continue
-            dispatch = live.dispatch
-            started = any(each.started for each in live.list_dispatches())
-            if dispatch is None or live.expired or started:
-                if dispatch is not None:
-                    live.may_have_run = True
-                self._cancel(live, out)
-                self._expire(live, self._state.facts.instance, now, out)
-                continue
-            live.expired = True
-            self._cancel(live, out)
-            self._state.requests.set_timer(
-                live.request.request_id, now + EXPIRY_GRACE_S
-            )
-
-    def _check_stall(
-        self, live: lives.Live, now: float, out: entry_state.Commands
-    ) -> None:
-        """Moves a begun answer elsewhere when nothing of it has come for long."""
-        request_id = live.request.request_id
-        due = live.progressed_at + STALL_TIMEOUT_S
-        if now < due:
-            self._state.requests.set_timer(request_id, due)
-            return
-        self._state.requests.set_timer(request_id, now + STALL_TIMEOUT_S)
-        if live.dispatch is None:
-            return
-        self._cancel(live, out)
-        instance = live.dispatch.instance
-        self.detach(live)
-        live.may_have_run = True
-        kind = messages.FailureKind.ENDPOINT_ERROR
-        failure = failures.Failed(instance, kind, "the answer stalled")
-        self.retry(live, failure, now, out)
-
-    def abandon(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
-        """The caller is gone; what must run once runs on without it."""
-        self._state.journal.note(
-            live.request.request_id, now, "answer", "the caller went away"
-        )
-        live.abandoned = True
-        if live.is_idempotent or live.dispatch is None:
-            self._cancel(live, out)
-            self._detach_all(live)
-            self._claimer.release(live, out)
-            self._state.requests.remove(live)
-            self._state.end_limited(live, now)
-
-    def _expire(
+    def expire(
         self, live: lives.Live, peer: str, now: float, out: entry_state.Commands
     ) -> None:
-        problem = problems.make_deadline_passed(peer, self._conclude(live))
-        self._detach_all(live)
+        """Ends a request whose deadline passed."""
+        problem = problems.make_deadline_passed(peer, live.outcome)
+        self.detach_all(live)
         self._claimer.release(live, out)
         self._state.refuse(live, problem, now, out)
 
-    def _conclude(self, live: lives.Live) -> outcomes.Outcome:
-        if live.may_have_run:
-            return outcomes.Outcome.UNKNOWN
-        return outcomes.Outcome.NOT_RUN
-
-    def _cancel(self, live: lives.Live, out: entry_state.Commands) -> None:
+    def cancel(self, live: lives.Live, out: entry_state.Commands) -> None:
+        """Tells the agents that nobody waits for a request's attempts."""
         for dispatch in live.list_dispatches():
             self.cancel_attempt(dispatch, out)
 
@@ -416,7 +338,7 @@
         out: entry_state.Commands,
     ) -> None:
         """Cancels the attempt under way and ends the request with a problem."""
-        self._cancel(live, out)
+        self.cancel(live, out)
         self.detach(live)
         self._state.refuse(live, problem, now, out)
 
@@ -432,7 +354,8 @@
         self._state.requests.drop(live, dispatch)
         self._state.loads.note_finished(dispatch.instance, dispatch.attempt_id)
 
-    def _detach_all(self, live: lives.Live) -> None:
+    def detach_all(self, live: lives.Live) -> None:
+        """Takes all attempts off a request and off the load book."""
         for dispatch in live.list_dispatches():
             self.drop(live, dispatch)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/lives.py
@@ -7,6 +7,7 @@
 
 from chicoryweir_policy import answers
 from chicoryweir_policy import messages
+from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
 from chicoryweir_policy.settings import resolution
 
@@ -86,6 +87,13 @@
     claim_version: int = 0
     claim_tried: bool = False
 
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What its caller may conclude if it ends without an answer now."""
+        if self.may_have_run:
+            return outcomes.Outcome.UNKNOWN
+        return outcomes.Outcome.NOT_RUN
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- a/packages/chicoryweir-standins/tests/worlds/test_mechanisms.py
+++ b/packages/chicoryweir-standins/tests/worlds/test_mechanisms.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.cores.agent import attempts
 from chicoryweir_policy.cores.agent import sessions
 from chicoryweir_policy.cores.entry import dispatching
+from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.quarantine import records
 from chicoryweir_policy.quarantine import suspicion
 from chicoryweir_standins.worlds import callers
@@ -65,9 +66,9 @@
 def _say_not_run(patch: pytest.MonkeyPatch) -> None:
     """An entry says "not run" without the agent's word."""
     patch.setattr(
-        dispatching.Dispatcher,
-        "_conclude",
-        lambda self, live: outcomes.Outcome.NOT_RUN,
+        lives.Live,
+        "outcome",
+        property(lambda self: outcomes.Outcome.NOT_RUN),
     )
 
 
