Free nobody of suspicion by a conviction that may be by chance

An innocent content had been on two lost endpoints by chance and was convicted; its losses then counted as explained, and the crashing content beside it was tried again as unsuspected. Ruled out: a late message; every book had the losses.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/evidence.py
@@ -46,11 +46,15 @@
 
     Attributes:
         convicted: Fingerprints to refuse.
-        explained: Losses that a convicted request surely caused.
+        explained: Losses that a convicted request probably caused; they are kept
+            longest.
+        certain: Those of them that others may be freed of: further losses convict the
+            request without it, so that it is not there by chance.
     """
 
     convicted: frozenset[int]
     explained: frozenset[records.LossId]
+    certain: frozenset[records.LossId]
 
 
 class Charges:
@@ -95,16 +99,15 @@
             if all(ran[loss_id] & needed for loss_id in self._losses[fingerprint])
         }
         convicted = frozenset(self._candidates - by_chance)
-        sure = frozenset(
-            fingerprint
+        counts = {
+            fingerprint: self._count_own_losses(fingerprint, ran, convicted)
             for fingerprint in convicted
-            if self._count_own_losses(fingerprint, ran, convicted)
-            >= self._conviction_losses
-        )
-        explained = frozenset(
-            loss_id for loss_id, fingerprints in ran.items() if fingerprints & sure
+        }
+        return Findings(
+            convicted,
+            _find_losses(ran, counts, self._conviction_losses),
+            _find_losses(ran, counts, self._conviction_losses + 1),
         )
-        return Findings(convicted, explained)
 
     def _count_own_losses(
         self,
@@ -132,3 +135,16 @@
             self._candidates.add(fingerprint)
         else:
             self._candidates.discard(fingerprint)
+
+
+def _find_losses(
+    ran: collections.abc.Mapping[records.LossId, set[int]],
+    counts: collections.abc.Mapping[int, int],
+    needed: int,
+) -> frozenset[records.LossId]:
+    """Returns the losses where a request with so many losses of its own ran."""
+    return frozenset(
+        loss_id
+        for loss_id, fingerprints in ran.items()
+        if any(counts.get(fingerprint, 0) >= needed for fingerprint in fingerprints)
+    )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
@@ -78,7 +78,7 @@
             holds_until = times[-self._conviction_losses] + RETENTION_S
             return records.Quarantined(tuple(sorted(charged)), holds_until - now)
         by_chance = self._charges.is_candidate(fingerprint)
-        if charged <= findings.explained and not by_chance:
+        if charged <= findings.certain and not by_chance:
             return records.Unsuspected()
         if charged <= self._bursts and not by_chance:
             return records.Unsuspected()
--- a/packages/chicoryweir-standins/tests/worlds/test_exploration.py
+++ b/packages/chicoryweir-standins/tests/worlds/test_exploration.py
@@ -29,6 +29,7 @@
     "seed",
     [
         pytest.param(27, id="content that ran beside a convict by chance is suspected"),
+        pytest.param(5200147, id="two losses do not free what shared one of them"),
     ],
 )
 def test_guarantees_hold_on_prompt_walks_where_they_once_failed(seed: int) -> None:
