--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/arrivals.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/arrivals.py
@@ -146,6 +146,8 @@
         if attempt.must_end:
             return
         out.append(commands.CancelCall(attempt_id))
+        request_id = attempt.submit.request_id
+        self._state.journal.note(request_id, now, "endpoint", "cancelled")
         self._state.settle(attempt, now)
         self._state.end(attempt, "lose", out)
         failed = messages.AttemptFailed(
--- a/packages/chicoryweir-standins/tests/blackbox/test_callers.py
+++ b/packages/chicoryweir-standins/tests/blackbox/test_callers.py
@@ -176,6 +176,22 @@
     assert fleet.call("/v1/completions", body).status_code == 200
 
 
+def test_vanished_caller_ends_its_request_everywhere(fleet) -> None:
+    body = {"model": fleet.model, "prompt": "gone", "max_tokens": 5000, "stream": True}
+    headers = {"authorization": f"Bearer {fleet.ready['caller_key']}"}
+    url = fleet.entries[0] + "/v1/completions"
+    with fleet.client.stream("POST", url, json=body, headers=headers) as answer:
+        request_id = answer.headers["x-request-id"]
+        next(answer.iter_bytes())
+    texts: set[str] = set()
+    for _ in range(20):
+        explained = fleet.operate(f"/explain/{request_id}").json()
+        texts = {record["detail"]["text"] for record in explained["records"]}
+        if {"the caller went away", "cancelled"} <= texts:
+            break
+    assert {"the caller went away", "cancelled"} <= texts
+
+
 def test_health_readiness_and_metrics_answer(fleet) -> None:
     assert fleet.call("/healthz", method="GET").status_code == 200
     assert fleet.call("/readyz", method="GET").status_code == 200
