--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/arrivals.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/arrivals.py
@@ -12,8 +12,6 @@
 from chicoryweir_policy.cores.agent import sessions
 from chicoryweir_policy.cores.agent import state as agent_state
 
-RUN_MARGIN = 1.15
-
 Commands = agent_state.Commands
 
 
@@ -40,7 +38,7 @@
                 session, submit.attempt_id, reason, self._state.hint(reason), out
             )
             return
-        run_s = RUN_MARGIN * self._state.load.estimate_run(submit.cost_tokens)
+        run_s = self._state.load.estimate_run(submit.cost_tokens)
         wait_s = self._predict_wait(submit, now)
         if wait_s + run_s > submit.deadline_in_s:
             reason = messages.RejectReason.INFEASIBLE
