Forget a request in one place, and drop a field that nothing sets

Three lines that give up the claim, drop the request and tell the limiter stood in three places of the entry's core; one method of the dispatcher does it now, and the deadlines need no claimer of their own. An attempt's size in bytes was never set or read.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
@@ -38,7 +38,6 @@
         started_at: When it was sent.
         chunks: Chunks of the answer sent so far.
         payloads: Payloads sent so far.
-        size_bytes: Bytes of payload sent so far.
         digest: Digest of the payloads so far.
         held: Payloads that go out with the next chunk.
         relayed_at: When the last chunk went out, monotonic seconds.
@@ -52,7 +51,6 @@
     started_at: float = 0.0
     chunks: int = 0
     payloads: int = 0
-    size_bytes: int = 0
     digest: answers.Digest = dataclasses.field(default_factory=answers.Digest)
     held: list[bytes] = dataclasses.field(default_factory=list)
     relayed_at: float = float("-inf")
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -53,7 +53,7 @@
         self._verifier = verifying.Verifier(state)
         self._dispatcher = dispatching.Dispatcher(state, self._claimer)
         self._claimer.connect(self._dispatcher.submit)
-        self._deadlines = deadlines.Deadlines(state, self._dispatcher, self._claimer)
+        self._deadlines = deadlines.Deadlines(state, self._dispatcher)
         self._hedger = hedging.Hedger(state, self._dispatcher)
         self._deliverer = delivery.Deliverer(state, self._dispatcher, self._claimer)
         self.groups = grouping.Coordinators(state)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/deadlines.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/deadlines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from chicoryweir_policy import messages
-from chicoryweir_policy.cores.entry import claiming
 from chicoryweir_policy.cores.entry import dispatching
 from chicoryweir_policy.cores.entry import lives
 from chicoryweir_policy.cores.entry import state as entry_state
@@ -19,11 +18,9 @@
         self,
         state: entry_state.EntryState,
         dispatcher: dispatching.Dispatcher,
-        claimer: claiming.Claimer,
     ) -> None:
         self._state = state
         self._dispatcher = dispatcher
-        self._claimer = claimer
 
     def run(self, now: float, out: entry_state.Commands) -> None:
         """Ends the requests whose deadline passed; a begun answer goes on."""
@@ -76,6 +73,4 @@
         if live.is_idempotent or live.dispatch is None:
             self._dispatcher.cancel(live, out)
             self._dispatcher.detach_all(live)
-            self._claimer.release(live, out)
-            self._state.requests.remove(live)
-            self._state.end_limited(live, now)
+            self._dispatcher.forget(live, now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatching.py
@@ -201,9 +201,7 @@
         detail = f"{dispatch.instance} refused it: {message.reason.value}"
         self._state.journal.note(live.request.request_id, now, "dispatch", detail)
         if live.abandoned:
-            self._claimer.release(live, out)
-            self._state.requests.remove(live)
-            self._state.end_limited(live, now)
+            self.forget(live, now, out)
             return
         if live.expired or message.reason is messages.RejectReason.EXPIRED:
             self.expire(live, dispatch.instance, now, out)
@@ -257,9 +255,7 @@
         live.body.clear()
         live.body_bytes = 0
         if live.abandoned:
-            self._claimer.release(live, out)
-            self._state.requests.remove(live)
-            self._state.end_limited(live, now)
+            self.forget(live, now, out)
             return
         decided = decision.decide_retry(
             _extend_begun(live, now),
@@ -307,6 +303,12 @@
             if live.dispatch is None and not live.expired:
                 self.route(live, now, out)
 
+    def forget(self, live: lives.Live, now: float, out: entry_state.Commands) -> None:
+        """Drops a request that nobody waits for."""
+        self._claimer.release(live, out)
+        self._state.requests.remove(live)
+        self._state.end_limited(live, now)
+
     def expire(
         self, live: lives.Live, peer: str, now: float, out: entry_state.Commands
     ) -> None:
