--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/eventdocs.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/eventdocs.py
@@ -8,7 +8,7 @@
 
 _HEAD = """# Log events
 
-Daemons write JSON lines on standard error. Each has `event_id`, `event`, `instance`,
+Daemons write JSON lines on standard output. Each has `event_id`, `event`, `instance`,
 `request_id`, `peer`, `detail` and `timestamp`. A number is never used again for another
 kind. This page is written by `make docs`; a test compares it with the code.
 
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/__init__.py
@@ -0,0 +1,1 @@
+"""Entry that forwards any HTTP request straight to the endpoints of a service."""
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -0,0 +1,67 @@
+"""Datagrams by which entries tell one another what they have under way."""
+
+from __future__ import annotations
+
+import typing
+
+import cbor2
+
+from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import peers
+
+# First element of each datagram; a change of the form changes it.
+FORM = 1
+_PARTS = 11
+
+
+def encode(announcement: peers.Announcement) -> bytes:
+    """Returns the datagram of an announcement."""
+    work = {
+        instance: (done.requests, int(done.memory_tokens))
+        for instance, done in announcement.work.items()
+    }
+    return cbor2.dumps(
+        (
+            FORM,
+            announcement.name,
+            announcement.incarnation,
+            announcement.sequence,
+            announcement.host,
+            announcement.data_centre,
+            announcement.address,
+            announcement.ready,
+            announcement.version,
+            work,
+            announcement.peers,
+        )
+    )
+
+
+def decode(data: bytes) -> peers.Announcement:
+    """Returns the announcement in a datagram.
+
+    Raises:
+        ValueError: The datagram holds something else.
+    """
+    try:
+        parts: typing.Any = cbor2.loads(data)
+        if len(parts) != _PARTS or parts[0] != FORM:
+            raise ValueError(f"form {parts[0]!r} with {len(parts)} parts")
+        work = {
+            str(instance): loads.Work(int(done[0]), float(done[1]))
+            for instance, done in parts[9].items()
+        }
+        return peers.Announcement(
+            name=str(parts[1]),
+            incarnation=int(parts[2]),
+            sequence=int(parts[3]),
+            host=str(parts[4]),
+            data_centre=str(parts[5]),
+            address=str(parts[6]),
+            ready=bool(parts[7]),
+            version=int(parts[8]),
+            work=work,
+            peers=tuple(str(host) for host in parts[10]),
+        )
+    except (cbor2.CBORDecodeError, TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f"not an announcement: {error!r}") from error
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -0,0 +1,323 @@
+"""Answers one request of a caller, over as many attempts as are allowed."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+from chicoryweir_daemon.forwarder import attempt as attempts
+from chicoryweir_daemon.forwarder import desk as desks
+from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import journal as journals
+from chicoryweir_daemon.forwarder import meters as meter_books
+from chicoryweir_daemon.forwarder import refusals
+from chicoryweir_daemon.forwarder import relay as relays
+from chicoryweir_daemon.forwarder import seams
+from chicoryweir_daemon.http1 import callers
+from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.http1 import heads
+from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import demand
+from chicoryweir_policy.forwarding import dispatching
+from chicoryweir_policy.forwarding import repeats
+from chicoryweir_policy.forwarding import routes
+from chicoryweir_policy.forwarding import silence
+from chicoryweir_policy.forwarding import waiting
+
+# Time after which to come back where nothing better is known, in seconds.
+DEFAULT_RETRY_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What all exchanges of a process share."""
+
+    fleet: fleets.Fleet
+    desk: desks.Desk
+    pool: connections.Pool
+    dialect: seams.Dialect
+    journal: journals.Journal
+    meters: meter_books.Meters
+
+
+class Exchange:
+    """One request of a caller and its answer."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        request: heads.Request,
+        answer: callers.Answer,
+        facts: seams.RequestFacts,
+        routed: routes.Routed,
+        service: configuration.Service,
+        arrived_at: float,
+    ) -> None:
+        self._tools = tools
+        self._fleet = tools.fleet
+        self._request = request
+        self._answer = answer
+        self._facts = facts
+        self._route = routed.route
+        self._routed = routed
+        self._service = service
+        self._arrived_at = arrived_at
+        limit_s = routed.route.timeout_s
+        if facts.remaining_s is not None:
+            limit_s = min(limit_s, facts.remaining_s)
+        self._deadline_at = arrived_at + limit_s
+        self._request_id = facts.attempt_id.decode("latin-1")
+        self._wanted = demand.estimate_demand(facts.size, service.engine)
+        self._excluded: frozenset[str] = frozenset()
+        self._history = repeats.History(0, 0, False, 0)
+        self._waited_s = 0.0
+        self._trail: list[str] = []
+        self._attempt: attempts.Attempt | None = None
+        self._relay = self._create_relay()
+
+    async def run(self) -> None:
+        """Answers the request; cancelled when the caller leaves."""
+        self._fleet.get_budget(self._service.name).note_request(self._arrived_at)
+        try:
+            async with asyncio.timeout_at(self._deadline_at) as limit:
+                await self._serve()
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            self._end_at_deadline()
+        except asyncio.CancelledError:
+            self._log("caller left", 0, "")
+            raise
+
+    async def _serve(self) -> None:
+        while not self._answer.ended:
+            asked_at = self._now()
+            verdict = await self._tools.desk.place(self._describe(), self._service)
+            self._waited_s += self._now() - asked_at
+            match verdict:
+                case waiting.Refusal(reason=reason, retry_after_s=retry_after_s):
+                    self._reject(reason, retry_after_s)
+                case dispatching.Placed():
+                    await self._try(verdict)
+
+    async def _try(self, placed: dispatching.Placed) -> None:
+        endpoint = placed.endpoint
+        attempt = attempts.Attempt(
+            self._tools.pool,
+            self._tools.dialect,
+            self._fleet.clock,
+            endpoint,
+            self._note_progress,
+            self._limit_silence,
+        )
+        self._attempt = attempt
+        if self._history.arrivals:
+            budget = self._fleet.get_budget(self._service.name)
+            budget.withdraw(self._fleet.count_entries(self._now()), self._now())
+        sending = seams.Sending(
+            self._deadline_at - self._now(),
+            endpoint.instance,
+            self._routed.workspace,
+            self._routed.priority,
+            self._relay.resume_after,
+        )
+        started_at = self._now()
+        try:
+            outcome = await attempt.run(
+                self._request,
+                self._facts,
+                sending,
+                self._relay,
+                self._answer,
+                fresh=not self._route.repeatable,
+            )
+        finally:
+            self._tools.desk.finish(placed, self._service)
+        self._attempt = None
+        self._conclude(endpoint.instance, outcome, started_at, attempt)
+
+    def _conclude(
+        self,
+        instance: str,
+        outcome: attempts.Outcome,
+        started_at: float,
+        attempt: attempts.Attempt,
+    ) -> None:
+        now = self._now()
+        failed = isinstance(outcome, attempts.Failed)
+        if failed:
+            self._trail.append(f"{instance} {outcome.failure.value}: {outcome.detail}")
+        else:
+            self._trail.append(f"{instance} answered")
+        self._judge_endpoint(instance, outcome, attempt, started_at, now)
+        match outcome:
+            case attempts.Finished(status):
+                self._tools.meters.observe(
+                    "answer", self._route.kind.value, now - self._arrived_at
+                )
+                self._log("answered", status, "")
+            case attempts.Failed():
+                self._follow(instance, outcome)
+
+    def _judge_endpoint(
+        self,
+        instance: str,
+        outcome: attempts.Outcome,
+        attempt: attempts.Attempt,
+        started_at: float,
+        now: float,
+    ) -> None:
+        """Tells the detector of outliers what was seen of an endpoint."""
+        outliers = self._fleet.outliers
+        match outcome:
+            case attempts.Finished():
+                outliers.note_outcome(instance, False, now)
+                outliers.note_pace(instance, self._measure_pace(started_at, now), now)
+            case attempts.Failed(failure=failure, at_fault=at_fault):
+                if not at_fault and failure is not repeats.Failure.MISDIRECTED:
+                    outliers.note_outcome(instance, True, now)
+
+    def _measure_pace(self, started_at: float, now: float) -> float:
+        return (now - started_at) / max(1.0, self._wanted.cost)
+
+    def _follow(self, instance: str, failed: attempts.Failed) -> None:
+        """Decides what follows a failed attempt."""
+        failure = failed.failure
+        self._excluded |= {instance}
+        self._history = repeats.History(
+            self._history.arrivals + failure.arrived,
+            self._history.runs + (not failure.proves_not_run),
+            self._relay.begun,
+            self._history.queued_again + (failure is repeats.Failure.NOT_SENT),
+        )
+        now = self._now()
+        budget = self._fleet.get_budget(self._service.name)
+        decision = repeats.decide_repeat(
+            self._route,
+            failure,
+            self._history,
+            budget.count_left(self._fleet.count_entries(now), now),
+            self._deadline_at - now,
+        )
+        match decision:
+            case repeats.Repeat():
+                self._tools.meters.count("repeats", failure.value)
+                self._tools.journal.record(
+                    catalogue.REQUEST_RETRIED,
+                    self._request_id,
+                    instance,
+                    failure=failure.value,
+                    detail=failed.detail,
+                    begun=self._relay.begun,
+                    elapsed_s=round(now - self._arrived_at, 3),
+                )
+            case repeats.Reject(reason):
+                self._reject(f"{failed.detail}; {reason}", None)
+            case repeats.Fail(reason):
+                self._fail(502, f"{failed.detail}; {reason}")
+            case repeats.Abort(reason):
+                self._abort(f"{failed.detail}; {reason}")
+            case repeats.PassOn():
+                self._pass_on(failed)
+            case _:
+                typing.assert_never(decision)
+
+    def _pass_on(self, failed: attempts.Failed) -> None:
+        """Hands the endpoint's own failure to the caller."""
+        held = failed.held
+        assert held is not None
+        if held.head.status in attempts.PROMISES and not self._route.repeatable:
+            self._fail(502, f"{failed.detail} without a word that it was not run")
+            return
+        relays.write_head(self._answer, held.head, len(held.body))
+        self._answer.write(held.body)
+        self._answer.finish()
+        self._log("failure passed on", held.head.status, failed.detail)
+
+    def _end_at_deadline(self) -> None:
+        sent = self._attempt is not None and self._attempt.sent
+        if self._relay.begun:
+            self._abort("its time is over")
+        elif sent or self._history.runs:
+            self._fail(504, "its time is over")
+        else:
+            self._reject("its time is over", None)
+
+    def _reject(self, reason: str, retry_after_s: float | None) -> None:
+        if self._relay.begun:
+            self._abort(reason)
+            return
+        if self._history.runs:
+            self._fail(502, reason)
+            return
+        if retry_after_s is None:
+            retry_after_s = DEFAULT_RETRY_S
+        problem = refusals.Problem(503, "dispatch", reason, retry_after_s)
+        self._send(problem, "rejected")
+
+    def _fail(self, status: int, detail: str) -> None:
+        self._send(refusals.Problem(status, "forward", detail), "failed")
+
+    def _abort(self, detail: str) -> None:
+        self._answer.abort()
+        self._log("broken off", 0, detail)
+
+    def _send(self, problem: refusals.Problem, outcome: str) -> None:
+        refusals.send_problem(
+            self._answer, self._tools.dialect, self._facts.attempt_id, problem
+        )
+        self._log(outcome, problem.status, problem.detail)
+
+    def _log(self, outcome: str, status: int, detail: str) -> None:
+        now = self._now()
+        self._tools.meters.count("requests", outcome)
+        self._tools.journal.record(
+            catalogue.REQUEST_ENDED,
+            self._request_id,
+            outcome=outcome,
+            status=status,
+            detail=detail,
+            route=self._route.name,
+            workspace=self._routed.workspace,
+            priority=self._routed.priority,
+            version=self._routed.version,
+            waited_s=round(self._waited_s, 3),
+            elapsed_s=round(now - self._arrived_at, 3),
+            left_s=round(self._deadline_at - now, 3),
+            attempts=self._trail,
+        )
+
+    def _describe(self) -> waiting.Ticket:
+        return waiting.Ticket(
+            self._request_id,
+            self._routed.workspace,
+            self._routed.priority,
+            self._wanted,
+            self._arrived_at + self._route.objective_s,
+            self._deadline_at,
+            self._arrived_at,
+            self._excluded,
+        )
+
+    def _create_relay(self) -> relays.Relay:
+        if self._route.kind is not configuration.RouteKind.STREAM:
+            return relays.BodyRelay(self._answer)
+        last_id = self._request.head.find(b"last-event-id")
+        return relays.EventRelay(self._answer, last_id)
+
+    def _note_progress(self) -> None:
+        self._fleet.progress_at[self._service.name] = self._now()
+
+    def _limit_silence(self, attempt: attempts.Attempt) -> float:
+        now = self._now()
+        return silence.compute_patience(
+            self._route,
+            attempt.first_at is not None,
+            now - attempt.heard_at,
+            now - self._fleet.progress_at[self._service.name],
+        )
+
+    def _now(self) -> float:
+        return self._fleet.clock.read()
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
@@ -0,0 +1,101 @@
+"""One call over a pooled connection, with a time limit."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from chicoryweir_daemon.http1 import answerparser
+from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.http1 import heads
+
+
+class FetchError(Exception):
+    """A call brought no answer; it may have taken effect if `sent`.
+
+    Attributes:
+        step: Step that failed.
+        peer: Host and port.
+        sent: Whether the call was sent.
+    """
+
+    def __init__(self, step: str, peer: str, detail: str, sent: bool) -> None:
+        super().__init__(f"{step} at {peer}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.sent = sent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+async def fetch(
+    pool: connections.Pool,
+    address: connections.Address,
+    method: bytes,
+    target: bytes,
+    body: bytes,
+    timeout_s: float,
+    headers: tuple[heads.Header, ...] = (),
+) -> Reply:
+    """Makes one call.
+
+    Args:
+        pool: Connections.
+        address: Peer to call.
+        method: HTTP method.
+        target: Path and query.
+        body: Body; empty for none.
+        timeout_s: Time for the whole call, in seconds.
+        headers: Headers besides those of the framing.
+
+    Raises:
+        FetchError: No whole answer came in time.
+    """
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + timeout_s
+    try:
+        connection = await pool.acquire(address, False, loop.time())
+    except connections.ConnectError as error:
+        raise FetchError("connect", str(address), str(error), sent=False) from error
+    whole = False
+    try:
+        fields = [(b"Host", str(address).encode()), *headers]
+        if body or method != b"GET":
+            fields.append((b"Content-Length", b"%d" % len(body)))
+        connection.begin(heads.encode_request(method, target, fields) + body)
+        head, data = await _read(connection, str(address), ends_at)
+        whole = True
+    finally:
+        if not whole:
+            connection.abort()
+    pool.release(address, connection, head, loop.time())
+    return Reply(head.status, data)
+
+
+async def _read(
+    connection: connections.Connection, peer: str, ends_at: float
+) -> tuple[heads.AnswerHead, bytes]:
+    loop = asyncio.get_running_loop()
+    head: heads.AnswerHead | None = None
+    body = bytearray()
+    while True:
+        left_s = ends_at - loop.time()
+        event = await connection.receive(left_s) if left_s > 0 else None
+        match event:
+            case None:
+                raise FetchError("receive", peer, "no answer in time", sent=True)
+            case answerparser.Broken(detail):
+                raise FetchError("receive", peer, detail, sent=True)
+            case heads.AnswerHead():
+                head = event
+            case answerparser.Body(data):
+                body += data
+            case answerparser.End():
+                assert head is not None
+                return head, bytes(body)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -0,0 +1,94 @@
+"""State that the tasks of one forwarding process share."""
+
+from __future__ import annotations
+
+import collections
+
+from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import seams
+from chicoryweir_policy.forwarding import budget
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import dispatching
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.forwarding import routes
+from chicoryweir_policy.forwarding import selection
+from chicoryweir_policy.forwarding import waiting
+from chicoryweir_policy.routing import outliers
+
+
+class Fleet:
+    """What one entry knows: configuration, endpoints, other entries, work."""
+
+    def __init__(self, settings: process.Settings, clock: seams.Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.table: routes.RouteTable | None = None
+        self.document = b""
+        self.endpoints = endpoints.EndpointBook()
+        self.loads = loads.LoadBook()
+        self.peers = peers.PeerBook(settings.name, settings.host)
+        self.outliers = outliers.OutlierDetector()
+        self.ejected: dict[str, float] = {}
+        self.progress_at: collections.defaultdict[str, float]
+        self.progress_at = collections.defaultdict(float)
+        self.stopping = False
+        self.listed = False
+        self._selector = selection.create_selector(settings.data_centre)
+        self._dispatchers: dict[str, dispatching.Dispatcher] = {}
+        self._budgets: dict[str, budget.SharedBudget] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the entry takes callers."""
+        return self.table is not None and self.listed and not self.stopping
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return 0 if self.table is None else self.table.version
+
+    def adopt(self, config: configuration.Configuration, data: bytes) -> bool:
+        """Puts a configuration in force unless it is not newer; tells whether."""
+        if config.version <= self.version:
+            return False
+        self.table = routes.RouteTable(config)
+        self.document = data
+        return True
+
+    def get_dispatcher(self, service: str) -> dispatching.Dispatcher:
+        """Returns the dispatcher of a service."""
+        dispatcher = self._dispatchers.get(service)
+        if dispatcher is None:
+            dispatcher = dispatching.Dispatcher(
+                self.endpoints,
+                self.loads,
+                self._selector,
+                waiting.create_waiting_room(),
+            )
+            dispatcher.avoid(self._is_ejected)
+            self._dispatchers[service] = dispatcher
+        return dispatcher
+
+    def list_dispatchers(self) -> list[tuple[str, dispatching.Dispatcher]]:
+        """Returns the dispatchers by service."""
+        return list(self._dispatchers.items())
+
+    def get_budget(self, service: str) -> budget.SharedBudget:
+        """Returns this entry's budget for repeats to a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            bounds = self.settings.bounds
+            found = budget.SharedBudget(
+                bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
+            )
+            self._budgets[service] = found
+        return found
+
+    def count_entries(self, now: float) -> int:
+        """Returns the entries that serve, this one included."""
+        return self.peers.count_entries(now)
+
+    def _is_ejected(self, instance: str, now: float) -> bool:
+        return self.ejected.get(instance, 0.0) > now
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -0,0 +1,123 @@
+"""Task that announces this entry to the others and hears of them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import socket
+import typing
+
+from chicoryweir_daemon.forwarder import announcements
+from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import journal as journals
+from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import peers
+
+# An announcement without news is sent this often, in seconds.
+IDLE_PERIOD_S = 0.4
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends and takes announcements over UDP."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        journal: journals.Journal,
+        incarnation: int,
+        learn_version: collections.abc.Callable[[str, int], None],
+    ) -> None:
+        self._fleet = fleet
+        self._journal = journal
+        self._incarnation = incarnation
+        self._learn_version = learn_version
+        self._sequence = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._told: dict[str, loads.Work] = {}
+        self._told_at = 0.0
+        self._alive: frozenset[str] = frozenset()
+
+    async def open(self) -> None:
+        """Binds the socket."""
+        settings = self._fleet.settings
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(settings.host, settings.peer_port),
+            family=socket.AF_INET,
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the socket."""
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes an announcement."""
+        try:
+            heard = announcements.decode(data)
+        except ValueError as error:
+            self._journal.record(
+                catalogue.ANNOUNCEMENT_UNREADABLE, peer=addr[0], detail=str(error)
+            )
+            return
+        now = self._fleet.clock.read()
+        if not self._fleet.peers.hear(heard, now):
+            return
+        self._fleet.loads.set_peer(heard.name, heard.work, now)
+        if heard.version > self._fleet.version:
+            self._learn_version(heard.host, heard.version)
+
+    def error_received(self, exc: Exception) -> None:
+        """A host that has no listener told so; it isn't alive, which is enough."""
+
+    async def run(self) -> None:
+        """Announces this entry until cancelled."""
+        while True:
+            self.announce()
+            self._note_alive()
+            await asyncio.sleep(peers.ANNOUNCE_PERIOD_S)
+
+    def announce(self, force: bool = False) -> None:
+        """Sends an announcement where there is something to tell."""
+        now = self._fleet.clock.read()
+        work = self._fleet.loads.export()
+        due = now - self._told_at >= IDLE_PERIOD_S
+        if not (force or due or work != self._told):
+            return
+        self._told, self._told_at = work, now
+        for name in self._fleet.peers.expire(now):
+            self._fleet.loads.forget_peer(name)
+        data = announcements.encode(self._describe(work, now))
+        if self._transport is not None:
+            port = self._fleet.settings.peer_port
+            for host in self._fleet.peers.list_hosts():
+                self._transport.sendto(data, (host, port))
+
+    def _describe(
+        self, work: dict[str, loads.Work], now: float
+    ) -> peers.Announcement:
+        settings = self._fleet.settings
+        self._sequence += 1
+        alive = self._fleet.peers.list_alive(now)
+        return peers.Announcement(
+            name=settings.name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            host=settings.host,
+            data_centre=settings.data_centre,
+            address=str(settings.callers),
+            ready=self._fleet.is_ready,
+            version=self._fleet.version,
+            work=work,
+            peers=tuple(sorted(peer.host for peer in alive)),
+        )
+
+    def _note_alive(self) -> None:
+        now = self._fleet.clock.read()
+        alive = frozenset(peer.name for peer in self._fleet.peers.list_alive(now))
+        for name in sorted(alive - self._alive):
+            self._journal.record(catalogue.PEER_HEARD, peer=name, alive=len(alive))
+        for name in sorted(self._alive - alive):
+            self._journal.record(catalogue.PEER_SILENT, peer=name, alive=len(alive))
+        self._alive = alive
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
@@ -0,0 +1,107 @@
+"""Takes callers' requests and finds what applies to them."""
+
+from __future__ import annotations
+
+from chicoryweir_daemon.forwarder import exchange
+from chicoryweir_daemon.forwarder import refusals
+from chicoryweir_daemon.forwarder import seams
+from chicoryweir_daemon.http1 import callers
+from chicoryweir_daemon.http1 import heads
+from chicoryweir_daemon.http1 import requestparser
+from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import routes
+
+# An entry without a configuration reads one within a second of the store's return.
+NOT_READY_RETRY_S = 0.5
+
+
+class Ingress:
+    """Answers the requests of callers."""
+
+    def __init__(self, tools: exchange.Tools) -> None:
+        self._tools = tools
+
+    def get_limits(self) -> callers.ServerLimits:
+        """Returns the bounds on what callers send."""
+        table = self._tools.fleet.table
+        limits = configuration.Limits()
+        if table is not None:
+            limits = table.configuration.limits
+        return callers.ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    def reject(self, rejected: requestparser.Rejected) -> heads.AnswerHead:
+        """Returns the head of the answer to what is no valid request."""
+        self._tools.meters.count("malformed", str(rejected.status))
+        self._tools.journal.record(
+            catalogue.REQUEST_MALFORMED, status=rejected.status, detail=rejected.detail
+        )
+        phrase = heads.get_phrase(rejected.status)
+        headers = tuple(self._tools.dialect.write_own(None))
+        return heads.AnswerHead(rejected.status, phrase, headers, False, False)
+
+    async def handle(self, request: heads.Request, answer: callers.Answer) -> None:
+        """Answers one request."""
+        fleet = self._tools.fleet
+        now = fleet.clock.read()
+        facts = self._tools.dialect.read_request(request.head)
+        if isinstance(facts, seams.Malformed):
+            self._refuse(answer, None, refusals.Problem(400, "read", facts.detail))
+            return
+        table = fleet.table
+        if table is None:
+            problem = refusals.Problem(
+                503, "route", "no configuration is known yet", NOT_READY_RETRY_S
+            )
+            self._refuse(answer, facts, problem)
+            return
+        request_id = facts.attempt_id.decode("latin-1")
+        resolved = table.resolve(facts.host, request.head.path, facts.key, request_id)
+        match resolved:
+            case routes.NotFound(host, version):
+                detail = f"no route of {host!r} fits the path (version {version})"
+                self._refuse(answer, facts, refusals.Problem(404, "route", detail))
+            case routes.KeyUnknown(route, version):
+                detail = f"route {route} needs a valid key (version {version})"
+                self._refuse(answer, facts, refusals.Problem(401, "key", detail))
+            case routes.Routed():
+                await self._forward(request, answer, facts, resolved, table, now)
+
+    async def _forward(
+        self,
+        request: heads.Request,
+        answer: callers.Answer,
+        facts: seams.RequestFacts,
+        routed: routes.Routed,
+        table: routes.RouteTable,
+        now: float,
+    ) -> None:
+        service = table.get_service(routed.service)
+        if service is None:
+            service = configuration.Service(routed.service, 0, None)
+        one = exchange.Exchange(
+            self._tools, request, answer, facts, routed, service, now
+        )
+        await one.run()
+
+    def _refuse(
+        self,
+        answer: callers.Answer,
+        facts: seams.RequestFacts | None,
+        problem: refusals.Problem,
+    ) -> None:
+        attempt_id = None if facts is None else facts.attempt_id
+        refusals.send_problem(answer, self._tools.dialect, attempt_id, problem)
+        self._tools.meters.count("requests", f"refused {problem.status}")
+        self._tools.journal.record(
+            catalogue.REQUEST_REFUSED,
+            "" if attempt_id is None else attempt_id.decode("latin-1"),
+            status=problem.status,
+            step=problem.step,
+            detail=problem.detail,
+        )
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/journal.py
@@ -0,0 +1,35 @@
+"""Numbered log events of a forwarding process."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from chicoryweir_policy import catalogue
+
+_NAMES = {kind.number: kind.name for kind in catalogue.KINDS}
+
+
+class Journal:
+    """Writes numbered events with the inputs that decided them."""
+
+    def __init__(self, instance: str) -> None:
+        self._logger = structlog.get_logger().bind(instance=instance)
+
+    def record(
+        self, number: int, request_id: str = "", peer: str = "", **inputs: typing.Any
+    ) -> None:
+        """Writes one event.
+
+        Args:
+            number: Number in the catalogue of events.
+            request_id: Request it is about, or an empty string.
+            peer: Instance it is about, or an empty string.
+            **inputs: What decided, its age or version, and the outcome.
+        """
+        if request_id:
+            inputs["request_id"] = request_id
+        if peer:
+            inputs["peer"] = peer
+        self._logger.info(_NAMES[number], event_id=number, **inputs)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/heads.py
@@ -0,0 +1,131 @@
+"""Heads of requests and answers, and their encoding."""
+
+from __future__ import annotations
+
+import dataclasses
+import http
+
+Header = tuple[bytes, bytes]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of a request.
+
+    Attributes:
+        method: Method, in capitals.
+        target: Path and query as the caller sent them.
+        headers: Headers in order, their names as sent.
+        keep_alive: Whether the caller would send more on the connection.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    keep_alive: bool
+
+    @property
+    def path(self) -> bytes:
+        """Path without the query."""
+        return self.target.partition(b"?")[0]
+
+    @property
+    def query(self) -> bytes:
+        """Query without the question mark."""
+        return self.target.partition(b"?")[2]
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header; `name` is in lower case."""
+        return find_header(self.headers, name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request."""
+
+    head: RequestHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Head of an answer.
+
+    Attributes:
+        status: Status code.
+        reason: Reason phrase.
+        headers: Headers in order.
+        ends_with_connection: Whether only the end of the connection ends the body.
+        keep_alive: Whether the peer takes more requests on the connection.
+    """
+
+    status: int
+    reason: bytes
+    headers: tuple[Header, ...]
+    ends_with_connection: bool
+    keep_alive: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header; `name` is in lower case."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
+    """Returns the first value of a header; `name` is in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def strip_connection_headers(headers: tuple[Header, ...]) -> list[Header]:
+    """Returns the headers that are passed on, without those of one connection."""
+    named = {
+        token.strip().lower()
+        for key, value in headers
+        if key.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = _CONNECTION_HEADERS | named
+    return [header for header in headers if header[0].lower() not in dropped]
+
+
+def has_body(status: int) -> bool:
+    """Tells whether an answer with this status has a body."""
+    return status >= 200 and status not in _BODILESS_STATUSES
+
+
+def encode_request(method: bytes, target: bytes, headers: list[Header]) -> bytes:
+    """Returns the bytes of a request's head."""
+    return _encode(b"%s %s HTTP/1.1" % (method, target), headers)
+
+
+def encode_answer(status: int, reason: bytes, headers: list[Header]) -> bytes:
+    """Returns the bytes of an answer's head."""
+    return _encode(b"HTTP/1.1 %d %s" % (status, reason), headers)
+
+
+def get_phrase(status: int) -> bytes:
+    """Returns the usual reason phrase of a status."""
+    return http.HTTPStatus(status).phrase.encode()
+
+
+def _encode(first: bytes, headers: list[Header]) -> bytes:
+    lines = [first, *(b"%s: %s" % header for header in headers), b"", b""]
+    return b"\r\n".join(lines)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
@@ -0,0 +1,119 @@
+"""Parses the requests of one caller's connection."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import httptools
+
+from chicoryweir_daemon.http1 import heads
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """What the caller sent can't be served; the connection ends after the answer."""
+
+    status: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContinueWanted:
+    """The caller waits for a word before it sends the body."""
+
+
+Event = heads.Request | ContinueWanted | Rejected
+
+
+class RequestParser:
+    """Turns bytes into whole requests within the limits on their size."""
+
+    def __init__(self, max_head_bytes: int, max_body_bytes: int) -> None:
+        self._max_head = max_head_bytes
+        self._max_body = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._events: list[Event] = []
+        self._failed = False
+        self.in_head = False
+        self.in_body = False
+        self._reset()
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Returns what the bytes complete; after a rejection, nothing more."""
+        self._events = []
+        if self._failed:
+            return []
+        if not self.in_body:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400, "the request asks for another protocol")
+        except httptools.HttpParserError as error:
+            self._reject(400, f"the request is not valid HTTP/1.1: {error}")
+        if self.in_head and self._head_bytes > self._max_head:
+            self._reject(431, f"the head is longer than {self._max_head} bytes")
+        return self._events
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._reset()
+        self.in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name, value))
+        self._size += len(name) + len(value) + 4
+
+    def on_headers_complete(self) -> None:
+        """Takes the end of the head."""
+        self.in_head, self.in_body = False, True
+        if self._size + len(self._target) > self._max_head:
+            self._reject(431, f"the head is longer than {self._max_head} bytes")
+            return
+        self._head = heads.RequestHead(
+            self._parser.get_method().upper(),
+            bytes(self._target),
+            tuple(self._headers),
+            self._parser.should_keep_alive(),
+        )
+        length = self._head.find(b"content-length")
+        if length is not None and int(length) > self._max_body:
+            self._reject(413, f"the body is longer than {self._max_body} bytes")
+        elif (self._head.find(b"expect") or b"").lower() == b"100-continue":
+            self._events.append(ContinueWanted())
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body += body
+        if len(self._body) > self._max_body:
+            self._reject(413, f"the body is longer than {self._max_body} bytes")
+
+    def on_message_complete(self) -> None:
+        """Takes the end of the request."""
+        self.in_body = False
+        self._head_bytes = 0
+        if self._failed:
+            return
+        head = typing.cast(heads.RequestHead, self._head)
+        self._events.append(heads.Request(head, bytes(self._body)))
+        self._body = bytearray()
+
+    def _reset(self) -> None:
+        self._target = bytearray()
+        self._headers: list[heads.Header] = []
+        self._body = bytearray()
+        self._head: heads.RequestHead | None = None
+        self._size = 0
+        if not hasattr(self, "_head_bytes"):
+            self._head_bytes = 0
+
+    def _reject(self, status: int, detail: str) -> None:
+        if not self._failed:
+            self._failed = True
+            self._events.append(Rejected(status, detail))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
@@ -4,7 +4,9 @@
 
 import collections
 import dataclasses
+import os
 import sys
+import typing
 
 import structlog
 
@@ -12,6 +14,8 @@
 from chicoryweir_policy.cores import commands
 
 MAX_KEPT = 2000
+# Some seconds of lines on the heaviest day of one entry.
+MAX_HELD_BYTES = 262_144
 _NAMES = {kind.number: kind.name for kind in catalogue.KINDS}
 
 
@@ -79,14 +83,65 @@
         return [event for event in self._kept if event.sequence > sequence]
 
 
+class BoundedSink:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    What the reader doesn't take is held up to `MAX_HELD_BYTES`; lines beyond that are
+    dropped, and their number is written once there is room again.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._held = bytearray()
+        self._dropped = 0
+
+    def write(self, text: str) -> None:
+        """Takes whole lines."""
+        data = text.encode()
+        if len(self._held) + len(data) > MAX_HELD_BYTES:
+            self._dropped += 1
+        else:
+            self._held += data
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes what the reader takes now."""
+        if self._dropped and len(self._held) < MAX_HELD_BYTES // 2:
+            self._held += self._describe_dropped()
+            self._dropped = 0
+        while self._held:
+            try:
+                written = os.write(self._descriptor, self._held)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is no place left to say so.
+                self._held.clear()
+                return
+            del self._held[:written]
+
+    def _describe_dropped(self) -> bytes:
+        number = catalogue.LINES_DROPPED
+        line = f'{{"event":"{_NAMES[number]}","event_id":{number},'
+        return f'{line}"count":{self._dropped}}}\n'.encode()
+
+
+def create_output() -> BoundedSink:
+    """Creates a sink on standard output, which is set not to block."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    return BoundedSink(descriptor)
+
+
 def configure_logs() -> None:
-    """Sets structlog to write JSON lines on standard error."""
+    """Sets structlog to write JSON lines on standard output, without blocking."""
+    file = typing.cast(typing.TextIO, create_output())
     structlog.configure(
         processors=[
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(sort_keys=True),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file),
         cache_logger_on_first_use=True,
     )
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -33,16 +33,24 @@
 ENDPOINT_LOST = 120
 ENDPOINT_SERVING = 121
 ENDPOINT_EJECTED = 122
+ENDPOINT_CHANGED = 123
+PEER_HEARD = 130
+PEER_SILENT = 131
+ANNOUNCEMENT_UNREADABLE = 132
+LINES_DROPPED = 140
 REQUEST_REFUSED = 200
 REQUEST_RETRIED = 201
 REQUEST_RESUMED = 202
 ANSWER_ABORTED = 203
 ANSWER_CORRUPT = 204
+REQUEST_ENDED = 205
+REQUEST_MALFORMED = 206
 CLAIM_TAKEN_OVER = 210
 REQUEST_QUARANTINED = 220
 MAP_CHANGED = 230
 SETTINGS_ADOPTED = 300
 SETTINGS_REFUSED = 301
+SETTINGS_NOT_FETCHED = 302
 STORE_UNREACHABLE = 310
 STORE_BACK = 311
 INVARIANT_VIOLATED = 900
@@ -99,6 +107,36 @@
         "An endpoint that is slow or fails beside its peers gets no work for a time.",
         "Look at the engine and its machine.",
     ),
+    EventKind(
+        ENDPOINT_CHANGED,
+        "endpoint_changed",
+        "An endpoint registered, restarted, is leaving, or its registration is gone.",
+        "None, unless an endpoint that should serve is gone.",
+    ),
+    EventKind(
+        PEER_HEARD,
+        "peer_heard",
+        "Another entry announces itself.",
+        "None.",
+    ),
+    EventKind(
+        PEER_SILENT,
+        "peer_silent",
+        "Another entry has stopped, or its announcements don't arrive.",
+        "Look at that entry's log and at the network between both.",
+    ),
+    EventKind(
+        ANNOUNCEMENT_UNREADABLE,
+        "announcement_unreadable",
+        "A datagram on the port for entries is no announcement.",
+        "Look for a process of another version, or a stranger, at the peer.",
+    ),
+    EventKind(
+        LINES_DROPPED,
+        "lines_dropped",
+        "Log lines were dropped since the reader of the log did not keep up.",
+        "Look at what reads the standard output.",
+    ),
     EventKind(
         REQUEST_REFUSED,
         "request_refused",
@@ -129,6 +167,18 @@
         "The chunks of an answer did not fit their count or digest.",
         "Look at the agent named as peer.",
     ),
+    EventKind(
+        REQUEST_ENDED,
+        "request_ended",
+        "A request has its outcome; `attempts` lists the endpoints that it was sent to.",
+        "See docs/OPERATIONS.md for a request that failed.",
+    ),
+    EventKind(
+        REQUEST_MALFORMED,
+        "request_malformed",
+        "What a caller sent is no valid request, or is too long or too slow.",
+        "Look at the caller.",
+    ),
     EventKind(
         CLAIM_TAKEN_OVER,
         "claim_taken_over",
@@ -159,6 +209,12 @@
         "A version of the settings could not be read.",
         "Run `chicoryweir settings check` on the file that was applied.",
     ),
+    EventKind(
+        SETTINGS_NOT_FETCHED,
+        "settings_not_fetched",
+        "Another entry has a newer version of the settings and did not hand it over.",
+        "None; the store is asked as well.",
+    ),
     EventKind(
         STORE_UNREACHABLE,
         "store_unreachable",
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -0,0 +1,151 @@
+"""Matches requests of one service with endpoints that have room."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import selection
+from chicoryweir_policy.forwarding import waiting
+
+# Time after which a request comes back when no endpoint is registered, in seconds.
+NO_ENDPOINT_RETRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """A request goes to an endpoint; its work is counted there from now on."""
+
+    ticket: waiting.Ticket
+    endpoint: endpoints.Endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waits:
+    """The request waits for room."""
+
+    ticket: waiting.Ticket
+
+
+Outcome = Placed | Waits | waiting.Refusal
+
+
+class Dispatcher:
+    """Requests of one service: those that wait and those under way."""
+
+    def __init__(
+        self,
+        book: endpoints.EndpointBook,
+        load_book: loads.LoadBook,
+        selector: selection.Selector,
+        room: waiting.WaitingRoom,
+    ) -> None:
+        self._book = book
+        self._loads = load_book
+        self._selector = selector
+        self._room = room
+        self._first: waiting.Ticket | None = None
+        self._avoided: collections.abc.Callable[[str, float], bool] = _avoid_none
+
+    def __len__(self) -> int:
+        """Returns the number of requests that wait."""
+        return len(self._room) + (self._first is not None)
+
+    def avoid(self, judge: collections.abc.Callable[[str, float], bool]) -> None:
+        """Sets what tells whether an instance is passed over at a time."""
+        self._avoided = judge
+
+    def offer(
+        self, ticket: waiting.Ticket, service: configuration.Service, now: float
+    ) -> tuple[Outcome, ...]:
+        """Takes a request; returns what follows for it, and for others evicted."""
+        if not len(self):
+            placed = self._place(ticket, service, now)
+            if placed is not None:
+                return (placed,)
+        refusals = self._room.push(ticket, now)
+        if any(r.ticket.request_id == ticket.request_id for r in refusals):
+            return refusals
+        return (*refusals, Waits(ticket), *self.advance(service, now))
+
+    def advance(
+        self, service: configuration.Service, now: float
+    ) -> tuple[Outcome, ...]:
+        """Places waiting requests while there is room, and rejects expired ones."""
+        outcomes: list[Outcome] = list(self._room.expire(now))
+        while True:
+            ticket = self._first or self._room.pop(now)
+            self._first = None
+            if ticket is None:
+                return tuple(outcomes)
+            if ticket.deadline_at - ticket.wanted.run_s < now:
+                outcomes.append(
+                    waiting.Refusal(
+                        ticket, "its time ran out waiting", NO_ENDPOINT_RETRY_S
+                    )
+                )
+                continue
+            placed = self._place(ticket, service, now)
+            if placed is None:
+                self._first = ticket
+                return tuple(outcomes)
+            outcomes.append(placed)
+
+    def withdraw(self, request_id: str) -> None:
+        """Drops a request that waits, if it does."""
+        if self._first is not None and self._first.request_id == request_id:
+            self._first = None
+            return
+        self._room.remove(request_id)
+
+    def finish(self, placed: Placed) -> None:
+        """Takes back the work of a request that has left its endpoint."""
+        self._loads.finish(
+            placed.endpoint.instance, placed.ticket.wanted.memory_tokens
+        )
+
+    def count_free(self, service: configuration.Service, now: float) -> int:
+        """Returns the requests that would start at once."""
+        candidates = self._list_candidates(service, frozenset(), now)
+        return sum(max(0, c.limit - c.work.requests) for c in candidates)
+
+    def _place(
+        self, ticket: waiting.Ticket, service: configuration.Service, now: float
+    ) -> Placed | None:
+        candidates = self._list_candidates(service, ticket.excluded, now)
+        chosen = self._selector.select(candidates, ticket.wanted, ticket.request_id)
+        if chosen is None:
+            return None
+        self._loads.start(chosen.endpoint.instance, ticket.wanted.memory_tokens)
+        return Placed(ticket, chosen.endpoint)
+
+    def _list_candidates(
+        self,
+        service: configuration.Service,
+        excluded: frozenset[str],
+        now: float,
+    ) -> list[selection.Candidate]:
+        usable = self._book.list_usable(service.name)
+        wanted = [
+            endpoint
+            for endpoint in usable
+            if endpoint.instance not in excluded
+            and not self._avoided(endpoint.instance, now)
+        ]
+        memory = 0 if service.engine is None else service.engine.memory_tokens
+        return [
+            selection.Candidate(
+                endpoint,
+                self._loads.measure(endpoint.instance, now),
+                endpoint.slots,
+                memory,
+            )
+            for endpoint in wanted or usable
+        ]
+
+
+def _avoid_none(instance: str, now: float) -> bool:
+    return False
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -0,0 +1,154 @@
+"""Endpoints that entries may send to, kept through lapses of their registration."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import math
+
+# An endpoint that lives registers again within about 2 s of the store's return.
+LAPSE_HOLD_S = 2.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An endpoint as it registers itself.
+
+    Attributes:
+        instance: Name of the instance, unique to one process of the endpoint.
+        service: Service that it belongs to.
+        host: IP address.
+        port: TCP port.
+        data_centre: Data centre it stands in.
+        slots: Requests that it runs at a time.
+        leaving: Whether it takes nothing new.
+        cold_s: Time for which it stays slow after its start, in seconds.
+        born_ms: Unix time of its start, in milliseconds; 0 where it isn't told.
+    """
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registered:
+    """An instance's registration changed."""
+
+    endpoint: Endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removed:
+    """An instance's registration is gone, or holds nothing that can be used."""
+
+    instance: str
+
+
+Change = Registered | Removed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transition:
+    """What a change means for one endpoint, in a word."""
+
+    instance: str
+    service: str
+    meaning: str
+
+
+class EndpointBook:
+    """Endpoints known to one entry.
+
+    A registration that vanishes while the store is away, or just after its return,
+    may have lapsed although the endpoint lives. It is kept until `LAPSE_HOLD_S` after
+    the store's return.
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, Endpoint] = {}
+        self._missing: dict[str, float] = {}
+        self._away = False
+        self._returned_at = -math.inf
+
+    def get(self, instance: str) -> Endpoint | None:
+        """Returns an endpoint that is registered, or was until lately."""
+        return self._endpoints.get(instance)
+
+    def list_usable(self, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service that take new requests."""
+        return [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.service == service and not endpoint.leaving
+        ]
+
+    def list_all(self) -> list[Endpoint]:
+        """Returns all endpoints."""
+        return list(self._endpoints.values())
+
+    def note_store(self, reachable: bool, now: float) -> None:
+        """Records whether the last call to the store succeeded."""
+        if reachable and self._away:
+            self._returned_at = now
+        self._away = not reachable
+
+    def apply(self, change: Change, now: float) -> Transition | None:
+        """Applies one change; returns what it means, or None for nothing."""
+        match change:
+            case Registered(endpoint):
+                return self._register(endpoint)
+            case Removed(instance):
+                return self._remove(instance, now)
+
+    def replace_all(
+        self, registered: collections.abc.Iterable[Endpoint], now: float
+    ) -> list[Transition]:
+        """Applies a whole listing; endpoints that it lacks count as removed."""
+        listed = {endpoint.instance: endpoint for endpoint in registered}
+        absent = [name for name in self._endpoints if name not in listed]
+        found = [self._register(endpoint) for endpoint in listed.values()]
+        found += [self._remove(instance, now) for instance in absent]
+        return [transition for transition in found if transition is not None]
+
+    def expire(self, now: float) -> list[Transition]:
+        """Drops endpoints that did not register again after the store's return."""
+        if self._away:
+            return []
+        due = [name for name, until in self._missing.items() if until <= now]
+        return [self._drop(name, "lapsed") for name in due]
+
+    def _register(self, endpoint: Endpoint) -> Transition | None:
+        self._missing.pop(endpoint.instance, None)
+        before = self._endpoints.get(endpoint.instance)
+        self._endpoints[endpoint.instance] = endpoint
+        if before is None:
+            return Transition(endpoint.instance, endpoint.service, "registered")
+        if endpoint.born_ms != before.born_ms:
+            return Transition(endpoint.instance, endpoint.service, "restarted")
+        if endpoint.leaving and not before.leaving:
+            return Transition(endpoint.instance, endpoint.service, "leaving")
+        return None
+
+    def _remove(self, instance: str, now: float) -> Transition | None:
+        endpoint = self._endpoints.get(instance)
+        if endpoint is None:
+            return None
+        held_until = self._returned_at + LAPSE_HOLD_S
+        if endpoint.leaving or (not self._away and held_until <= now):
+            return self._drop(instance, "removed")
+        if instance not in self._missing:
+            self._missing[instance] = held_until if not self._away else math.inf
+            return Transition(instance, endpoint.service, "missing")
+        return None
+
+    def _drop(self, instance: str, meaning: str) -> Transition:
+        self._missing.pop(instance, None)
+        endpoint = self._endpoints.pop(instance)
+        return Transition(instance, endpoint.service, meaning)
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/routes.py
@@ -0,0 +1,128 @@
+"""Finds the route and the workspace of a request in one configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import types
+
+import xxhash
+
+from chicoryweir_policy.forwarding import configuration
+
+# The key is needed, unlike for a public route.
+_NO_WORKSPACE = ""
+_HASH_RANGE = 2.0**64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Routed:
+    """A request is allowed.
+
+    Attributes:
+        route: Its route.
+        workspace: Workspace of the key; empty where none is needed.
+        priority: Rank of the request; 0 is the most urgent.
+        service: Service that it goes to.
+        version: Version of the configuration that decided.
+    """
+
+    route: configuration.Route
+    workspace: str
+    priority: int
+    service: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotFound:
+    """No route of the host fits the path."""
+
+    host: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyUnknown:
+    """The route needs a key and the request has none that is valid."""
+
+    route: str
+    version: int
+
+
+Resolution = Routed | NotFound | KeyUnknown
+
+
+class RouteTable:
+    """One configuration, laid out so that a look-up costs the same at any size."""
+
+    def __init__(self, config: configuration.Configuration) -> None:
+        self.configuration = config
+        hosts: dict[str, dict[bytes, configuration.Route]] = {}
+        for route in config.routes:
+            hosts.setdefault(route.host, {})[route.prefix.encode()] = route
+        self._hosts = types.MappingProxyType(hosts)
+        self._services = {service.name: service for service in config.services}
+        self._keys = {
+            key.encode(): workspace
+            for workspace in config.workspaces or ()
+            for key in workspace.keys
+        }
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
+        return self.configuration.version
+
+    def get_service(self, name: str) -> configuration.Service | None:
+        """Returns a service by name."""
+        return self._services.get(name)
+
+    def resolve(
+        self, host: str, path: bytes, key: bytes | None, request_id: str
+    ) -> Resolution:
+        """Finds what applies to a request.
+
+        Args:
+            host: Host that the caller named, in lower case without a port.
+            path: Path as it was sent, without the query.
+            key: Key that the caller presented.
+            request_id: Draws the service where a route is split.
+        """
+        route = self._find_route(host, path)
+        if route is None:
+            return NotFound(host, self.version)
+        workspace, priority = _NO_WORKSPACE, route.priority
+        if self.configuration.workspaces is not None:
+            owner = None if key is None else self._keys.get(key)
+            if owner is not None:
+                workspace = owner.name
+                if owner.priority is not None:
+                    priority = owner.priority
+            elif not route.public:
+                return KeyUnknown(route.name, self.version)
+        service = _draw_service(route, request_id)
+        return Routed(route, workspace, priority, service, self.version)
+
+    def _find_route(self, host: str, path: bytes) -> configuration.Route | None:
+        prefixes = self._hosts.get(host)
+        if prefixes is None:
+            return None
+        end = path.rfind(b"/")
+        while end >= 0:
+            found = prefixes.get(path[: end + 1])
+            if found is not None:
+                return found
+            end = path.rfind(b"/", 0, end)
+        return None
+
+
+def _draw_service(route: configuration.Route, request_id: str) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    draw = xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE * total
+    for share in route.shares:
+        draw -= share.weight
+        if draw < 0.0:
+            return share.service
+    return next(s.service for s in reversed(route.shares) if s.weight > 0.0)
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/selection.py
@@ -0,0 +1,110 @@
+"""Selects the endpoint that a request is sent to."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import xxhash
+
+from chicoryweir_policy.forwarding import demand
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import loads
+
+# Part of a slot that a request in another data centre must save to go there: a
+# round trip between data centres is some 3 ms against runs of 60 ms and more.
+OTHER_DATA_CENTRE_SLOTS = 0.05
+# An endpoint that has just started is slow; it counts as this much busier.
+COLD_SLOTS = 1.0
+_HASH_RANGE = 2.0**64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that could take the request.
+
+    Attributes:
+        endpoint: The endpoint.
+        work: Work of all entries there.
+        limit: Requests that may be under way there.
+        memory_tokens: Tokens that fit in its memory; 0 for no limit.
+    """
+
+    endpoint: endpoints.Endpoint
+    work: loads.Work
+    limit: int
+    memory_tokens: int
+
+    def has_room(self, wanted: demand.Demand) -> bool:
+        """Tells whether the request would start at once."""
+        if self.work.requests >= self.limit:
+            return False
+        if not self.memory_tokens or self.work.requests == 0:
+            return True
+        held = self.work.memory_tokens + wanted.memory_tokens
+        return held <= self.memory_tokens
+
+
+class Selector(typing.Protocol):
+    """Selects an endpoint; equal arguments give equal selections."""
+
+    def select(
+        self,
+        candidates: collections.abc.Sequence[Candidate],
+        wanted: demand.Demand,
+        request_id: str,
+    ) -> Candidate | None:
+        """Returns the endpoint to send to, or None while none has room."""
+
+
+class LeastLoaded:
+    """Sends to the endpoint with the least work, near ones first among equals."""
+
+    def __init__(self, data_centre: str) -> None:
+        self._data_centre = data_centre
+
+    def select(
+        self,
+        candidates: collections.abc.Sequence[Candidate],
+        wanted: demand.Demand,
+        request_id: str,
+    ) -> Candidate | None:
+        """Returns the endpoint with the least work, or None while none has room."""
+        open_ = [c for c in candidates if c.has_room(wanted)]
+        if not open_:
+            return None
+        return min(open_, key=lambda c: (self._rate(c), _draw(c, request_id)))
+
+    def _rate(self, candidate: Candidate) -> float:
+        rate = float(candidate.work.requests)
+        if candidate.endpoint.data_centre != self._data_centre:
+            rate += OTHER_DATA_CENTRE_SLOTS
+        if candidate.endpoint.cold_s > 0.0:
+            rate += COLD_SLOTS
+        return rate
+
+
+class RandomChoice:
+    """Baseline: any endpoint that has room, at random."""
+
+    def select(
+        self,
+        candidates: collections.abc.Sequence[Candidate],
+        wanted: demand.Demand,
+        request_id: str,
+    ) -> Candidate | None:
+        """Returns a random endpoint that has room."""
+        open_ = [c for c in candidates if c.has_room(wanted)]
+        return min(open_, key=lambda c: _draw(c, request_id), default=None)
+
+
+def _draw(candidate: Candidate, request_id: str) -> float:
+    """Returns a number that differs between requests, 0 to 1."""
+    text = f"{request_id}/{candidate.endpoint.instance}"
+    return xxhash.xxh64_intdigest(text.encode()) / _HASH_RANGE
+
+
+def create_selector(data_centre: str) -> Selector:
+    """Creates the selector of an entry in `data_centre`."""
+    return LeastLoaded(data_centre)
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
@@ -0,0 +1,227 @@
+"""Order in which the requests of one service wait at an entry.
+
+The load it answers: a burst of several times what the endpoints can take. A request
+that can still meet its objective goes before one that can't any more; within each of
+the two, classes go by priority above floors and workspaces share fairly.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from chicoryweir_policy import requests
+from chicoryweir_policy.admission import delay
+from chicoryweir_policy.admission import queue
+from chicoryweir_policy.admission import queued
+from chicoryweir_policy.forwarding import demand
+
+# Requests that wait at one entry for one service.
+MAX_WAITING = 400
+# Parts of the capacity that the second and third class keep in a flood of the first.
+FLOOR_SHARES = (0.0, 0.08, 0.08)
+# Speed until the first measurement, in units of cost a second.
+INITIAL_SPEED = 500.0
+# Time over which the speed at which waiting work starts is averaged, in seconds.
+SPEED_MEMORY_S = 2.0
+# A wait that is predicted is uncertain; only this part of the time left is counted on.
+USABLE_SHARE = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that wants an endpoint.
+
+    Attributes:
+        request_id: Identifier of the request in this entry.
+        workspace: Workspace it belongs to.
+        priority: Rank; 0 is the most urgent.
+        wanted: Its estimated work.
+        objective_at: Time by which its first part is on time, monotonic seconds.
+        deadline_at: Time by which it must be answered.
+        arrived_at: Its arrival.
+        excluded: Instances that must not get it.
+    """
+
+    request_id: str
+    workspace: str
+    priority: int
+    wanted: demand.Demand
+    objective_at: float
+    deadline_at: float
+    arrived_at: float
+    excluded: frozenset[str] = frozenset()
+
+    @property
+    def start_by(self) -> float:
+        """Time by which it must start to meet its objective."""
+        return self.objective_at - self.wanted.first_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request is rejected without having run.
+
+    Attributes:
+        ticket: The request.
+        reason: Why.
+        retry_after_s: Time after which coming back helps, in seconds.
+    """
+
+    ticket: Ticket
+    reason: str
+    retry_after_s: float
+
+
+class WaitingRoom(typing.Protocol):
+    """Holds the requests that wait and tells which goes next."""
+
+    def push(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
+        """Adds a request; returns those that are rejected, it among them or not."""
+
+    def pop(self, now: float) -> Ticket | None:
+        """Removes and returns the next request."""
+
+    def remove(self, request_id: str) -> bool:
+        """Removes a request; False when it doesn't wait."""
+
+    def expire(self, now: float) -> tuple[Refusal, ...]:
+        """Removes the requests that can't be answered in time any more."""
+
+    def predict_wait(self, now: float) -> float:
+        """Predicts the time in which all that waits has started, in seconds."""
+
+    def __len__(self) -> int:
+        """Returns the number of requests that wait."""
+
+
+class ObjectiveFirst:
+    """Two queues: requests that can meet their objective, then all others."""
+
+    def __init__(self) -> None:
+        self._fresh = queue.create_fair_queue(MAX_WAITING, INITIAL_SPEED)
+        self._late = queue.create_fair_queue(MAX_WAITING, INITIAL_SPEED)
+        self._tickets: dict[str, Ticket] = {}
+        self._speed = INITIAL_SPEED
+        self._started_cost = 0.0
+        self._measured_at: float | None = None
+
+    def __len__(self) -> int:
+        """Returns the number of requests that wait."""
+        return len(self._tickets)
+
+    def push(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
+        """Adds a request; returns those that are rejected, it among them or not."""
+        if not self._tickets:
+            self._measured_at = now
+            self._started_cost = 0.0
+        wait_s = self._predict_start(ticket, now)
+        usable_s = (ticket.deadline_at - now) * USABLE_SHARE - ticket.wanted.run_s
+        if wait_s > usable_s:
+            return (self._refuse(ticket, "the wait would pass its deadline", now),)
+        self._tickets[ticket.request_id] = ticket
+        return self._enter(ticket, now)
+
+    def pop(self, now: float) -> Ticket | None:
+        """Removes and returns the next request."""
+        self._demote(now)
+        entry = self._fresh.pop(now) or self._late.pop(now)
+        if entry is None:
+            return None
+        self._measure_speed(entry.cost_tokens, now)
+        return self._tickets.pop(entry.attempt_id)
+
+    def remove(self, request_id: str) -> bool:
+        """Removes a request; False when it doesn't wait."""
+        if self._tickets.pop(request_id, None) is None:
+            return False
+        if self._fresh.remove(request_id) is None:
+            self._late.remove(request_id)
+        return True
+
+    def expire(self, now: float) -> tuple[Refusal, ...]:
+        """Removes the requests that can't be answered in time any more."""
+        refusals = list(self._demote(now))
+        for entry in self._late.expire(now):
+            ticket = self._tickets.pop(entry.attempt_id)
+            refusals.append(self._refuse(ticket, "its time ran out waiting", now))
+        return tuple(refusals)
+
+    def predict_wait(self, now: float) -> float:
+        """Predicts the time in which all that waits has started, in seconds."""
+        waiting = [*self._fresh.measure(now), *self._late.measure(now)]
+        return sum(measure.tokens for measure in waiting) / self._speed
+
+    def _predict_start(self, ticket: Ticket, now: float) -> float:
+        priority = _rank(ticket.priority)
+        if now <= ticket.start_by:
+            ahead = self._fresh.predict_wait(ticket.workspace, priority, now)
+            if now + ahead <= ticket.start_by:
+                return ahead
+        fresh = sum(m.tokens for m in self._fresh.measure(now)) / self._speed
+        return fresh + self._late.predict_wait(ticket.workspace, priority, now)
+
+    def _enter(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
+        late = now > ticket.start_by
+        target = self._late if late else self._fresh
+        latest = ticket.deadline_at - ticket.wanted.run_s if late else ticket.start_by
+        match target.push(_describe(ticket, latest), now):
+            case queued.Accepted(evicted=rejected):
+                lost = rejected
+            case queued.Rejected() as rejection:
+                lost = (rejection,)
+        return tuple(
+            self._refuse(self._tickets.pop(one.entry.attempt_id), one.reason.value, now)
+            for one in lost
+        )
+
+    def _demote(self, now: float) -> tuple[Refusal, ...]:
+        """Moves requests that can't meet their objective behind those that can."""
+        refusals: list[Refusal] = []
+        for entry in self._fresh.expire(now):
+            refusals += self._enter(self._tickets[entry.attempt_id], now)
+        return tuple(refusals)
+
+    def _measure_speed(self, cost: float, now: float) -> None:
+        if self._measured_at is None:
+            self._measured_at = now
+        self._started_cost += cost
+        elapsed_s = now - self._measured_at
+        if elapsed_s < SPEED_MEMORY_S / 4:
+            return
+        part = min(1.0, elapsed_s / SPEED_MEMORY_S)
+        self._speed += part * (self._started_cost / elapsed_s - self._speed)
+        self._speed = max(self._speed, 1.0)
+        self._started_cost, self._measured_at = 0.0, now
+        self._fresh.set_speed(self._speed)
+        self._late.set_speed(self._speed)
+
+    def _refuse(self, ticket: Ticket, reason: str, now: float) -> Refusal:
+        wait_s = self.predict_wait(now)
+        retry_after_ms = delay.compute_retry_after_ms(ticket.request_id, wait_s)
+        return Refusal(ticket, reason, retry_after_ms / 1000)
+
+
+def _rank(priority: int) -> requests.PriorityClass:
+    return requests.PriorityClass(min(priority, max(requests.PriorityClass)))
+
+
+def _describe(ticket: Ticket, latest_start_at: float) -> queued.Queued:
+    priority = _rank(ticket.priority)
+    return queued.Queued(
+        attempt_id=ticket.request_id,
+        workspace=ticket.workspace,
+        priority=priority,
+        weight=1.0,
+        floor_share=FLOOR_SHARES[priority],
+        cost_tokens=ticket.wanted.cost,
+        deadline_at=latest_start_at,
+        arrived_at=ticket.arrived_at,
+    )
+
+
+def create_waiting_room() -> WaitingRoom:
+    """Creates the waiting room of one service."""
+    return ObjectiveFirst()
+
+
