--- a/Makefile
+++ b/Makefile
@@ -17,21 +17,21 @@
 setup: $(VENV)/.ready
 
 test: setup
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
-	$(BIN)/lint-imports
-	$(BIN)/mypy $(wildcard packages/*/src)
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
+	PYTHONPATH=platform $(BIN)/lint-imports
+	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform
 	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6 --dist loadgroup
 
 docs: setup
 	$(BIN)/python -m chicoryweir_daemon.eventdocs
 
 types: setup
-	$(BIN)/mypy $(wildcard packages/*/src)
+	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform
 
 fix: setup
-	$(BIN)/ruff check --fix packages
-	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages platform
+	$(BIN)/ruff format packages platform
 
 demo: setup
 	$(BIN)/python -m chicoryweir_standins demo
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -11,7 +11,7 @@
 
 # First element of each datagram; a change of the form changes it.
 FORM = 1
-_PARTS = 11
+_PARTS = 12
 
 
 def encode(announcement: peers.Announcement) -> bytes:
@@ -33,6 +33,7 @@
             announcement.version,
             work,
             announcement.peers,
+            sorted(announcement.duties),
         )
     )
 
@@ -62,6 +63,7 @@
             version=int(parts[8]),
             work=work,
             peers=tuple(str(host) for host in parts[10]),
+            duties=frozenset(str(duty) for duty in parts[11]),
         )
     except (cbor2.CBORDecodeError, TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -219,9 +219,7 @@
                 case answerparser.End():
                     held = relay.Held(head, bytes(body))
                     detail = f"status {head.status}"
-                    failed = Failed(
-                        repeats.Failure.ERROR, detail, held, told.at_fault
-                    )
+                    failed = Failed(repeats.Failure.ERROR, detail, held, told.at_fault)
                     return head, failed
                 case _:
                     detail = f"status {head.status}, broken off"
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/desk.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/desk.py
@@ -30,7 +30,7 @@
         """Returns the endpoint for a request, or why it is rejected."""
         dispatcher = self._fleet.get_dispatcher(service.name)
         self._services[service.name] = service
-        waiter = asyncio.get_running_loop().create_future()
+        waiter: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         self._waiters[ticket.request_id] = waiter
         try:
             self._settle(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/eventstream.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/eventstream.py
@@ -29,7 +29,7 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Returns the events that the bytes complete."""
         self._pending += data
-        found = []
+        found: list[StreamEvent] = []
         while True:
             end = _find_end(self._pending)
             if end < 0:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -146,8 +146,7 @@
         attempt: attempts.Attempt,
     ) -> None:
         now = self._now()
-        failed = isinstance(outcome, attempts.Failed)
-        if failed:
+        if isinstance(outcome, attempts.Failed):
             self._trail.append(f"{instance} {outcome.failure.value}: {outcome.detail}")
         else:
             self._trail.append(f"{instance} answered")
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -33,6 +33,7 @@
         self.ejected: dict[str, float] = {}
         self.progress_at: collections.defaultdict[str, float]
         self.progress_at = collections.defaultdict(float)
+        self.duties: frozenset[str] = frozenset()
         self.stopping = False
         self.listed = False
         self._selector = selection.create_selector(settings.data_centre)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -94,9 +94,7 @@
             for host in self._fleet.peers.list_hosts():
                 self._transport.sendto(data, (host, port))
 
-    def _describe(
-        self, work: dict[str, loads.Work], now: float
-    ) -> peers.Announcement:
+    def _describe(self, work: dict[str, loads.Work], now: float) -> peers.Announcement:
         settings = self._fleet.settings
         self._sequence += 1
         alive = self._fleet.peers.list_alive(now)
@@ -111,6 +109,7 @@
             version=self._fleet.version,
             work=work,
             peers=tuple(sorted(peer.host for peer in alive)),
+            duties=self._fleet.duties,
         )
 
     def _note_alive(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
@@ -40,7 +40,10 @@
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
 _BYTES = (b"Content-Type", b"application/octet-stream")
 LIMITS = callers.ServerLimits(
-    max_head_bytes=16_384, max_body_bytes=65_536, head_timeout_s=3.0, idle_timeout_s=30.0
+    max_head_bytes=16_384,
+    max_body_bytes=65_536,
+    head_timeout_s=3.0,
+    idle_timeout_s=30.0,
 )
 
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -163,4 +163,3 @@
     if length is not None and heads.has_body(head.status):
         kept.append((b"Content-Length", b"%d" % length))
     answer.start(head.status, head.reason, kept, sized=length is not None)
-
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -21,8 +21,11 @@
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import seams
 from chicoryweir_daemon.forwarder import watches
+from chicoryweir_daemon.forwarder.stewardship import holder as holders
+from chicoryweir_daemon.forwarder.stewardship import steward as stewards
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
+from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import resolving
 
@@ -45,6 +48,8 @@
     """What one kind of surroundings provides."""
 
     registry: seams.Registry
+    store: protocols.Store
+    ranks: stewards.RankClient
     dialect: seams.Dialect
     decoder: seams.Decoder
     vocabulary: operations.Vocabulary
@@ -68,9 +73,7 @@
     def __init__(
         self,
         settings: process.Settings,
-        create_surroundings: collections.abc.Callable[
-            [connections.Pool], Surroundings
-        ],
+        create_surroundings: collections.abc.Callable[[connections.Pool], Surroundings],
     ) -> None:
         clock = LoopClock()
         self._settings = settings
@@ -102,8 +105,19 @@
             self._surroundings.decoder,
             self._journal,
         )
+        incarnation = time.time_ns() // 1000
         self._gossip = gossips.Gossip(
-            self._fleet, self._journal, time.time_ns() // 1000, self._learn_version
+            self._fleet, self._journal, incarnation, self._learn_version
+        )
+        self._holder = holders.Holder(
+            self._fleet, self._surroundings.store, self._journal, incarnation
+        )
+        self._steward = stewards.Steward(
+            self._fleet,
+            self._holder,
+            self._surroundings.ranks,
+            self._journal,
+            self._meters,
         )
         self._learning: asyncio.Task[None] | None = None
         self._stop = asyncio.Event()
@@ -127,6 +141,8 @@
                 self._desk.run(),
                 self._eject_outliers(),
                 self._enrol(),
+                self._holder.run(),
+                self._steward.run(),
             )
         ]
         for task in tasks:
@@ -171,7 +187,7 @@
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
         """Stops the process when a task that should run for good has ended."""
-        if task.cancelled() or self._stop.is_set():
+        if task.cancelled() or self._fleet.stopping or self._stop.is_set():
             return
         self._journal.record(
             catalogue.INVARIANT_VIOLATED,
@@ -237,14 +253,15 @@
         """Makes this entry known through the store, and finds the others there."""
         registry = self._surroundings.registry
         settings = self._settings
-        while not await registry.enrol(settings.name, settings.host):
-            await asyncio.sleep(ENROL_RETRY_S)
+        enrolled = False
         while True:
+            enrolled = enrolled or await registry.enrol(settings.name, settings.host)
             hosts = await registry.list_entries()
             if not isinstance(hosts, seams.Unreachable):
                 self._fleet.peers.add_hosts(hosts, self._fleet.clock.read())
                 self._gossip.announce(force=True)
-                break
+                if enrolled:
+                    break
             await asyncio.sleep(ENROL_RETRY_S)
         await asyncio.Event().wait()
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -44,9 +44,7 @@
             self._state = backoff.Backoff()
             return
         if not self._state.failures:
-            self._journal.record(
-                catalogue.STORE_UNREACHABLE, detail=unreachable.detail
-            )
+            self._journal.record(catalogue.STORE_UNREACHABLE, detail=unreachable.detail)
         self._state = backoff.note_failure(self._state, BACKOFF, self._seed, now)
         await asyncio.sleep(self._state.retry_at - now)
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -83,9 +83,7 @@
         if not self._keep_alive:
             self._connection.close_after_answer()
 
-    def send(
-        self, status: int, headers: list[heads.Header], body: bytes = b""
-    ) -> None:
+    def send(self, status: int, headers: list[heads.Header], body: bytes = b"") -> None:
         """Writes a whole answer."""
         sized = [*headers, (b"Content-Length", b"%d" % len(body))]
         self.start(status, heads.get_phrase(status), sized, sized=True)
@@ -119,6 +117,7 @@
         self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_is_idle = False
         self._rejection: requestparser.Rejected | None = None
         self.closing = False
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -219,7 +219,11 @@
         return await self._open(address)
 
     def release(
-        self, address: Address, connection: Connection, head: heads.AnswerHead, now: float
+        self,
+        address: Address,
+        connection: Connection,
+        head: heads.AnswerHead,
+        now: float,
     ) -> None:
         """Takes back a connection after a whole answer."""
         idle = self._idle.setdefault(address, [])
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
 
 import httptools
 
@@ -35,9 +34,14 @@
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[Event] = []
         self._failed = False
+        self._head_bytes = 0
+        self._target = bytearray()
+        self._headers: list[heads.Header] = []
+        self._body = bytearray()
+        self._head: heads.RequestHead | None = None
+        self._size = 0
         self.in_head = False
         self.in_body = False
-        self._reset()
 
     def feed(self, data: bytes) -> list[Event]:
         """Returns what the bytes complete; after a rejection, nothing more."""
@@ -100,18 +104,15 @@
         self._head_bytes = 0
         if self._failed:
             return
-        head = typing.cast(heads.RequestHead, self._head)
-        self._events.append(heads.Request(head, bytes(self._body)))
-        self._body = bytearray()
+        assert self._head is not None
+        self._events.append(heads.Request(self._head, bytes(self._body)))
 
     def _reset(self) -> None:
-        self._target = bytearray()
-        self._headers: list[heads.Header] = []
-        self._body = bytearray()
-        self._head: heads.RequestHead | None = None
+        self._target.clear()
+        self._headers.clear()
+        self._body.clear()
+        self._head = None
         self._size = 0
-        if not hasattr(self, "_head_bytes"):
-            self._head_bytes = 0
 
     def _reject(self, status: int, detail: str) -> None:
         if not self._failed:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -48,6 +48,10 @@
 CLAIM_TAKEN_OVER = 210
 REQUEST_QUARANTINED = 220
 MAP_CHANGED = 230
+MAP_PROPOSED = 231
+ORDER_FAILED = 232
+LEASE_HELD = 240
+LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
 SETTINGS_REFUSED = 301
 SETTINGS_NOT_FETCHED = 302
@@ -170,7 +174,7 @@
     EventKind(
         REQUEST_ENDED,
         "request_ended",
-        "A request has its outcome; `attempts` lists the endpoints that it was sent to.",
+        "A request has its outcome; `attempts` lists where it was sent.",
         "See docs/OPERATIONS.md for a request that failed.",
     ),
     EventKind(
@@ -197,6 +201,30 @@
         "A change of a group's expert map reached a phase.",
         "None.",
     ),
+    EventKind(
+        MAP_PROPOSED,
+        "map_proposed",
+        "A better expert map was worked out from the counts of some ranks.",
+        "None.",
+    ),
+    EventKind(
+        ORDER_FAILED,
+        "order_failed",
+        "A rank did not take an order, or gave no answer.",
+        "None; the change goes on or is taken back.",
+    ),
+    EventKind(
+        LEASE_HELD,
+        "lease_held",
+        "This entry holds the lease of a duty.",
+        "None.",
+    ),
+    EventKind(
+        LEASE_LOST,
+        "lease_lost",
+        "This entry no longer holds the lease of a duty.",
+        "None, unless no entry holds it.",
+    ),
     EventKind(
         SETTINGS_ADOPTED,
         "settings_adopted",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/configuration.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/configuration.py
@@ -103,6 +103,7 @@
         stride: Steps in a pass, the tokens of one event.
         usual_prompt_tokens: Mean length of a prompt.
         usual_answer_tokens: Mean length of an answer.
+        link_bytes_per_s: Rate at which an endpoint copies weights.
         experts: Layout of the experts; None without any.
     """
 
@@ -115,6 +116,7 @@
     stride: int
     usual_prompt_tokens: float
     usual_answer_tokens: float
+    link_bytes_per_s: float
     experts: ExpertLayout | None
 
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
@@ -47,9 +47,7 @@
 PLAIN = Demand(PLAIN_COST, 0.0, 0.0, 0.0)
 
 
-def estimate_demand(
-    size: Size | None, engine: configuration.Engine | None
-) -> Demand:
+def estimate_demand(size: Size | None, engine: configuration.Engine | None) -> Demand:
     """Estimates a request's work from its size and the engine's speed."""
     if engine is None:
         return PLAIN
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -103,9 +103,7 @@
 
     def finish(self, placed: Placed) -> None:
         """Takes back the work of a request that has left its endpoint."""
-        self._loads.finish(
-            placed.endpoint.instance, placed.ticket.wanted.memory_tokens
-        )
+        self._loads.finish(placed.endpoint.instance, placed.ticket.wanted.memory_tokens)
 
     def count_free(self, service: configuration.Service, now: float) -> int:
         """Returns the requests that would start at once."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -10,6 +10,25 @@
 LAPSE_HOLD_S = 2.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An endpoint's place in a group that works in lock-step.
+
+    Attributes:
+        group: Name of the group.
+        epoch: Grows each time that the group forms anew.
+        rank: Place in the group, from 0.
+        size: Ranks in the group.
+        is_open: Whether the group works.
+    """
+
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
     """An endpoint as it registers itself.
@@ -24,6 +43,7 @@
         leaving: Whether it takes nothing new.
         cold_s: Time for which it stays slow after its start, in seconds.
         born_ms: Unix time of its start, in milliseconds; 0 where it isn't told.
+        member: Its place in a group; None for none.
     """
 
     instance: str
@@ -35,6 +55,7 @@
     leaving: bool
     cold_s: float
     born_ms: int
+    member: Member | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -30,6 +30,7 @@
         version: Version of its configuration; 0 for none.
         work: Its work at the endpoints, by instance.
         peers: Hosts of entries that it knows to live.
+        duties: Duties that it has for the whole fleet.
     """
 
     name: str
@@ -42,6 +43,7 @@
     version: int
     work: collections.abc.Mapping[str, loads.Work]
     peers: tuple[str, ...]
+    duties: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
@@ -223,5 +223,3 @@
 def create_waiting_room() -> WaitingRoom:
     """Creates the waiting room of one service."""
     return ObjectiveFirst()
-
-
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -28,10 +28,30 @@
     dropped: tuple[tuple[int, int], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankBounds:
+    """Bounds on the replicas of one rank.
+
+    Attributes:
+        places: Replicas that a rank has room for.
+        arrivals: Replicas that the repair may bring to a rank.
+    """
+
+    places: int
+    arrivals: int
+
+
 class _Board:
     """The map while it is edited, with the loads kept up to date."""
 
-    def __init__(self, start: placement.ExpertMap, shares: placement.Shares) -> None:
+    def __init__(
+        self,
+        start: placement.ExpertMap,
+        shares: placement.Shares,
+        bounds: RankBounds | None,
+    ) -> None:
+        self._bounds = bounds
+        self._start = [frozenset(experts) for experts in start.list_experts()]
         self.shares = shares
         self.replicas = [set(ranks) for ranks in start.replicas]
         self.experts = [set(experts) for experts in start.list_experts()]
@@ -42,6 +62,19 @@
         loads = self.loads
         return -sum(d * (2.0 * loads[rank] + d) for rank, d in deltas.items())
 
+    def may_take(self, rank: int, expert: int) -> bool:
+        """Tells whether the repair may bring an expert to a rank."""
+        if self._bounds is None or expert in self._start[rank]:
+            return True
+        arrived = len(self.experts[rank] - self._start[rank])
+        return arrived < self._bounds.arrivals
+
+    def has_place(self, rank: int) -> bool:
+        """Tells whether a rank has room without giving up a replica."""
+        if self._bounds is None:
+            return False
+        return len(self.experts[rank]) < self._bounds.places
+
     def apply(self, edit: _Edit) -> None:
         """Makes an edit."""
         touched = {expert for expert, _ in (*edit.added, *edit.dropped)}
@@ -67,6 +100,7 @@
     shares: placement.Shares,
     budget: int,
     target_skew: float,
+    bounds: RankBounds | None = None,
 ) -> placement.ExpertMap:
     """Improves a map by moves from the slowest rank to the fastest ones.
 
@@ -78,11 +112,12 @@
         shares: Share of the tokens of each expert.
         budget: Moves at the most.
         target_skew: Skew at which it is good enough.
+        bounds: Bounds on each rank; None when only replicas are exchanged.
 
     Returns:
         The map after the edits; `start` when none helps.
     """
-    under_way = Repair(start, shares, budget, target_skew)
+    under_way = Repair(start, shares, budget, target_skew, bounds)
     while under_way.advance():
         pass
     return under_way.build_map()
@@ -97,10 +132,11 @@
         shares: placement.Shares,
         budget: int,
         target_skew: float,
+        bounds: RankBounds | None = None,
     ) -> None:
         """Begins with the map in force; for the arguments see `repair_map`."""
         self._rank_count = start.rank_count
-        self._board = _Board(start, shares)
+        self._board = _Board(start, shares, bounds)
         self._left = budget
         self._target_load = target_skew * sum(self._board.loads) / start.rank_count
 
@@ -144,7 +180,13 @@
         count, share = len(holders), board.shares[expert]
         eased = share / (count + 1) - share / count
         for rank in targets:
-            if rank in holders:
+            if rank in holders or not board.may_take(rank, expert):
+                continue
+            if board.has_place(rank):
+                deltas = dict.fromkeys(holders, eased)
+                deltas[rank] = share / (count + 1)
+                gain = board.compute_gain(deltas)
+                yield _Edit(gain, 1, ((expert, rank),), ())
                 continue
             for other in sorted(board.experts[rank]):
                 rest = board.replicas[other] - {rank}
@@ -167,9 +209,11 @@
     for expert in sorted(board.experts[slowest]):
         part = board.shares[expert] / len(board.replicas[expert])
         for rank in targets:
-            if rank in board.replicas[expert]:
+            if rank in board.replicas[expert] or not board.may_take(rank, expert):
                 continue
             for other in sorted(board.experts[rank] - board.experts[slowest]):
+                if not board.may_take(slowest, other):
+                    continue
                 less = part - board.shares[other] / len(board.replicas[other])
                 if less <= 0:
                     continue
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps of groups whose ranks take orders from entries."""
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -0,0 +1,338 @@
+"""Changes the expert map of a group so that no step ever runs under two maps.
+
+One rank is told to hold the group before a step that is well ahead, all ranks are armed
+for that step, and the hold ends once every rank has reported that it is armed. So the
+group never waits when all goes well, and waits rather than diverges when it doesn't.
+
+An order without an answer may be carried out seconds later. It is given again under a
+higher token, after which ranks refuse the lost one. When a change is taken back, the
+holding rank gets a higher token before any rank is disarmed, so that no earlier word to
+go on can pass.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+from chicoryweir_policy.charts import interpreter
+from chicoryweir_policy.rankmaps import orders
+
+CHART = interpreter.load_chart("rank_map_change")
+# Rank that holds the group; any would do.
+HOLDING_RANK = 0
+# The held step is this far ahead, in seconds: two rounds of orders, the lag of a report
+# and a round of reports fit.
+LEAD_S = 0.8
+# Reports from afar are this old at most, in seconds.
+REPORT_LAG_S = 0.25
+# A report that did not yet show what was wanted is asked for again after this time.
+ASK_AGAIN_S = 0.12
+# An order is given so often before the change is taken back.
+MAX_TRIES = 4
+# Longest times in a state before the change is taken back, in seconds.
+PREPARE_LIMIT_S = 4.0
+COPY_LIMIT_S = 8.0
+ARM_LIMIT_S = 1.5
+CHECK_LIMIT_S = 1.5
+# A rank is asked for the end of its copy this much later than it should have ended.
+COPY_MARGIN = 1.2
+
+_PATIENT_STATES = frozenset({"releasing", "fencing", "disarming", "withdrawing"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A map that a group shall change to.
+
+    Attributes:
+        version: Version of the map; higher than all before.
+        experts: The map.
+        ranks: Ranks in the group.
+        epoch: Epoch of the group.
+        copy_s: Time that the slowest rank needs to copy weights, in seconds.
+        pass_s: Time of a step at present, in seconds.
+        step: A step that had begun at `step_at`.
+        step_at: Monotonic time.
+    """
+
+    version: int
+    experts: orders.RankMap
+    ranks: int
+    epoch: int
+    copy_s: float
+    pass_s: float
+    step: int
+    step_at: float
+
+
+class Tokens(typing.Protocol):
+    """Gives fencing tokens."""
+
+    def raise_token(self) -> int:
+        """Returns a token higher than all before."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Rank:
+    """What is known of one rank in the present state of the change.
+
+    Attributes:
+        settled: Whether it has done what the state asks.
+        waiting: Whether an order or question to it has no end yet.
+        tries: Orders given to it in this state.
+        ask_at: Time before which it is not asked again.
+    """
+
+    settled: bool = False
+    waiting: bool = False
+    tries: int = 0
+    ask_at: float = 0.0
+
+
+class MapChange:
+    """One change of a group's map, or the taking back of one that was left."""
+
+    def __init__(
+        self, plan: Plan, tokens: Tokens, now: float, state: str = CHART.initial
+    ) -> None:
+        self._plan = plan
+        self._tokens = tokens
+        self._token = tokens.raise_token()
+        self._state = state
+        self._entered_at = now
+        self._step = plan.step
+        self._lead_s = LEAD_S
+        self._hold_tries = 0
+        self._ranks = [_Rank() for _ in range(plan.ranks)]
+        self.fenced = False
+        self.reason = ""
+
+    @property
+    def state(self) -> str:
+        """State in the chart."""
+        return self._state
+
+    @property
+    def step(self) -> int:
+        """Step at which the map changes."""
+        return self._step
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more is to be done."""
+        return self.fenced or self._state in CHART.final
+
+    def act(self, now: float) -> list[orders.Command]:
+        """Returns the orders and questions that are due."""
+        if self.is_over:
+            return []
+        self._check_limits(now)
+        if self.is_over:
+            return []
+        if self._state in ("copying", "checking", "verifying"):
+            return self._ask(now)
+        return self._send(now)
+
+    def take_result(
+        self, rank: int, order: orders.Order, result: orders.Result, now: float
+    ) -> None:
+        """Takes the end of an order."""
+        known = self._ranks[rank]
+        known.waiting = False
+        if self.is_over:
+            return
+        if result is orders.Result.FENCED:
+            self._note_fenced(order)
+            return
+        if order.token != self._token or not self._is_asked(order.operation):
+            return
+        match result:
+            case orders.Result.ACCEPTED:
+                known.settled = True
+            case orders.Result.CONFLICT:
+                self._take_conflict(known, now)
+            case orders.Result.LOST:
+                self._token = self._tokens.raise_token()
+                known.ask_at = now
+            case orders.Result.REFUSED:
+                known.ask_at = now + ASK_AGAIN_S
+        self._advance(now)
+
+    def take_report(self, rank: int, report: orders.Report | None, now: float) -> None:
+        """Takes a rank's report, or None when it gave none."""
+        known = self._ranks[rank]
+        known.waiting = False
+        known.ask_at = now + ASK_AGAIN_S
+        if self.is_over or report is None:
+            return
+        if report.epoch != self._plan.epoch or not report.is_open:
+            self._move("void", "the group has broken", now)
+            return
+        known.settled = self._shows_wanted(report)
+        if report.step > self._plan.step and self._state == "copying":
+            self._plan = dataclasses.replace(
+                self._plan, step=report.step, step_at=now - REPORT_LAG_S
+            )
+        self._advance(now)
+
+    def _shows_wanted(self, report: orders.Report) -> bool:
+        match self._state:
+            case "copying":
+                return report.prepared == self._plan.version
+            case "checking":
+                return report.armed == self._plan.version
+            case "verifying":
+                return report.armed is None
+            case _:
+                return False
+
+    def _ask(self, now: float) -> list[orders.Command]:
+        ready_at = self._entered_at + self._get_settling_time()
+        if now < ready_at:
+            return []
+        due = [
+            rank
+            for rank, known in enumerate(self._ranks)
+            if not known.settled and not known.waiting and now >= known.ask_at
+        ]
+        for rank in due:
+            self._ranks[rank].waiting = True
+        return [orders.Ask(rank) for rank in due]
+
+    def _get_settling_time(self) -> float:
+        if self._state == "copying":
+            return self._plan.copy_s * COPY_MARGIN + REPORT_LAG_S
+        return REPORT_LAG_S
+
+    def _send(self, now: float) -> list[orders.Command]:
+        sent: list[orders.Command] = []
+        for rank in self._list_addressed():
+            known = self._ranks[rank]
+            if known.settled or known.waiting or now < known.ask_at:
+                continue
+            known.waiting = True
+            known.tries += 1
+            sent.append(orders.Send(rank, self._build_order(now)))
+        return sent
+
+    def _list_addressed(self) -> range:
+        if self._state in ("holding", "releasing", "fencing", "withdrawing"):
+            return range(HOLDING_RANK, HOLDING_RANK + 1)
+        return range(self._plan.ranks)
+
+    def _build_order(self, now: float) -> orders.Order:
+        plan = self._plan
+        match self._state:
+            case "preparing":
+                return self._order(orders.Operation.PREPARE, plan.version, 0)
+            case "holding":
+                if self._ranks[HOLDING_RANK].tries == 1:
+                    self._step = self._choose_step(now)
+                return self._order(orders.Operation.HOLD, 0, self._step)
+            case "arming":
+                return self._order(orders.Operation.ARM, plan.version, self._step)
+            case "fencing" | "disarming":
+                return self._order(orders.Operation.DISARM, plan.version, 0)
+            case _:
+                return self._order(orders.Operation.GO, 0, self._step)
+
+    def _order(
+        self, operation: orders.Operation, version: int, step: int
+    ) -> orders.Order:
+        experts = self._plan.experts if operation is orders.Operation.PREPARE else ()
+        return orders.Order(
+            operation, self._token, self._plan.epoch, version, step, experts
+        )
+
+    def _choose_step(self, now: float) -> int:
+        ahead_s = now - self._plan.step_at + self._lead_s
+        return self._plan.step + math.ceil(ahead_s / self._plan.pass_s)
+
+    def _is_asked(self, operation: orders.Operation) -> bool:
+        wanted = {
+            "preparing": orders.Operation.PREPARE,
+            "holding": orders.Operation.HOLD,
+            "arming": orders.Operation.ARM,
+            "fencing": orders.Operation.DISARM,
+            "disarming": orders.Operation.DISARM,
+            "releasing": orders.Operation.GO,
+            "withdrawing": orders.Operation.GO,
+        }
+        return wanted.get(self._state) is operation
+
+    def _take_conflict(self, known: _Rank, now: float) -> None:
+        if self._state == "holding":
+            self._hold_tries += 1
+            if self._hold_tries >= MAX_TRIES:
+                self._move("fail", "every step chosen had begun", now)
+                return
+            self._lead_s *= 2.0
+            known.tries = 0
+        elif self._state in _PATIENT_STATES:
+            # Nothing is armed or held there any more, which was the aim.
+            known.settled = True
+        else:
+            self._move("fail", f"a rank refused while {self._state}", now)
+
+    def _note_fenced(self, order: orders.Order) -> None:
+        if order.token == self._token:
+            self.fenced = True
+            self.reason = "another entry leads the group"
+
+    def _check_limits(self, now: float) -> None:
+        limits = {
+            "preparing": PREPARE_LIMIT_S,
+            "copying": self._plan.copy_s * COPY_MARGIN + COPY_LIMIT_S,
+            "arming": ARM_LIMIT_S,
+            "checking": CHECK_LIMIT_S,
+            "verifying": CHECK_LIMIT_S,
+        }
+        limit_s = limits.get(self._state, math.inf)
+        if now - self._entered_at > limit_s:
+            self._move("fail", f"{self._state} took too long", now)
+            return
+        tries = max(known.tries for known in self._ranks)
+        impatient = self._state not in _PATIENT_STATES
+        if impatient and tries > MAX_TRIES and not any(r.waiting for r in self._ranks):
+            self._move("fail", f"no answer while {self._state}", now)
+
+    def _advance(self, now: float) -> None:
+        if self.is_over:
+            return
+        if not all(self._ranks[rank].settled for rank in self._list_addressed()):
+            return
+        events = {
+            "copying": "copied",
+            "checking": "confirmed",
+            "verifying": "confirmed",
+        }
+        self._move(events.get(self._state, "accepted"), "", now)
+
+    def _move(self, event: str, reason: str, now: float) -> None:
+        match interpreter.advance(CHART, self._state, event):
+            case interpreter.Advanced(state):
+                self._enter(state, reason, now)
+            case interpreter.Ignored():
+                pass
+
+    def _enter(self, state: str, reason: str, now: float) -> None:
+        self._state = state
+        self._entered_at = now
+        self.reason = reason or self.reason
+        # A raised token makes ranks refuse what was given before.
+        if state in ("fencing", "withdrawing"):
+            self._token = self._tokens.raise_token()
+        for known in self._ranks:
+            known.settled, known.tries, known.ask_at = False, 0, 0.0
+
+
+def create_change(plan: Plan, tokens: Tokens, now: float) -> MapChange:
+    """Creates a change to a new map."""
+    return MapChange(plan, tokens, now)
+
+
+def create_recovery(plan: Plan, tokens: Tokens, now: float) -> MapChange:
+    """Creates what takes back a change that another entry left; `plan.step` is held."""
+    return MapChange(plan, tokens, now, "fencing")
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -0,0 +1,155 @@
+"""Decides whether a group's expert map changes, and to what.
+
+The load it answers: the experts in demand shift every few seconds, and each step lasts
+as long as its most loaded rank.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.maps import placement
+from chicoryweir_policy.maps import popularity
+from chicoryweir_policy.maps import repair
+from chicoryweir_policy.rankmaps import orders
+
+# Counts lose half of their weight in this time; demand shifts every few seconds.
+HALF_LIFE_S = 1.5
+# A map is changed when steps get shorter by this part at least.
+MIN_GAIN = 0.06
+# Skew at which a set's map is good enough; unitless.
+TARGET_SKEW = 1.05
+# Fewer picks than this don't tell the popularity of a set's experts.
+MIN_PICKS_PER_EXPERT = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A better map.
+
+    Attributes:
+        maps: The map of each set.
+        before: Relative time of a step under the map in force.
+        after: Relative time of a step under the new one.
+        arrivals: Most experts that one rank has to copy, over all sets.
+        copies: Experts that all ranks have to copy.
+    """
+
+    maps: tuple[placement.ExpertMap, ...]
+    before: float
+    after: float
+    arrivals: int
+    copies: int
+
+
+def create_first_map(
+    layout: configuration.ExpertLayout, ranks: int
+) -> tuple[placement.ExpertMap, ...]:
+    """Returns the map that a group starts with: experts in turn, by set."""
+    one = placement.create_map(
+        ranks, [(expert % ranks,) for expert in range(layout.experts)]
+    )
+    return (one,) * layout.sets
+
+
+def encode_maps(maps: tuple[placement.ExpertMap, ...]) -> orders.RankMap:
+    """Returns the experts by set and rank."""
+    return tuple(
+        tuple(tuple(experts) for experts in one.list_experts()) for one in maps
+    )
+
+
+def decode_maps(
+    experts: collections.abc.Sequence[collections.abc.Sequence[tuple[int, ...]]],
+    layout: configuration.ExpertLayout,
+) -> tuple[placement.ExpertMap, ...]:
+    """Returns the maps from the experts by set and rank."""
+    maps = []
+    for by_rank in experts:
+        replicas: list[list[int]] = [[] for _ in range(layout.experts)]
+        for rank, held in enumerate(by_rank):
+            for expert in held:
+                replicas[expert].append(rank)
+        maps.append(placement.create_map(len(by_rank), replicas))
+    return tuple(maps)
+
+
+class DemandBook:
+    """Popularity of the experts of each set, from samples of some ranks' counts."""
+
+    def __init__(self, layout: configuration.ExpertLayout, now: float) -> None:
+        self._layout = layout
+        self._sets = [
+            popularity.create_popularity(layout.experts, now)
+            for _ in range(layout.sets)
+        ]
+        self._latest: dict[tuple[int, int], tuple[int, ...]] = {}
+
+    def add(self, rank: int, epoch: int, counts: tuple[int, ...], now: float) -> None:
+        """Adds a rank's counts since its start; the first ones only set the base."""
+        before = self._latest.get((rank, epoch))
+        self._latest[(rank, epoch)] = counts
+        if before is None or len(before) != len(counts):
+            return
+        size = self._layout.experts
+        for index, known in enumerate(self._sets):
+            part = slice(index * size, (index + 1) * size)
+            grown = [
+                max(0, new - old)
+                for new, old in zip(counts[part], before[part], strict=True)
+            ]
+            self._sets[index] = popularity.add_counts(known, grown, HALF_LIFE_S, now)
+
+    def compute_shares(self) -> list[tuple[float, ...]] | None:
+        """Returns the shares of each set; None while too little was counted."""
+        least = MIN_PICKS_PER_EXPERT * self._layout.experts
+        if any(sum(known.weights) < least for known in self._sets):
+            return None
+        return [known.compute_shares() for known in self._sets]
+
+
+def compute_step_time(
+    maps: tuple[placement.ExpertMap, ...],
+    shares: list[tuple[float, ...]],
+    expert_share: float,
+) -> float:
+    """Returns the time of a step over that of one with even loads; unitless."""
+    skews = [one.compute_skew(known) for one, known in zip(maps, shares, strict=True)]
+    return 1.0 - expert_share + expert_share * sum(skews) / len(skews)
+
+
+def propose_maps(
+    maps: tuple[placement.ExpertMap, ...],
+    shares: list[tuple[float, ...]],
+    layout: configuration.ExpertLayout,
+) -> Proposal | None:
+    """Returns maps with shorter steps, or None where the gain doesn't pay.
+
+    Args:
+        maps: Maps in force, by set.
+        shares: Shares of the experts, by set.
+        layout: Bounds on what a rank holds and takes in one change.
+    """
+    ranks = maps[0].rank_count
+    found = tuple(
+        repair.repair_map(
+            one,
+            known,
+            layout.spare * ranks,
+            TARGET_SKEW,
+            repair.RankBounds(layout.places, layout.spare),
+        )
+        for one, known in zip(maps, shares, strict=True)
+    )
+    before = compute_step_time(maps, shares, layout.share)
+    after = compute_step_time(found, shares, layout.share)
+    if (before - after) / before < MIN_GAIN:
+        return None
+    arrivals = [0] * ranks
+    for old, new in zip(maps, found, strict=True):
+        pairs = zip(old.list_experts(), new.list_experts(), strict=True)
+        for rank, (held, wanted) in enumerate(pairs):
+            arrivals[rank] += len(set(wanted) - set(held))
+    return Proposal(found, before, after, max(arrivals), sum(arrivals))
