--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -61,7 +61,7 @@
         dialect: seams.Dialect,
         clock: seams.Clock,
         endpoint: endpoints.Endpoint,
-        note_progress: collections.abc.Callable[[], None],
+        note_progress: collections.abc.Callable[[float], None],
         limit_silence: collections.abc.Callable[[Attempt], float],
     ) -> None:
         self._pool = pool
@@ -245,9 +245,12 @@
             if limit_s <= 0.0:
                 return Silence(self._clock.read() - self.heard_at)
             event = await connection.receive(limit_s)
-        self.heard_at = self._clock.read()
+        now = self._clock.read()
         if isinstance(event, answerparser.Body):
             if self.first_at is None:
-                self.first_at = self.heard_at
-            self._note_progress()
+                self.first_at = now
+                self._note_progress(0.0)
+            else:
+                self._note_progress(now - self.heard_at)
+        self.heard_at = now
         return event
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -306,8 +306,13 @@
         last_id = self._request.head.find(b"last-event-id")
         return relays.EventRelay(self._answer, last_id)
 
-    def _note_progress(self) -> None:
-        self._fleet.progress_at[self._service.name] = self._now()
+    def _note_progress(self, pause_s: float) -> None:
+        """Takes a part of the answer, `pause_s` seconds after the one before it."""
+        now = self._now()
+        self._fleet.progress_at[self._service.name] = now
+        if pause_s and self._route.gap_s:
+            dispatcher = self._fleet.get_dispatcher(self._service.name)
+            dispatcher.note_pause(self._service, pause_s, self._route.gap_s, now)
 
     def _limit_silence(self, attempt: attempts.Attempt) -> float:
         now = self._now()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import typing
 
@@ -19,7 +20,7 @@
 from chicoryweir_policy.rankmaps import planning
 
 # Time between looks at a group, in seconds.
-PERIOD_S = 1.0
+PERIOD_S = 0.5
 # Commands of a change are looked for this often, in seconds.
 STEP_S = 0.02
 # Ranks whose counts are read at each look; each is a sample of the same demand.
@@ -127,6 +128,7 @@
         self._seen: tuple[int, float] | None = None
         self._recovered = False
         self._sampled: tuple[int, ...] = ()
+        self._wake = asyncio.Event()
 
     async def look(
         self,
@@ -299,7 +301,9 @@
             if change.state != state:
                 state = change.state
                 self._log_state(change, what, began_at)
-            await asyncio.sleep(STEP_S)
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), STEP_S)
         if running:
             await asyncio.wait(running)
         if change.fenced:
@@ -327,6 +331,7 @@
             case orders.Ask(rank):
                 report = await self._client.report(endpoint)
                 change.take_report(rank, report, self._now())
+        self._wake.set()
 
     def _log_state(self, change: changes.MapChange, what: str, began_at: float) -> None:
         self._journal.record(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -4,8 +4,10 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import congestion
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import selection
@@ -49,6 +51,8 @@
         self._room = room
         self._first: waiting.Ticket | None = None
         self._avoided: collections.abc.Callable[[str, float], bool] = _avoid_none
+        self._stretch = congestion.Stretch()
+        self._pause_s = 0.0
 
     def __len__(self) -> int:
         """Returns the number of requests that wait."""
@@ -58,6 +62,34 @@
         """Sets what tells whether an instance is passed over at a time."""
         self._avoided = judge
 
+    def note_pause(
+        self,
+        service: configuration.Service,
+        pause_s: float,
+        aim_s: float,
+        now: float,
+    ) -> None:
+        """Takes the pause between two events of a stream.
+
+        Args:
+            service: Service of the stream.
+            pause_s: The pause, in seconds.
+            aim_s: Longest pause that is on time on its route, in seconds.
+            now: Present time, monotonic seconds.
+        """
+        if service.engine is None:
+            return
+        usable = self._book.list_usable(service.name)
+        running = sum(self._loads.measure(e.instance, now).requests for e in usable)
+        self._pause_s = aim_s
+        self._stretch = congestion.note_pause(
+            self._stretch,
+            service.engine,
+            pause_s,
+            running / max(1, len(usable)),
+            now,
+        )
+
     def offer(
         self, ticket: waiting.Ticket, service: configuration.Service, now: float
     ) -> tuple[Outcome, ...]:
@@ -134,7 +166,7 @@
             and not self._avoided(endpoint.instance, now)
         ]
         memory = 0 if service.engine is None else service.engine.memory_tokens
-        return [
+        candidates = [
             selection.Candidate(
                 endpoint,
                 self._loads.measure(endpoint.instance, now),
@@ -143,6 +175,30 @@
             )
             for endpoint in wanted or usable
         ]
+        return self._limit(candidates, service, now)
+
+    def _limit(
+        self,
+        candidates: list[selection.Candidate],
+        service: configuration.Service,
+        now: float,
+    ) -> list[selection.Candidate]:
+        """Lowers the limits of endpoints that slow one another down."""
+        if service.engine is None:
+            return candidates
+        limit = congestion.compute_limit(
+            self._stretch, service.engine, self._pause_s, now
+        )
+        if limit >= service.engine.slots:
+            return candidates
+        running = sum(candidate.work.requests for candidate in candidates)
+        most = math.ceil(limit)
+        if running >= limit * len(candidates):
+            most = 0
+        return [
+            dataclasses.replace(candidate, limit=min(candidate.limit, most))
+            for candidate in candidates
+        ]
 
 
 def _avoid_none(instance: str, now: float) -> bool:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -24,7 +24,7 @@
 HOLDING_RANK = 0
 # The held step is this far ahead, in seconds: two rounds of orders, the lag of a report
 # and a round of reports fit.
-LEAD_S = 0.8
+LEAD_S = 0.45
 # Reports from afar are this old at most, in seconds.
 REPORT_LAG_S = 0.25
 # A report that did not yet show what was wanted is asked for again after this time.
@@ -33,11 +33,11 @@
 MAX_TRIES = 4
 # Longest times in a state before the change is taken back, in seconds.
 PREPARE_LIMIT_S = 4.0
-COPY_LIMIT_S = 8.0
 ARM_LIMIT_S = 1.5
 CHECK_LIMIT_S = 1.5
-# A rank is asked for the end of its copy this much later than it should have ended.
-COPY_MARGIN = 1.2
+# Ranks are armed this much later than their copies should have ended.
+COPY_MARGIN = 1.1
+COPY_SLACK_S = 0.05
 
 _PATIENT_STATES = frozenset({"releasing", "fencing", "disarming", "withdrawing"})
 
@@ -105,6 +105,7 @@
         self._step = plan.step
         self._lead_s = LEAD_S
         self._hold_tries = 0
+        self._located = False
         self._ranks = [_Rank() for _ in range(plan.ranks)]
         self.fenced = False
         self.reason = ""
@@ -131,8 +132,12 @@
         self._check_limits(now)
         if self.is_over:
             return []
-        if self._state in ("copying", "checking", "verifying"):
+        if self._state == "copying":
+            return []
+        if self._state in ("checking", "verifying"):
             return self._ask(now)
+        if self._state == "holding" and not self._located:
+            return self._locate(now)
         return self._send(now)
 
     def take_result(
@@ -170,17 +175,26 @@
         if report.epoch != self._plan.epoch or not report.is_open:
             self._move("void", "the group has broken", now)
             return
-        known.settled = self._shows_wanted(report)
-        if report.step > self._plan.step and self._state == "copying":
+        if self._state == "holding":
+            self._located = True
             self._plan = dataclasses.replace(
                 self._plan, step=report.step, step_at=now - REPORT_LAG_S
             )
+            known.ask_at = now
+            return
+        known.settled = self._shows_wanted(report)
         self._advance(now)
 
+    def _locate(self, now: float) -> list[orders.Command]:
+        """Asks where the group is, so that the held step is well ahead."""
+        known = self._ranks[HOLDING_RANK]
+        if known.waiting or now < known.ask_at:
+            return []
+        known.waiting = True
+        return [orders.Ask(HOLDING_RANK)]
+
     def _shows_wanted(self, report: orders.Report) -> bool:
         match self._state:
-            case "copying":
-                return report.prepared == self._plan.version
             case "checking":
                 return report.armed == self._plan.version
             case "verifying":
@@ -189,8 +203,7 @@
                 return False
 
     def _ask(self, now: float) -> list[orders.Command]:
-        ready_at = self._entered_at + self._get_settling_time()
-        if now < ready_at:
+        if now < self._entered_at + REPORT_LAG_S:
             return []
         due = [
             rank
@@ -201,11 +214,6 @@
             self._ranks[rank].waiting = True
         return [orders.Ask(rank) for rank in due]
 
-    def _get_settling_time(self) -> float:
-        if self._state == "copying":
-            return self._plan.copy_s * COPY_MARGIN + REPORT_LAG_S
-        return REPORT_LAG_S
-
     def _send(self, now: float) -> list[orders.Command]:
         sent: list[orders.Command] = []
         for rank in self._list_addressed():
@@ -269,7 +277,11 @@
                 self._move("fail", "every step chosen had begun", now)
                 return
             self._lead_s *= 2.0
+            self._located = False
             known.tries = 0
+        elif self._state == "arming":
+            # The copy is not complete; the step is held, so it can't have begun.
+            known.ask_at = now + ASK_AGAIN_S
         elif self._state in _PATIENT_STATES:
             # Nothing is armed or held there any more, which was the aim.
             known.settled = True
@@ -282,9 +294,12 @@
             self.reason = "another entry leads the group"
 
     def _check_limits(self, now: float) -> None:
+        copied_s = self._plan.copy_s * COPY_MARGIN + COPY_SLACK_S
+        if self._state == "copying" and now - self._entered_at >= copied_s:
+            self._move("copied", "", now)
+            return
         limits = {
             "preparing": PREPARE_LIMIT_S,
-            "copying": self._plan.copy_s * COPY_MARGIN + COPY_LIMIT_S,
             "arming": ARM_LIMIT_S,
             "checking": CHECK_LIMIT_S,
             "verifying": CHECK_LIMIT_S,
@@ -301,10 +316,11 @@
     def _advance(self, now: float) -> None:
         if self.is_over:
             return
-        if not all(self._ranks[rank].settled for rank in self._list_addressed()):
+        if self._state == "copying" or not all(
+            self._ranks[rank].settled for rank in self._list_addressed()
+        ):
             return
         events = {
-            "copying": "copied",
             "checking": "confirmed",
             "verifying": "confirmed",
         }
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -18,9 +18,9 @@
 # Counts lose half of their weight in this time; demand shifts every few seconds.
 HALF_LIFE_S = 1.5
 # A map is changed when steps get shorter by this part at least.
-MIN_GAIN = 0.06
+MIN_GAIN = 0.12
 # Skew at which a set's map is good enough; unitless.
-TARGET_SKEW = 1.05
+TARGET_SKEW = 1.12
 # Fewer picks than this don't tell the popularity of a set's experts.
 MIN_PICKS_PER_EXPERT = 20.0
 
