--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -21,6 +21,7 @@
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import dispatching
+from chicoryweir_policy.forwarding import patience
 from chicoryweir_policy.forwarding import repeats
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import silence
@@ -73,6 +74,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._history = repeats.History(0, 0, False, 0)
         self._waited_s = 0.0
+        self._heard_at: float | None = None
         self._trail: list[str] = []
         self._attempt: attempts.Attempt | None = None
         self._relay = self._create_relay()
@@ -94,8 +96,10 @@
     async def _serve(self) -> None:
         while not self._answer.ended:
             asked_at = self._now()
-            verdict = await self._tools.desk.place(self._describe(), self._service)
-            self._waited_s += self._now() - asked_at
+            try:
+                verdict = await self._tools.desk.place(self._describe(), self._service)
+            finally:
+                self._waited_s += self._now() - asked_at
             match verdict:
                 case waiting.Refusal(reason=reason, retry_after_s=retry_after_s):
                     self._reject(reason, retry_after_s)
@@ -295,7 +299,9 @@
             self._routed.priority,
             self._wanted,
             self._arrived_at + self._route.objective_s,
-            self._deadline_at,
+            patience.compute_give_up(
+                self._route, self._heard_at or self._arrived_at, self._deadline_at
+            ),
             self._arrived_at,
             self._excluded,
         )
@@ -309,6 +315,7 @@
     def _note_progress(self, pause_s: float) -> None:
         """Takes a part of the answer, `pause_s` seconds after the one before it."""
         now = self._now()
+        self._heard_at = now
         self._fleet.progress_at[self._service.name] = now
         if pause_s and self._route.gap_s:
             dispatcher = self._fleet.get_dispatcher(self._service.name)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
@@ -10,6 +10,8 @@
 HINT_WEIGHT = 0.6
 # Plain services tell nothing of a request's work; each counts as one unit.
 PLAIN_COST = 1.0
+# A request enters with the next pass and has its first event at the end of another.
+FIRST_PASSES = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,7 +36,8 @@
     Attributes:
         cost: Work, in tokens of an answer for a model and requests for a plain service.
         run_s: Time that it takes at a busy endpoint, in seconds.
-        first_s: Time to its first event at an idle endpoint, in seconds.
+        first_s: Time to its first event at a busy endpoint, in seconds; for a plain
+            service, to the whole answer.
         memory_tokens: Tokens of memory that it holds at its end.
     """
 
@@ -57,7 +60,7 @@
     run_s = read_s + answer * full_step_s
     step_cost_s = full_step_s / engine.slots
     cost = answer + read_s / step_cost_s
-    first_s = read_s + engine.stride * engine.step_s
+    first_s = read_s + FIRST_PASSES * engine.stride * full_step_s
     return Demand(cost, run_s, first_s, prompt + answer)
 
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -113,7 +113,7 @@
             self._first = None
             if ticket is None:
                 return tuple(outcomes)
-            if ticket.deadline_at - ticket.wanted.run_s < now:
+            if ticket.latest_start_at < now:
                 outcomes.append(
                     waiting.Refusal(
                         ticket, "its time ran out waiting", NO_ENDPOINT_RETRY_S
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -8,7 +8,7 @@
 from chicoryweir_policy.forwarding import loads
 
 # Announcements are sent this often while there is something to tell, in seconds.
-ANNOUNCE_PERIOD_S = 0.2
+ANNOUNCE_PERIOD_S = 0.1
 # Four announcements in a row are lost by chance less often than entries end.
 ALIVE_S = 1.0
 # An address that never answered is given up after this time, in seconds.
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/silence.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/silence.py
@@ -15,7 +15,7 @@
 # Looks again after this time when all are silent, in seconds.
 LOOK_AGAIN_S = 0.2
 # A first event may wait in the endpoint's own queue for this many objectives.
-FIRST_OBJECTIVES = 2.5
+FIRST_OBJECTIVES = 3.5
 
 
 def compute_patience(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
@@ -38,7 +38,7 @@
         priority: Rank; 0 is the most urgent.
         wanted: Its estimated work.
         objective_at: Time by which its first part is on time, monotonic seconds.
-        deadline_at: Time by which it must be answered.
+        give_up_at: Time by which its caller has left if nothing has come.
         arrived_at: Its arrival.
         excluded: Instances that must not get it.
     """
@@ -48,7 +48,7 @@
     priority: int
     wanted: demand.Demand
     objective_at: float
-    deadline_at: float
+    give_up_at: float
     arrived_at: float
     excluded: frozenset[str] = frozenset()
 
@@ -57,6 +57,11 @@
         """Time by which it must start to meet its objective."""
         return self.objective_at - self.wanted.first_s
 
+    @property
+    def latest_start_at(self) -> float:
+        """Time after which starting it serves nobody."""
+        return self.give_up_at - self.wanted.first_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -116,7 +121,7 @@
             self._measured_at = now
             self._started_cost = 0.0
         wait_s = self._predict_start(ticket, now)
-        usable_s = (ticket.deadline_at - now) * USABLE_SHARE - ticket.wanted.run_s
+        usable_s = (ticket.latest_start_at - now) * USABLE_SHARE
         if wait_s > usable_s:
             return (self._refuse(ticket, "the wait would pass its deadline", now),)
         self._tickets[ticket.request_id] = ticket
@@ -164,7 +169,7 @@
     def _enter(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
         late = now > ticket.start_by
         target = self._late if late else self._fresh
-        latest = ticket.deadline_at - ticket.wanted.run_s if late else ticket.start_by
+        latest = ticket.latest_start_at if late else ticket.start_by
         match target.push(_describe(ticket, latest), now):
             case queued.Accepted(evicted=rejected):
                 lost = rejected
