--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
@@ -10,6 +10,7 @@
 import dataclasses
 import typing
 
+from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
@@ -177,6 +178,20 @@
         """Returns the hosts of entries that enrolled."""
 
 
+class SettingsSource(typing.Protocol):
+    """Where the settings of the process come from."""
+
+    def has_changed(self) -> bool:
+        """Tells whether they are others than at the last call."""
+
+    def load(self) -> process.Settings:
+        """Loads them.
+
+        Raises:
+            ValueError: They can't be used; the message names the key.
+        """
+
+
 class Decoder(typing.Protocol):
     """Reads configurations."""
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -39,6 +39,8 @@
 EJECTION_PERIOD_S = 1.0
 # A configuration from another entry arrives within this time or not at all.
 PEER_FETCH_TIMEOUT_S = 1.5
+# A settings file that changes without a signal is found within this time, in seconds.
+SETTINGS_PERIOD_S = 2.0
 # Asking the store for other entries is tried again after this time, in seconds.
 ENROL_RETRY_S = 1.0
 
@@ -74,9 +76,13 @@
         self,
         settings: process.Settings,
         create_surroundings: collections.abc.Callable[[connections.Pool], Surroundings],
+        source: seams.SettingsSource,
     ) -> None:
         clock = LoopClock()
         self._settings = settings
+        self._source = source
+        self._reload = asyncio.Event()
+        self._failed = False
         self._fleet = fleets.Fleet(settings, clock)
         self._journal = journals.Journal(settings.name)
         self._meters = meter_books.Meters()
@@ -123,9 +129,14 @@
         self._stop = asyncio.Event()
         self._add_gauges()
 
-    async def run(self) -> None:
-        """Serves until SIGTERM or SIGINT, then stops within the grace."""
+    async def run(self) -> bool:
+        """Serves until SIGTERM or SIGINT, then stops within the grace.
+
+        Returns:
+            Whether the process was told to stop.
+        """
         loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         await self._listen()
@@ -141,6 +152,7 @@
                 self._desk.run(),
                 self._eject_outliers(),
                 self._enrol(),
+                self._follow_settings(),
                 self._holder.run(),
                 self._steward.run(),
             )
@@ -152,7 +164,9 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self._journal.record(catalogue.DAEMON_STOPPED, detail="planned stop")
+        detail = "a task failed" if self._failed else "planned stop"
+        self._journal.record(catalogue.DAEMON_STOPPED, detail=detail)
+        return not self._failed
 
     async def _listen(self) -> None:
         settings = self._settings
@@ -193,6 +207,7 @@
             catalogue.INVARIANT_VIOLATED,
             detail=f"{task.get_coro()!r} ended: {task.exception()!r}",
         )
+        self._failed = True
         self._stop.set()
 
     async def _drain(self) -> None:
@@ -249,6 +264,36 @@
                         failure_share=round(ejected.failure_share, 2),
                     )
 
+    async def _follow_settings(self) -> None:
+        """Takes changed settings, after SIGHUP or without; keeps the old if bad."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._reload.wait(), SETTINGS_PERIOD_S)
+            signalled = self._reload.is_set()
+            self._reload.clear()
+            if not self._source.has_changed() and not signalled:
+                continue
+            try:
+                settings = self._source.load()
+            except ValueError as error:
+                self._journal.record(catalogue.SETTINGS_FILE_BAD, detail=str(error))
+                continue
+            self._take_settings(settings, signalled)
+
+    def _take_settings(self, settings: process.Settings, signalled: bool) -> None:
+        """Puts what can change while serving in force: bounds, seeds."""
+        kept = dataclasses.replace(
+            self._settings, bounds=settings.bounds, seeds=settings.seeds
+        )
+        self._journal.record(
+            catalogue.DAEMON_RELOADED,
+            signalled=signalled,
+            needs_restart=kept != settings,
+        )
+        self._settings = kept
+        self._fleet.settings = kept
+        self._fleet.peers.add_hosts(kept.seeds, self._fleet.clock.read())
+
     async def _enrol(self) -> None:
         """Makes this entry known through the store, and finds the others there."""
         registry = self._surroundings.registry
@@ -306,7 +351,7 @@
 async def run(
     settings: process.Settings,
     create_surroundings: collections.abc.Callable[[connections.Pool], Surroundings],
-) -> None:
-    """Runs a forwarding process until it is told to stop."""
-    with contextlib.suppress(asyncio.CancelledError):
-        await Service(settings, create_surroundings).run()
+    source: seams.SettingsSource,
+) -> bool:
+    """Runs a forwarding process; returns whether it was told to stop."""
+    return await Service(settings, create_surroundings, source).run()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
@@ -20,11 +20,13 @@
 from chicoryweir_policy.rankmaps import planning
 
 # Time between looks at a group, in seconds.
-PERIOD_S = 0.5
+PERIOD_S = 0.25
 # Commands of a change are looked for this often, in seconds.
 STEP_S = 0.02
-# Ranks whose counts are read at each look; each is a sample of the same demand.
-SAMPLED_RANKS = 3
+# Counts that are read at each look. Each rank is a sample of the same demand, so that
+# fewer ranks do where each has many counts.
+SAMPLED_COUNTS = 8192
+MIN_SAMPLED_RANKS = 3
 # A step's time before any was measured, in seconds.
 USUAL_PASS_S = 0.06
 
@@ -159,7 +161,7 @@
             return
         if self._maps is None and not await self._read_maps(report, layout):
             return
-        await self._sample()
+        await self._sample(layout)
         if self._maps is None or self._demand is None:
             return
         shares = self._demand.compute_shares()
@@ -234,18 +236,24 @@
         self._maps = planning.decode_maps(by_set, layout)
         return True
 
-    async def _sample(self) -> None:
+    async def _sample(self, layout: configuration.ExpertLayout) -> None:
         if not self._sampled:
             ranks = sorted(self._members)
-            count = min(SAMPLED_RANKS, len(ranks))
+            numbers = layout.sets * layout.experts
+            count = max(MIN_SAMPLED_RANKS, SAMPLED_COUNTS // numbers)
+            count = min(count, len(ranks))
             self._sampled = tuple(random.sample(ranks, count))
         found = await asyncio.gather(
             *(self._client.count(self._members[rank]) for rank in self._sampled)
         )
         now = self._now()
-        for rank, counted in zip(self._sampled, found, strict=True):
-            if counted is not None and counted[0] == self._epoch and self._demand:
-                self._demand.add(rank, counted[0], counted[1], now)
+        counts = {
+            rank: counted[1]
+            for rank, counted in zip(self._sampled, found, strict=True)
+            if counted is not None and counted[0] == self._epoch
+        }
+        if self._demand is not None:
+            self._demand.add(counts, now)
 
     async def _improve(
         self,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -27,6 +27,8 @@
 DAEMON_STOPPED = 102
 DRAIN_STARTED = 103
 DRAIN_TIMED_OUT = 104
+DAEMON_RELOADED = 105
+SETTINGS_FILE_BAD = 106
 LINK_OPENED = 110
 LINK_CLOSED = 111
 LINK_REFUSED = 112
@@ -50,6 +52,7 @@
 MAP_CHANGED = 230
 MAP_PROPOSED = 231
 ORDER_FAILED = 232
+RANK_SILENT = 233
 LEASE_HELD = 240
 LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
@@ -80,6 +83,18 @@
         "A request was still in progress when the drain timeout passed.",
         "Raise `drain_timeout_ms` if such requests are to end first.",
     ),
+    EventKind(
+        DAEMON_RELOADED,
+        "daemon_reloaded",
+        "The settings file was read again; `needs_restart` tells what is not.",
+        "Restart the daemon where an address or a port is another one.",
+    ),
+    EventKind(
+        SETTINGS_FILE_BAD,
+        "settings_file_bad",
+        "The settings file can't be used; the settings before it stay in force.",
+        "Mend the key that the line names.",
+    ),
     EventKind(LINK_OPENED, "link_opened", "A link to a daemon is up.", "None."),
     EventKind(
         LINK_CLOSED,
@@ -213,6 +228,12 @@
         "A rank did not take an order, or gave no answer.",
         "None; the change goes on or is taken back.",
     ),
+    EventKind(
+        RANK_SILENT,
+        "rank_silent",
+        "The rank beside an agent did not answer a call.",
+        "Look at the engine's own log.",
+    ),
     EventKind(
         LEASE_HELD,
         "lease_held",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/congestion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/congestion.py
@@ -1,8 +1,8 @@
 """Limits how many requests run at a group that works in lock-step.
 
 The load it answers: in a burst, or while the experts' load is uneven, each request that
-is let in makes the steps of all others longer, until every stream pauses for longer than
-its route allows. The limit keeps the steps short enough and lets the rest wait.
+is let in makes the steps of all others longer, until every stream pauses for longer
+than its route allows. The limit keeps steps short enough and lets the rest wait.
 """
 
 from __future__ import annotations
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -24,11 +24,9 @@
 HOLDING_RANK = 0
 # The held step is this far ahead, in seconds: two rounds of orders, the lag of a report
 # and a round of reports fit.
-LEAD_S = 0.45
-# Reports from afar are this old at most, in seconds.
-REPORT_LAG_S = 0.25
+LEAD_S = 0.25
 # A report that did not yet show what was wanted is asked for again after this time.
-ASK_AGAIN_S = 0.12
+ASK_AGAIN_S = 0.06
 # An order is given so often before the change is taken back.
 MAX_TRIES = 4
 # Longest times in a state before the change is taken back, in seconds.
@@ -178,7 +176,7 @@
         if self._state == "holding":
             self._located = True
             self._plan = dataclasses.replace(
-                self._plan, step=report.step, step_at=now - REPORT_LAG_S
+                self._plan, step=report.step, step_at=now - report.lag_s
             )
             known.ask_at = now
             return
@@ -203,8 +201,6 @@
                 return False
 
     def _ask(self, now: float) -> list[orders.Command]:
-        if now < self._entered_at + REPORT_LAG_S:
-            return []
         due = [
             rank
             for rank, known in enumerate(self._ranks)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
@@ -79,6 +79,7 @@
         armed: Version that it will switch to; None for none.
         held: Step that it keeps from beginning; None for none.
         pace: Time of its work over the usual time.
+        lag_s: Age of the report at its arrival, in seconds.
     """
 
     epoch: int
@@ -89,6 +90,7 @@
     armed: int | None
     held: int | None
     pace: float
+    lag_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -85,22 +85,24 @@
             popularity.create_popularity(layout.experts, now)
             for _ in range(layout.sets)
         ]
-        self._latest: dict[tuple[int, int], tuple[int, ...]] = {}
-
-    def add(self, rank: int, epoch: int, counts: tuple[int, ...], now: float) -> None:
-        """Adds a rank's counts since its start; the first ones only set the base."""
-        before = self._latest.get((rank, epoch))
-        self._latest[(rank, epoch)] = counts
-        if before is None or len(before) != len(counts):
-            return
+        self._latest: dict[int, tuple[int, ...]] = {}
+
+    def add(self, counts: dict[int, tuple[int, ...]], now: float) -> None:
+        """Adds counts since the start of each rank; the first only set the base."""
         size = self._layout.experts
-        for index, known in enumerate(self._sets):
-            part = slice(index * size, (index + 1) * size)
-            grown = [
-                max(0, new - old)
-                for new, old in zip(counts[part], before[part], strict=True)
+        total = [0] * (size * self._layout.sets)
+        for rank, latest in counts.items():
+            before = self._latest.get(rank)
+            self._latest[rank] = latest
+            if before is None or len(latest) != len(total):
+                continue
+            total = [
+                summed + max(0, new - old)
+                for summed, new, old in zip(total, latest, before, strict=True)
             ]
-            self._sets[index] = popularity.add_counts(known, grown, HALF_LIFE_S, now)
+        for index, known in enumerate(self._sets):
+            part = total[index * size : (index + 1) * size]
+            self._sets[index] = popularity.add_counts(known, part, HALF_LIFE_S, now)
 
     def compute_shares(self) -> list[tuple[float, ...]] | None:
         """Returns the shares of each set; None while too little was counted."""
@@ -133,6 +135,9 @@
         layout: Bounds on what a rank holds and takes in one change.
     """
     ranks = maps[0].rank_count
+    before = compute_step_time(maps, shares, layout.share)
+    if before < 1.0 + MIN_GAIN:
+        return None
     found = tuple(
         repair.repair_map(
             one,
@@ -143,7 +148,6 @@
         )
         for one, known in zip(maps, shares, strict=True)
     )
-    before = compute_step_time(maps, shares, layout.share)
     after = compute_step_time(found, shares, layout.share)
     if (before - after) / before < MIN_GAIN:
         return None
