--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -11,7 +11,7 @@
 
 # First element of each datagram; a change of the form changes it.
 FORM = 1
-_PARTS = 12
+_PARTS = 13
 
 
 def encode(announcement: peers.Announcement) -> bytes:
@@ -34,6 +34,7 @@
             work,
             announcement.peers,
             sorted(announcement.duties),
+            announcement.reaches_store,
         )
     )
 
@@ -64,6 +65,7 @@
             work=work,
             peers=tuple(str(host) for host in parts[10]),
             duties=frozenset(str(duty) for duty in parts[11]),
+            reaches_store=bool(parts[12]),
         )
     except (cbor2.CBORDecodeError, TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -189,11 +189,13 @@
         """Decides what follows a failed attempt."""
         failure = failed.failure
         self._excluded |= {instance}
+        if failure is repeats.Failure.MISDIRECTED:
+            self._note_displaced(instance)
         self._history = repeats.History(
             self._history.arrivals + failure.arrived,
             self._history.runs + (not failure.proves_not_run),
             self._relay.begun,
-            self._history.queued_again + (failure is repeats.Failure.NOT_SENT),
+            self._history.queued_again + (not failure.arrived),
         )
         now = self._now()
         budget = self._fleet.get_budget(self._service.name)
@@ -227,6 +229,18 @@
             case _:
                 typing.assert_never(decision)
 
+    def _note_displaced(self, instance: str) -> None:
+        """Forgets an endpoint whose address another one has taken."""
+        found = self._fleet.endpoints.note_displaced(instance)
+        if found is not None:
+            self._tools.journal.record(
+                catalogue.ENDPOINT_CHANGED,
+                self._request_id,
+                instance,
+                service=found.service,
+                meaning=found.meaning,
+            )
+
     def _pass_on(self, failed: attempts.Failed) -> None:
         """Hands the endpoint's own failure to the caller."""
         held = failed.held
@@ -297,6 +311,7 @@
             self._request_id,
             self._routed.workspace,
             self._routed.priority,
+            self._route.priority,
             self._wanted,
             self._arrived_at + self._route.objective_s,
             patience.compute_give_up(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -110,6 +110,7 @@
             work=work,
             peers=tuple(sorted(peer.host for peer in alive)),
             duties=self._fleet.duties,
+            reaches_store=not self._fleet.endpoints.is_away,
         )
 
     def _note_alive(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
@@ -12,8 +12,8 @@
 from chicoryweir_policy.groups import leases
 
 DUTY = "expert-maps"
-# A holder that is lost is followed within 6 s: a group may be held meanwhile.
-LEASE = leases.LeaseSettings(ttl_s=5.0, margin_s=1.0, period_s=1.7, jitter=0.2)
+# A holder that is lost is followed within 5 s: a group may be held meanwhile.
+LEASE = leases.LeaseSettings(ttl_s=3.0, margin_s=0.6, period_s=1.0, jitter=0.2)
 POLL_S = 0.25
 # Orders of one lease are told apart by this many tokens.
 TOKENS_PER_LEASE = 1_000_000
@@ -37,6 +37,7 @@
         self._fleet = fleet
         self._store = store
         self._journal = journal
+        self._incarnation = incarnation
         name = f"{fleet.settings.name}/{incarnation}"
         self._lease = leases.create_lease(DUTY, name, LEASE, incarnation)
         self._given = 0
@@ -77,10 +78,24 @@
         alive = self._fleet.peers.list_alive(self._fleet.clock.read())
         if any(DUTY in peer.duties for peer in alive):
             return False
+        if self._fleet.endpoints.is_away:
+            return False
         own = self._fleet.settings.name
-        return all(own < peer.name for peer in alive if peer.ready)
+        rivals = (peer for peer in alive if peer.ready and peer.reaches_store)
+        return all(own < peer.name for peer in rivals)
+
+    def _has_ended(self, holder: str) -> bool:
+        """Tells whether the process that wrote the lease is known to have ended."""
+        name, _, incarnation = holder.rpartition("/")
+        if not incarnation.isdigit():
+            return False
+        if name == self._fleet.settings.name:
+            return int(incarnation) < self._incarnation
+        return self._fleet.peers.has_ended(name, int(incarnation))
 
     async def _tick(self) -> None:
+        if self._has_ended(self._lease.row_holder):
+            self._lease = leases.note_ended(self._lease, self._lease.row_holder)
         self._lease, operation = leases.tick(self._lease, read_boot_time())
         if operation is not None:
             result = await self._store.run(operation)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -98,6 +98,11 @@
         self._away = False
         self._returned_at = -math.inf
 
+    @property
+    def is_away(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._away
+
     def get(self, instance: str) -> Endpoint | None:
         """Returns an endpoint that is registered, or was until lately."""
         return self._endpoints.get(instance)
@@ -128,6 +133,12 @@
             case Removed(instance):
                 return self._remove(instance, now)
 
+    def note_displaced(self, instance: str) -> Transition | None:
+        """Drops an endpoint at whose address another instance has answered."""
+        if instance not in self._endpoints:
+            return None
+        return self._drop(instance, "displaced")
+
     def replace_all(
         self, registered: collections.abc.Iterable[Endpoint], now: float
     ) -> list[Transition]:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -31,6 +31,7 @@
         work: Its work at the endpoints, by instance.
         peers: Hosts of entries that it knows to live.
         duties: Duties that it has for the whole fleet.
+        reaches_store: Whether its last calls to the store succeeded.
     """
 
     name: str
@@ -44,6 +45,7 @@
     work: collections.abc.Mapping[str, loads.Work]
     peers: tuple[str, ...]
     duties: frozenset[str] = frozenset()
+    reaches_store: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +95,11 @@
             del self._peers[name]
         return gone
 
+    def has_ended(self, name: str, incarnation: int) -> bool:
+        """Tells whether a process has been followed by another on its instance."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.announcement.incarnation > incarnation
+
     def list_hosts(self) -> list[str]:
         """Returns the addresses to announce to."""
         return sorted(self._hosts)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/repeats.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/repeats.py
@@ -37,8 +37,8 @@
 
     @property
     def arrived(self) -> bool:
-        """Whether the attempt counts as an arrival at the service."""
-        return self is not Failure.NOT_SENT
+        """Whether the attempt counts as one at an endpoint of the service."""
+        return self not in (Failure.NOT_SENT, Failure.MISDIRECTED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
@@ -16,12 +16,17 @@
 from chicoryweir_policy.admission import queued
 from chicoryweir_policy.forwarding import demand
 
+# A workspace's requests go by the rank of their routes: each rank counts as a deadline
+# that is later by more than objectives differ, in seconds.
+URGENCY_SHIFT_S = 2.0
 # Requests that wait at one entry for one service.
 MAX_WAITING = 400
 # Parts of the capacity that the second and third class keep in a flood of the first.
 FLOOR_SHARES = (0.0, 0.08, 0.08)
 # Speed until the first measurement, in units of cost a second.
 INITIAL_SPEED = 500.0
+# The least speed that is predicted from, in the same unit.
+MIN_SPEED = 1.0
 # Time over which the speed at which waiting work starts is averaged, in seconds.
 SPEED_MEMORY_S = 2.0
 # A wait that is predicted is uncertain; only this part of the time left is counted on.
@@ -36,6 +41,7 @@
         request_id: Identifier of the request in this entry.
         workspace: Workspace it belongs to.
         priority: Rank; 0 is the most urgent.
+        urgency: Rank of its route, which orders requests of equal priority.
         wanted: Its estimated work.
         objective_at: Time by which its first part is on time, monotonic seconds.
         give_up_at: Time by which its caller has left if nothing has come.
@@ -46,6 +52,7 @@
     request_id: str
     workspace: str
     priority: int
+    urgency: int
     wanted: demand.Demand
     objective_at: float
     give_up_at: float
@@ -78,6 +85,33 @@
     retry_after_s: float
 
 
+class SpeedMeter:
+    """Measures the cost of what starts a second while requests wait."""
+
+    def __init__(self) -> None:
+        self.speed = INITIAL_SPEED
+        self._cost = 0.0
+        self._since: float | None = None
+
+    def rest(self, now: float) -> None:
+        """Begins anew; while nothing waits, the speed says nothing."""
+        self._cost, self._since = 0.0, now
+
+    def add(self, cost: float, now: float) -> bool:
+        """Counts what starts; tells whether the speed was measured anew."""
+        if self._since is None:
+            self._since = now
+        self._cost += cost
+        elapsed_s = now - self._since
+        if elapsed_s < SPEED_MEMORY_S / 4:
+            return False
+        part = min(1.0, elapsed_s / SPEED_MEMORY_S)
+        self.speed += part * (self._cost / elapsed_s - self.speed)
+        self.speed = max(self.speed, MIN_SPEED)
+        self._cost, self._since = 0.0, now
+        return True
+
+
 class WaitingRoom(typing.Protocol):
     """Holds the requests that wait and tells which goes next."""
 
@@ -107,9 +141,8 @@
         self._fresh = queue.create_fair_queue(MAX_WAITING, INITIAL_SPEED)
         self._late = queue.create_fair_queue(MAX_WAITING, INITIAL_SPEED)
         self._tickets: dict[str, Ticket] = {}
-        self._speed = INITIAL_SPEED
-        self._started_cost = 0.0
-        self._measured_at: float | None = None
+        self._meter = SpeedMeter()
+        self._late_meter = SpeedMeter()
 
     def __len__(self) -> int:
         """Returns the number of requests that wait."""
@@ -118,8 +151,8 @@
     def push(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
         """Adds a request; returns those that are rejected, it among them or not."""
         if not self._tickets:
-            self._measured_at = now
-            self._started_cost = 0.0
+            self._meter.rest(now)
+            self._late_meter.rest(now)
         wait_s = self._predict_start(ticket, now)
         usable_s = (ticket.latest_start_at - now) * USABLE_SHARE
         if wait_s > usable_s:
@@ -130,10 +163,17 @@
     def pop(self, now: float) -> Ticket | None:
         """Removes and returns the next request."""
         self._demote(now)
-        entry = self._fresh.pop(now) or self._late.pop(now)
+        entry = self._fresh.pop(now)
+        late_cost = 0.0
         if entry is None:
-            return None
-        self._measure_speed(entry.cost_tokens, now)
+            entry = self._late.pop(now)
+            if entry is None:
+                return None
+            late_cost = entry.cost_tokens
+        if self._meter.add(entry.cost_tokens, now):
+            self._fresh.set_speed(self._meter.speed)
+        if self._late_meter.add(late_cost, now):
+            self._late.set_speed(self._late_meter.speed)
         return self._tickets.pop(entry.attempt_id)
 
     def remove(self, request_id: str) -> bool:
@@ -155,7 +195,7 @@
     def predict_wait(self, now: float) -> float:
         """Predicts the time in which all that waits has started, in seconds."""
         waiting = [*self._fresh.measure(now), *self._late.measure(now)]
-        return sum(measure.tokens for measure in waiting) / self._speed
+        return sum(measure.tokens for measure in waiting) / self._meter.speed
 
     def _predict_start(self, ticket: Ticket, now: float) -> float:
         priority = _rank(ticket.priority)
@@ -163,8 +203,8 @@
             ahead = self._fresh.predict_wait(ticket.workspace, priority, now)
             if now + ahead <= ticket.start_by:
                 return ahead
-        fresh = sum(m.tokens for m in self._fresh.measure(now)) / self._speed
-        return fresh + self._late.predict_wait(ticket.workspace, priority, now)
+        # What starts late is measured by itself: it gets what the others leave.
+        return self._late.predict_wait(ticket.workspace, priority, now)
 
     def _enter(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
         late = now > ticket.start_by
@@ -187,20 +227,6 @@
             refusals += self._enter(self._tickets[entry.attempt_id], now)
         return tuple(refusals)
 
-    def _measure_speed(self, cost: float, now: float) -> None:
-        if self._measured_at is None:
-            self._measured_at = now
-        self._started_cost += cost
-        elapsed_s = now - self._measured_at
-        if elapsed_s < SPEED_MEMORY_S / 4:
-            return
-        part = min(1.0, elapsed_s / SPEED_MEMORY_S)
-        self._speed += part * (self._started_cost / elapsed_s - self._speed)
-        self._speed = max(self._speed, 1.0)
-        self._started_cost, self._measured_at = 0.0, now
-        self._fresh.set_speed(self._speed)
-        self._late.set_speed(self._speed)
-
     def _refuse(self, ticket: Ticket, reason: str, now: float) -> Refusal:
         wait_s = self.predict_wait(now)
         retry_after_ms = delay.compute_retry_after_ms(ticket.request_id, wait_s)
@@ -213,6 +239,7 @@
 
 def _describe(ticket: Ticket, latest_start_at: float) -> queued.Queued:
     priority = _rank(ticket.priority)
+    shift_s = ticket.urgency * URGENCY_SHIFT_S
     return queued.Queued(
         attempt_id=ticket.request_id,
         workspace=ticket.workspace,
@@ -220,8 +247,9 @@
         weight=1.0,
         floor_share=FLOOR_SHARES[priority],
         cost_tokens=ticket.wanted.cost,
-        deadline_at=latest_start_at,
+        deadline_at=latest_start_at + shift_s,
         arrived_at=ticket.arrived_at,
+        run_s=shift_s,
     )
 
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
@@ -152,6 +152,13 @@
     return _write(lease, "", lease.fence, now)
 
 
+def note_ended(lease: Lease, holder: str) -> Lease:
+    """Takes note that a holder's process has ended; its lease needs no waiting."""
+    if lease.row_holder != holder:
+        return lease
+    return dataclasses.replace(lease, row_holder="")
+
+
 def raise_floor(lease: Lease, fence: int) -> Lease:
     """Takes note of a fencing number seen elsewhere; a higher one ends the lease."""
     if lease.state in HOLDING and fence > lease.fence:
