--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -75,6 +75,9 @@
         self._history = repeats.History(0, 0, False, 0)
         self._waited_s = 0.0
         self._heard_at: float | None = None
+        self._first_s: float | None = None
+        self._started_at = arrived_at
+        self._longest_pause_s = 0.0
         self._trail: list[str] = []
         self._attempt: attempts.Attempt | None = None
         self._relay = self._create_relay()
@@ -127,7 +130,7 @@
             self._routed.priority,
             self._relay.resume_after,
         )
-        started_at = self._now()
+        started_at = self._started_at = self._now()
         try:
             outcome = await attempt.run(
                 self._request,
@@ -301,6 +304,8 @@
             priority=self._routed.priority,
             version=self._routed.version,
             waited_s=round(self._waited_s, 3),
+            first_s=None if self._first_s is None else round(self._first_s, 3),
+            longest_pause_s=round(self._longest_pause_s, 3),
             elapsed_s=round(now - self._arrived_at, 3),
             left_s=round(self._deadline_at - now, 3),
             attempts=self._trail,
@@ -312,7 +317,7 @@
             self._routed.workspace,
             self._routed.priority,
             self._route.priority,
-            self._wanted,
+            self._expect(),
             self._arrived_at + self._route.objective_s,
             patience.compute_give_up(
                 self._route, self._heard_at or self._arrived_at, self._deadline_at
@@ -321,6 +326,12 @@
             self._excluded,
         )
 
+    def _expect(self) -> demand.Demand:
+        """Returns the request's demand with the delay that others have seen."""
+        dispatcher = self._fleet.get_dispatcher(self._service.name)
+        first_s = max(self._wanted.first_s, dispatcher.expect_first())
+        return dataclasses.replace(self._wanted, first_s=first_s)
+
     def _create_relay(self) -> relays.Relay:
         if self._route.kind is not configuration.RouteKind.STREAM:
             return relays.BodyRelay(self._answer)
@@ -330,6 +341,13 @@
     def _note_progress(self, pause_s: float) -> None:
         """Takes a part of the answer, `pause_s` seconds after the one before it."""
         now = self._now()
+        if self._heard_at is None:
+            self._first_s = now - self._arrived_at
+            dispatcher = self._fleet.get_dispatcher(self._service.name)
+            dispatcher.note_first(now - self._started_at)
+        else:
+            pause = now - self._heard_at
+            self._longest_pause_s = max(self._longest_pause_s, pause)
         self._heard_at = now
         self._fleet.progress_at[self._service.name] = now
         if pause_s and self._route.gap_s:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -9,6 +9,7 @@
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import latency
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import selection
 from chicoryweir_policy.forwarding import waiting
@@ -49,19 +50,28 @@
         self._loads = load_book
         self._selector = selector
         self._room = room
-        self._first: waiting.Ticket | None = None
+        self._head: waiting.Ticket | None = None
         self._avoided: collections.abc.Callable[[str, float], bool] = _avoid_none
         self._stretch = congestion.Stretch()
         self._pause_s = 0.0
+        self._first = latency.FirstPart()
 
     def __len__(self) -> int:
         """Returns the number of requests that wait."""
-        return len(self._room) + (self._first is not None)
+        return len(self._room) + (self._head is not None)
 
     def avoid(self, judge: collections.abc.Callable[[str, float], bool]) -> None:
         """Sets what tells whether an instance is passed over at a time."""
         self._avoided = judge
 
+    def note_first(self, delay_s: float) -> None:
+        """Takes the time from a request's sending to the first part of its answer."""
+        self._first = latency.note_sample(self._first, delay_s)
+
+    def expect_first(self) -> float:
+        """Returns the time to the first part that most requests need, in seconds."""
+        return self._first.expect()
+
     def note_pause(
         self,
         service: configuration.Service,
@@ -109,8 +119,8 @@
         """Places waiting requests while there is room, and rejects expired ones."""
         outcomes: list[Outcome] = list(self._room.expire(now))
         while True:
-            ticket = self._first or self._room.pop(now)
-            self._first = None
+            ticket = self._head or self._room.pop(now)
+            self._head = None
             if ticket is None:
                 return tuple(outcomes)
             if ticket.latest_start_at < now:
@@ -122,14 +132,14 @@
                 continue
             placed = self._place(ticket, service, now)
             if placed is None:
-                self._first = ticket
+                self._head = ticket
                 return tuple(outcomes)
             outcomes.append(placed)
 
     def withdraw(self, request_id: str) -> None:
         """Drops a request that waits, if it does."""
-        if self._first is not None and self._first.request_id == request_id:
-            self._first = None
+        if self._head is not None and self._head.request_id == request_id:
+            self._head = None
             return
         self._room.remove(request_id)
 
