--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -11,7 +11,7 @@
 
 # First element of each datagram; a change of the form changes it.
 FORM = 1
-_PARTS = 13
+_PARTS = 14
 
 
 def encode(announcement: peers.Announcement) -> bytes:
@@ -35,6 +35,7 @@
             announcement.peers,
             sorted(announcement.duties),
             announcement.reaches_store,
+            announcement.timely,
         )
     )
 
@@ -66,6 +67,7 @@
             peers=tuple(str(host) for host in parts[10]),
             duties=frozenset(str(duty) for duty in parts[11]),
             reaches_store=bool(parts[12]),
+            timely={str(name): int(count) for name, count in parts[13].items()},
         )
     except (cbor2.CBORDecodeError, TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -76,6 +76,16 @@
         """Returns the dispatchers by service."""
         return list(self._dispatchers.items())
 
+    def count_timely(self) -> dict[str, int]:
+        """Returns the waiting requests that can be in time, by service."""
+        counts = {name: d.count_timely() for name, d in self._dispatchers.items()}
+        return {name: count for name, count in counts.items() if count}
+
+    def note_timely(self, now: float) -> None:
+        """Tells the dispatchers what waits at the other entries."""
+        for name, dispatcher in self._dispatchers.items():
+            dispatcher.note_peers(self.peers.count_timely(name, now))
+
     def get_budget(self, service: str) -> budget.SharedBudget:
         """Returns this entry's budget for repeats to a service."""
         found = self._budgets.get(service)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -34,7 +34,7 @@
         self._learn_version = learn_version
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
-        self._told: dict[str, loads.Work] = {}
+        self._told: tuple[dict[str, loads.Work], dict[str, int]] = ({}, {})
         self._told_at = 0.0
         self._alive: frozenset[str] = frozenset()
 
@@ -65,6 +65,7 @@
         if not self._fleet.peers.hear(heard, now):
             return
         self._fleet.loads.set_peer(heard.name, heard.work, now)
+        self._fleet.note_timely(now)
         if heard.version > self._fleet.version:
             self._learn_version(heard.host, heard.version)
 
@@ -82,19 +83,23 @@
         """Sends an announcement where there is something to tell."""
         now = self._fleet.clock.read()
         work = self._fleet.loads.export()
+        timely = self._fleet.count_timely()
         due = now - self._told_at >= IDLE_PERIOD_S
-        if not (force or due or work != self._told):
+        news = (work, timely)
+        if not (force or due or news != self._told):
             return
-        self._told, self._told_at = work, now
+        self._told, self._told_at = news, now
         for name in self._fleet.peers.expire(now):
             self._fleet.loads.forget_peer(name)
-        data = announcements.encode(self._describe(work, now))
+        data = announcements.encode(self._describe(work, timely, now))
         if self._transport is not None:
             port = self._fleet.settings.peer_port
             for host in self._fleet.peers.list_hosts():
                 self._transport.sendto(data, (host, port))
 
-    def _describe(self, work: dict[str, loads.Work], now: float) -> peers.Announcement:
+    def _describe(
+        self, work: dict[str, loads.Work], timely: dict[str, int], now: float
+    ) -> peers.Announcement:
         settings = self._fleet.settings
         self._sequence += 1
         alive = self._fleet.peers.list_alive(now)
@@ -110,6 +115,7 @@
             work=work,
             peers=tuple(sorted(peer.host for peer in alive)),
             duties=self._fleet.duties,
+            timely=timely,
             reaches_store=not self._fleet.endpoints.is_away,
         )
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import typing
 
@@ -27,6 +28,8 @@
 # fewer ranks do where each has many counts.
 SAMPLED_COUNTS = 8192
 MIN_SAMPLED_RANKS = 3
+# Orders that got lost within this time make it likely for the next ones, in seconds.
+LOSS_MEMORY_S = 6.0
 # A step's time before any was measured, in seconds.
 USUAL_PASS_S = 0.06
 
@@ -130,6 +133,7 @@
         self._seen: tuple[int, float] | None = None
         self._recovered = False
         self._sampled: tuple[int, ...] = ()
+        self._lost_at = -math.inf
         self._wake = asyncio.Event()
 
     async def look(
@@ -209,6 +213,7 @@
             pass_s=self._pass_s,
             step=held or first.step + 1,
             step_at=self._now(),
+            orders_lost=self._lost_at > self._now() - LOSS_MEMORY_S,
         )
         change = changes.create_recovery(plan, self._holder, self._now())
         await self._carry_out(change, "recovery")
@@ -276,6 +281,7 @@
             pass_s=self._pass_s,
             step=report.step,
             step_at=self._now(),
+            orders_lost=self._lost_at > self._now() - LOSS_MEMORY_S,
         )
         self._journal.record(
             catalogue.MAP_PROPOSED,
@@ -314,6 +320,8 @@
                 await asyncio.wait_for(self._wake.wait(), STEP_S)
         if running:
             await asyncio.wait(running)
+        if change.lost:
+            self._lost_at = self._now()
         if change.fenced:
             self._holder.stop_acting()
         self._log_state(change, what, began_at)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -20,8 +20,9 @@
 from chicoryweir_daemon.http1 import requestparser
 from chicoryweir_policy import catalogue
 
-# A rank answers its own machine in some ms.
-CALL_TIMEOUT_S = 0.4
+# A rank answers its own machine in some ms. A lost order is given again at once, while
+# the group may be held.
+CALL_TIMEOUT_S = 0.12
 BAD_GATEWAY = 502
 # Orders with a map of the largest groups are some hundred KB.
 LIMITS = callers.ServerLimits(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -55,6 +55,7 @@
         self._stretch = congestion.Stretch()
         self._pause_s = 0.0
         self._first = latency.FirstPart()
+        self._peers_timely = 0
 
     def __len__(self) -> int:
         """Returns the number of requests that wait."""
@@ -119,7 +120,7 @@
         """Places waiting requests while there is room, and rejects expired ones."""
         outcomes: list[Outcome] = list(self._room.expire(now))
         while True:
-            ticket = self._head or self._room.pop(now)
+            ticket = self._head or self._room.pop(now, self._must_yield(service, now))
             self._head = None
             if ticket is None:
                 return tuple(outcomes)
@@ -136,6 +137,20 @@
                 return tuple(outcomes)
             outcomes.append(placed)
 
+    def count_timely(self) -> int:
+        """Returns the waiting requests that can still meet their objectives."""
+        return self._room.count_timely()
+
+    def note_peers(self, timely: int) -> None:
+        """Takes the timely requests that wait at the other entries."""
+        self._peers_timely = timely
+
+    def _must_yield(self, service: configuration.Service, now: float) -> bool:
+        """Tells whether the room left is for others' requests that can be in time."""
+        if not self._peers_timely:
+            return False
+        return self.count_free(service, now) <= self._peers_timely
+
     def withdraw(self, request_id: str) -> None:
         """Drops a request that waits, if it does."""
         if self._head is not None and self._head.request_id == request_id:
@@ -150,7 +165,14 @@
     def count_free(self, service: configuration.Service, now: float) -> int:
         """Returns the requests that would start at once."""
         candidates = self._list_candidates(service, frozenset(), now)
-        return sum(max(0, c.limit - c.work.requests) for c in candidates)
+        free = sum(max(0, c.limit - c.work.requests) for c in candidates)
+        if service.engine is None or not candidates:
+            return free
+        limit = congestion.compute_limit(
+            self._stretch, service.engine, self._pause_s, now
+        )
+        running = sum(candidate.work.requests for candidate in candidates)
+        return min(free, max(0, math.floor(limit * len(candidates)) - running))
 
     def _place(
         self, ticket: waiting.Ticket, service: configuration.Service, now: float
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -31,6 +31,7 @@
         work: Its work at the endpoints, by instance.
         peers: Hosts of entries that it knows to live.
         duties: Duties that it has for the whole fleet.
+        timely: Waiting requests that can still meet their objectives, by service.
         reaches_store: Whether its last calls to the store succeeded.
     """
 
@@ -45,6 +46,7 @@
     work: collections.abc.Mapping[str, loads.Work]
     peers: tuple[str, ...]
     duties: frozenset[str] = frozenset()
+    timely: collections.abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
     reaches_store: bool = True
 
 
@@ -112,6 +114,10 @@
             if now - peer.heard_at <= ALIVE_S
         ]
 
+    def count_timely(self, service: str, now: float) -> int:
+        """Returns the timely requests that wait for a service at other entries."""
+        return sum(peer.timely.get(service, 0) for peer in self.list_alive(now))
+
     def count_entries(self, now: float) -> int:
         """Returns the entries that serve, this one included."""
         return 1 + sum(peer.ready for peer in self.list_alive(now))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
@@ -25,6 +25,9 @@
 FLOOR_SHARES = (0.0, 0.08, 0.08)
 # Speed until the first measurement, in units of cost a second.
 INITIAL_SPEED = 500.0
+# Callers don't come back later than this, a third of the time that the longest of them
+# have, in seconds.
+MAX_RETRY_S = 2.7
 # The least speed that is predicted from, in the same unit.
 MIN_SPEED = 1.0
 # Time over which the speed at which waiting work starts is averaged, in seconds.
@@ -118,8 +121,8 @@
     def push(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
         """Adds a request; returns those that are rejected, it among them or not."""
 
-    def pop(self, now: float) -> Ticket | None:
-        """Removes and returns the next request."""
+    def pop(self, now: float, timely_only: bool) -> Ticket | None:
+        """Removes and returns the next request; the late ones stay on demand."""
 
     def remove(self, request_id: str) -> bool:
         """Removes a request; False when it doesn't wait."""
@@ -130,6 +133,9 @@
     def predict_wait(self, now: float) -> float:
         """Predicts the time in which all that waits has started, in seconds."""
 
+    def count_timely(self) -> int:
+        """Returns the requests that can still meet their objectives."""
+
     def __len__(self) -> int:
         """Returns the number of requests that wait."""
 
@@ -160,12 +166,18 @@
         self._tickets[ticket.request_id] = ticket
         return self._enter(ticket, now)
 
-    def pop(self, now: float) -> Ticket | None:
-        """Removes and returns the next request."""
+    def count_timely(self) -> int:
+        """Returns the requests that can still meet their objectives."""
+        return len(self._fresh)
+
+    def pop(self, now: float, timely_only: bool) -> Ticket | None:
+        """Removes and returns the next request; the late ones stay on demand."""
         self._demote(now)
         entry = self._fresh.pop(now)
         late_cost = 0.0
         if entry is None:
+            if timely_only:
+                return None
             entry = self._late.pop(now)
             if entry is None:
                 return None
@@ -228,7 +240,8 @@
         return tuple(refusals)
 
     def _refuse(self, ticket: Ticket, reason: str, now: float) -> Refusal:
-        wait_s = self.predict_wait(now)
+        late_s = self._late.predict_wait(ticket.workspace, _rank(ticket.priority), now)
+        wait_s = min(MAX_RETRY_S, max(self.predict_wait(now), late_s))
         retry_after_ms = delay.compute_retry_after_ms(ticket.request_id, wait_s)
         return Refusal(ticket, reason, retry_after_ms / 1000)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -25,6 +25,8 @@
 # The held step is this far ahead, in seconds: two rounds of orders, the lag of a report
 # and a round of reports fit.
 LEAD_S = 0.25
+# The same where orders get lost: three rounds, each with the time to notice a loss.
+LOSSY_LEAD_S = 0.7
 # A report that did not yet show what was wanted is asked for again after this time.
 ASK_AGAIN_S = 0.06
 # An order is given so often before the change is taken back.
@@ -53,6 +55,7 @@
         pass_s: Time of a step at present, in seconds.
         step: A step that had begun at `step_at`.
         step_at: Monotonic time.
+        orders_lost: Whether orders of late had no answer, so that rounds take longer.
     """
 
     version: int
@@ -63,6 +66,7 @@
     pass_s: float
     step: int
     step_at: float
+    orders_lost: bool
 
 
 class Tokens(typing.Protocol):
@@ -101,10 +105,11 @@
         self._state = state
         self._entered_at = now
         self._step = plan.step
-        self._lead_s = LEAD_S
+        self._lead_s = LEAD_S if not plan.orders_lost else LOSSY_LEAD_S
         self._hold_tries = 0
         self._located = False
         self._ranks = [_Rank() for _ in range(plan.ranks)]
+        self.lost = 0
         self.fenced = False
         self.reason = ""
 
@@ -157,6 +162,7 @@
             case orders.Result.CONFLICT:
                 self._take_conflict(known, now)
             case orders.Result.LOST:
+                self.lost += 1
                 self._token = self._tokens.raise_token()
                 known.ask_at = now
             case orders.Result.REFUSED:
