--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -14,8 +14,8 @@
 from chicoryweir_policy.forwarding import selection
 from chicoryweir_policy.forwarding import waiting
 
-# Time after which a request comes back when no endpoint is registered, in seconds.
-NO_ENDPOINT_RETRY_S = 1.0
+# Time after which a request comes back that found no room, in seconds.
+EXPIRED_RETRY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,23 +119,25 @@
     ) -> tuple[Outcome, ...]:
         """Places waiting requests while there is room, and rejects expired ones."""
         outcomes: list[Outcome] = list(self._room.expire(now))
-        while True:
-            ticket = self._head or self._room.pop(now, self._must_yield(service, now))
+        if self._head is not None and self._head.latest_start_at < now:
+            outcomes.append(_refuse_expired(self._head))
+            self._head = None
+        while self.count_free(service, now):
+            timely_only = self._must_yield(service, now)
+            ticket = self._head or self._room.pop(now, timely_only)
             self._head = None
             if ticket is None:
-                return tuple(outcomes)
+                break
             if ticket.latest_start_at < now:
-                outcomes.append(
-                    waiting.Refusal(
-                        ticket, "its time ran out waiting", NO_ENDPOINT_RETRY_S
-                    )
-                )
+                outcomes.append(_refuse_expired(ticket))
                 continue
             placed = self._place(ticket, service, now)
             if placed is None:
+                # It may not go where there is room, or needs more memory.
                 self._head = ticket
-                return tuple(outcomes)
+                break
             outcomes.append(placed)
+        return tuple(outcomes)
 
     def count_timely(self) -> int:
         """Returns the waiting requests that can still meet their objectives."""
@@ -233,5 +235,9 @@
         ]
 
 
+def _refuse_expired(ticket: waiting.Ticket) -> waiting.Refusal:
+    return waiting.Refusal(ticket, "its time ran out waiting", EXPIRED_RETRY_S)
+
+
 def _avoid_none(instance: str, now: float) -> bool:
     return False
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -0,0 +1,83 @@
+from chicoryweir_policy.forwarding import endpoints
+
+
+def _book(make_endpoint, *names):
+    book = endpoints.EndpointBook()
+    book.replace_all([make_endpoint(name) for name in names], 0.0)
+    return book
+
+
+def _names(book):
+    return sorted(endpoint.instance for endpoint in book.list_usable("model"))
+
+
+def test_leaving_endpoint_takes_nothing_new_at_once(make_endpoint):
+    book = _book(make_endpoint, "a", "b")
+    book.apply(endpoints.Registered(make_endpoint("a", leaving=True)), 1.0)
+    assert _names(book) == ["b"]
+    assert book.get("a") is not None
+
+
+def test_registration_that_is_removed_while_the_store_works_is_gone(make_endpoint):
+    book = _book(make_endpoint, "a", "b")
+    found = book.apply(endpoints.Removed("a"), 10.0)
+    assert found is not None
+    assert found.meaning == "removed"
+    assert _names(book) == ["b"]
+
+
+def test_lapse_during_an_outage_is_held_until_shortly_after_the_return(make_endpoint):
+    book = _book(make_endpoint, "a", "b")
+    book.note_store(False, 10.0)
+    book.note_store(True, 20.0)
+    book.replace_all([make_endpoint("b")], 20.0)
+    assert _names(book) == ["a", "b"]
+    assert book.expire(20.0 + endpoints.LAPSE_HOLD_S / 2) == []
+    gone = book.expire(20.0 + endpoints.LAPSE_HOLD_S)
+    assert [transition.meaning for transition in gone] == ["lapsed"]
+    assert _names(book) == ["b"]
+
+
+def test_endpoint_that_registers_again_after_an_outage_is_kept(make_endpoint):
+    book = _book(make_endpoint, "a")
+    book.note_store(False, 10.0)
+    book.note_store(True, 20.0)
+    book.apply(endpoints.Removed("a"), 20.1)
+    book.apply(endpoints.Registered(make_endpoint("a")), 21.0)
+    assert book.expire(30.0) == []
+    assert _names(book) == ["a"]
+
+
+def test_leaving_endpoint_is_not_held_over_an_outage(make_endpoint):
+    book = _book(make_endpoint, "a")
+    book.apply(endpoints.Registered(make_endpoint("a", leaving=True)), 1.0)
+    book.note_store(False, 10.0)
+    book.note_store(True, 20.0)
+    book.apply(endpoints.Removed("a"), 20.1)
+    assert book.get("a") is None
+
+
+def test_nothing_expires_while_the_store_is_away_again(make_endpoint):
+    book = _book(make_endpoint, "a")
+    book.note_store(False, 10.0)
+    book.note_store(True, 20.0)
+    book.apply(endpoints.Removed("a"), 20.1)
+    book.note_store(False, 20.2)
+    assert book.expire(60.0) == []
+    assert _names(book) == ["a"]
+
+
+def test_displaced_endpoint_comes_back_only_by_registering(make_endpoint):
+    book = _book(make_endpoint, "a", "b")
+    assert book.note_displaced("a").meaning == "displaced"
+    assert book.note_displaced("a") is None
+    assert _names(book) == ["b"]
+    book.apply(endpoints.Registered(make_endpoint("a")), 2.0)
+    assert _names(book) == ["a", "b"]
+
+
+def test_new_start_under_the_same_name_is_told_apart(make_endpoint):
+    book = _book(make_endpoint, "a")
+    found = book.apply(endpoints.Registered(make_endpoint("a", born_ms=2)), 1.0)
+    assert found is not None
+    assert found.meaning == "restarted"
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -0,0 +1,83 @@
+"""Shifts of the experts in demand."""
+
+import random
+
+import pytest
+
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.rankmaps import planning
+
+LAYOUT = configuration.ExpertLayout(4, 64, 5, 2, 2.5e9, 0.85)
+LARGE = configuration.ExpertLayout(2, 144, 3, 2, 2.5e9, 0.85)
+
+
+def _draw_shares(layout, rng):
+    shares = []
+    for _ in range(layout.sets):
+        weights = [1.0 / (place + 1) ** 1.1 for place in range(layout.experts)]
+        rng.shuffle(weights)
+        shares.append(tuple(weight / sum(weights) for weight in weights))
+    return shares
+
+
+@pytest.mark.parametrize(("layout", "ranks"), [(LAYOUT, 16), (LARGE, 72)])
+def test_change_keeps_the_bounds_of_every_rank_and_evens_the_load(layout, ranks):
+    for seed in range(3 if ranks > 16 else 10):
+        rng = random.Random(seed)
+        maps = planning.create_first_map(layout, ranks)
+        for _ in range(2):
+            proposal = planning.propose_maps(maps, _draw_shares(layout, rng), layout)
+            assert proposal is not None
+            assert proposal.after < 1.25
+            for old, new in zip(maps, proposal.maps, strict=True):
+                pairs = zip(old.list_experts(), new.list_experts(), strict=True)
+                for held, wanted in pairs:
+                    assert len(set(wanted)) <= layout.places
+                    assert len(set(wanted) - set(held)) <= layout.spare
+                assert all(new.replicas)
+            maps = proposal.maps
+
+
+def test_even_demand_changes_nothing():
+    even = [tuple([1 / 64] * 64)] * 4
+    maps = planning.create_first_map(LAYOUT, 16)
+    assert planning.propose_maps(maps, even, LAYOUT) is None
+
+
+def test_small_gain_is_left():
+    shares = _draw_shares(LAYOUT, random.Random(1))
+    maps = planning.create_first_map(LAYOUT, 16)
+    first = planning.propose_maps(maps, shares, LAYOUT)
+    assert first is not None
+    assert planning.propose_maps(first.maps, shares, LAYOUT) is None
+
+
+def test_maps_come_back_from_their_encoding():
+    shares = _draw_shares(LAYOUT, random.Random(2))
+    first = planning.propose_maps(planning.create_first_map(LAYOUT, 16), shares, LAYOUT)
+    assert first is not None
+    encoded = planning.encode_maps(first.maps)
+    assert planning.decode_maps(encoded, LAYOUT) == first.maps
+
+
+def test_popularity_follows_a_shift_within_two_seconds():
+    book = planning.DemandBook(LAYOUT, 0.0)
+    total = [0] * 256
+    now = 0.0
+    for hot in (3, 40):
+        for _ in range(8):
+            now += 0.25
+            for part in range(4):
+                total[part * 64 + hot] += 4000
+                total[part * 64 + 1] += 1000
+            book.add({0: tuple(total)}, now)
+        shares = book.compute_shares()
+        assert shares is not None
+        assert all(max(known) == known[hot] for known in shares)
+
+
+def test_too_few_picks_say_nothing():
+    book = planning.DemandBook(LAYOUT, 0.0)
+    book.add({0: (0,) * 256}, 0.0)
+    book.add({0: (1,) * 256}, 0.1)
+    assert book.compute_shares() is None
