--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 setup: $(VENV)/.ready
 
 test: setup
-	$(BIN)/ruff format --check packages platform
-	$(BIN)/ruff check packages platform
+	$(BIN)/ruff format --check packages platform tests
+	$(BIN)/ruff check packages platform tests
 	PYTHONPATH=platform $(BIN)/lint-imports
 	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform
 	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6 --dist loadgroup
@@ -30,8 +30,8 @@
 	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform
 
 fix: setup
-	$(BIN)/ruff check --fix packages platform
-	$(BIN)/ruff format packages platform
+	$(BIN)/ruff check --fix packages platform tests
+	$(BIN)/ruff format packages platform tests
 
 demo: setup
 	$(BIN)/python -m chicoryweir_standins demo
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -12,6 +12,7 @@
 # First element of each datagram; a change of the form changes it.
 FORM = 1
 _PARTS = 14
+_MALFORMED = (TypeError, LookupError, AttributeError, OverflowError)
 
 
 def encode(announcement: peers.Announcement) -> bytes:
@@ -69,5 +70,5 @@
             reaches_store=bool(parts[12]),
             timely={str(name): int(count) for name, count in parts[13].items()},
         )
-    except (cbor2.CBORDecodeError, TypeError, KeyError, AttributeError) as error:
+    except (cbor2.CBORDecodeError, *_MALFORMED) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -35,6 +35,8 @@
 LINGER_TTLS = 3.2
 # Left of the grace for breaking off what can't end, in seconds.
 STOP_MARGIN_S = 0.4
+# While stopping, connections are looked at this often, in seconds.
+IDLE_CHECK_S = 0.05
 # Outliers are looked for this often, in seconds.
 EJECTION_PERIOD_S = 1.0
 # A configuration from another entry arrives within this time or not at all.
@@ -192,7 +194,9 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: callers.CallerConnection(handler, get_limits, registry),
+            lambda: callers.CallerConnection(
+                handler, get_limits, registry, lambda: self._fleet.stopping
+            ),
             listener.host,
             listener.port,
             backlog=BACKLOG,
@@ -218,15 +222,12 @@
         self._fleet.stopping = True
         self._journal.record(catalogue.DRAIN_STARTED, connections=len(self._callers))
         self._gossip.announce(force=True)
-        for connection in self._callers:
-            connection.retire()
         withdrawing = asyncio.create_task(
             self._surroundings.registry.withdraw(self._settings.name)
         )
         linger_s = resolving.ANSWER_TTL_S * LINGER_TTLS
         await self._await_idle(min(began_at + linger_s, ends_at), linger=True)
         for connection in list(self._callers):
-            connection.retire()
             if connection.is_idle:
                 connection.close_after_answer()
         for server in self._servers:
@@ -242,9 +243,7 @@
     async def _await_idle(self, until: float, linger: bool) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < until and (linger or self._callers):
-            await asyncio.sleep(0.05)
-            for connection in self._callers:
-                connection.retire()
+            await asyncio.sleep(IDLE_CHECK_S)
 
     async def _eject_outliers(self) -> None:
         while True:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -58,7 +58,7 @@
         self._chunked = not sized and heads.has_body(status) and not self._bodiless
         if self._chunked:
             headers = [*headers, (b"Transfer-Encoding", b"chunked")]
-        if not self._keep_alive or self._connection.closing:
+        if not self._keep_alive or self._connection.is_retiring:
             self._keep_alive = False
             headers = [*headers, (b"Connection", b"close")]
         self._connection.write(heads.encode_answer(status, reason, headers))
@@ -104,8 +104,10 @@
         handler: Handler,
         get_limits: collections.abc.Callable[[], ServerLimits],
         registry: set[CallerConnection],
+        is_stopping: collections.abc.Callable[[], bool],
     ) -> None:
         limits = get_limits()
+        self._is_stopping = is_stopping
         self._handler = handler
         self._limits = limits
         self._registry = registry
@@ -121,6 +123,11 @@
         self._rejection: requestparser.Rejected | None = None
         self.closing = False
 
+    @property
+    def is_retiring(self) -> bool:
+        """Whether the connection ends after the next answer."""
+        return self.closing or self._is_stopping()
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
@@ -191,10 +198,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def retire(self) -> None:
-        """Closes the connection after the next answer."""
-        self.closing = True
-
     def _advance(self) -> None:
         if self._task is not None or self._transport is None:
             self._limit_reading()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -102,7 +102,7 @@
     agent = Agent(settings, journal)
     registry: set[callers.CallerConnection] = set()
     await loop.create_server(
-        lambda: callers.CallerConnection(agent, lambda: LIMITS, registry),
+        lambda: callers.CallerConnection(agent, lambda: LIMITS, registry, stop.is_set),
         settings.listener.host,
         settings.listener.port,
     )
--- a/packages/chicoryweir-policy/tests/forwarding/test_budget.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_budget.py
@@ -1,3 +1,5 @@
+"""Shares of the budget for repeats."""
+
 import hypothesis
 from hypothesis import strategies
 
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -1,3 +1,5 @@
+"""Endpoints that leave, lapse and come back."""
+
 from chicoryweir_policy.forwarding import endpoints
 
 
--- a/packages/chicoryweir-policy/tests/forwarding/test_peers.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_peers.py
@@ -1,3 +1,5 @@
+"""What an entry knows of the others."""
+
 import dataclasses
 
 from chicoryweir_policy.forwarding import peers
--- a/packages/chicoryweir-policy/tests/forwarding/test_repeats.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_repeats.py
@@ -1,3 +1,5 @@
+"""What follows a failed attempt."""
+
 import dataclasses
 
 import hypothesis
--- a/packages/chicoryweir-policy/tests/forwarding/test_routes.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_routes.py
@@ -1,3 +1,5 @@
+"""Look-ups of routes and keys."""
+
 import collections
 import dataclasses
 
--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -70,35 +70,47 @@
         return self._carry_out(rank, order)
 
     def _carry_out(self, rank, order):
-        begun = order.step <= self.step
         match order.operation:
             case orders.Operation.PREPARE:
-                if rank.prepared == order.version:
-                    return orders.Result.ACCEPTED
-                if rank.armed or order.version <= max(rank.versions):
-                    return orders.Result.CONFLICT
-                rank.versions.add(order.version)
-                rank.prepared = order.version
-            case orders.Operation.ARM:
-                if rank.armed == (order.version, order.step):
-                    return orders.Result.ACCEPTED
-                if rank.prepared != order.version or begun:
-                    return orders.Result.CONFLICT
-                rank.armed = (order.version, order.step)
-            case orders.Operation.DISARM:
-                if rank.version == order.version and order.version:
-                    return orders.Result.CONFLICT
-                rank.armed = None
-            case orders.Operation.HOLD:
-                if rank.held == order.step:
-                    return orders.Result.ACCEPTED
-                if begun or rank.held is not None:
-                    return orders.Result.CONFLICT
-                rank.held = order.step
-            case orders.Operation.GO:
-                if rank.held != order.step:
-                    return orders.Result.CONFLICT
-                rank.held = None
+                return self._prepare(rank, order)
+            case orders.Operation.ARM | orders.Operation.DISARM:
+                return self._arm(rank, order)
+            case _:
+                return self._hold(rank, order)
+
+    def _prepare(self, rank, order):
+        if rank.prepared == order.version:
+            return orders.Result.ACCEPTED
+        if rank.armed or order.version <= max(rank.versions):
+            return orders.Result.CONFLICT
+        rank.versions.add(order.version)
+        rank.prepared = order.version
+        return orders.Result.ACCEPTED
+
+    def _arm(self, rank, order):
+        if order.operation is orders.Operation.DISARM:
+            if rank.version == order.version and order.version:
+                return orders.Result.CONFLICT
+            rank.armed = None
+            return orders.Result.ACCEPTED
+        if rank.armed == (order.version, order.step):
+            return orders.Result.ACCEPTED
+        if rank.prepared != order.version or order.step <= self.step:
+            return orders.Result.CONFLICT
+        rank.armed = (order.version, order.step)
+        return orders.Result.ACCEPTED
+
+    def _hold(self, rank, order):
+        if order.operation is orders.Operation.GO:
+            if rank.held != order.step:
+                return orders.Result.CONFLICT
+            rank.held = None
+            return orders.Result.ACCEPTED
+        if rank.held == order.step:
+            return orders.Result.ACCEPTED
+        if order.step <= self.step or rank.held is not None:
+            return orders.Result.CONFLICT
+        rank.held = order.step
         return orders.Result.ACCEPTED
 
     def report(self, number):
@@ -259,7 +271,7 @@
 )
 
 
-# A rank whose answers to one kind of order all get lost, and that carries them out late.
+# A rank that answers no order of one kind, and carries them out late.
 SILENT = strategies.one_of(
     strategies.none(),
     strategies.tuples(
--- /dev/null
+++ b/tests/fleet_platform/conftest.py
@@ -0,0 +1,80 @@
+"""Systems on stand-ins of the platform."""
+
+import asyncio
+
+import fleetstandins
+import pytest
+import pytest_asyncio
+
+from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import service
+from fleet_platform import surroundings
+
+
+@pytest_asyncio.fixture
+async def start_system():
+    """Starts systems, and stops them after the test."""
+    stack = []
+
+    async def start(*endpoints, config=None):
+        store = fleetstandins.StoreStandIn()
+        servers = [await store.start()]
+        if config is not False:
+            store.put("op", "config", config or fleetstandins.build_configuration())
+        for endpoint in endpoints:
+            servers.append(await endpoint.start())
+            store.put("servers", endpoint.name, endpoint.register())
+        settings = process.Settings(
+            name="front-1",
+            host="127.0.0.1",
+            data_centre="telavi",
+            callers=process.Listener("127.0.0.1", fleetstandins.pick_port()),
+            readiness=process.Listener("127.0.0.1", fleetstandins.pick_port()),
+            resolution=process.Listener("127.0.0.1", fleetstandins.pick_port()),
+            peer_port=fleetstandins.pick_port(),
+            metrics_port=fleetstandins.pick_port(),
+            seeds=(),
+            store=process.Listener("127.0.0.1", store.port),
+            heartbeat_s=1.2,
+            bounds=process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0),
+        )
+        entry = service.Service(
+            settings, surroundings.bind(settings), fleetstandins.NoFile()
+        )
+        task = asyncio.create_task(entry.run())
+        system = fleetstandins.System(store, entry, settings, task)
+        stack.append((system, servers))
+        ready = entry._fleet
+        if config is not False:
+            await fleetstandins.wait_until(lambda: ready.is_ready)
+        return system
+
+    yield start
+    for system, servers in stack:
+        system.task.cancel()
+        await asyncio.gather(system.task, return_exceptions=True)
+        for server in servers:
+            server.close()
+
+
+@pytest.fixture
+def stream():
+    """Returns what writes events of a stream, up to one that is cut or all."""
+
+    async def write(headers, writer, first, last, pause_s=0.0, end=True):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Chicoryweir-Attempt-Id: %s\r\nChicoryweir-Server-Stamp: s%d\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            % (headers["chicoryweir-attempt-id"].encode(), first)
+        )
+        for number in range(first, last + 1):
+            event = b"id: %d\ndata: t%d\n\n" % (number, number)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if end:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+
+    return write
--- /dev/null
+++ b/tests/fleet_platform/test_formats.py
@@ -0,0 +1,137 @@
+"""Names and formats of the platform."""
+
+import json
+
+import pytest
+
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import endpoints
+from fleet_platform import documents
+from fleet_platform import settings
+
+SETTINGS = """\
+node_name=front-telavi-1
+ip=10.1.0.40
+zone=telavi
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+listen.directory=10.1.0.40:8224
+internal_ports=7340,7355
+seeds=10.1.0.40:8229,10.2.0.29:8229
+heartbeat_ms=1200
+bounds.grace_s=8
+bounds.budget_ratio=0.2
+bounds.budget_slack=90
+bounds.budget_window_s=10
+bounds.stall_ms=1500
+bounds.ttl_max_s=5
+platform.address=10.200.1.7:8223
+app=10.1.0.40:9000
+something.new=1
+"""
+
+
+def _write(tmp_path, text):
+    path = tmp_path / "settings.conf"
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_read_and_unknown_keys_ignored(tmp_path):
+    own = settings.load_settings(_write(tmp_path, SETTINGS))
+    assert str(own.callers) == "10.1.0.40:8227"
+    assert own.seeds == ("10.1.0.40", "10.2.0.29")
+    assert own.bounds.stall_s == 1.5
+    assert (own.peer_port, own.metrics_port) == (7340, 7355)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "allowed"),
+    [
+        ("listen.front", "10.1.0.40", "HOST:PORT"),
+        ("listen.front", "10.1.0.40:99999", "ports from 1 to 65535"),
+        ("internal_ports", "7340", "two ports"),
+        ("bounds.grace_s", "soon", "a number"),
+        ("bounds.grace_s", "-1", "a number"),
+        ("bounds.grace_s", "nan", "a number"),
+        ("platform.address", "", "missing"),
+    ],
+)
+def test_wrong_value_is_named_with_what_is_allowed(tmp_path, key, value, allowed):
+    lines = [
+        f"{key}={value}" if line.startswith(f"{key}=") else line
+        for line in SETTINGS.splitlines()
+    ]
+    with pytest.raises(settings.SettingsError) as error:
+        settings.load_settings(_write(tmp_path, "\n".join(lines)))
+    assert key in str(error.value)
+    assert allowed in str(error.value)
+
+
+def test_changed_file_is_noticed_once(tmp_path):
+    path = _write(tmp_path, SETTINGS)
+    watched = settings.SettingsFile(path)
+    assert not watched.has_changed()
+    path.write_text(SETTINGS.replace("grace_s=8", "grace_s=11"))
+    assert watched.has_changed()
+    assert not watched.has_changed()
+    assert watched.load().bounds.grace_s == 11.0
+
+
+def test_agent_finds_the_rank_beside_it(tmp_path):
+    own = settings.decode_agent(settings.load_fields(_write(tmp_path, SETTINGS)))
+    assert str(own.rank) == "10.1.0.40:9000"
+    assert str(own.listener) == "10.1.0.40:7340"
+
+
+def test_configuration_is_decoded_into_the_products_words():
+    data = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "host": "H.example",
+                "prefix": "/a/",
+                "kind": "stream",
+                "timeout_ms": 8000,
+                "target_latency_ms": 502,
+                "priority": 0,
+                "traffic_split": [{"service": "s", "weight": 90}],
+                "max_attempts": 2,
+                "public": False,
+                "session_affinity": True,
+                "stream_resume": True,
+                "gap_aim_ms": 120,
+            }
+        ],
+        "services": [{"name": "s", "health_path": "/h", "max_connections": 3}],
+        "tenants": [{"name": "w", "api_keys": ["k"], "priority": 1}],
+    }
+    found = documents.Documents().decode(json.dumps(data).encode())
+    (route,) = found.routes
+    assert (route.host, route.kind) == ("h.example", configuration.RouteKind.STREAM)
+    assert (route.timeout_s, route.gap_s, route.repeatable) == (8.0, 0.12, True)
+    assert found.workspaces == (configuration.Workspace("w", ("k",), 1),)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"version": 1}', b"\xff"])
+def test_configuration_that_can_not_be_read_is_an_error(data):
+    with pytest.raises(ValueError, match="."):
+        documents.Documents().decode(data)
+
+
+def test_registration_names_the_group_and_the_start():
+    data = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "telavi",
+        "slots": 6,
+        "state": "ready",
+        "born": 5,
+        "group": {"name": "g", "epoch": 2, "rank": 3, "state": "open"},
+        "size": 16,
+    }
+    found = documents.decode_registration("i-1", json.dumps(data).encode())
+    assert isinstance(found, endpoints.Registered)
+    assert found.endpoint.member == endpoints.Member("g", 2, 3, 16, True)
+    assert found.endpoint.born_ms == 5
--- /dev/null
+++ b/tests/fleet_platform/test_forwarding.py
@@ -0,0 +1,402 @@
+"""An entry between callers and endpoints that answer, break off, lie or leave."""
+
+import asyncio
+import json
+import time
+
+import fleetstandins
+import pytest
+
+WHOLE = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 7))
+
+
+async def _answer(endpoint, headers, writer):
+    writer.write(fleetstandins.build_answer(headers["chicoryweir-attempt-id"]))
+    await writer.drain()
+
+
+async def test_request_reaches_the_endpoint_unchanged_and_its_answer_the_caller(
+    start_system,
+):
+    endpoint = fleetstandins.EndpointStandIn("i-1", _answer)
+    system = await start_system(endpoint)
+    status, headers, body, whole = await system.call(
+        "/again/x?q=1", body=b"hello", X_Own="kept", Connection="X-Gone", X_Gone="1"
+    )
+    assert (status, body, whole) == (200, b"whole", True)
+    assert headers["chicoryweir-server-stamp"] == "stamp"
+    line, sent, sent_body = endpoint.seen[0]
+    assert (line, sent_body) == ("POST /again/x?q=1 HTTP/1.1", b"hello")
+    assert sent["x-own"] == "kept"
+    assert sent["chicoryweir-tenant"] == "w"
+    assert sent["chicoryweir-expect-instance"] == "i-1"
+    assert "chicoryweir-credential" not in sent
+    assert "x-gone" not in sent
+    assert 0 < int(sent["chicoryweir-deadline-remaining-ms"]) <= 3000
+
+
+async def test_headers_that_the_system_sets_can_not_be_forged(start_system):
+    endpoint = fleetstandins.EndpointStandIn("i-1", _answer)
+    system = await start_system(endpoint)
+    await system.call(
+        "/again/x", Chicoryweir_Tenant="other", Chicoryweir_Expect_Instance="i-9"
+    )
+    _, sent, _ = endpoint.seen[0]
+    assert sent["chicoryweir-tenant"] == "w"
+    assert sent["chicoryweir-expect-instance"] == "i-1"
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/none/x", "key", 404), ("/again/x", "other", 401), ("/again/x", "", 401)],
+)
+async def test_unknown_path_or_key_is_refused_and_runs_nothing(
+    start_system, path, key, status
+):
+    endpoint = fleetstandins.EndpointStandIn("i-1", _answer)
+    system = await start_system(endpoint)
+    found, _, body, _ = await system.call(path, key=key)
+    assert found == status
+    assert json.loads(body)["status"] == status
+    assert not endpoint.seen
+
+
+async def test_request_before_any_configuration_is_told_to_come_back(start_system):
+    system = await start_system(config=False)
+    await fleetstandins.wait_until(lambda: system.store.calls["rows-get"] > 0)
+    status, headers, _, _ = await system.call("/again/x")
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+
+
+async def test_payment_whose_answer_is_lost_is_neither_repeated_nor_denied(
+    start_system,
+):
+    async def lose(endpoint, headers, writer):
+        writer.transport.abort()
+
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", lose) for n in range(3)]
+    system = await start_system(*endpoints)
+    status, _, _, _ = await system.call("/once/x")
+    assert status == 502
+    assert sum(len(endpoint.seen) for endpoint in endpoints) == 1
+
+
+async def test_lookup_whose_answer_is_lost_is_sent_to_another(start_system):
+    async def lose(endpoint, headers, writer):
+        writer.transport.abort()
+
+    bad = fleetstandins.EndpointStandIn("i-1", lose)
+    good = fleetstandins.EndpointStandIn("i-2", _answer)
+    system = await start_system(bad, good)
+    for number in range(4):
+        status, _, body, _ = await system.call("/again/x", attempt=f"a{number}")
+        assert (status, body) == (200, b"whole")
+
+
+async def test_payment_that_was_declined_may_be_brought_again(start_system):
+    async def decline(endpoint, headers, writer):
+        writer.write(
+            b"HTTP/1.1 503 X\r\nChicoryweir-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", decline)
+    system = await start_system(endpoint)
+    status, headers, _, _ = await system.call("/once/x")
+    assert status == 503
+    assert "retry-after" in headers
+    assert len(endpoint.seen) == 1
+
+
+async def test_payment_that_ran_and_failed_as_busy_is_not_called_not_run(start_system):
+    async def fail(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        writer.write(fleetstandins.build_answer(attempt, status=503))
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", fail))
+    status, headers, _, _ = await system.call("/once/x")
+    assert status == 502
+    assert "chicoryweir-server-stamp" not in headers
+
+
+async def test_failure_of_the_endpoint_is_handed_on_unchanged(start_system):
+    async def fail(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        writer.write(fleetstandins.build_answer(attempt, b"no", status=500))
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", fail))
+    status, headers, body, _ = await system.call("/once/x")
+    assert (status, body) == (500, b"no")
+    assert headers["chicoryweir-server-stamp"] == "stamp"
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        {"Chicoryweir_Server_Stamp": ""},
+        {"Chicoryweir_Attempt_Id": ""},
+        {"Content_Encoding": "gzip"},
+    ],
+)
+async def test_success_that_is_not_the_endpoints_own_is_not_passed_on(
+    start_system, spoilt
+):
+    async def spoil(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        writer.write(fleetstandins.build_answer(attempt, **spoilt))
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", spoil))
+    status, headers, body, _ = await system.call("/once/x")
+    assert status == 502
+    assert b"whole" not in body
+
+
+async def test_answer_to_another_attempt_that_comes_late_is_skipped(start_system):
+    async def twice(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        if len(endpoint.seen) > 1:
+            writer.write(fleetstandins.build_answer("a0", b"old"))
+        writer.write(fleetstandins.build_answer(attempt, attempt.encode()))
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", twice))
+    for number in range(3):
+        status, _, body, _ = await system.call("/again/x", attempt=f"a{number}")
+        assert (status, body) == (200, b"a%d" % number)
+
+
+async def test_connection_with_bytes_after_an_answer_is_not_used_again(start_system):
+    async def surplus(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        answer = fleetstandins.build_answer(attempt, attempt.encode())
+        writer.write(answer + answer)
+        await writer.drain()
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", surplus)
+    system = await start_system(endpoint)
+    for number in range(3):
+        status, _, body, _ = await system.call("/again/x", attempt=f"a{number}")
+        assert (status, body) == (200, b"a%d" % number)
+    assert endpoint.connections == 3
+
+
+async def test_answer_without_length_is_whole_at_the_end_of_its_connection(
+    start_system,
+):
+    async def close(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        writer.write(fleetstandins.build_answer(attempt, Content_Length=""))
+        writer.close()
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", close))
+    status, _, body, whole = await system.call("/once/x")
+    assert (status, body, whole) == (200, b"whole", True)
+
+
+async def test_stream_that_breaks_off_goes_on_elsewhere_within_the_answer(
+    start_system, stream
+):
+    async def script(endpoint, headers, writer):
+        first = int(headers.get("last-event-id", 0)) + 1
+        if first < 5:
+            await stream(headers, writer, first, first + 1, end=False)
+            writer.write(b"8\r\nid: 9\nda")
+            await writer.drain()
+            writer.transport.abort()
+            return
+        await stream(headers, writer, first, 6)
+
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", script) for n in range(3)]
+    system = await start_system(*endpoints)
+    status, headers, body, whole = await system.call("/stream/x")
+    assert (status, body, whole) == (200, WHOLE, True)
+    assert headers["chicoryweir-server-stamp"] == "s1"
+
+
+async def test_stream_that_can_not_go_on_does_not_look_whole(start_system, stream):
+    async def cut(endpoint, headers, writer):
+        await stream(headers, writer, 1, 2, end=False)
+        writer.transport.abort()
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", cut))
+    status, _, body, whole = await system.call("/stream/x")
+    assert status == 200
+    assert not whole
+    assert body == WHOLE[: len(body)]
+
+
+async def test_mute_stream_is_taken_over_before_its_caller_would_leave(
+    start_system, stream
+):
+    async def script(endpoint, headers, writer):
+        if headers["chicoryweir-attempt-id"] == "lively":
+            await stream(headers, writer, 1, 40, pause_s=0.05)
+        elif "last-event-id" in headers:
+            await stream(headers, writer, int(headers["last-event-id"]) + 1, 6)
+        else:
+            await stream(headers, writer, 1, 3, end=False)
+            await asyncio.sleep(30)
+
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", script) for n in range(2)]
+    system = await start_system(*endpoints)
+    other = asyncio.create_task(system.call("/stream/y", attempt="lively"))
+    await fleetstandins.wait_until(lambda: any(e.seen for e in endpoints))
+    began = time.monotonic()
+    status, _, body, whole = await system.call("/stream/x")
+    assert (status, body, whole) == (200, WHOLE, True)
+    assert time.monotonic() - began < 2.0
+    assert (await other)[3]
+
+
+async def test_work_ends_when_its_caller_leaves(start_system):
+    async def hang(endpoint, headers, writer):
+        await asyncio.sleep(30)
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", hang)
+    system = await start_system(endpoint)
+    _, writer = await system.open()
+    writer.write(system.encode("/again/x"))
+    await fleetstandins.wait_until(lambda: endpoint.seen)
+    writer.close()
+    await fleetstandins.wait_until(lambda: endpoint.closed == 1, 0.5)
+
+
+async def test_time_of_a_route_ends_a_request(start_system):
+    async def hang(endpoint, headers, writer):
+        await asyncio.sleep(30)
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", hang)
+    system = await start_system(endpoint)
+    began = time.monotonic()
+    status, _, _, _ = await system.call("/slow/x")
+    assert status == 504
+    assert time.monotonic() - began < 0.8
+    _, sent, _ = endpoint.seen[0]
+    assert int(sent["chicoryweir-deadline-remaining-ms"]) <= 300
+
+
+async def test_address_that_another_instance_took_is_forgotten(start_system):
+    async def misdirect(endpoint, headers, writer):
+        writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+
+    gone = fleetstandins.EndpointStandIn("i-1", misdirect)
+    good = fleetstandins.EndpointStandIn("i-2", _answer)
+    system = await start_system(gone, good)
+    for number in range(4):
+        status, _, _, _ = await system.call("/once/x", attempt=f"a{number}")
+        assert status == 200
+    assert len(gone.seen) <= 1
+
+
+async def test_leaving_endpoint_gets_nothing_new_within_two_seconds(start_system):
+    leaving = fleetstandins.EndpointStandIn("i-1", _answer)
+    system = await start_system(leaving, fleetstandins.EndpointStandIn("i-2", _answer))
+    system.store.put("servers", "i-1", leaving.register(state="draining"))
+    await asyncio.sleep(1.9)
+    before = len(leaving.seen)
+    for number in range(6):
+        assert (await system.call("/again/x", attempt=f"a{number}"))[0] == 200
+    assert len(leaving.seen) == before
+
+
+async def test_broken_entries_of_the_list_disturb_nobody(start_system):
+    good = fleetstandins.EndpointStandIn("i-2", _answer)
+    system = await start_system(good)
+    for name, value in {
+        "i-3": b"\xff\xfe",
+        "i-4": {"service": "svc"},
+        "i-5": good.register(state="strange"),
+        "i-6": good.register(slots="many"),
+        "i-7": good.register(address="nowhere"),
+    }.items():
+        system.store.put("servers", name, value)
+    await asyncio.sleep(1.2)
+    for number in range(4):
+        assert (await system.call("/again/x", attempt=f"a{number}"))[0] == 200
+    assert [e.instance for e in system.entry._fleet.endpoints.list_all()] == ["i-2"]
+
+
+async def test_newer_configuration_is_in_force_soon_and_an_older_one_never(
+    start_system,
+):
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+    config = fleetstandins.build_configuration(
+        9, tenants=[{"name": "w", "api_keys": []}]
+    )
+    system.store.put("op", "config", config)
+    await fleetstandins.wait_until(lambda: system.entry._fleet.version == 9, 1.0)
+    assert (await system.call("/again/x"))[0] == 401
+    system.store.put("op", "config", fleetstandins.build_configuration(8))
+    await asyncio.sleep(0.3)
+    assert system.entry._fleet.version == 9
+
+
+async def test_store_that_is_away_costs_no_request(start_system):
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+    system.store.down = True
+    await asyncio.sleep(1.0)
+    for number in range(3):
+        assert (await system.call("/again/x", attempt=f"a{number}"))[0] == 200
+
+
+async def test_planned_stop_ends_what_runs_and_takes_what_still_comes(
+    start_system, stream
+):
+    async def slow(endpoint, headers, writer):
+        await stream(headers, writer, 1, 6, pause_s=0.2)
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", slow))
+    running = asyncio.create_task(system.call("/stream/x"))
+    await asyncio.sleep(0.3)
+    system.entry._stop.set()
+    await asyncio.sleep(0.1)
+    reader, writer = await asyncio.open_connection(
+        system.settings.readiness.host, system.settings.readiness.port
+    )
+    writer.write(b"GET /chicoryweir/readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert (await system.read(reader))[0] == 503
+    late = await system.call("/stream/y", attempt="b1")
+    assert late[0] == 200
+    assert late[1]["connection"] == "close"
+    assert late[2:] == (WHOLE, True)
+    assert (await running)[2:] == (WHOLE, True)
+
+
+async def test_addresses_are_told_while_the_store_is_away(start_system):
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+    system.store.down = True
+    reader, writer = await asyncio.open_connection(
+        system.settings.resolution.host, system.settings.resolution.port
+    )
+    writer.write(
+        b"GET /chicoryweir/resolve?name=h.example&region=r&zone=telavi HTTP/1.1\r\n"
+        b"Host: h\r\n\r\n"
+    )
+    status, _, body, _ = await system.read(reader)
+    told = json.loads(body)
+    assert status == 200
+    assert told["addresses"] == [str(system.settings.callers)]
+    assert 0 < told["ttl_s"] <= 5
+
+
+async def test_requests_on_one_connection_are_answered_in_order(start_system):
+    async def echo(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        await asyncio.sleep(0.1 if attempt == "a0" else 0.0)
+        writer.write(fleetstandins.build_answer(attempt, attempt.encode()))
+
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", echo))
+    reader, writer = await system.open()
+    for number in range(3):
+        writer.write(system.encode("/again/x", attempt=f"a{number}"))
+    for number in range(3):
+        assert (await system.read(reader))[2] == b"a%d" % number
+
+
+async def test_caller_that_is_slow_with_its_head_is_told_so(start_system):
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+    reader, writer = await system.open()
+    writer.write(b"POST /again/x HTTP/1.1\r\nHost:")
+    status, headers, _, _ = await system.read(reader)
+    assert status == 408
+    assert headers["connection"] == "close"
--- /dev/null
+++ b/tests/support/fleetstandins.py
@@ -0,0 +1,319 @@
+"""Stand-ins of the platform: its store, and endpoints that follow a script."""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import json
+import socket
+import urllib.parse
+
+from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import service
+
+
+def pick_port():
+    """Returns a port that is free on loopback."""
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        return bound.getsockname()[1]
+
+
+def build_configuration(version=7, **changes):
+    """Returns a configuration as operators write it."""
+    kinds = {
+        "/stream/": {"kind": "stream", "stream_resume": True, "max_attempts": 3},
+        "/once/": {"kind": "non_idempotent", "max_attempts": 1},
+        "/again/": {"kind": "idempotent", "max_attempts": 2},
+        "/slow/": {"kind": "idempotent", "max_attempts": 2, "timeout_ms": 300},
+    }
+    routes = [
+        {
+            "name": prefix.strip("/"),
+            "host": "h.example",
+            "prefix": prefix,
+            "timeout_ms": 8000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "service": "svc",
+            "public": False,
+            **kind,
+        }
+        for prefix, kind in kinds.items()
+    ]
+    config = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "svc", "health_path": "/health", "max_connections": 9}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [{"name": "w", "api_keys": ["key"], "priority": 1}],
+    }
+    return config | changes
+
+
+class StoreStandIn:
+    """Rows over HTTP, as the platform's pages describe them."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.log = []
+        self.down = False
+        self.calls = collections.Counter()
+        self.port = 0
+
+    def put(self, table, key, value):
+        self.version += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "ver": self.version,
+        }
+        self.rows[table, key] = row
+        self.log.append(row)
+
+    def drop(self, table, key):
+        self.version += 1
+        self.rows.pop((table, key), None)
+        row = {"table": table, "part": "", "key": key, "ver": self.version}
+        self.log.append(row | {"tombstone": True})
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head, body = await read_message(reader)
+                if self.down:
+                    break
+                method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+                status, answer = await self._answer(method, target, body)
+                data = json.dumps(answer).encode()
+                writer.write(
+                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                )
+                writer.write(data)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, method, target, body):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        call = url.path.rsplit("/", 1)[-1]
+        self.calls[call] += 1
+        if call == "rows-tx":
+            return self._transact(json.loads(body))
+        if call == "rows-get":
+            rows = [
+                row
+                for (table, key), row in sorted(self.rows.items())
+                if table == query["table"] and key >= query.get("from", "")
+            ]
+            limit = int(query.get("limit", 500))
+            more = len(rows) > limit
+            return 200, {
+                "rows": rows[:limit],
+                "has_more": more,
+                "ver": self.version,
+                "now_ms": 1,
+            }
+        after = int(query["after_rev"])
+        for _ in range(int(query.get("wait_ms", 0)) // 10 + 1):
+            found = [
+                row
+                for row in self.log
+                if row["table"] == query["table"] and row["ver"] > after
+            ]
+            if found or self.down:
+                break
+            await asyncio.sleep(0.01)
+        return 200, {"rows": found, "ver": self.version, "now_ms": 1}
+
+    def _transact(self, body):
+        for check in body["expected_rev"]:
+            row = self.rows.get((check["table"], check["key"]))
+            if (row["ver"] if row else 0) != check["ver"]:
+                return 412, {"rows": [row] if row else [], "ver": self.version}
+        for write in body["writes"]:
+            data = base64.b64decode(write["value"])
+            self.put(write["table"], write["key"], data)
+        for row in body["remove"]:
+            self.drop(row["table"], row["key"])
+        return 200, {"ver": self.version, "now_ms": 1}
+
+
+async def read_message(reader):
+    """Reads one message that has a length or chunks; returns head and body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    headers = parse_headers(head)
+    if headers.get("transfer-encoding") == "chunked":
+        body = b""
+        while True:
+            size = int(await reader.readline(), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if not size:
+                return head, body
+    return head, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def parse_headers(head):
+    """Returns the headers of a head, their names in lower case."""
+    lines = head.decode("latin-1").split("\r\n")[1:]
+    pairs = (line.partition(":") for line in lines if ":" in line)
+    return {name.lower(): value.strip() for name, _, value in pairs}
+
+
+def build_answer(attempt, body=b"whole", status=200, **headers):
+    """Returns a sized answer of an endpoint with its signature."""
+    fields = {
+        "Chicoryweir-Attempt-Id": attempt,
+        "Chicoryweir-Server-Stamp": "stamp",
+        "Content-Length": str(len(body)),
+    }
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value)
+    return f"HTTP/1.1 {status} X\r\n{lines}\r\n".encode() + body
+
+
+class EndpointStandIn:
+    """An endpoint whose script gets each request and the writer of its answer."""
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script
+        self.seen = []
+        self.closed = 0
+        self.connections = 0
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    def register(self, **changes):
+        return {
+            "service": "svc",
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "telavi",
+            "version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1,
+        } | changes
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head, body = await read_message(reader)
+                headers = parse_headers(head)
+                self.seen.append((head.split(b"\r\n")[0].decode(), headers, body))
+                watch = asyncio.create_task(reader.read(1))
+                run = asyncio.create_task(self.script(self, headers, writer))
+                await asyncio.wait({watch, run}, return_when="FIRST_COMPLETED")
+                if watch.done():
+                    self.closed += 1
+                    run.cancel()
+                    return
+                watch.cancel()
+                await asyncio.gather(watch, return_exceptions=True)
+                if writer.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+@dataclasses.dataclass
+class System:
+    """An entry with its store and endpoints."""
+
+    store: StoreStandIn
+    entry: service.Service
+    settings: process.Settings
+    task: asyncio.Task
+
+    async def call(
+        self, path, *, body=b"", attempt="a1", key="key", method="POST", **more
+    ):
+        """Makes one call; returns status, headers, body and whether it is whole."""
+        reader, writer = await self.open()
+        writer.write(self.encode(path, body, attempt, key, method, **more))
+        try:
+            return await self.read(reader)
+        finally:
+            writer.close()
+
+    async def open(self):
+        return await asyncio.open_connection(
+            self.settings.callers.host, self.settings.callers.port
+        )
+
+    def encode(self, path, body=b"", attempt="a1", key="key", method="POST", **more):
+        fields = {
+            "Host": "h.example",
+            "Chicoryweir-Attempt-Id": attempt,
+            "Chicoryweir-Deadline-Remaining-Ms": "3000",
+            "Chicoryweir-Credential": key,
+            "Content-Length": str(len(body)) if body or method != "GET" else "",
+        }
+        fields |= {name.replace("_", "-"): value for name, value in more.items()}
+        lines = "".join(f"{n}: {v}\r\n" for n, v in fields.items() if v)
+        return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+    async def read(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        headers = parse_headers(head)
+        status = int(head.split(b" ")[1])
+        body, whole = b"", False
+        try:
+            if headers.get("transfer-encoding") == "chunked":
+                while True:
+                    size = int(await reader.readuntil(b"\r\n"), 16)
+                    body += (await reader.readexactly(size + 2))[:-2]
+                    if not size:
+                        whole = True
+                        break
+            else:
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                whole = True
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        return status, headers, body, whole
+
+
+async def wait_until(condition, limit_s=5.0):
+    """Waits until a condition holds."""
+    for _ in range(int(limit_s / 0.01)):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition did not come to hold")
+
+
+class NoFile:
+    """Settings that never change."""
+
+    def has_changed(self):
+        return False
+
+    def load(self):
+        raise ValueError("no file")
