--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -226,13 +226,13 @@
             self._surroundings.registry.withdraw(self._settings.name)
         )
         linger_s = resolving.ANSWER_TTL_S * LINGER_TTLS
-        await self._await_idle(min(began_at + linger_s, ends_at), linger=True)
+        await asyncio.sleep(min(linger_s, ends_at - began_at))
         for connection in list(self._callers):
             if connection.is_idle:
                 connection.close_after_answer()
         for server in self._servers:
             server.close()
-        await self._await_idle(ends_at, linger=False)
+        await self._await_callers(ends_at - loop.time())
         withdrawing.cancel()
         await asyncio.gather(withdrawing, return_exceptions=True)
         if self._callers:
@@ -240,9 +240,11 @@
                 catalogue.DRAIN_TIMED_OUT, connections=len(self._callers)
             )
 
-    async def _await_idle(self, until: float, linger: bool) -> None:
-        loop = asyncio.get_running_loop()
-        while loop.time() < until and (linger or self._callers):
+    async def _await_callers(self, limit_s: float) -> None:
+        """Waits until no caller is connected, or for `limit_s` seconds."""
+        for _ in range(int(limit_s / IDLE_CHECK_S)):
+            if not self._callers:
+                return
             await asyncio.sleep(IDLE_CHECK_S)
 
     async def _eject_outliers(self) -> None:
--- a/packages/chicoryweir-policy/tests/charts/test_interpreter.py
+++ b/packages/chicoryweir-policy/tests/charts/test_interpreter.py
@@ -10,7 +10,7 @@
 
 from chicoryweir_policy.charts import interpreter
 
-NAMES = ("attempt", "endpoint", "lease", "map_change")
+NAMES = ("attempt", "endpoint", "lease", "map_change", "rank_map_change")
 FILES = importlib.resources.files("chicoryweir_policy.charts") / "files"
 
 
--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -8,6 +8,7 @@
 
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import service
+from chicoryweir_standins.launch import ports
 from fleet_platform import surroundings
 
 
@@ -24,15 +25,16 @@
         for endpoint in endpoints:
             servers.append(await endpoint.start())
             store.put("servers", endpoint.name, endpoint.register())
+        free = iter(ports.pick_ports(5))
         settings = process.Settings(
             name="front-1",
             host="127.0.0.1",
             data_centre="telavi",
-            callers=process.Listener("127.0.0.1", fleetstandins.pick_port()),
-            readiness=process.Listener("127.0.0.1", fleetstandins.pick_port()),
-            resolution=process.Listener("127.0.0.1", fleetstandins.pick_port()),
-            peer_port=fleetstandins.pick_port(),
-            metrics_port=fleetstandins.pick_port(),
+            callers=process.Listener("127.0.0.1", next(free)),
+            readiness=process.Listener("127.0.0.1", next(free)),
+            resolution=process.Listener("127.0.0.1", next(free)),
+            peer_port=next(free),
+            metrics_port=next(free),
             seeds=(),
             store=process.Listener("127.0.0.1", store.port),
             heartbeat_s=1.2,
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -5,20 +5,12 @@
 import collections
 import dataclasses
 import json
-import socket
 import urllib.parse
 
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import service
 
 
-def pick_port():
-    """Returns a port that is free on loopback."""
-    with socket.socket() as bound:
-        bound.bind(("127.0.0.1", 0))
-        return bound.getsockname()[1]
-
-
 def build_configuration(version=7, **changes):
     """Returns a configuration as operators write it."""
     kinds = {
