--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -252,7 +252,7 @@
             await asyncio.sleep(EJECTION_PERIOD_S)
             now = self._fleet.clock.read()
             for service, _ in self._fleet.list_dispatchers():
-                usable = self._fleet.endpoints.list_usable(service)
+                usable = self._fleet.endpoints.list_usable(service, now)
                 members = [endpoint.instance for endpoint in usable]
                 for ejected in self._fleet.outliers.eject(members, now):
                     self._fleet.ejected[ejected.instance] = ejected.until
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -90,7 +90,7 @@
         """
         if service.engine is None:
             return
-        usable = self._book.list_usable(service.name)
+        usable = self._book.list_usable(service.name, now)
         running = sum(self._loads.measure(e.instance, now).requests for e in usable)
         self._pause_s = aim_s
         self._stretch = congestion.note_pause(
@@ -192,7 +192,7 @@
         excluded: frozenset[str],
         now: float,
     ) -> list[selection.Candidate]:
-        usable = self._book.list_usable(service.name)
+        usable = self._book.list_usable(service.name, now)
         wanted = [
             endpoint
             for endpoint in usable
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -107,12 +107,14 @@
         """Returns an endpoint that is registered, or was until lately."""
         return self._endpoints.get(instance)
 
-    def list_usable(self, service: str) -> list[Endpoint]:
-        """Returns the endpoints of a service that take new requests."""
+    def list_usable(self, service: str, now: float) -> list[Endpoint]:
+        """Returns the endpoints of a service that take new requests at `now`."""
         return [
             endpoint
             for endpoint in self._endpoints.values()
-            if endpoint.service == service and not endpoint.leaving
+            if endpoint.service == service
+            and not endpoint.leaving
+            and not self._has_lapsed(endpoint.instance, now)
         ]
 
     def list_all(self) -> list[Endpoint]:
@@ -151,11 +153,12 @@
 
     def expire(self, now: float) -> list[Transition]:
         """Drops endpoints that did not register again after the store's return."""
-        if self._away:
-            return []
-        due = [name for name, until in self._missing.items() if until <= now]
+        due = [name for name in self._missing if self._has_lapsed(name, now)]
         return [self._drop(name, "lapsed") for name in due]
 
+    def _has_lapsed(self, instance: str, now: float) -> bool:
+        return not self._away and self._missing.get(instance, math.inf) <= now
+
     def _register(self, endpoint: Endpoint) -> Transition | None:
         self._missing.pop(endpoint.instance, None)
         before = self._endpoints.get(endpoint.instance)
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -9,8 +9,8 @@
     return book
 
 
-def _names(book):
-    return sorted(endpoint.instance for endpoint in book.list_usable("model"))
+def _names(book, now=0.0):
+    return sorted(e.instance for e in book.list_usable("model", now))
 
 
 def test_leaving_endpoint_takes_nothing_new_at_once(make_endpoint):
@@ -40,6 +40,19 @@
     assert _names(book) == ["b"]
 
 
+def test_lapsed_endpoint_takes_nothing_though_nobody_looked_for_it(make_endpoint):
+    book = _book(make_endpoint, "a", "b")
+    book.note_store(False, 10.0)
+    book.note_store(True, 20.0)
+    book.apply(endpoints.Removed("a"), 20.9)
+    until = 20.0 + endpoints.LAPSE_HOLD_S
+    assert _names(book, until - 0.1) == ["a", "b"]
+    assert _names(book, until) == ["b"]
+    # A removal that the entry learns of is out within the 2 s that the pages allow,
+    # counted from when the entry is in touch again, 3 s after the store's return.
+    assert until < 20.0 + 3.0
+
+
 def test_endpoint_that_registers_again_after_an_outage_is_kept(make_endpoint):
     book = _book(make_endpoint, "a")
     book.note_store(False, 10.0)
