--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
@@ -6,6 +6,8 @@
 import typing
 import urllib.parse
 
+import msgspec
+
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import meters as meter_books
 from chicoryweir_daemon.http1 import callers
@@ -36,6 +38,7 @@
 
 METRICS_PATH = b"/metrics"
 CONFIGURATION_PATH = b"/configuration"
+ENDPOINTS_PATH = b"/endpoints"
 _JSON = (b"Content-Type", b"application/json")
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
 _BYTES = (b"Content-Type", b"application/octet-stream")
@@ -64,6 +67,7 @@
             vocabulary.resolution_path: self._tell_addresses,
             METRICS_PATH: self._tell_metrics,
             CONFIGURATION_PATH: self._tell_configuration,
+            ENDPOINTS_PATH: self._tell_endpoints,
         }
 
     def reject(self, rejected: requestparser.Rejected) -> heads.AnswerHead:
@@ -106,6 +110,13 @@
     def _tell_metrics(self, head: heads.RequestHead, answer: callers.Answer) -> None:
         answer.send(200, [_TEXT], self._meters.render())
 
+    def _tell_endpoints(self, head: heads.RequestHead, answer: callers.Answer) -> None:
+        if not self._fleet.listed:
+            answer.send(404, [])
+            return
+        listed = self._fleet.endpoints.list_all()
+        answer.send(200, [_JSON], msgspec.json.encode(listed))
+
     def _tell_configuration(
         self, head: heads.RequestHead, answer: callers.Answer
     ) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -134,8 +134,7 @@
                 case seams.Listing(listed, position):
                     now = self._fleet.clock.read()
                     await self._health.note(None)
-                    self._report(self._fleet.endpoints.replace_all(listed, now))
-                    self._fleet.listed = True
+                    self._take_listing(listed, now)
                     self._position = position
                 case seams.Changes(changes, position):
                     await self._health.note(None)
@@ -151,6 +150,17 @@
             spread = 1.0 + JITTER * (2.0 * random.random() - 1.0)
             await asyncio.sleep(ENDPOINT_PAUSE_S * spread)
 
+    def _take_listing(self, listed: tuple[endpoints.Endpoint, ...], now: float) -> None:
+        """Takes a whole listing; the first is told in one line, however long it is."""
+        transitions = self._fleet.endpoints.replace_all(listed, now)
+        if self._fleet.listed:
+            self._report(transitions)
+            return
+        self._fleet.listed = True
+        self._journal.record(
+            catalogue.ENDPOINTS_LISTED, source="store", count=len(listed)
+        )
+
     async def _read(
         self,
     ) -> seams.Listing | seams.Changes | seams.HistoryLost | seams.Unreachable:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -36,6 +36,7 @@
 ENDPOINT_SERVING = 121
 ENDPOINT_EJECTED = 122
 ENDPOINT_CHANGED = 123
+ENDPOINTS_LISTED = 124
 PEER_HEARD = 130
 PEER_SILENT = 131
 ANNOUNCEMENT_UNREADABLE = 132
@@ -132,6 +133,12 @@
         "An endpoint registered, restarted, is leaving, or its registration is gone.",
         "None, unless an endpoint that should serve is gone.",
     ),
+    EventKind(
+        ENDPOINTS_LISTED,
+        "endpoints_listed",
+        "An entry has its first list of endpoints, from the store or another entry.",
+        "None.",
+    ),
     EventKind(
         PEER_HEARD,
         "peer_heard",
@@ -261,7 +268,7 @@
     EventKind(
         SETTINGS_NOT_FETCHED,
         "settings_not_fetched",
-        "Another entry has a newer version of the settings and did not hand it over.",
+        "Another entry did not hand over settings or endpoints that this one lacks.",
         "None; the store is asked as well.",
     ),
     EventKind(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
@@ -156,7 +156,7 @@
     """Takes note that a holder's process has ended; its lease needs no waiting."""
     if lease.row_holder != holder:
         return lease
-    return dataclasses.replace(lease, row_holder="")
+    return dataclasses.replace(lease, row_holder="", next_at=0.0)
 
 
 def raise_floor(lease: Lease, fence: int) -> Lease:
--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -17,8 +17,9 @@
     """Starts systems, and stops them after the test."""
     stack = []
 
-    async def start(*endpoints, config=None):
+    async def start(*endpoints, config=None, host="127.0.0.1", peer=None):
         store = fleetstandins.StoreStandIn()
+        store.down = peer is not None
         servers = [await store.start()]
         if config is not False:
             store.put("op", "config", config or fleetstandins.build_configuration())
@@ -27,15 +28,15 @@
             store.put("servers", endpoint.name, endpoint.register())
         free = iter(ports.pick_ports(5))
         settings = process.Settings(
-            name="front-1",
-            host="127.0.0.1",
+            name=f"front-{host}",
+            host=host,
             data_centre="telavi",
-            callers=process.Listener("127.0.0.1", next(free)),
-            readiness=process.Listener("127.0.0.1", next(free)),
-            resolution=process.Listener("127.0.0.1", next(free)),
-            peer_port=next(free),
+            callers=process.Listener(host, next(free)),
+            readiness=process.Listener(host, next(free)),
+            resolution=process.Listener(host, next(free)),
+            peer_port=peer.settings.peer_port if peer else next(free),
             metrics_port=next(free),
-            seeds=(),
+            seeds=(peer.settings.host,) if peer else (),
             store=process.Listener("127.0.0.1", store.port),
             heartbeat_s=1.2,
             bounds=process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0),
--- a/tests/fleet_platform/test_forwarding.py
+++ b/tests/fleet_platform/test_forwarding.py
@@ -400,3 +400,14 @@
     status, headers, _, _ = await system.read(reader)
     assert status == 408
     assert headers["connection"] == "close"
+
+
+async def test_entry_that_starts_while_the_store_is_away_learns_from_its_peers(
+    start_system,
+):
+    endpoint = fleetstandins.EndpointStandIn("i-1", _answer)
+    first = await start_system(endpoint)
+    second = await start_system(host="127.0.0.2", peer=first)
+    assert second.entry._fleet.version == 7
+    assert (await second.call("/again/x"))[0] == 200
+    assert second.store.calls["rows-get"] == 0
