--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -324,7 +324,7 @@
 
     async def _fetch_version(self, host: str, version: int) -> None:
         path = operations.CONFIGURATION_PATH
-        data = await self._fetch_from_peer(host, path, version=version)
+        data = await self._fetch_from_peer(host, path, version)
         if data is not None:
             self._configurations.take(data, host)
 
@@ -356,7 +356,7 @@
         )
 
     async def _fetch_from_peer(
-        self, host: str, path: bytes, **inputs: int
+        self, host: str, path: bytes, version: int = 0
     ) -> bytes | None:
         """Returns what another entry has at a path; None when it gave nothing."""
         address = connections.Address(host, self._settings.peer_port)
@@ -366,7 +366,10 @@
             )
         except fetching.FetchError as error:
             self._journal.record(
-                catalogue.SETTINGS_NOT_FETCHED, peer=host, detail=str(error), **inputs
+                catalogue.SETTINGS_NOT_FETCHED,
+                peer=host,
+                detail=str(error),
+                version=version,
             )
             return None
         return reply.body if reply.status == 200 else None
