--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -11,7 +11,7 @@
 
 # First element of each datagram; a change of the form changes it.
 FORM = 1
-_PARTS = 14
+_PARTS = 15
 _MALFORMED = (TypeError, LookupError, AttributeError, OverflowError)
 
 
@@ -37,6 +37,7 @@
             sorted(announcement.duties),
             announcement.reaches_store,
             announcement.timely,
+            announcement.released,
         )
     )
 
@@ -68,6 +69,7 @@
             peers=tuple(str(host) for host in parts[10]),
             duties=frozenset(str(duty) for duty in parts[11]),
             reaches_store=bool(parts[12]),
+            released=int(parts[14]),
             timely={str(name): int(count) for name, count in parts[13].items()},
         )
     except (cbor2.CBORDecodeError, *_MALFORMED) as error:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -34,6 +34,7 @@
         self.progress_at: collections.defaultdict[str, float]
         self.progress_at = collections.defaultdict(float)
         self.duties: frozenset[str] = frozenset()
+        self.released = 0
         self.stopping = False
         self.listed = False
         self._selector = selection.create_selector(settings.data_centre)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -116,6 +116,7 @@
             peers=tuple(sorted(peer.host for peer in alive)),
             duties=self._fleet.duties,
             timely=timely,
+            released=self._fleet.released,
             reaches_store=not self._fleet.endpoints.is_away,
         )
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
@@ -10,6 +10,7 @@
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.groups import leases
+from chicoryweir_policy.groups import succession
 
 DUTY = "expert-maps"
 # A holder that is lost is followed within 5 s: a group may be held meanwhile.
@@ -41,80 +42,123 @@
         name = f"{fleet.settings.name}/{incarnation}"
         self._lease = leases.create_lease(DUTY, name, LEASE, incarnation)
         self._given = 0
+        self._token_fence = 0
+        self._fence_held = 0
+        self._acted_fence = 0
+        self._reached_at = fleet.clock.read()
 
     @property
     def holds(self) -> bool:
         """Whether this entry may act now."""
-        return leases.holds(self._lease, read_boot_time())
+        if leases.holds(self._lease, read_boot_time()):
+            return True
+        if not self._acted_fence or self._fleet.stopping:
+            return False
+        return succession.may_go_on(self._count_away(), self._list_standings())
 
     def raise_token(self) -> int:
         """Returns a fencing token higher than all before."""
+        if self._lease.fence != self._token_fence:
+            self._token_fence, self._given = self._lease.fence, 0
         self._given += 1
-        return self._lease.fence * TOKENS_PER_LEASE + self._given
+        return self._token_fence * TOKENS_PER_LEASE + self._given
 
     async def run(self) -> None:
         """Holds the lease, or waits for it, until cancelled."""
-        while True:
-            before = self.holds
-            if self._fleet.stopping:
-                await self._resign()
-                return
-            if self._is_candidate() or before:
-                await self._tick()
-            self._note(before)
-            self._fleet.duties = frozenset({DUTY} if self.holds else ())
+        while not self._fleet.stopping:
+            await self.look()
             await asyncio.sleep(POLL_S)
+        await self.look()
+
+    async def look(self) -> None:
+        """Does what is due about the lease now."""
+        before = self._fence_held
+        if self._fleet.stopping:
+            await self._resign(before)
+            return
+        self._look_at_store()
+        if leases.holds(self._lease, read_boot_time()) or self._is_candidate():
+            await self._tick()
+        self._note(before)
 
     def stop_acting(self) -> None:
-        """Lets the lease lapse after a rank has seen a higher token."""
+        """Gives the lease up at once, after a rank has seen a higher token too."""
         fence = self._lease.fence + 1
         self._lease = leases.raise_floor(self._lease, fence)
-        self._given = 0
+        self._acted_fence = 0
+
+    def _look_at_store(self) -> None:
+        """Gives up where others can follow, and ends the grace after an outage."""
+        now = self._fleet.clock.read()
+        if not self._fleet.endpoints.is_away:
+            self._reached_at = now
+            if not leases.holds(self._lease, read_boot_time()):
+                self._acted_fence = 0
+            return
+        if self.holds and succession.should_give_up(
+            self._count_away(), self._list_standings()
+        ):
+            self.stop_acting()
+
+    def _count_away(self) -> float:
+        if not self._fleet.endpoints.is_away:
+            return 0.0
+        return self._fleet.clock.read() - self._reached_at
+
+    def _list_standings(self) -> list[succession.Standing]:
+        return [
+            succession.Standing(
+                peer.name,
+                peer.incarnation,
+                peer.ready,
+                peer.reaches_store,
+                DUTY in peer.duties,
+                peer.released,
+            )
+            for peer in self._fleet.peers.list_alive(self._fleet.clock.read())
+        ]
 
     def _is_candidate(self) -> bool:
-        """Tells whether this entry is the first that could hold the lease."""
         if not self._fleet.is_ready:
             return False
-        alive = self._fleet.peers.list_alive(self._fleet.clock.read())
-        if any(DUTY in peer.duties for peer in alive):
-            return False
-        if self._fleet.endpoints.is_away:
-            return False
-        own = self._fleet.settings.name
-        rivals = (peer for peer in alive if peer.ready and peer.reaches_store)
-        return all(own < peer.name for peer in rivals)
-
-    def _has_ended(self, holder: str) -> bool:
-        """Tells whether the process that wrote the lease is known to have ended."""
-        name, _, incarnation = holder.rpartition("/")
-        if not incarnation.isdigit():
-            return False
-        if name == self._fleet.settings.name:
-            return int(incarnation) < self._incarnation
-        return self._fleet.peers.has_ended(name, int(incarnation))
+        reaches = not self._fleet.endpoints.is_away
+        name = self._fleet.settings.name
+        return succession.is_candidate(name, reaches, self._list_standings())
 
     async def _tick(self) -> None:
-        if self._has_ended(self._lease.row_holder):
-            self._lease = leases.note_ended(self._lease, self._lease.row_holder)
+        own = succession.Standing(
+            self._fleet.settings.name, self._incarnation, True, True, False, 0
+        )
+        holder, fence = self._lease.row_holder, self._lease.row_fence
+        if succession.has_ended(holder, fence, [own, *self._list_standings()]):
+            self._lease = leases.note_ended(self._lease, holder)
         self._lease, operation = leases.tick(self._lease, read_boot_time())
         if operation is not None:
             result = await self._store.run(operation)
             self._lease = leases.settle(self._lease, result, read_boot_time())
+        if leases.holds(self._lease, read_boot_time()):
+            self._acted_fence = self._lease.fence
 
-    async def _resign(self) -> None:
+    async def _resign(self, before: int) -> None:
         self._lease, operation = leases.resign(self._lease, read_boot_time())
-        self._fleet.duties = frozenset()
+        self._acted_fence = 0
+        self._note(before)
         if operation is not None:
             await self._store.run(operation)
 
-    def _note(self, before: bool) -> None:
-        now_holds = self.holds
-        if now_holds == before:
+    def _note(self, before: int) -> None:
+        """Announces what this entry holds now, and logs a change."""
+        held = self._lease.fence if self.holds else 0
+        self._fence_held = held
+        self._fleet.duties = frozenset({DUTY} if held else ())
+        if held == before:
             return
-        self._given = 0
-        number = catalogue.LEASE_HELD if now_holds else catalogue.LEASE_LOST
+        if before:
+            # Others act on this word, so that the fence must never be held again.
+            self._lease = leases.raise_floor(self._lease, before + 1)
+            self._fleet.released = max(self._fleet.released, before)
         self._journal.record(
-            number,
+            catalogue.LEASE_HELD if held else catalogue.LEASE_LOST,
             duty=DUTY,
             fence=self._lease.fence,
             state=self._lease.state,
--- a/packages/chicoryweir-daemon/tests/forwarder/test_eventstream.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_eventstream.py
@@ -53,6 +53,7 @@
         frozenset({"duty"}),
         {"model": 3},
         False,
+        7,
     )
     assert announcements.decode(announcements.encode(told)) == told
 
--- /dev/null
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_holder.py
@@ -0,0 +1,203 @@
+"""Entries that follow one another as holders of a lease."""
+
+import dataclasses
+
+import pytest
+
+from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import journal
+from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder.stewardship import holder as holders
+from chicoryweir_policy import store
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import peers
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def read(self):
+        return self.now
+
+    def read_wall(self):
+        return self.now
+
+
+class Table:
+    """Rows of the store; entries that are cut off are refused."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+
+    async def run(self, operation):
+        match operation:
+            case store.Read(keys):
+                found = tuple(self.rows[key] for key in keys if key in self.rows)
+                return store.Rows(found)
+            case store.Transact(checks, writes):
+                for check in checks:
+                    row = self.rows.get(check.key)
+                    if (row.version if row else 0) != check.version:
+                        return store.Conflicted((row,) if row else ())
+                for write in writes:
+                    self.version += 1
+                    self.rows[write.key] = store.Row(
+                        write.key, self.version, write.value
+                    )
+                return store.Committed({w.key: self.version for w in writes})
+
+
+class Link:
+    def __init__(self, table):
+        self._table = table
+        self.cut = False
+
+    async def run(self, operation):
+        if self.cut:
+            return store.Refused("cut off")
+        return await self._table.run(operation)
+
+
+def _settings(name):
+    place = process.Listener("127.0.0.1", 1)
+    bounds = process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0)
+    return process.Settings(
+        name, name, "dc", place, None, None, 1, 2, (), place, 1.2, bounds
+    )
+
+
+class Entries:
+    """Entries `a` and `b` with one clock and one store."""
+
+    def __init__(self, monkeypatch):
+        self.clock = Clock()
+        self.table = Table()
+        self.sequence = 0
+        monkeypatch.setattr(holders, "read_boot_time", self.clock.read)
+        self.links = {name: Link(self.table) for name in "ab"}
+        self.fleets = {}
+        self.holders = {}
+        for name in "ab":
+            self.start(name, 1)
+
+    def start(self, name, incarnation):
+        fleet = fleets.Fleet(_settings(name), self.clock)
+        config = configuration.Configuration(1, (), (), None, configuration.Limits())
+        fleet.adopt(config, b"{}")
+        fleet.listed = True
+        self.fleets[name] = fleet
+        self.holders[name] = holders.Holder(
+            fleet, self.links[name], journal.Journal(name), incarnation
+        )
+        fleet.incarnation = incarnation
+
+    async def advance(self, seconds, silent=()):
+        for _ in range(round(seconds / holders.POLL_S)):
+            self.clock.now += holders.POLL_S
+            for name in "ab":
+                if name in silent:
+                    continue
+                away = self.links[name].cut
+                self.fleets[name].endpoints.note_store(not away, self.clock.now)
+                await self.holders[name].look()
+            self._announce(silent)
+            assert self.count_fences() <= 1
+
+    def count_fences(self):
+        return sum(holder.holds for holder in self.holders.values())
+
+    def _announce(self, silent):
+        self.sequence += 1
+        for name in set("ab") - set(silent):
+            fleet = self.fleets[name]
+            told = peers.Announcement(
+                name,
+                fleet.incarnation,
+                self.sequence,
+                name,
+                "dc",
+                "x:1",
+                fleet.is_ready,
+                1,
+                {},
+                (),
+                duties=fleet.duties,
+                released=fleet.released,
+                reaches_store=not fleet.endpoints.is_away,
+            )
+            for other in set("ab") - {name} - set(silent):
+                self.fleets[other].peers.hear(dataclasses.replace(told), self.clock.now)
+
+
+@pytest.fixture
+def entries(monkeypatch):
+    return Entries(monkeypatch)
+
+
+async def test_first_entry_by_name_holds(entries):
+    await entries.advance(2.0)
+    assert entries.holders["a"].holds
+    assert not entries.holders["b"].holds
+
+
+async def test_holder_that_alone_is_cut_off_is_followed_within_two_seconds(entries):
+    await entries.advance(2.0)
+    token = entries.holders["a"].raise_token()
+    entries.links["a"].cut = True
+    await entries.advance(2.0)
+    assert entries.holders["b"].holds
+    assert entries.holders["b"].raise_token() > token
+
+
+async def test_holder_goes_on_through_an_outage_for_all_and_gives_way_after_it(
+    entries,
+):
+    await entries.advance(2.0)
+    token = entries.holders["a"].raise_token()
+    for link in entries.links.values():
+        link.cut = True
+    await entries.advance(30.0)
+    assert entries.holders["a"].holds
+    assert entries.holders["a"].raise_token() > token
+    for link in entries.links.values():
+        link.cut = False
+    await entries.advance(3.0)
+    (held,) = [h for h in entries.holders.values() if h.holds]
+    assert held.raise_token() > token + 1
+
+
+async def test_holder_that_falls_silent_is_followed_when_its_lease_has_lapsed(entries):
+    await entries.advance(2.0)
+    await entries.advance(holders.LEASE.ttl_s + 3.0, silent="a")
+    assert entries.holders["b"].holds
+
+
+async def test_process_that_was_killed_is_followed_at_its_next_start(entries):
+    await entries.advance(2.0)
+    token = entries.holders["a"].raise_token()
+    entries.start("a", 2)
+    await entries.advance(1.0)
+    assert entries.count_fences() == 1
+    held = next(h for h in entries.holders.values() if h.holds)
+    assert held.raise_token() > token
+
+
+async def test_holder_that_stops_gives_the_lease_away(entries):
+    await entries.advance(2.0)
+    entries.fleets["a"].stopping = True
+    await entries.advance(1.5)
+    assert entries.holders["b"].holds
+
+
+async def test_fence_that_was_released_is_never_held_again(entries):
+    await entries.advance(2.0)
+    fence = entries.fleets["a"]
+    entries.holders["a"].stop_acting()
+    await entries.advance(2.0)
+    assert fence.released
+    for holder in entries.holders.values():
+        if holder.holds:
+            token = holder.raise_token()
+            assert token // holders.TOKENS_PER_LEASE > fence.released
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -32,6 +32,7 @@
         peers: Hosts of entries that it knows to live.
         duties: Duties that it has for the whole fleet.
         timely: Waiting requests that can still meet their objectives, by service.
+        released: Highest fencing number under which it will never act again.
         reaches_store: Whether its last calls to the store succeeded.
     """
 
@@ -48,6 +49,7 @@
     duties: frozenset[str] = frozenset()
     timely: collections.abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
     reaches_store: bool = True
+    released: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,11 +99,6 @@
             del self._peers[name]
         return gone
 
-    def has_ended(self, name: str, incarnation: int) -> bool:
-        """Tells whether a process has been followed by another on its instance."""
-        peer = self._peers.get(name)
-        return peer is not None and peer.announcement.incarnation > incarnation
-
     def list_hosts(self) -> list[str]:
         """Returns the addresses to announce to."""
         return sorted(self._hosts)
--- /dev/null
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
@@ -0,0 +1,86 @@
+"""Decides who follows the holder of a lease that loses the store.
+
+Fencing tokens keep the orders of two holders apart whatever is decided here. These
+decisions only shorten the time without a holder: one that alone is cut off gives up at
+once and says so, and one that is cut off like everybody else goes on, since nobody can
+follow it.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+# A single lost call is no outage; two renewals and their retries fit, in seconds.
+GIVE_UP_AFTER_S = 0.7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What another entry announces of itself.
+
+    Attributes:
+        name: Name of its instance.
+        incarnation: Start of its process; a later one is larger.
+        ready: Whether it serves.
+        reaches_store: Whether its last calls to the store succeeded.
+        holds: Whether it acts as the holder.
+        released: Highest fencing number under which it will never act again.
+    """
+
+    name: str
+    incarnation: int
+    ready: bool
+    reaches_store: bool
+    holds: bool
+    released: int
+
+
+Standings = collections.abc.Sequence[Standing]
+
+
+def is_candidate(own: str, reaches_store: bool, others: Standings) -> bool:
+    """Tells whether an entry is the first by name that could hold the lease."""
+    if not reaches_store or any(other.holds for other in others):
+        return False
+    rivals = (other for other in others if other.ready and other.reaches_store)
+    return all(own < other.name for other in rivals)
+
+
+def should_give_up(away_s: float, others: Standings) -> bool:
+    """Tells whether a holder stops acting although its lease has time left.
+
+    Args:
+        away_s: Time for which it has not reached the store, in seconds.
+        others: Entries heard of lately.
+    """
+    if away_s < GIVE_UP_AFTER_S:
+        return False
+    return any(other.ready and other.reaches_store for other in others)
+
+
+def may_go_on(away_s: float, others: Standings) -> bool:
+    """Tells whether a holder acts on after its lease: nobody can follow it."""
+    if away_s <= 0.0 or any(other.holds for other in others):
+        return False
+    return not any(other.reaches_store for other in others)
+
+
+def has_ended(holder: str, fence: int, others: Standings) -> bool:
+    """Tells whether the process that wrote the lease will not act under it again.
+
+    Args:
+        holder: Name and incarnation of the process, joined by a slash.
+        fence: Fencing number in the lease.
+        others: Entries heard of lately.
+    """
+    name, _, incarnation = holder.rpartition("/")
+    if not incarnation.isdigit():
+        return False
+    for other in others:
+        if other.name != name:
+            continue
+        if other.incarnation > int(incarnation):
+            return True
+        return other.incarnation == int(incarnation) and other.released >= fence
+    return False
--- a/packages/chicoryweir-policy/tests/forwarding/test_peers.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_peers.py
@@ -36,14 +36,6 @@
     assert not book.hear(ONE, 0.0)
 
 
-def test_process_that_another_followed_has_ended():
-    book = peers.PeerBook("a", "10.0.0.1")
-    book.hear(ONE, 0.0)
-    assert book.has_ended("b", 4)
-    assert not book.has_ended("b", 5)
-    assert not book.has_ended("c", 1)
-
-
 def test_addresses_start_with_the_callers_data_centre():
     entries = [
         resolving.EntryAddress("a", "1:1", "telavi"),
--- /dev/null
+++ b/packages/chicoryweir-policy/tests/groups/test_succession.py
@@ -0,0 +1,44 @@
+"""Holders that lose the store alone, or with everybody else."""
+
+import dataclasses
+
+from chicoryweir_policy.groups import succession
+
+OTHER = succession.Standing("b", 5, True, True, False, 0)
+CUT = dataclasses.replace(OTHER, reaches_store=False)
+
+
+def test_first_by_name_that_reaches_the_store_is_the_candidate():
+    assert succession.is_candidate("a", True, [OTHER])
+    assert not succession.is_candidate("c", True, [OTHER])
+    assert succession.is_candidate("c", True, [CUT])
+    assert not succession.is_candidate("a", False, [OTHER])
+
+
+def test_nobody_contends_while_another_holds():
+    holder = dataclasses.replace(OTHER, holds=True)
+    assert not succession.is_candidate("a", True, [holder])
+
+
+def test_holder_that_alone_is_cut_off_gives_up_soon():
+    assert not succession.should_give_up(0.3, [OTHER])
+    assert succession.should_give_up(1.0, [OTHER])
+    assert not succession.may_go_on(5.0, [OTHER, CUT])
+
+
+def test_holder_goes_on_while_nobody_reaches_the_store():
+    assert not succession.should_give_up(9.0, [CUT])
+    assert succession.may_go_on(9.0, [CUT])
+    assert not succession.may_go_on(0.0, [CUT])
+    follower = dataclasses.replace(CUT, holds=True)
+    assert not succession.may_go_on(9.0, [follower])
+
+
+def test_process_has_ended_that_another_followed_or_that_released_its_fence():
+    assert succession.has_ended("b/4", 7, [OTHER])
+    assert not succession.has_ended("b/5", 7, [OTHER])
+    released = dataclasses.replace(OTHER, released=7)
+    assert succession.has_ended("b/5", 7, [released])
+    assert not succession.has_ended("b/5", 8, [released])
+    assert not succession.has_ended("c/1", 1, [OTHER])
+    assert not succession.has_ended("", 1, [OTHER])
