--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -14,8 +14,8 @@
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 
-# An announcement without news is sent this often, in seconds.
-IDLE_PERIOD_S = 0.4
+# A timer that fires early by so little has not missed its period, in seconds.
+IDLE_TOLERANCE_S = 0.02
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -77,14 +77,15 @@
         while True:
             self.announce()
             self._note_alive()
-            await asyncio.sleep(peers.ANNOUNCE_PERIOD_S)
+            await asyncio.sleep(self._fleet.peers.period_s)
 
     def announce(self, force: bool = False) -> None:
         """Sends an announcement where there is something to tell."""
         now = self._fleet.clock.read()
         work = self._fleet.loads.export()
         timely = self._fleet.count_timely()
-        due = now - self._told_at >= IDLE_PERIOD_S
+        idle_s = peers.IDLE_PERIODS * self._fleet.peers.period_s
+        due = now - self._told_at >= idle_s - IDLE_TOLERANCE_S
         news = (work, timely)
         if not (force or due or news != self._told):
             return
@@ -122,6 +123,7 @@
 
     def _note_alive(self) -> None:
         now = self._fleet.clock.read()
+        self._fleet.loads.expiry_s = max(loads.EXPIRY_S, self._fleet.peers.alive_s)
         alive = frozenset(peer.name for peer in self._fleet.peers.list_alive(now))
         for name in sorted(alive - self._alive):
             self._journal.record(catalogue.PEER_HEARD, peer=name, alive=len(alive))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -17,7 +17,7 @@
 # Endpoints register all the time, so that a call never waits long. This pause between
 # calls leaves half of the 2 s in which a leaving endpoint must be left alone.
 ENDPOINT_PAUSE_S = 0.8
-ENDPOINT_WAIT_S = 2.0
+ENDPOINT_WAIT_S = 0.5
 # Share of a pause by which it varies, so that entries don't call together.
 JITTER = 0.2
 BACKOFF = backoff.BackoffPolicy(base_s=0.1, cap_s=1.0)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
@@ -5,8 +5,9 @@
 import collections.abc
 import dataclasses
 
-# An entry that is silent for longer has ended, and its requests with it.
-PEER_EXPIRY_S = 1.5
+# An entry that is silent for longer has ended, and its requests with it; raised where
+# entries announce themselves less often.
+EXPIRY_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +46,7 @@
     def __init__(self) -> None:
         self._own: dict[str, Work] = {}
         self._peers: dict[str, PeerLoad] = {}
+        self.expiry_s = EXPIRY_S
 
     def start(self, instance: str, memory_tokens: float) -> None:
         """Counts a request that is about to be sent."""
@@ -79,6 +81,6 @@
         """Returns the work of all entries at an endpoint."""
         total = self._own.get(instance, _NONE)
         for load in self._peers.values():
-            if now - load.at <= PEER_EXPIRY_S:
+            if now - load.at <= self.expiry_s:
                 total = total.add(load.work.get(instance, _NONE))
         return total
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -9,8 +9,15 @@
 
 # Announcements are sent this often while there is something to tell, in seconds.
 ANNOUNCE_PERIOD_S = 0.1
-# Four announcements in a row are lost by chance less often than entries end.
+# In a fleet of more entries than this, each announces less often, so that what one
+# sends and takes a second grows no further.
+FULL_RATE_ENTRIES = 10
+# Announcements without news are this many periods apart.
+IDLE_PERIODS = 4.0
+# An entry is alive for this time after its announcement, in seconds, and for as many
+# idle periods: two in a row are lost by chance less often than entries end.
 ALIVE_S = 1.0
+ALIVE_IDLE_PERIODS = 2.5
 # An address that never answered is given up after this time, in seconds.
 FORGET_S = 20.0
 
@@ -103,12 +110,23 @@
         """Returns the addresses to announce to."""
         return sorted(self._hosts)
 
+    @property
+    def period_s(self) -> float:
+        """Time between announcements with news, in seconds."""
+        return ANNOUNCE_PERIOD_S * max(1.0, len(self._peers) / FULL_RATE_ENTRIES)
+
+    @property
+    def alive_s(self) -> float:
+        """Time after which an entry that says nothing counts as ended, in seconds."""
+        return max(ALIVE_S, ALIVE_IDLE_PERIODS * IDLE_PERIODS * self.period_s)
+
     def list_alive(self, now: float) -> list[Announcement]:
         """Returns the entries that were heard of lately."""
+        alive_s = self.alive_s
         return [
             peer.announcement
             for peer in self._peers.values()
-            if now - peer.heard_at <= ALIVE_S
+            if now - peer.heard_at <= alive_s
         ]
 
     def count_timely(self, service: str, now: float) -> int:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
@@ -11,8 +11,9 @@
 import collections.abc
 import dataclasses
 
-# A single lost call is no outage; two renewals and their retries fit, in seconds.
-GIVE_UP_AFTER_S = 0.7
+# Others notice an outage for all with their next call, some 1.3 s later at most; until
+# then they seem to reach the store.
+GIVE_UP_AFTER_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/tests/forwarding/test_peers.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_peers.py
@@ -25,6 +25,18 @@
     assert book.count_entries(peers.ALIVE_S + 0.1) == 1
 
 
+def test_large_fleet_announces_less_often_and_bears_longer_silence():
+    book = peers.PeerBook("a", "10.0.0.1")
+    small = book.period_s
+    for number in range(100):
+        name, host = f"p{number}", f"10.0.1.{number}"
+        book.hear(dataclasses.replace(ONE, name=name, host=host), 0.0)
+    assert book.period_s == 10 * small
+    assert book.alive_s > 2 * peers.IDLE_PERIODS * book.period_s
+    datagrams_a_second = 100 / book.period_s
+    assert datagrams_a_second <= peers.FULL_RATE_ENTRIES / small
+
+
 def test_entries_learn_of_one_another_through_others():
     book = peers.PeerBook("a", "10.0.0.1")
     book.hear(ONE, 0.0)
