--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -24,6 +24,7 @@
 from chicoryweir_daemon.forwarder import seams
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_daemon.forwarder.stewardship import holder as holders
+from chicoryweir_daemon.forwarder.stewardship import ranks
 from chicoryweir_daemon.forwarder.stewardship import steward as stewards
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
@@ -58,7 +59,7 @@
 
     registry: seams.Registry
     store: protocols.Store
-    ranks: stewards.RankClient
+    ranks: ranks.Vocabulary
     dialect: seams.Dialect
     decoder: seams.Decoder
     vocabulary: operations.Vocabulary
@@ -128,7 +129,13 @@
         self._steward = stewards.Steward(
             self._fleet,
             self._holder,
-            self._surroundings.ranks,
+            ranks.Ranks(
+                self._store_pool,
+                self._surroundings.ranks,
+                settings.peer_port,
+                clock,
+                self._journal,
+            ),
             self._journal,
             self._meters,
         )
@@ -308,6 +315,10 @@
         enrolled = False
         while True:
             enrolled = enrolled or await registry.enrol(settings.name, settings.host)
+            if not enrolled:
+                self._journal.record(
+                    catalogue.STORE_UNREACHABLE, detail="the entry is not enrolled yet"
+                )
             hosts = await registry.list_entries()
             if not isinstance(hosts, seams.Unreachable):
                 self._fleet.peers.add_hosts(hosts, self._fleet.clock.read())
--- /dev/null
+++ b/tests/fleet_platform/test_ranks.py
@@ -0,0 +1,153 @@
+"""Calls to ranks, through an agent and straight."""
+
+import asyncio
+import json
+import time
+
+import fleetstandins
+import pytest
+
+from chicoryweir_daemon.forwarder import journal
+from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder.stewardship import ranks as rank_clients
+from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.rankagent import service as rankagent
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.rankmaps import orders
+from chicoryweir_standins.launch import ports
+from fleet_platform import ranks
+
+REPORT = {
+    "group": {"name": "g", "epoch": 2, "rank": 0, "state": "open"},
+    "step": 7,
+    "map": 3,
+    "prepared": 4,
+    "armed": None,
+    "held": None,
+    "pace": 1.0,
+}
+ORDER = orders.Order(orders.Operation.HOLD, token=9, epoch=2, step=20)
+
+
+class Clock:
+    def read(self):
+        return time.monotonic()
+
+    def read_wall(self):
+        return time.time()
+
+
+async def _serve_rank(endpoint, headers, writer):
+    line = endpoint.seen[-1][0]
+    bodies = {
+        "/chicoryweir/report": REPORT,
+        "/chicoryweir/picked": {"step": 7, "epoch": 2, "counts": [1, 2]},
+        "/chicoryweir/order": {},
+    }
+    data = json.dumps(bodies[line.split(" ")[1]]).encode()
+    status = endpoint.order_status if "order" in line else 200
+    writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)))
+    writer.write(data)
+    await writer.drain()
+
+
+@pytest.fixture
+async def fleet():
+    rank = fleetstandins.EndpointStandIn("i-1", _serve_rank)
+    rank.order_status = 202
+    server = await rank.start()
+    (port,) = ports.pick_ports(1)
+    settings = rankagent.Settings(
+        "side-1",
+        process.Listener("127.0.0.1", port),
+        process.Listener("127.0.0.1", rank.port),
+        ranks.list_agent_calls(),
+        ranks.PASSED_HEADERS,
+    )
+    client = rank_clients.Ranks(
+        connections.Pool(), ranks.RankVocabulary(), port, Clock(), journal.Journal("a")
+    )
+    endpoint = endpoints.Endpoint(
+        "i-1", "model", "127.0.0.1", rank.port, "dc", 6, False, 0.0, 1
+    )
+    tasks = []
+
+    async def start_agent():
+        tasks.append(asyncio.create_task(rankagent.run(settings)))
+        await asyncio.sleep(0.1)
+
+    yield rank, client, endpoint, start_agent
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    server.close()
+
+
+async def test_agent_brings_fresh_reports_and_counts(fleet):
+    _, client, endpoint, start_agent = fleet
+    await start_agent()
+    report = await client.report(endpoint)
+    assert (report.epoch, report.step, report.prepared) == (2, 7, 4)
+    assert report.lag_s == 0.0
+    assert await client.count(endpoint) == (2, (1, 2))
+
+
+async def test_rank_without_an_agent_is_asked_from_afar_but_not_for_its_counts(fleet):
+    _, client, endpoint, _ = fleet
+    assert await client.report(endpoint) is not None
+    assert await client.count(endpoint) is None
+    report = await client.report(endpoint)
+    assert report.lag_s == rank_clients.FAR_LAG_S
+
+
+@pytest.mark.parametrize(
+    ("status", "result"),
+    [
+        (200, orders.Result.ACCEPTED),
+        (202, orders.Result.ACCEPTED),
+        (409, orders.Result.CONFLICT),
+        (412, orders.Result.FENCED),
+        (421, orders.Result.REFUSED),
+    ],
+)
+async def test_order_passes_the_agent_whole_and_its_end_is_told(fleet, status, result):
+    rank, client, endpoint, start_agent = fleet
+    await start_agent()
+    rank.order_status = status
+    assert await client.order(endpoint, ORDER) is result
+    _, headers, body = rank.seen[-1]
+    assert headers["chicoryweir-expect-instance"] == "i-1"
+    assert json.loads(body) == {
+        "operation": "hold",
+        "fence_token": 9,
+        "epoch": 2,
+        "step": 20,
+    }
+
+
+async def test_order_without_an_answer_is_lost_and_not_sent_twice(fleet):
+    rank, client, endpoint, start_agent = fleet
+    await start_agent()
+
+    async def hang(endpoint, headers, writer):
+        await asyncio.sleep(5)
+
+    rank.script = hang
+    assert await client.order(endpoint, ORDER) is orders.Result.LOST
+    assert len(rank.seen) == 1
+
+
+async def test_order_goes_straight_where_no_agent_listens(fleet):
+    rank, client, endpoint, _ = fleet
+    assert await client.order(endpoint, ORDER) is orders.Result.ACCEPTED
+    assert len(rank.seen) == 1
+
+
+async def test_agent_passes_nothing_else_on(fleet):
+    rank, client, endpoint, start_agent = fleet
+    await start_agent()
+    reader, writer = await asyncio.open_connection("127.0.0.1", client._agent_port)
+    writer.write(b"GET /other HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert (await reader.readline()).split()[1] == b"404"
+    writer.close()
+    assert not rank.seen
