--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/waiting.py
@@ -159,9 +159,7 @@
         if not self._tickets:
             self._meter.rest(now)
             self._late_meter.rest(now)
-        wait_s = self._predict_start(ticket, now)
-        usable_s = (ticket.latest_start_at - now) * USABLE_SHARE
-        if wait_s > usable_s:
+        if self._predict_start(ticket, now) > self._count_usable(ticket, now):
             return (self._refuse(ticket, "the wait would pass its deadline", now),)
         self._tickets[ticket.request_id] = ticket
         return self._enter(ticket, now)
@@ -216,7 +214,12 @@
             if now + ahead <= ticket.start_by:
                 return ahead
         # What starts late is measured by itself: it gets what the others leave.
-        return self._late.predict_wait(ticket.workspace, priority, now)
+        own_s = ticket.wanted.cost / self._late_meter.speed
+        return own_s + self._late.predict_wait(ticket.workspace, priority, now)
+
+    def _count_usable(self, ticket: Ticket, now: float) -> float:
+        """Returns the wait that a request can bear, in seconds."""
+        return (ticket.latest_start_at - now) * USABLE_SHARE
 
     def _enter(self, ticket: Ticket, now: float) -> tuple[Refusal, ...]:
         late = now > ticket.start_by
@@ -236,7 +239,12 @@
         """Moves requests that can't meet their objective behind those that can."""
         refusals: list[Refusal] = []
         for entry in self._fresh.expire(now):
-            refusals += self._enter(self._tickets[entry.attempt_id], now)
+            ticket = self._tickets[entry.attempt_id]
+            if self._predict_start(ticket, now) > self._count_usable(ticket, now):
+                del self._tickets[entry.attempt_id]
+                refusals.append(self._refuse(ticket, "it would start too late", now))
+                continue
+            refusals += self._enter(ticket, now)
         return tuple(refusals)
 
     def _refuse(self, ticket: Ticket, reason: str, now: float) -> Refusal:
--- a/packages/chicoryweir-policy/tests/forwarding/test_waiting.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_waiting.py
@@ -73,6 +73,23 @@
     assert min(served_in_time) >= 0.9
 
 
+def test_request_that_would_start_too_late_is_rejected_when_that_is_known(
+    make_ticket,
+):
+    """Timely requests take all the room, so that nothing late starts."""
+    room = waiting.create_waiting_room()
+    now = 0.0
+    for number in range(400):
+        now += 0.02
+        room.push(make_ticket(f"a{number}", now), now)
+        room.push(make_ticket(f"b{number}", now), now)
+        room.pop(now, timely_only=False)
+    rejected = {r.ticket.request_id for r in room.expire(now)}
+    room.push(make_ticket("x", now, objective_at=now + 0.25, workspace="v"), now)
+    rejected |= {r.ticket.request_id for r in room.expire(now + 0.1)}
+    assert "x" in rejected
+
+
 def test_rejected_callers_do_not_come_back_together(make_ticket):
     room = waiting.create_waiting_room()
     times = []
