--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 import typing
 
@@ -211,6 +210,3 @@
 
     def read_wall(self) -> float:
         """Returns Unix time, in seconds."""
-
-
-Inputs = collections.abc.Mapping[str, object]
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -9,13 +9,11 @@
 import signal
 import time
 
-import msgspec
-
 from chicoryweir_daemon.forwarder import desk as desks
 from chicoryweir_daemon.forwarder import exchange
-from chicoryweir_daemon.forwarder import fetching
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import gossip as gossips
+from chicoryweir_daemon.forwarder import handover as handovers
 from chicoryweir_daemon.forwarder import ingress as ingresses
 from chicoryweir_daemon.forwarder import journal as journals
 from chicoryweir_daemon.forwarder import meters as meter_books
@@ -30,7 +28,6 @@
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
-from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import resolving
 
 # Connections that wait to be accepted; a full queue costs a caller a second.
@@ -43,10 +40,6 @@
 IDLE_CHECK_S = 0.05
 # Outliers are looked for this often, in seconds.
 EJECTION_PERIOD_S = 1.0
-# A configuration from another entry arrives within this time or not at all.
-PEER_FETCH_TIMEOUT_S = 1.5
-# Other entries are asked for the endpoints this often, in seconds.
-BORROW_PERIOD_S = 0.3
 # A settings file that changes without a signal is found within this time, in seconds.
 SETTINGS_PERIOD_S = 2.0
 # Asking the store for other entries is tried again after this time, in seconds.
@@ -119,9 +112,12 @@
             self._surroundings.decoder,
             self._journal,
         )
+        self._handover = handovers.Handover(
+            self._fleet, self._store_pool, self._configurations, self._journal
+        )
         incarnation = time.time_ns() // 1000
         self._gossip = gossips.Gossip(
-            self._fleet, self._journal, incarnation, self._learn_version
+            self._fleet, self._journal, incarnation, self._handover.learn_version
         )
         self._holder = holders.Holder(
             self._fleet, self._surroundings.store, self._journal, incarnation
@@ -137,9 +133,7 @@
                 self._journal,
             ),
             self._journal,
-            self._meters,
         )
-        self._learning: asyncio.Task[None] | None = None
         self._stop = asyncio.Event()
         self._add_gauges()
 
@@ -167,7 +161,7 @@
                 self._eject_outliers(),
                 self._enrol(),
                 self._follow_settings(),
-                self._borrow_endpoints(),
+                self._handover.run(),
                 self._holder.run(),
                 self._steward.run(),
             )
@@ -328,63 +322,6 @@
             await asyncio.sleep(ENROL_RETRY_S)
         await asyncio.Event().wait()
 
-    def _learn_version(self, host: str, version: int) -> None:
-        """Fetches a configuration that another entry has and this one lacks."""
-        if self._learning is None or self._learning.done():
-            self._learning = asyncio.create_task(self._fetch_version(host, version))
-
-    async def _fetch_version(self, host: str, version: int) -> None:
-        path = operations.CONFIGURATION_PATH
-        data = await self._fetch_from_peer(host, path, version)
-        if data is not None:
-            self._configurations.take(data, host)
-
-    async def _borrow_endpoints(self) -> None:
-        """Takes the endpoints from another entry while the store can't be asked."""
-        while not self._fleet.listed:
-            await asyncio.sleep(BORROW_PERIOD_S)
-            if not self._fleet.endpoints.is_away:
-                continue
-            for peer in self._fleet.peers.list_alive(self._fleet.clock.read()):
-                await self._borrow_from(peer.host)
-        await asyncio.Event().wait()
-
-    async def _borrow_from(self, host: str) -> None:
-        data = await self._fetch_from_peer(host, operations.ENDPOINTS_PATH)
-        if data is None or self._fleet.listed:
-            return
-        try:
-            listed = msgspec.json.decode(data, type=list[endpoints.Endpoint])
-        except msgspec.DecodeError as error:
-            self._journal.record(
-                catalogue.SETTINGS_NOT_FETCHED, peer=host, detail=str(error)
-            )
-            return
-        self._fleet.endpoints.replace_all(listed, self._fleet.clock.read())
-        self._fleet.listed = True
-        self._journal.record(
-            catalogue.ENDPOINTS_LISTED, peer=host, source="peer", count=len(listed)
-        )
-
-    async def _fetch_from_peer(
-        self, host: str, path: bytes, version: int = 0
-    ) -> bytes | None:
-        """Returns what another entry has at a path; None when it gave nothing."""
-        address = connections.Address(host, self._settings.peer_port)
-        try:
-            reply = await fetching.fetch(
-                self._store_pool, address, b"GET", path, b"", PEER_FETCH_TIMEOUT_S
-            )
-        except fetching.FetchError as error:
-            self._journal.record(
-                catalogue.SETTINGS_NOT_FETCHED,
-                peer=host,
-                detail=str(error),
-                version=version,
-            )
-            return None
-        return reply.body if reply.status == 200 else None
-
     def _add_gauges(self) -> None:
         self._meters.gauge("caller_connections", lambda: len(self._callers))
         self._meters.gauge("opened_connections", lambda: self._pool.opened)
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
@@ -0,0 +1,310 @@
+"""Keeps the expert map of one group even while the lease is held."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import random
+import typing
+
+from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import journal as journals
+from chicoryweir_daemon.forwarder.stewardship import holder as holders
+from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.maps import placement
+from chicoryweir_policy.rankmaps import change as changes
+from chicoryweir_policy.rankmaps import orders
+from chicoryweir_policy.rankmaps import planning
+
+# Commands of a change are looked for this often, in seconds.
+STEP_S = 0.02
+# Counts that are read at each look. Each rank is a sample of the same demand, so that
+# fewer ranks do where each has many counts.
+SAMPLED_COUNTS = 8192
+MIN_SAMPLED_RANKS = 3
+# Orders that got lost within this time make it likely for the next ones, in seconds.
+LOSS_MEMORY_S = 6.0
+# A step's time before any was measured, in seconds.
+USUAL_PASS_S = 0.06
+
+
+class RankClient(typing.Protocol):
+    """Speaks to the ranks of a group."""
+
+    async def report(self, endpoint: endpoints.Endpoint) -> orders.Report | None:
+        """Asks a rank for its report; None when it gave none."""
+
+    async def count(
+        self, endpoint: endpoints.Endpoint
+    ) -> tuple[int, tuple[int, ...]] | None:
+        """Returns a rank's epoch and how often its requests chose each expert."""
+
+    async def list_experts(
+        self, endpoint: endpoints.Endpoint
+    ) -> tuple[int, tuple[tuple[int, ...], ...]] | None:
+        """Returns the version of the map at a rank and its experts by set."""
+
+    async def order(
+        self, endpoint: endpoints.Endpoint, order: orders.Order
+    ) -> orders.Result:
+        """Gives a rank an order."""
+
+
+class GroupCare:
+    """What the lease's holder knows and does of one group."""
+
+    def __init__(
+        self,
+        name: str,
+        fleet: fleets.Fleet,
+        holder: holders.Holder,
+        client: RankClient,
+        journal: journals.Journal,
+    ) -> None:
+        self._name = name
+        self._fleet = fleet
+        self._holder = holder
+        self._client = client
+        self._journal = journal
+        self._members: dict[int, endpoints.Endpoint] = {}
+        self._epoch = -1
+        self._maps: tuple[placement.ExpertMap, ...] | None = None
+        self._demand: planning.DemandBook | None = None
+        self._pass_s = USUAL_PASS_S
+        self._seen: tuple[int, float] | None = None
+        self._recovered = False
+        self._sampled: tuple[int, ...] = ()
+        self._lost_at = -math.inf
+        self._wake = asyncio.Event()
+
+    async def look(
+        self,
+        members: dict[int, endpoints.Endpoint],
+        engine: configuration.Engine,
+        layout: configuration.ExpertLayout,
+    ) -> None:
+        """Samples the demand, and changes the map where that pays."""
+        size = max(
+            (one.member.size for one in members.values() if one.member), default=0
+        )
+        self._members = members
+        if sorted(members) != list(range(size)):
+            return
+        report = await self._client.report(members[changes.HOLDING_RANK])
+        if report is None or not report.is_open:
+            self._recovered = False
+            return
+        now = self._now()
+        self._note_pass(report, now)
+        if report.epoch != self._epoch:
+            self._begin_epoch(report.epoch, layout, now)
+        if not self._recovered or report.held is not None:
+            await self._recover(report)
+            return
+        if report.armed is not None:
+            # The switch of the last change has not come yet.
+            return
+        if self._maps is None and not await self._read_maps(report, layout):
+            return
+        await self._sample(layout)
+        if self._maps is None or self._demand is None:
+            return
+        shares = self._demand.compute_shares()
+        if shares is not None:
+            await self._improve(shares, engine, layout, report)
+
+    def _begin_epoch(
+        self, epoch: int, layout: configuration.ExpertLayout, now: float
+    ) -> None:
+        self._epoch = epoch
+        self._maps = None
+        self._demand = planning.DemandBook(layout, now)
+        self._recovered = False
+        self._sampled = ()
+
+    def _note_pass(self, report: orders.Report, now: float) -> None:
+        """Estimates the time of a step from two reports."""
+        if self._seen is not None and report.step > self._seen[0]:
+            measured = (now - self._seen[1]) / (report.step - self._seen[0])
+            self._pass_s = 0.5 * self._pass_s + 0.5 * min(measured, USUAL_PASS_S * 4)
+        self._seen = (report.step, now)
+
+    async def _recover(self, first: orders.Report) -> None:
+        """Takes back what an earlier holder of the lease may have left."""
+        reports = await asyncio.gather(
+            *(
+                self._client.report(self._members[rank])
+                for rank in sorted(self._members)
+            )
+        )
+        if any(report is None for report in reports):
+            return
+        told = [report for report in reports if report is not None]
+        held = next((r.held for r in told if r.held is not None), None)
+        armed = next((r.armed for r in told if r.armed is not None), None)
+        if held is None and armed is None:
+            self._recovered = True
+            return
+        plan = changes.Plan(
+            version=armed or 0,
+            experts=(),
+            ranks=len(self._members),
+            epoch=first.epoch,
+            copy_s=0.0,
+            pass_s=self._pass_s,
+            step=held or first.step + 1,
+            step_at=self._now(),
+            orders_lost=self._lost_at > self._now() - LOSS_MEMORY_S,
+        )
+        change = changes.create_recovery(plan, self._holder, self._now())
+        await self._carry_out(change, "recovery")
+        self._maps = None
+
+    async def _read_maps(
+        self, report: orders.Report, layout: configuration.ExpertLayout
+    ) -> bool:
+        """Learns the maps in force; a group starts with the experts in turn."""
+        if report.version == 0:
+            self._maps = planning.create_first_map(layout, len(self._members))
+            return True
+        lists = await asyncio.gather(
+            *(
+                self._client.list_experts(self._members[rank])
+                for rank in sorted(self._members)
+            )
+        )
+        known = [one for one in lists if one is not None]
+        if len(known) != len(lists) or {version for version, _ in known} != {
+            report.version
+        }:
+            return False
+        by_set = list(zip(*(experts for _, experts in known), strict=True))
+        self._maps = planning.decode_maps(by_set, layout)
+        return True
+
+    async def _sample(self, layout: configuration.ExpertLayout) -> None:
+        if not self._sampled:
+            ranks = sorted(self._members)
+            numbers = layout.sets * layout.experts
+            count = max(MIN_SAMPLED_RANKS, SAMPLED_COUNTS // numbers)
+            count = min(count, len(ranks))
+            self._sampled = tuple(random.sample(ranks, count))
+        found = await asyncio.gather(
+            *(self._client.count(self._members[rank]) for rank in self._sampled)
+        )
+        now = self._now()
+        counts = {
+            rank: counted[1]
+            for rank, counted in zip(self._sampled, found, strict=True)
+            if counted is not None and counted[0] == self._epoch
+        }
+        if self._demand is not None:
+            self._demand.add(counts, now)
+
+    async def _improve(
+        self,
+        shares: list[tuple[float, ...]],
+        engine: configuration.Engine,
+        layout: configuration.ExpertLayout,
+        report: orders.Report,
+    ) -> None:
+        assert self._maps is not None
+        proposal = planning.propose_maps(self._maps, shares, layout)
+        if proposal is None:
+            return
+        copy_s = proposal.arrivals * layout.expert_bytes / engine.link_bytes_per_s
+        plan = changes.Plan(
+            version=self._holder.raise_token(),
+            experts=planning.encode_maps(proposal.maps),
+            ranks=len(self._members),
+            epoch=self._epoch,
+            copy_s=copy_s,
+            pass_s=self._pass_s,
+            step=report.step,
+            step_at=self._now(),
+            orders_lost=self._lost_at > self._now() - LOSS_MEMORY_S,
+        )
+        self._journal.record(
+            catalogue.MAP_PROPOSED,
+            group=self._name,
+            version=plan.version,
+            epoch=plan.epoch,
+            before=round(proposal.before, 2),
+            after=round(proposal.after, 2),
+            copies=proposal.copies,
+            copy_s=round(copy_s, 2),
+            pass_s=round(self._pass_s, 4),
+        )
+        change = changes.create_change(plan, self._holder, self._now())
+        await self._carry_out(change, "change")
+        if change.state == "done":
+            self._maps = proposal.maps
+        elif change.state != "abandoned":
+            self._recovered = False
+            self._maps = None
+
+    async def _carry_out(self, change: changes.MapChange, what: str) -> None:
+        """Gives the orders of a change until it is over or the lease is lost."""
+        began_at = self._now()
+        running: set[asyncio.Task[None]] = set()
+        state = change.state
+        while not change.is_over and self._holder.holds:
+            for command in change.act(self._now()):
+                task = asyncio.create_task(self._execute(change, command))
+                running.add(task)
+                task.add_done_callback(running.discard)
+            if change.state != state:
+                state = change.state
+                self._log_state(change, what, began_at)
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), STEP_S)
+        if running:
+            await asyncio.wait(running)
+        if change.lost:
+            self._lost_at = self._now()
+        if change.fenced:
+            self._holder.stop_acting()
+        self._log_state(change, what, began_at)
+
+    async def _execute(
+        self, change: changes.MapChange, command: orders.Command
+    ) -> None:
+        endpoint = self._members[command.rank]
+        match command:
+            case orders.Send(rank, order):
+                result = await self._client.order(endpoint, order)
+                change.take_result(rank, order, result, self._now())
+                if result is not orders.Result.ACCEPTED:
+                    self._journal.record(
+                        catalogue.ORDER_FAILED,
+                        peer=endpoint.instance,
+                        operation=order.operation.value,
+                        token=order.token,
+                        step=order.step,
+                        version=order.version,
+                        result=result.value,
+                    )
+            case orders.Ask(rank):
+                report = await self._client.report(endpoint)
+                change.take_report(rank, report, self._now())
+        self._wake.set()
+
+    def _log_state(self, change: changes.MapChange, what: str, began_at: float) -> None:
+        self._journal.record(
+            catalogue.MAP_CHANGED,
+            group=self._name,
+            what=what,
+            state=change.state,
+            epoch=self._epoch,
+            step=change.step,
+            fenced=change.fenced,
+            reason=change.reason,
+            elapsed_s=round(self._now() - began_at, 3),
+        )
+
+    def _now(self) -> float:
+        return self._fleet.clock.read()
