--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -22,20 +22,22 @@
 CHART = interpreter.load_chart("rank_map_change")
 # Rank that holds the group; any would do.
 HOLDING_RANK = 0
-# The held step is this far ahead, in seconds: two rounds of orders, the lag of a report
-# and a round of reports fit.
+# The held step is this far ahead, in seconds: an order to the holding rank, one to all
+# ranks and a round of fresh reports fit, each within some 10 ms, and a slow event loop.
 LEAD_S = 0.25
 # The same where orders get lost: three rounds, each with the time to notice a loss.
 LOSSY_LEAD_S = 0.7
 # A report that did not yet show what was wanted is asked for again after this time.
 ASK_AGAIN_S = 0.06
-# An order is given so often before the change is taken back.
+# An order is given so often, and once more, before the change is taken back.
 MAX_TRIES = 4
-# Longest times in a state before the change is taken back, in seconds.
+# Longest times in a state before the change is taken back, in seconds: the tries above
+# with their time-outs fit; from `arming` on the group may be held meanwhile.
 PREPARE_LIMIT_S = 4.0
 ARM_LIMIT_S = 1.5
 CHECK_LIMIT_S = 1.5
-# Ranks are armed this much later than their copies should have ended.
+# Ranks are armed this much later than their copies should have ended: a factor for what
+# slows the link, and the time of an order, in seconds.
 COPY_MARGIN = 1.1
 COPY_SLACK_S = 0.05
 
