--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -71,7 +71,6 @@
         self._clean_end = False
         self._lost = False
         self._active = False
-        self.used_before = False
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.on_idle_end: typing.Callable[[Connection], None] | None = None
@@ -152,7 +151,6 @@
             self.abort()
             return False
         self._active = False
-        self.used_before = True
         self.idle_since = now
         self.idle_limit_s = _read_idle_limit(head)
         return True
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
@@ -35,19 +35,17 @@
 
     Attributes:
         cost: Work, in tokens of an answer for a model and requests for a plain service.
-        run_s: Time that it takes at a busy endpoint, in seconds.
         first_s: Time to its first event at a busy endpoint, in seconds; for a plain
             service, to the whole answer.
         memory_tokens: Tokens of memory that it holds at its end.
     """
 
     cost: float
-    run_s: float
     first_s: float
     memory_tokens: float
 
 
-PLAIN = Demand(PLAIN_COST, 0.0, 0.0, 0.0)
+PLAIN = Demand(PLAIN_COST, 0.0, 0.0)
 
 
 def estimate_demand(size: Size | None, engine: configuration.Engine | None) -> Demand:
@@ -57,11 +55,10 @@
     prompt, answer = _estimate_tokens(size, engine)
     full_step_s = engine.step_s + engine.sequence_s * engine.slots
     read_s = prompt / engine.read_tokens_per_s
-    run_s = read_s + answer * full_step_s
     step_cost_s = full_step_s / engine.slots
     cost = answer + read_s / step_cost_s
     first_s = read_s + FIRST_PASSES * engine.stride * full_step_s
-    return Demand(cost, run_s, first_s, prompt + answer)
+    return Demand(cost, first_s, prompt + answer)
 
 
 def _estimate_tokens(
--- a/packages/chicoryweir-policy/tests/forwarding/conftest.py
+++ b/packages/chicoryweir-policy/tests/forwarding/conftest.py
@@ -72,7 +72,7 @@
             workspace="w",
             priority=1,
             urgency=0,
-            wanted=demand.Demand(100.0, 1.5, 0.2, 900.0),
+            wanted=demand.Demand(100.0, 0.2, 900.0),
             objective_at=now + 0.5,
             give_up_at=now + 2.0,
             arrived_at=now,
