Refuse requests that crash the endpoints that run them

Cause: max_attempts bounds one attempt of a caller; nothing recognised a request that came again after it had crashed the endpoints that ran it. Ruled out: a broken connection as evidence (answers are broken off by faulty endpoints, cuts and stalled groups too); the default of two crashes, since requests that were repeated at a second endpoint that crashed by itself would be refused. Before: no mechanism, no test. After: three confirmed crashes refuse it at every entry (tests with two entries; walk: never before the third).

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -8,11 +8,12 @@
 
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; a change of the form changes it.
-FORM = 1
-_PARTS = 15
-_MALFORMED = (TypeError, LookupError, AttributeError, OverflowError)
+FORM = 2
+_PARTS = 16
+_MALFORMED = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
 def encode(announcement: peers.Announcement) -> bytes:
@@ -38,6 +39,7 @@
             announcement.reaches_store,
             announcement.timely,
             announcement.released,
+            _encode_news(announcement.crashes),
         )
     )
 
@@ -71,6 +73,49 @@
             reaches_store=bool(parts[12]),
             released=int(parts[14]),
             timely={str(name): int(count) for name, count in parts[13].items()},
+            crashes=_decode_news(parts[15]),
         )
     except (cbor2.CBORDecodeError, *_MALFORMED) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
+
+
+def _encode_news(news: records.News) -> tuple[typing.Any, ...]:
+    losses = [
+        (
+            loss.loss_id.instance,
+            loss.loss_id.incarnation,
+            sorted(loss.fingerprints),
+            loss.age_s,
+        )
+        for loss in news.losses
+    ]
+    clearances = [
+        (
+            clearance.fingerprint,
+            [(one.instance, one.incarnation) for one in sorted(clearance.losses)],
+        )
+        for clearance in news.clearances
+    ]
+    return news.cursor, losses, clearances
+
+
+def _decode_news(parts: typing.Any) -> records.News:
+    cursor, losses, clearances = parts
+    return records.News(
+        int(cursor),
+        tuple(
+            records.Loss(
+                records.LossId(str(instance), str(incarnation)),
+                frozenset(int(one) for one in fingerprints),
+                float(age_s),
+            )
+            for instance, incarnation, fingerprints, age_s in losses
+        ),
+        tuple(
+            records.Clearance(
+                int(fingerprint),
+                frozenset(records.LossId(str(a), str(b)) for a, b in cleared),
+            )
+            for fingerprint, cleared in clearances
+        ),
+    )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -45,6 +45,20 @@
 Outcome = Finished | Failed
 
 
+def has_broken(outcome: Outcome) -> bool:
+    """Tells whether the endpoint may have ended while it ran the request."""
+    return isinstance(outcome, Failed) and outcome.failure is repeats.Failure.BROKEN
+
+
+def has_run(outcome: Outcome) -> bool:
+    """Tells whether the endpoint ran the request to its end, well or not."""
+    match outcome:
+        case Finished():
+            return True
+        case Failed(failure=failure, at_fault=at_fault):
+            return failure is repeats.Failure.ERROR and not at_fault
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silence:
     """The endpoint sent nothing for too long; `silent_s` in seconds."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -7,6 +7,7 @@
 import typing
 
 from chicoryweir_daemon.forwarder import attempt as attempts
+from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import desk as desks
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import journal as journals
@@ -19,6 +20,7 @@
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import dispatching
 from chicoryweir_policy.forwarding import patience
@@ -26,6 +28,7 @@
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import silence
 from chicoryweir_policy.forwarding import waiting
+from chicoryweir_policy.quarantine import records
 
 # Time after which to come back where nothing better is known, in seconds.
 DEFAULT_RETRY_S = 0.3
@@ -70,6 +73,9 @@
             limit_s = min(limit_s, facts.remaining_s)
         self._deadline_at = arrived_at + limit_s
         self._request_id = facts.attempt_id.decode("latin-1")
+        self._fingerprint = crashes.compute_fingerprint(
+            routed.workspace, facts.host, request.head.target, request.body
+        )
         self._wanted = demand.estimate_demand(facts.size, service.engine)
         self._excluded: frozenset[str] = frozenset()
         self._history = repeats.History(0, 0, False, 0)
@@ -98,6 +104,10 @@
 
     async def _serve(self) -> None:
         while not self._answer.ended:
+            guilt = self._fleet.crashes.judge(self._fingerprint, self._now())
+            if guilt is not None:
+                self._quarantine(guilt)
+                continue
             asked_at = self._now()
             try:
                 verdict = await self._tools.desk.place(self._describe(), self._service)
@@ -131,6 +141,9 @@
             self._relay.resume_after,
         )
         started_at = self._started_at = self._now()
+        watch = self._fleet.crashes
+        watch.note_sent(endpoint, self._fingerprint)
+        broke = False
         try:
             outcome = await attempt.run(
                 self._request,
@@ -140,7 +153,9 @@
                 self._answer,
                 fresh=not self._route.repeatable,
             )
+            broke = attempts.has_broken(outcome)
         finally:
+            watch.note_ended(endpoint, self._fingerprint, broke, self._now())
             self._tools.desk.finish(placed, self._service)
         self._attempt = None
         self._conclude(endpoint.instance, outcome, started_at, attempt)
@@ -155,8 +170,14 @@
         now = self._now()
         if isinstance(outcome, attempts.Failed):
             self._trail.append(f"{instance} {outcome.failure.value}: {outcome.detail}")
+            if outcome.at_fault and outcome.failure is not repeats.Failure.MISDIRECTED:
+                crashreports.note_blamed(
+                    self._fleet, self._tools.journal, outcome.at_fault, self._request_id
+                )
         else:
             self._trail.append(f"{instance} answered")
+        if attempts.has_run(outcome):
+            self._fleet.crashes.note_finished(self._fingerprint, now)
         self._judge_endpoint(instance, outcome, attempt, started_at, now)
         match outcome:
             case attempts.Finished(status):
@@ -243,6 +264,7 @@
                 service=found.service,
                 meaning=found.meaning,
             )
+            crashreports.note_transition(self._fleet, self._tools.journal, found)
 
     def _pass_on(self, failed: attempts.Failed) -> None:
         """Hands the endpoint's own failure to the caller."""
@@ -256,6 +278,16 @@
         self._answer.finish()
         self._log("failure passed on", held.head.status, failed.detail)
 
+    def _quarantine(self, guilt: records.Quarantined) -> None:
+        """Refuses a request that has crashed the endpoints that ran it."""
+        self._tools.journal.record(
+            catalogue.REQUEST_QUARANTINED,
+            self._request_id,
+            fingerprint=f"{self._fingerprint:016x}",
+            lost=[loss.instance for loss in guilt.losses],
+        )
+        self._reject("endpoints crashed while it ran", guilt.retry_after_s)
+
     def _end_at_deadline(self) -> None:
         sent = self._attempt is not None and self._attempt.sent
         if self._relay.begun:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -8,6 +8,7 @@
 from chicoryweir_daemon.forwarder import seams
 from chicoryweir_policy.forwarding import budget
 from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import dispatching
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
@@ -30,6 +31,7 @@
         self.loads = loads.LoadBook()
         self.peers = peers.PeerBook(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
+        self.crashes = crashes.CrashWatch()
         self.ejected: dict[str, float] = {}
         self.progress_at: collections.defaultdict[str, float]
         self.progress_at = collections.defaultdict(float)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import journal as journals
 from chicoryweir_daemon.forwarder import seams
@@ -184,3 +185,4 @@
                 service=transition.service,
                 meaning=transition.meaning,
             )
+            crashreports.note_transition(self._fleet, self._journal, transition)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -112,7 +112,8 @@
     EventKind(
         ENDPOINT_LOST,
         "endpoint_lost",
-        "The process of an endpoint died; what waited for it goes elsewhere.",
+        "The process of an endpoint died; what waited for it goes elsewhere, and what "
+        "ran there is suspected of it.",
         "Look at the engine's own log.",
     ),
     EventKind(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -107,6 +107,13 @@
         """Returns an endpoint that is registered, or was until lately."""
         return self._endpoints.get(instance)
 
+    def find_address(self, address: str) -> Endpoint | None:
+        """Returns the endpoint at an address of the form host:port."""
+        for endpoint in self._endpoints.values():
+            if f"{endpoint.host}:{endpoint.port}" == address:
+                return endpoint
+        return None
+
     def list_usable(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that take new requests at `now`."""
         return [
@@ -186,4 +193,6 @@
     def _drop(self, instance: str, meaning: str) -> Transition:
         self._missing.pop(instance, None)
         endpoint = self._endpoints.pop(instance)
+        if endpoint.leaving:
+            meaning = "left"
         return Transition(instance, endpoint.service, meaning)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.quarantine import records
 
 # Announcements are sent this often while there is something to tell, in seconds.
 ANNOUNCE_PERIOD_S = 0.1
@@ -41,6 +42,7 @@
         timely: Waiting requests that can still meet their objectives, by service.
         released: Highest fencing number under which it will never act again.
         reaches_store: Whether its last calls to the store succeeded.
+        crashes: What it learned lately of endpoints that crashed.
     """
 
     name: str
@@ -57,6 +59,7 @@
     timely: collections.abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
     reaches_store: bool = True
     released: int = 0
+    crashes: records.News = records.News(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/quarantine/suspicion.py
@@ -92,6 +92,11 @@
         unexplained = charged - self._get_findings().explained
         return frozenset(loss_id.instance for loss_id in unexplained)
 
+    @property
+    def cursor(self) -> int:
+        """Position in the log, which grows with each thing learned."""
+        return self._cursor
+
     def export_news(self, now: float, after: int = 0) -> records.News:
         """Returns what was learned since a position in the log.
 
