Work out an endpoint's room once for each placement

count_free, _limit and _must_yield each measured all endpoints anew; the limit now also counts the work at endpoints that the request at hand may not use.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -36,6 +36,19 @@
 Outcome = Placed | Waits | waiting.Refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Survey:
+    """What the endpoints of a service may take now.
+
+    Attributes:
+        candidates: The endpoints, with their work and their limits.
+        free: Requests that would start at once.
+    """
+
+    candidates: list[selection.Candidate]
+    free: int
+
+
 class Dispatcher:
     """Requests of one service: those that wait and those under way."""
 
@@ -106,7 +119,7 @@
     ) -> tuple[Outcome, ...]:
         """Takes a request; returns what follows for it, and for others evicted."""
         if not len(self):
-            placed = self._place(ticket, service, now)
+            placed = self._place(ticket, self._survey(service, now))
             if placed is not None:
                 return (placed,)
         refusals = self._room.push(ticket, now)
@@ -122,8 +135,12 @@
         if self._head is not None and self._head.latest_start_at < now:
             outcomes.append(_refuse_expired(self._head))
             self._head = None
-        while self.count_free(service, now):
-            timely_only = self._must_yield(service, now)
+        while len(self):
+            survey = self._survey(service, now)
+            if not survey.free:
+                break
+            # What is free may be for others' requests that can be in time.
+            timely_only = survey.free <= self._peers_timely
             ticket = self._head or self._room.pop(now, timely_only)
             self._head = None
             if ticket is None:
@@ -131,7 +148,7 @@
             if ticket.latest_start_at < now:
                 outcomes.append(_refuse_expired(ticket))
                 continue
-            placed = self._place(ticket, service, now)
+            placed = self._place(ticket, survey)
             if placed is None:
                 # It may not go where there is room, or needs more memory.
                 self._head = ticket
@@ -147,12 +164,6 @@
         """Takes the timely requests that wait at the other entries."""
         self._peers_timely = timely
 
-    def _must_yield(self, service: configuration.Service, now: float) -> bool:
-        """Tells whether the room left is for others' requests that can be in time."""
-        if not self._peers_timely:
-            return False
-        return self.count_free(service, now) <= self._peers_timely
-
     def withdraw(self, request_id: str) -> None:
         """Drops a request that waits, if it does."""
         if self._head is not None and self._head.request_id == request_id:
@@ -166,39 +177,25 @@
 
     def count_free(self, service: configuration.Service, now: float) -> int:
         """Returns the requests that would start at once."""
-        candidates = self._list_candidates(service, frozenset(), now)
-        free = sum(max(0, c.limit - c.work.requests) for c in candidates)
-        if service.engine is None or not candidates:
-            return free
-        limit = congestion.compute_limit(
-            self._stretch, service.engine, self._pause_s, now
-        )
-        running = sum(candidate.work.requests for candidate in candidates)
-        return min(free, max(0, math.floor(limit * len(candidates)) - running))
+        return self._survey(service, now).free
 
-    def _place(
-        self, ticket: waiting.Ticket, service: configuration.Service, now: float
-    ) -> Placed | None:
-        candidates = self._list_candidates(service, ticket.excluded, now)
+    def _place(self, ticket: waiting.Ticket, survey: _Survey) -> Placed | None:
+        others = [
+            candidate
+            for candidate in survey.candidates
+            if candidate.endpoint.instance not in ticket.excluded
+        ]
+        candidates = others or survey.candidates
         chosen = self._selector.select(candidates, ticket.wanted, ticket.request_id)
         if chosen is None:
             return None
         self._loads.start(chosen.endpoint.instance, ticket.wanted.memory_tokens)
         return Placed(ticket, chosen.endpoint)
 
-    def _list_candidates(
-        self,
-        service: configuration.Service,
-        excluded: frozenset[str],
-        now: float,
-    ) -> list[selection.Candidate]:
+    def _survey(self, service: configuration.Service, now: float) -> _Survey:
+        """Finds what the endpoints have under way and may take."""
         usable = self._book.list_usable(service.name, now)
-        wanted = [
-            endpoint
-            for endpoint in usable
-            if endpoint.instance not in excluded
-            and not self._avoided(endpoint.instance, now)
-        ]
+        trusted = [e for e in usable if not self._avoided(e.instance, now)]
         memory = 0 if service.engine is None else service.engine.memory_tokens
         candidates = [
             selection.Candidate(
@@ -207,32 +204,25 @@
                 endpoint.slots,
                 memory,
             )
-            for endpoint in wanted or usable
+            for endpoint in trusted or usable
         ]
-        return self._limit(candidates, service, now)
-
-    def _limit(
-        self,
-        candidates: list[selection.Candidate],
-        service: configuration.Service,
-        now: float,
-    ) -> list[selection.Candidate]:
-        """Lowers the limits of endpoints that slow one another down."""
-        if service.engine is None:
-            return candidates
+        free = sum(max(0, c.limit - c.work.requests) for c in candidates)
+        if service.engine is None or not candidates:
+            return _Survey(candidates, free)
         limit = congestion.compute_limit(
             self._stretch, service.engine, self._pause_s, now
         )
         if limit >= service.engine.slots:
-            return candidates
+            return _Survey(candidates, free)
+        # Endpoints that work in lock-step slow one another down, wherever the work is.
         running = sum(candidate.work.requests for candidate in candidates)
-        most = math.ceil(limit)
-        if running >= limit * len(candidates):
-            most = 0
-        return [
+        free = min(free, max(0, math.floor(limit * len(candidates)) - running))
+        most = math.ceil(limit) if free else 0
+        limited = [
             dataclasses.replace(candidate, limit=min(candidate.limit, most))
             for candidate in candidates
         ]
+        return _Survey(limited, free)
 
 
 def _refuse_expired(ticket: waiting.Ticket) -> waiting.Refusal:
