Count arrivals at the wrong endpoint against the budget, and withdraw when deciding

Change: what reached any endpoint is charged, at the decision; max_attempts still counts only those at the endpoint that was meant. Of registrations at one address only the latest start is used, so that stale ones cost no arrivals; one that proves wrong gives way again to the older. The test 'payment that met another instance is sent to the next' asked for a repeat without a budget, which the rule doesn't allow; it is replaced by one that asks for the repeat within the budget and a refusal beyond it. Ruled out: telling one another of each stale registration; it would cost each entry one arrival before the news.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -78,7 +78,7 @@
         )
         self._wanted = demand.estimate_demand(facts.size, service.engine)
         self._excluded: frozenset[str] = frozenset()
-        self._history = repeats.History(0, 0, False, 0)
+        self._history = repeats.History(0, 0, 0, False, 0)
         self._waited_s = 0.0
         self._heard_at: float | None = None
         self._first_s: float | None = None
@@ -130,9 +130,6 @@
             self._limit_silence,
         )
         self._attempt = attempt
-        if self._history.arrivals:
-            budget = self._fleet.get_budget(self._service.name)
-            budget.withdraw(self._fleet.count_entries(self._now()), self._now())
         sending = seams.Sending(
             self._deadline_at - self._now(),
             endpoint.instance,
@@ -217,9 +214,10 @@
             self._note_displaced(instance)
         self._history = repeats.History(
             self._history.arrivals + failure.arrived,
+            self._history.attempts + failure.met_its_endpoint,
             self._history.runs + (not failure.proves_not_run),
             self._relay.begun,
-            self._history.queued_again + (not failure.arrived),
+            self._history.queued_again + (not failure.met_its_endpoint),
         )
         now = self._now()
         budget = self._fleet.get_budget(self._service.name)
@@ -231,7 +229,9 @@
             self._deadline_at - now,
         )
         match decision:
-            case repeats.Repeat():
+            case repeats.Repeat(charged):
+                if charged:
+                    budget.withdraw(self._fleet.count_entries(now), now)
                 self._tools.meters.count("repeats", failure.value)
                 self._tools.journal.record(
                     catalogue.REQUEST_RETRIED,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -89,11 +89,14 @@
 
     A registration that vanishes while the store is away, or just after its return,
     may have lapsed although the endpoint lives. It is kept until `LAPSE_HOLD_S` after
-    the store's return.
+    the store's return. Of registrations at one address only the one that started last
+    is used; an older one is left from a process that ended.
     """
 
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
+        self._addresses: dict[tuple[str, int], set[str]] = {}
+        self._outdated: set[str] = set()
         self._missing: dict[str, float] = {}
         self._away = False
         self._returned_at = -math.inf
@@ -121,6 +124,7 @@
             for endpoint in self._endpoints.values()
             if endpoint.service == service
             and not endpoint.leaving
+            and endpoint.instance not in self._outdated
             and not self._has_lapsed(endpoint.instance, now)
         ]
 
@@ -169,7 +173,11 @@
     def _register(self, endpoint: Endpoint) -> Transition | None:
         self._missing.pop(endpoint.instance, None)
         before = self._endpoints.get(endpoint.instance)
+        if before is not None and _locate(before) != _locate(endpoint):
+            self._vacate(before)
         self._endpoints[endpoint.instance] = endpoint
+        if before is None or before != endpoint:
+            self._occupy(endpoint)
         if before is None:
             return Transition(endpoint.instance, endpoint.service, "registered")
         if endpoint.born_ms != before.born_ms:
@@ -193,6 +201,34 @@
     def _drop(self, instance: str, meaning: str) -> Transition:
         self._missing.pop(instance, None)
         endpoint = self._endpoints.pop(instance)
+        self._vacate(endpoint)
         if endpoint.leaving:
             meaning = "left"
         return Transition(instance, endpoint.service, meaning)
+
+    def _occupy(self, endpoint: Endpoint) -> None:
+        self._addresses.setdefault(_locate(endpoint), set()).add(endpoint.instance)
+        self._order(_locate(endpoint))
+
+    def _vacate(self, endpoint: Endpoint) -> None:
+        self._outdated.discard(endpoint.instance)
+        place = _locate(endpoint)
+        self._addresses[place].discard(endpoint.instance)
+        if self._addresses[place]:
+            self._order(place)
+        else:
+            del self._addresses[place]
+
+    def _order(self, place: tuple[str, int]) -> None:
+        """Marks all but the latest start at an address as outdated."""
+        sharing = [self._endpoints[instance] for instance in self._addresses[place]]
+        latest = max(endpoint.born_ms for endpoint in sharing)
+        for endpoint in sharing:
+            if endpoint.born_ms < latest:
+                self._outdated.add(endpoint.instance)
+            else:
+                self._outdated.discard(endpoint.instance)
+
+
+def _locate(endpoint: Endpoint) -> tuple[str, int]:
+    return endpoint.host, endpoint.port
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/repeats.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/repeats.py
@@ -37,7 +37,12 @@
 
     @property
     def arrived(self) -> bool:
-        """Whether the attempt counts as one at an endpoint of the service."""
+        """Whether the attempt reached an endpoint, which the budget counts."""
+        return self is not Failure.NOT_SENT
+
+    @property
+    def met_its_endpoint(self) -> bool:
+        """Whether it reached the endpoint that it was meant for."""
         return self not in (Failure.NOT_SENT, Failure.MISDIRECTED)
 
 
@@ -46,13 +51,15 @@
     """Attempts of one request so far.
 
     Attributes:
-        arrivals: Attempts that reached an endpoint.
+        arrivals: Attempts that reached an endpoint, the one that was meant or not.
+        attempts: Those that reached the one that was meant.
         runs: Attempts that ran or may have run.
         begun: Whether part of the answer went to the caller.
         queued_again: Times that the request was put back without reaching anyone.
     """
 
     arrivals: int
+    attempts: int
     runs: int
     begun: bool
     queued_again: int
@@ -117,7 +124,7 @@
         return _end(failure, history, "the request may not be repeated")
     if remaining_s < MIN_USEFUL_S:
         return _end(failure, history, "no time is left")
-    if history.arrivals >= route.max_attempts:
+    if history.attempts >= route.max_attempts:
         return _end(failure, history, "no attempts are left")
     if history.queued_again >= MAX_QUEUED_AGAIN:
         return _end(failure, history, "no endpoint can be reached")
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -96,3 +96,32 @@
     found = book.apply(endpoints.Registered(make_endpoint("a", born_ms=2)), 1.0)
     assert found is not None
     assert found.meaning == "restarted"
+
+
+def test_new_start_at_an_address_replaces_the_registration_left_there(make_endpoint):
+    old = make_endpoint("old", port=81, born_ms=1)
+    new = make_endpoint("new", port=81, born_ms=2)
+    for order in ([old, new], [new, old]):
+        book = endpoints.EndpointBook()
+        for endpoint in order:
+            book.apply(endpoints.Registered(endpoint), 0.0)
+        assert _names(book) == ["new"]
+
+
+def test_older_registration_is_used_again_when_the_newer_one_proves_wrong(
+    make_endpoint,
+):
+    book = endpoints.EndpointBook()
+    book.apply(endpoints.Registered(make_endpoint("true", port=81, born_ms=1)), 0.0)
+    book.apply(endpoints.Registered(make_endpoint("false", port=81, born_ms=2)), 0.0)
+    book.note_displaced("false")
+    assert _names(book) == ["true"]
+
+
+def test_endpoint_that_moves_frees_its_address(make_endpoint):
+    book = endpoints.EndpointBook()
+    book.apply(endpoints.Registered(make_endpoint("a", port=81, born_ms=5)), 0.0)
+    book.apply(endpoints.Registered(make_endpoint("b", port=81, born_ms=1)), 0.0)
+    assert _names(book) == ["a"]
+    book.apply(endpoints.Registered(make_endpoint("a", port=82, born_ms=5)), 1.0)
+    assert _names(book) == ["a", "b"]
--- a/packages/chicoryweir-policy/tests/forwarding/test_repeats.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_repeats.py
@@ -35,6 +35,7 @@
     strategies.sampled_from(repeats.Failure),
     strategies.integers(0, 4),
     strategies.integers(0, 4),
+    strategies.integers(0, 4),
     strategies.booleans(),
     strategies.integers(0, 9),
     strategies.floats(-5.0, 5.0),
@@ -42,18 +43,28 @@
     strategies.integers(1, 3),
 )
 def test_promises_hold_in_every_case(
-    kind, failure, arrivals, runs, begun, again, budget, remaining_s, max_attempts
+    kind,
+    failure,
+    arrivals,
+    attempts,
+    runs,
+    begun,
+    again,
+    budget,
+    remaining_s,
+    max_attempts,
 ):
     route = dataclasses.replace(
         ROUTE, kind=kind[0], resumable=kind[1], max_attempts=max_attempts
     )
     runs += not failure.proves_not_run
-    history = repeats.History(arrivals, runs, begun, again)
+    history = repeats.History(arrivals, attempts, runs, begun, again)
     decision = repeats.decide_repeat(route, failure, history, budget, remaining_s)
     match decision:
         case repeats.Repeat(charged):
             assert route.repeatable or failure.proves_not_run
-            assert arrivals < max_attempts
+            assert attempts < max_attempts
+            assert charged == (arrivals > 0)
             assert remaining_s >= repeats.MIN_USEFUL_S
             assert not charged or budget >= 1.0
         case repeats.Reject():
@@ -71,19 +82,26 @@
 
 def test_payment_whose_connection_broke_is_not_sent_again():
     route = dataclasses.replace(ROUTE, kind=configuration.RouteKind.NON_IDEMPOTENT)
-    history = repeats.History(1, 1, False, 0)
+    history = repeats.History(1, 1, 1, False, 0)
     decision = repeats.decide_repeat(route, repeats.Failure.BROKEN, history, 9.0, 3.0)
     assert isinstance(decision, repeats.Fail)
 
 
-def test_payment_that_met_another_instance_is_sent_to_the_next():
+def test_payment_that_met_another_instance_is_sent_on_while_the_budget_lasts():
     route = dataclasses.replace(
         ROUTE, kind=configuration.RouteKind.NON_IDEMPOTENT, max_attempts=1
     )
-    history = repeats.History(0, 0, False, 1)
-    decision = repeats.decide_repeat(
-        route, repeats.Failure.MISDIRECTED, history, 0.0, 3.0
-    )
+    failure = repeats.Failure.MISDIRECTED
+    history = repeats.History(1, 0, 0, False, 1)
+    go_on = repeats.decide_repeat(route, failure, history, 1.0, 3.0)
+    spent = repeats.decide_repeat(route, failure, history, 0.5, 3.0)
+    assert go_on == repeats.Repeat(charged=True)
+    assert isinstance(spent, repeats.Reject)
+
+
+def test_request_that_reached_nobody_is_sent_on_without_a_budget():
+    history = repeats.History(0, 0, 0, False, 1)
+    decision = repeats.decide_repeat(ROUTE, repeats.Failure.NOT_SENT, history, 0.0, 3.0)
     assert decision == repeats.Repeat(charged=False)
 
 
@@ -91,7 +109,7 @@
     route = dataclasses.replace(
         ROUTE, kind=configuration.RouteKind.STREAM, resumable=True
     )
-    history = repeats.History(1, 1, True, 0)
+    history = repeats.History(1, 1, 1, True, 0)
     go_on = repeats.decide_repeat(route, repeats.Failure.BROKEN, history, 1.0, 3.0)
     spent = repeats.decide_repeat(route, repeats.Failure.BROKEN, history, 0.5, 3.0)
     assert go_on == repeats.Repeat(charged=True)
--- a/tests/fleet_platform/test_forwarding.py
+++ b/tests/fleet_platform/test_forwarding.py
@@ -411,3 +411,31 @@
     assert second.entry._fleet.version == 7
     assert (await second.call("/again/x"))[0] == 200
     assert second.store.calls["rows-get"] == 0
+
+
+async def test_repeats_that_are_decided_at_once_share_one_budget(start_system):
+    requests = 200
+    all_in = asyncio.Event()
+
+    async def lose_together(endpoint, headers, writer):
+        if sum(len(one.seen) for one in endpoints) >= requests:
+            all_in.set()
+        await all_in.wait()
+        writer.transport.abort()
+
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", lose_together) for n in (1, 2)]
+    system = await start_system(*endpoints)
+    for endpoint in endpoints:
+        changed = endpoint.register(slots=requests // 2)
+        system.store.put("servers", endpoint.name, changed)
+    book = system.entry._fleet.endpoints
+    await fleetstandins.wait_until(
+        lambda: all(one.slots == requests // 2 for one in book.list_all())
+    )
+    calls = [system.call("/again/x", attempt=f"a{n}") for n in range(requests)]
+    answers = await asyncio.gather(*calls)
+    assert all(status == 502 for status, _, _, _ in answers)
+    bounds = system.settings.bounds
+    allowed = bounds.budget_ratio * requests + bounds.budget_slack
+    arrived = sum(len(endpoint.seen) for endpoint in endpoints)
+    assert requests < arrived <= requests + allowed
