Move experts and requests away from slow ranks

The report names the pace; nothing read it. Change: the holder asks four ranks a look for their pace. Loads in the repair of a map are times (share times pace), and experts may leave a rank altogether; slow ranks are weighted four times, since what is rarely picked there may be in demand after the next shift. Slow instances and their paces go into the announcements: entries send them nothing new, and the limit by pauses takes a slow rank's own part, which no limit can shorten, apart from uneven load; where it alone makes every stream late, slots are used in full. Ruled out: the pace from the times of requests (in lock-step all are alike).

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -12,7 +12,7 @@
 
 # First element of each datagram; a change of the form changes it.
 FORM = 2
-_PARTS = 16
+_PARTS = 17
 _MALFORMED = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
@@ -40,6 +40,7 @@
             announcement.timely,
             announcement.released,
             _encode_news(announcement.crashes),
+            dict(announcement.paces),
         )
     )
 
@@ -74,6 +75,7 @@
             released=int(parts[14]),
             timely={str(name): int(count) for name, count in parts[13].items()},
             crashes=_decode_news(parts[15]),
+            paces={str(name): float(pace) for name, pace in parts[16].items()},
         )
     except (cbor2.CBORDecodeError, *_MALFORMED) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -32,6 +32,8 @@
         self.peers = peers.PeerBook(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
         self.crashes = crashes.CrashWatch()
+        self.paces: dict[str, float] = {}
+        self._slow: dict[str, float] = {}
         self.ejected: dict[str, float] = {}
         self.progress_at: collections.defaultdict[str, float]
         self.progress_at = collections.defaultdict(float)
@@ -72,6 +74,7 @@
                 waiting.create_waiting_room(),
             )
             dispatcher.avoid(self._is_ejected)
+            dispatcher.note_paces(self._slow)
             self._dispatchers[service] = dispatcher
         return dispatcher
 
@@ -104,5 +107,14 @@
         """Returns the entries that serve, this one included."""
         return self.peers.count_entries(now)
 
+    def note_paces(self, now: float) -> None:
+        """Tells the dispatchers which instances of groups are slow."""
+        slow = self.peers.merge_paces(now) | self.paces
+        if slow == self._slow:
+            return
+        self._slow = slow
+        for dispatcher in self._dispatchers.values():
+            dispatcher.note_paces(slow)
+
     def _is_ejected(self, instance: str, now: float) -> bool:
         return self.ejected.get(instance, 0.0) > now
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -34,7 +34,7 @@
         self._learn_version = learn_version
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
-        self._told: tuple[dict[str, loads.Work], dict[str, int], int] = ({}, {}, 0)
+        self._told: tuple[typing.Any, ...] = ()
         self._told_at = 0.0
         self._alive: frozenset[str] = frozenset()
 
@@ -66,6 +66,7 @@
             return
         self._fleet.loads.set_peer(heard.name, heard.work, now)
         self._fleet.note_timely(now)
+        self._fleet.note_paces(now)
         self._fleet.crashes.merge(heard.crashes, now)
         if heard.version > self._fleet.version:
             self._learn_version(heard.host, heard.version)
@@ -87,7 +88,7 @@
         timely = self._fleet.count_timely()
         idle_s = peers.IDLE_PERIODS * self._fleet.peers.period_s
         due = now - self._told_at >= idle_s - IDLE_TOLERANCE_S
-        news = (work, timely, self._fleet.crashes.position)
+        news = (work, timely, self._fleet.crashes.position, self._fleet.paces)
         if not (force or due or news != self._told):
             return
         self._told, self._told_at = news, now
@@ -122,6 +123,7 @@
             released=self._fleet.released,
             reaches_store=not self._fleet.endpoints.is_away,
             crashes=self._fleet.crashes.select_news(listeners, now),
+            paces=self._fleet.paces,
         )
 
     def _note_alive(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
@@ -25,6 +25,10 @@
 # fewer ranks do where each has many counts.
 SAMPLED_COUNTS = 8192
 MIN_SAMPLED_RANKS = 3
+# Ranks whose pace is asked for at each look, in turn; an agent beside the rank answers.
+PACE_RANKS = 4
+# A rank that takes this much longer than usual counts as slow; unitless.
+SLOW_PACE = 1.25
 # Orders that got lost within this time make it likely for the next ones, in seconds.
 LOSS_MEMORY_S = 6.0
 # A step's time before any was measured, in seconds.
@@ -77,6 +81,8 @@
         self._seen: tuple[int, float] | None = None
         self._recovered = False
         self._sampled: tuple[int, ...] = ()
+        self._paces: dict[int, float] = {}
+        self._next_pace = 0
         self._lost_at = -math.inf
         self._wake = asyncio.Event()
 
@@ -93,7 +99,9 @@
         self._members = members
         if sorted(members) != list(range(size)):
             return
-        report = await self._client.report(members[changes.HOLDING_RANK])
+        report, _ = await asyncio.gather(
+            self._client.report(members[changes.HOLDING_RANK]), self._ask_paces()
+        )
         if report is None or not report.is_open:
             self._recovered = False
             return
@@ -124,6 +132,40 @@
         self._demand = planning.DemandBook(layout, now)
         self._recovered = False
         self._sampled = ()
+        self._paces = {}
+
+    def list_slow(self) -> dict[str, float]:
+        """Returns the paces of the instances of the group that are slow."""
+        return {
+            self._members[rank].instance: pace
+            for rank, pace in self._paces.items()
+            if rank in self._members and pace >= SLOW_PACE
+        }
+
+    async def _ask_paces(self) -> None:
+        """Asks some ranks, in turn, how long they take for their work."""
+        size = len(self._members)
+        ranks = [(self._next_pace + n) % size for n in range(min(PACE_RANKS, size))]
+        self._next_pace = (self._next_pace + len(ranks)) % size
+        found = await asyncio.gather(
+            *(self._client.report(self._members[rank]) for rank in ranks)
+        )
+        for rank, report in zip(ranks, found, strict=True):
+            if report is None:
+                continue
+            pace = report.pace if report.pace >= SLOW_PACE else 1.0
+            before = self._paces.get(rank, 1.0)
+            self._paces[rank] = pace
+            if (pace > 1.0) != (before > 1.0):
+                self._journal.record(
+                    catalogue.RANK_PACE_CHANGED,
+                    peer=self._members[rank].instance,
+                    group=self._name,
+                    rank=rank,
+                    pace=round(report.pace, 2),
+                    before=round(before, 2),
+                    lag_s=report.lag_s,
+                )
 
     def _note_pass(self, report: orders.Report, now: float) -> None:
         """Estimates the time of a step from two reports."""
@@ -212,7 +254,8 @@
         report: orders.Report,
     ) -> None:
         assert self._maps is not None
-        proposal = planning.propose_maps(self._maps, shares, layout)
+        paces = [self._paces.get(rank, 1.0) for rank in sorted(self._members)]
+        proposal = planning.propose_maps(self._maps, shares, layout, paces)
         if proposal is None:
             return
         copy_s = proposal.arrivals * layout.expert_bytes / engine.link_bytes_per_s
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
@@ -37,13 +37,22 @@
             await asyncio.sleep(PERIOD_S)
             if not self._holder.holds:
                 self._groups.clear()
+                self._take_paces({})
                 continue
             for name, members in self._find_groups().items():
                 await self._look_after(name, members)
+            paces: dict[str, float] = {}
+            for care in self._groups.values():
+                paces |= care.list_slow()
+            self._take_paces(paces)
+
+    def _take_paces(self, paces: dict[str, float]) -> None:
+        self._fleet.paces = paces
+        self._fleet.note_paces(self._fleet.clock.read())
 
     def _find_groups(self) -> dict[str, dict[int, endpoints.Endpoint]]:
         found: dict[str, dict[int, endpoints.Endpoint]] = {}
-        for endpoint in self._fleet.endpoints.list_all():
+        for endpoint in self._fleet.endpoints.list_current():
             if endpoint.member is not None:
                 by_rank = found.setdefault(endpoint.member.group, {})
                 by_rank[endpoint.member.rank] = endpoint
--- /dev/null
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -0,0 +1,54 @@
+"""Announcements between entries."""
+
+import cbor2
+import pytest
+
+from chicoryweir_daemon.forwarder import announcements
+from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.quarantine import records
+
+ANNOUNCEMENT = peers.Announcement(
+    name="front-1",
+    incarnation=5,
+    sequence=9,
+    host="10.0.0.1",
+    data_centre="telavi",
+    address="10.0.0.1:80",
+    ready=True,
+    version=7,
+    work={"i-1": loads.Work(2, 900.0)},
+    peers=("10.0.0.2",),
+    duties=frozenset({"expert-maps"}),
+    timely={"model": 3},
+    reaches_store=False,
+    released=4,
+    crashes=records.News(
+        2,
+        (records.Loss(records.LossId("i-2", "17"), frozenset({2**63 + 5}), 1.5),),
+        (records.Clearance(11, frozenset({records.LossId("i-2", "17")})),),
+    ),
+    paces={"i-3": 6.25},
+)
+
+
+def test_announcement_comes_back_from_its_datagram():
+    assert announcements.decode(announcements.encode(ANNOUNCEMENT)) == ANNOUNCEMENT
+
+
+# Places of the parts that hold names to figures, pairs or flags.
+STRUCTURED = (9, 13, 15, 16)
+
+
+@pytest.mark.parametrize("place", STRUCTURED)
+def test_datagram_with_a_part_of_another_kind_is_refused(place):
+    parts = list(cbor2.loads(announcements.encode(ANNOUNCEMENT)))
+    parts[place] = [[None]]
+    with pytest.raises(ValueError, match="not an announcement"):
+        announcements.decode(cbor2.dumps(parts))
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x00", b"\x82\x01\x02", b"\xa0"])
+def test_other_datagrams_are_refused(data):
+    with pytest.raises(ValueError, match="announcement"):
+        announcements.decode(data)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -54,6 +54,7 @@
 MAP_PROPOSED = 231
 ORDER_FAILED = 232
 RANK_SILENT = 233
+RANK_PACE_CHANGED = 234
 LEASE_HELD = 240
 LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
@@ -242,6 +243,13 @@
         "The rank beside an agent did not answer a call.",
         "Look at the engine's own log.",
     ),
+    EventKind(
+        RANK_PACE_CHANGED,
+        "rank_pace_changed",
+        "A rank became slow, or works as usual again; while it is slow, experts and "
+        "new requests move away from it.",
+        "Look at the rank's machine where it stays slow.",
+    ),
     EventKind(
         LEASE_HELD,
         "lease_held",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -16,6 +16,9 @@
 
 # Time after which a request comes back that found no room, in seconds.
 EXPIRED_RETRY_S = 1.0
+# Endpoints are passed over as slow or failing while this part of them remains: fewer
+# would carry too much, and what is wrong with most is no fault of each.
+MIN_TRUSTED_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +72,7 @@
         self._pause_s = 0.0
         self._first = latency.FirstPart()
         self._peers_timely = 0
+        self._paces: collections.abc.Mapping[str, float] = {}
 
     def __len__(self) -> int:
         """Returns the number of requests that wait."""
@@ -78,6 +82,10 @@
         """Sets what tells whether an instance is passed over at a time."""
         self._avoided = judge
 
+    def note_paces(self, paces: collections.abc.Mapping[str, float]) -> None:
+        """Takes the paces of slow instances; they get nothing new meanwhile."""
+        self._paces = paces
+
     def note_first(self, delay_s: float) -> None:
         """Takes the time from a request's sending to the first part of its answer."""
         self._first = latency.note_sample(self._first, delay_s)
@@ -111,6 +119,7 @@
             service.engine,
             pause_s,
             running / max(1, len(usable)),
+            self._find_pace(usable),
             now,
         )
 
@@ -192,10 +201,23 @@
         self._loads.start(chosen.endpoint.instance, ticket.wanted.memory_tokens)
         return Placed(ticket, chosen.endpoint)
 
+    def _find_pace(self, usable: list[endpoints.Endpoint]) -> float:
+        """Returns the pace of the slowest endpoint, which all in lock-step await."""
+        if not self._paces:
+            return 1.0
+        paces = [self._paces.get(endpoint.instance, 1.0) for endpoint in usable]
+        return max(paces, default=1.0)
+
     def _survey(self, service: configuration.Service, now: float) -> _Survey:
         """Finds what the endpoints have under way and may take."""
         usable = self._book.list_usable(service.name, now)
-        trusted = [e for e in usable if not self._avoided(e.instance, now)]
+        trusted = [
+            endpoint
+            for endpoint in usable
+            if endpoint.instance not in self._paces
+            and not self._avoided(endpoint.instance, now)
+        ]
+        enough = len(trusted) >= MIN_TRUSTED_SHARE * len(usable)
         memory = 0 if service.engine is None else service.engine.memory_tokens
         candidates = [
             selection.Candidate(
@@ -204,13 +226,17 @@
                 endpoint.slots,
                 memory,
             )
-            for endpoint in trusted or usable
+            for endpoint in (trusted if enough else usable)
         ]
         free = sum(max(0, c.limit - c.work.requests) for c in candidates)
         if service.engine is None or not candidates:
             return _Survey(candidates, free)
         limit = congestion.compute_limit(
-            self._stretch, service.engine, self._pause_s, now
+            self._stretch,
+            service.engine,
+            self._pause_s,
+            self._find_pace(usable),
+            now,
         )
         if limit >= service.engine.slots:
             return _Survey(candidates, free)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -132,6 +132,14 @@
         """Returns all endpoints."""
         return list(self._endpoints.values())
 
+    def list_current(self) -> list[Endpoint]:
+        """Returns the endpoints but for registrations left from ended processes."""
+        return [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.instance not in self._outdated
+        ]
+
     def note_store(self, reachable: bool, now: float) -> None:
         """Records whether the last call to the store succeeded."""
         if reachable and self._away:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -43,6 +43,7 @@
         released: Highest fencing number under which it will never act again.
         reaches_store: Whether its last calls to the store succeeded.
         crashes: What it learned lately of endpoints that crashed.
+        paces: Paces of the slow instances in groups that it looks after.
     """
 
     name: str
@@ -60,6 +61,7 @@
     reaches_store: bool = True
     released: int = 0
     crashes: records.News = records.News(0)
+    paces: collections.abc.Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +138,13 @@
         """Returns the timely requests that wait for a service at other entries."""
         return sum(peer.timely.get(service, 0) for peer in self.list_alive(now))
 
+    def merge_paces(self, now: float) -> dict[str, float]:
+        """Returns the paces of the instances that other entries found slow."""
+        merged: dict[str, float] = {}
+        for peer in self.list_alive(now):
+            merged.update(peer.paces)
+        return merged
+
     def count_entries(self, now: float) -> int:
         """Returns the entries that serve, this one included."""
         return 1 + sum(peer.ready for peer in self.list_alive(now))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -1,4 +1,8 @@
-"""Repairs the map in force by the few moves that even out the load most."""
+"""Repairs the map in force by the few moves that even out the load most.
+
+Loads are times: a rank's share of the tokens times its pace, which is 1 for a healthy
+rank and more for a slow one.
+"""
 
 from __future__ import annotations
 
@@ -49,18 +53,29 @@
         start: placement.ExpertMap,
         shares: placement.Shares,
         bounds: RankBounds | None,
+        paces: collections.abc.Sequence[float],
     ) -> None:
         self._bounds = bounds
+        self._paces = paces
         self._start = [frozenset(experts) for experts in start.list_experts()]
         self.shares = shares
         self.replicas = [set(ranks) for ranks in start.replicas]
         self.experts = [set(experts) for experts in start.list_experts()]
-        self.loads = start.compute_loads(shares)
+        self.loads = start.compute_times(shares, paces)
 
     def compute_gain(self, deltas: dict[int, float]) -> float:
-        """Returns the drop of the sum of squared loads for changes of loads."""
-        loads = self.loads
-        return -sum(d * (2.0 * loads[rank] + d) for rank, d in deltas.items())
+        """Returns the drop of the sum of squared loads for changes of shares."""
+        loads, paces = self.loads, self._paces
+        gain = 0.0
+        for rank, delta in deltas.items():
+            more = delta * paces[rank]
+            gain -= more * (2.0 * loads[rank] + more)
+        return gain
+
+    @property
+    def may_move(self) -> bool:
+        """Whether experts may leave a rank, so that places become free."""
+        return self._bounds is not None
 
     def may_take(self, rank: int, expert: int) -> bool:
         """Tells whether the repair may bring an expert to a rank."""
@@ -92,7 +107,7 @@
     def _shift(self, expert: int, sign: float) -> None:
         part = self.shares[expert] / len(self.replicas[expert])
         for rank in sorted(self.replicas[expert]):
-            self.loads[rank] += sign * part
+            self.loads[rank] += sign * part * self._paces[rank]
 
 
 def repair_map(
@@ -101,11 +116,13 @@
     budget: int,
     target_skew: float,
     bounds: RankBounds | None = None,
+    paces: collections.abc.Sequence[float] | None = None,
 ) -> placement.ExpertMap:
     """Improves a map by moves from the slowest rank to the fastest ones.
 
     Each edit either gives an expert of the slowest rank one more replica in the place
-    of a replica that can be spared, or swaps two experts between two ranks.
+    of a replica that can be spared, or swaps two experts between two ranks. Where ranks
+    have bounds, experts may also leave the slowest rank altogether.
 
     Args:
         start: Map in force.
@@ -113,11 +130,13 @@
         budget: Moves at the most.
         target_skew: Skew at which it is good enough.
         bounds: Bounds on each rank; None when only replicas are exchanged.
+        paces: Time that each rank takes for its work over the usual time; None when
+            all are alike.
 
     Returns:
         The map after the edits; `start` when none helps.
     """
-    under_way = Repair(start, shares, budget, target_skew, bounds)
+    under_way = Repair(start, shares, budget, target_skew, bounds, paces)
     while under_way.advance():
         pass
     return under_way.build_map()
@@ -133,12 +152,15 @@
         budget: int,
         target_skew: float,
         bounds: RankBounds | None = None,
+        paces: collections.abc.Sequence[float] | None = None,
     ) -> None:
         """Begins with the map in force; for the arguments see `repair_map`."""
         self._rank_count = start.rank_count
-        self._board = _Board(start, shares, bounds)
+        if paces is None:
+            paces = (1.0,) * start.rank_count
+        self._board = _Board(start, shares, bounds, paces)
         self._left = budget
-        self._target_load = target_skew * sum(self._board.loads) / start.rank_count
+        self._target_load = target_skew * sum(shares) / sum(1.0 / p for p in paces)
 
     def advance(self) -> bool:
         """Makes the best edit; False when none is left to make."""
@@ -161,9 +183,10 @@
     order = sorted(range(len(board.loads)), key=lambda rank: board.loads[rank])
     slowest, others = order[-1], order[:-1]
     for targets in (others[:FAST_RANKS], others[FAST_RANKS:]):
-        edits = (
+        edits: tuple[_Edit, ...] = (
             *_list_copies(board, slowest, targets),
             *_list_swaps(board, slowest, targets),
+            *(_list_departures(board, slowest, targets) if board.may_move else ()),
         )
         useful = [e for e in edits if e.moves <= moves_left and e.gain > MIN_GAIN]
         if useful:
@@ -202,6 +225,42 @@
                 yield _Edit(gain, 1, ((expert, rank),), ((other, rank),))
 
 
+def _list_departures(
+    board: _Board, slowest: int, targets: list[int]
+) -> collections.abc.Iterator[_Edit]:
+    """Lists edits after which the slowest rank no longer holds one of its experts."""
+    for expert in sorted(board.experts[slowest]):
+        holders = board.replicas[expert]
+        count, share = len(holders), board.shares[expert]
+        if count > 1:
+            deltas = dict.fromkeys(holders, share / (count - 1) - share / count)
+            deltas[slowest] = -share / count
+            yield _Edit(board.compute_gain(deltas), 0, (), ((expert, slowest),))
+            continue
+        for rank in targets:
+            if not board.may_take(rank, expert):
+                continue
+            if board.has_place(rank):
+                gain = board.compute_gain({slowest: -share, rank: share})
+                yield _Edit(gain, 1, ((expert, rank),), ((expert, slowest),))
+                continue
+            for other in sorted(board.experts[rank]):
+                rest = board.replicas[other] - {rank}
+                if not rest:
+                    continue
+                part = board.shares[other]
+                more = part / len(rest) - part / (len(rest) + 1)
+                deltas = dict.fromkeys(rest, more)
+                deltas[rank] = share - part / (len(rest) + 1)
+                deltas[slowest] = deltas.get(slowest, 0.0) - share
+                yield _Edit(
+                    board.compute_gain(deltas),
+                    1,
+                    ((expert, rank),),
+                    ((expert, slowest), (other, rank)),
+                )
+
+
 def _list_swaps(
     board: _Board, slowest: int, targets: list[int]
 ) -> collections.abc.Iterator[_Edit]:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -25,6 +25,9 @@
 # Skew at which a set's map is good enough; unitless. A lower one costs more copies,
 # and steps are longer while they last.
 TARGET_SKEW = 1.2
+# A slow rank counts as so many times slower, so that nothing stays there if it can go
+# elsewhere: an expert that is rarely picked now may be in demand after the next shift.
+SLOW_WEIGHT = 4.0
 # Fewer picks than this don't tell the popularity of a set's experts.
 MIN_PICKS_PER_EXPERT = 20.0
 
@@ -138,9 +141,14 @@
     maps: tuple[placement.ExpertMap, ...],
     shares: list[tuple[float, ...]],
     expert_share: float,
+    paces: collections.abc.Sequence[float],
 ) -> float:
     """Returns the time of a step over that of one with even loads; unitless."""
-    skews = [one.compute_skew(known) for one, known in zip(maps, shares, strict=True)]
+    ranks = maps[0].rank_count
+    skews = [
+        max(one.compute_times(known, paces)) * ranks
+        for one, known in zip(maps, shares, strict=True)
+    ]
     return 1.0 - expert_share + expert_share * sum(skews) / len(skews)
 
 
@@ -148,6 +156,7 @@
     maps: tuple[placement.ExpertMap, ...],
     shares: list[tuple[float, ...]],
     layout: configuration.ExpertLayout,
+    paces: collections.abc.Sequence[float],
 ) -> Proposal | None:
     """Returns maps with shorter steps, or None where the gain doesn't pay.
 
@@ -155,11 +164,14 @@
         maps: Maps in force, by set.
         shares: Shares of the experts, by set.
         layout: Bounds on what a rank holds and takes in one change.
+        paces: Time that each rank takes for its work over the usual time.
     """
     ranks = maps[0].rank_count
-    before = compute_step_time(maps, shares, layout.share)
-    if before < 1.0 + MIN_GAIN:
+    before = compute_step_time(maps, shares, layout.share, paces)
+    best = 1.0 - layout.share + layout.share * ranks / sum(1.0 / p for p in paces)
+    if before < best * (1.0 + MIN_GAIN):
         return None
+    weighted = [pace * SLOW_WEIGHT if pace > 1.0 else pace for pace in paces]
     found = tuple(
         repair.repair_map(
             one,
@@ -167,10 +179,11 @@
             layout.spare * ranks,
             TARGET_SKEW,
             repair.RankBounds(layout.places, layout.spare),
+            weighted,
         )
         for one, known in zip(maps, shares, strict=True)
     )
-    after = compute_step_time(found, shares, layout.share)
+    after = compute_step_time(found, shares, layout.share, paces)
     if (before - after) / before < MIN_GAIN:
         return None
     arrivals = [0] * ranks
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -119,3 +119,34 @@
     second = make_ticket("b", wanted=large)
     assert isinstance(_offer(dispatcher, service, second), dispatching.Waits)
     assert work.measure("e0", 0.0).requests == 1
+
+
+def test_slow_endpoint_gets_nothing_until_it_works_as_usual(
+    make_endpoint, make_ticket, service
+):
+    _, work, dispatcher = _build(make_endpoint)
+    dispatcher.note_paces({"e1": 6.0})
+    for number in range(9):
+        _offer(dispatcher, service, make_ticket(str(number)))
+    assert work.measure("e1", 0.0).requests == 0
+    dispatcher.note_paces({})
+    placed = _offer(dispatcher, service, make_ticket("after"))
+    assert placed.endpoint.instance == "e1"
+
+
+def test_endpoints_are_used_where_most_are_slow(make_endpoint, make_ticket, service):
+    _, work, dispatcher = _build(make_endpoint)
+    dispatcher.note_paces({"e0": 6.0, "e1": 6.0, "e2": 6.0})
+    for number in range(8):
+        _offer(dispatcher, service, make_ticket(str(number)))
+    assert {work.measure(f"e{n}", 0.0).requests for n in range(4)} == {2}
+
+
+def test_request_goes_back_to_where_it_failed_only_if_nothing_else_is_left(
+    make_endpoint, make_ticket, service
+):
+    _, _, dispatcher = _build(make_endpoint, count=2)
+    some = make_ticket("a", excluded=frozenset({"e0"}))
+    assert _offer(dispatcher, service, some).endpoint.instance == "e1"
+    both = make_ticket("b", excluded=frozenset({"e0", "e1"}))
+    assert isinstance(_offer(dispatcher, service, both), dispatching.Placed)
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -9,6 +9,7 @@
 from chicoryweir_policy.rankmaps import planning
 
 LAYOUT = configuration.ExpertLayout(4, 64, 5, 2, 2.5e9, 0.85)
+EVEN = (1.0,) * 16
 LARGE = configuration.ExpertLayout(2, 144, 3, 2, 2.5e9, 0.85)
 
 
@@ -27,7 +28,9 @@
         rng = random.Random(seed)
         maps = planning.create_first_map(layout, ranks)
         for _ in range(2):
-            proposal = planning.propose_maps(maps, _draw_shares(layout, rng), layout)
+            proposal = planning.propose_maps(
+                maps, _draw_shares(layout, rng), layout, (1.0,) * ranks
+            )
             assert proposal is not None
             assert proposal.after < 1.25
             for old, new in zip(maps, proposal.maps, strict=True):
@@ -42,20 +45,57 @@
 def test_even_demand_changes_nothing():
     even = [tuple([1 / 64] * 64)] * 4
     maps = planning.create_first_map(LAYOUT, 16)
-    assert planning.propose_maps(maps, even, LAYOUT) is None
+    assert planning.propose_maps(maps, even, LAYOUT, EVEN) is None
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize(("slow", "pace", "bound"), [(1, 1.6, 1.25), (2, 6.0, 1.4)])
+def test_experts_leave_slow_ranks_in_one_change(seed, slow, pace, bound):
+    rng = random.Random(seed)
+    shares = _draw_shares(LAYOUT, rng)
+    maps = planning.create_first_map(LAYOUT, 16)
+    for _ in range(3):
+        even = planning.propose_maps(maps, shares, LAYOUT, EVEN)
+        maps = maps if even is None else even.maps
+    paces = [1.0] * 16
+    for rank in rng.sample(range(16), slow):
+        paces[rank] = pace
+    stuck = planning.compute_step_time(maps, shares, LAYOUT.share, paces)
+    proposal = planning.propose_maps(maps, shares, LAYOUT, paces)
+    assert proposal is not None
+    assert proposal.before == stuck > 1.4
+    assert proposal.after < bound
+    for old, new in zip(maps, proposal.maps, strict=True):
+        assert all(new.replicas)
+        pairs = zip(old.list_experts(), new.list_experts(), strict=True)
+        for held, wanted in pairs:
+            assert len(wanted) <= LAYOUT.places
+            assert len(set(wanted) - set(held)) <= LAYOUT.spare
+
+
+def test_experts_come_back_to_a_rank_that_has_recovered():
+    shares = _draw_shares(LAYOUT, random.Random(4))
+    maps = planning.create_first_map(LAYOUT, 16)
+    paces = [6.0, 6.0, 6.0, *[1.0] * 13]
+    for speeds in (paces, paces, EVEN, EVEN):
+        proposal = planning.propose_maps(maps, shares, LAYOUT, speeds)
+        maps = maps if proposal is None else proposal.maps
+    assert planning.compute_step_time(maps, shares, LAYOUT.share, EVEN) < 1.25
 
 
 def test_small_gain_is_left():
     shares = _draw_shares(LAYOUT, random.Random(1))
     maps = planning.create_first_map(LAYOUT, 16)
-    first = planning.propose_maps(maps, shares, LAYOUT)
+    first = planning.propose_maps(maps, shares, LAYOUT, EVEN)
     assert first is not None
-    assert planning.propose_maps(first.maps, shares, LAYOUT) is None
+    assert planning.propose_maps(first.maps, shares, LAYOUT, EVEN) is None
 
 
 def test_maps_come_back_from_their_encoding():
     shares = _draw_shares(LAYOUT, random.Random(2))
-    first = planning.propose_maps(planning.create_first_map(LAYOUT, 16), shares, LAYOUT)
+    first = planning.propose_maps(
+        planning.create_first_map(LAYOUT, 16), shares, LAYOUT, EVEN
+    )
     assert first is not None
     encoded = planning.encode_maps(first.maps)
     assert planning.decode_maps(encoded, LAYOUT) == first.maps
