Follow a holder that most entries miss before its lease has lapsed

Change: those that hear most of the entries known take the lease of one that fell silent at once. A holder acts only for 0.8 of the time after which it is missed, so that one that was frozen doesn't act when it wakes; one that merely can't be heard is kept apart by tokens, as before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import seams
@@ -40,6 +41,8 @@
         self.duties: frozenset[str] = frozenset()
         self.released = 0
         self.stopping = False
+        # Boot time of the last announcement, in seconds.
+        self.announced_at = -math.inf
         self.listed = False
         self._selector = selection.create_selector(settings.data_centre)
         self._dispatchers: dict[str, dispatching.Dispatcher] = {}
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -92,6 +92,7 @@
         if not (force or due or news != self._told):
             return
         self._told, self._told_at = news, now
+        self._fleet.announced_at = self._fleet.clock.read_boot()
         for name in self._fleet.peers.expire(now):
             self._fleet.loads.forget_peer(name)
         data = announcements.encode(self._describe(work, timely, now))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
@@ -210,3 +210,6 @@
 
     def read_wall(self) -> float:
         """Returns Unix time, in seconds."""
+
+    def read_boot(self) -> float:
+        """Returns time in seconds that goes on while the machine is suspended."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -69,6 +69,10 @@
         """Returns Unix time, in seconds."""
         return time.time()
 
+    def read_boot(self) -> float:
+        """Returns time in seconds that goes on while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
 
 class Service:
     """The forwarding process."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import journal as journals
@@ -20,11 +19,6 @@
 TOKENS_PER_LEASE = 1_000_000
 
 
-def read_boot_time() -> float:
-    """Returns time in seconds that goes on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Holder:
     """Contends for the lease while no other entry announces that it holds it."""
 
@@ -50,12 +44,20 @@
     @property
     def holds(self) -> bool:
         """Whether this entry may act now."""
-        if leases.holds(self._lease, read_boot_time()):
+        now = self._read_boot()
+        announced_s = now - self._fleet.announced_at
+        if announced_s > succession.ACT_SHARE * self._fleet.peers.alive_s:
+            # It was suspended, or its tasks are late; others may have followed it.
+            return False
+        if leases.holds(self._lease, now):
             return True
         if not self._acted_fence or self._fleet.stopping:
             return False
         return succession.may_go_on(self._count_away(), self._list_standings())
 
+    def _read_boot(self) -> float:
+        return self._fleet.clock.read_boot()
+
     def raise_token(self) -> int:
         """Returns a fencing token higher than all before."""
         if self._lease.fence != self._token_fence:
@@ -77,7 +79,7 @@
             await self._resign(before)
             return
         self._look_at_store()
-        if leases.holds(self._lease, read_boot_time()) or self._is_candidate():
+        if leases.holds(self._lease, self._read_boot()) or self._is_candidate():
             await self._tick()
         self._note(before)
 
@@ -92,7 +94,7 @@
         now = self._fleet.clock.read()
         if not self._fleet.endpoints.is_away:
             self._reached_at = now
-            if not leases.holds(self._lease, read_boot_time()):
+            if not leases.holds(self._lease, self._read_boot()):
                 self._acted_fence = 0
             return
         if self.holds and succession.should_give_up(
@@ -130,17 +132,21 @@
             self._fleet.settings.name, self._incarnation, True, True, False, 0
         )
         holder, fence = self._lease.row_holder, self._lease.row_fence
-        if succession.has_ended(holder, fence, [own, *self._list_standings()]):
+        others = self._list_standings()
+        known = self._fleet.peers.count_known()
+        if succession.has_ended(holder, fence, [own, *others]) or (
+            holder != self._lease.holder and succession.is_missed(holder, others, known)
+        ):
             self._lease = leases.note_ended(self._lease, holder)
-        self._lease, operation = leases.tick(self._lease, read_boot_time())
+        self._lease, operation = leases.tick(self._lease, self._read_boot())
         if operation is not None:
             result = await self._store.run(operation)
-            self._lease = leases.settle(self._lease, result, read_boot_time())
-        if leases.holds(self._lease, read_boot_time()):
+            self._lease = leases.settle(self._lease, result, self._read_boot())
+        if leases.holds(self._lease, self._read_boot()):
             self._acted_fence = self._lease.fence
 
     async def _resign(self, before: int) -> None:
-        self._lease, operation = leases.resign(self._lease, read_boot_time())
+        self._lease, operation = leases.resign(self._lease, self._read_boot())
         self._acted_fence = 0
         self._note(before)
         if operation is not None:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_holder.py
@@ -23,6 +23,9 @@
     def read_wall(self):
         return self.now
 
+    def read_boot(self):
+        return self.now
+
 
 class Table:
     """Rows of the store; entries that are cut off are refused."""
@@ -69,17 +72,17 @@
 
 
 class Entries:
-    """Entries `a` and `b` with one clock and one store."""
+    """Entries named by letters, with one clock and one store."""
 
-    def __init__(self, monkeypatch):
+    def __init__(self, names):
+        self.names = names
         self.clock = Clock()
         self.table = Table()
         self.sequence = 0
-        monkeypatch.setattr(holders, "read_boot_time", self.clock.read)
-        self.links = {name: Link(self.table) for name in "ab"}
+        self.links = {name: Link(self.table) for name in names}
         self.fleets = {}
         self.holders = {}
-        for name in "ab":
+        for name in names:
             self.start(name, 1)
 
     def start(self, name, incarnation):
@@ -96,7 +99,7 @@
     async def advance(self, seconds, silent=()):
         for _ in range(round(seconds / holders.POLL_S)):
             self.clock.now += holders.POLL_S
-            for name in "ab":
+            for name in self.names:
                 if name in silent:
                     continue
                 away = self.links[name].cut
@@ -110,8 +113,9 @@
 
     def _announce(self, silent):
         self.sequence += 1
-        for name in set("ab") - set(silent):
+        for name in set(self.names) - set(silent):
             fleet = self.fleets[name]
+            fleet.announced_at = self.clock.now
             told = peers.Announcement(
                 name,
                 fleet.incarnation,
@@ -127,13 +131,18 @@
                 released=fleet.released,
                 reaches_store=not fleet.endpoints.is_away,
             )
-            for other in set("ab") - {name} - set(silent):
+            for other in set(self.names) - {name} - set(silent):
                 self.fleets[other].peers.hear(dataclasses.replace(told), self.clock.now)
 
 
 @pytest.fixture
-def entries(monkeypatch):
-    return Entries(monkeypatch)
+def entries():
+    return Entries("ab")
+
+
+@pytest.fixture
+def three():
+    return Entries("abc")
 
 
 async def test_first_entry_by_name_holds(entries):
@@ -201,3 +210,30 @@
         if holder.holds:
             token = holder.raise_token()
             assert token // holders.TOKENS_PER_LEASE > fence.released
+
+
+async def test_frozen_holder_is_followed_before_its_lease_has_lapsed(three):
+    await three.advance(2.0)
+    token = three.holders["a"].raise_token()
+    await three.advance(2.0, silent="a")
+    assert three.holders["b"].holds
+    assert three.holders["b"].raise_token() > token
+    assert not three.holders["a"].holds
+    await three.advance(3.0)
+    assert three.count_fences() == 1
+
+
+async def test_entry_that_hears_nobody_waits_until_the_lease_has_lapsed(three):
+    await three.advance(2.0)
+    await three.advance(2.0, silent="ab")
+    assert not three.holders["c"].holds
+    await three.advance(holders.LEASE.ttl_s + 1.0, silent="ab")
+    assert three.holders["c"].holds
+
+
+async def test_holder_whose_tasks_are_late_does_not_act(three):
+    await three.advance(2.0)
+    three.clock.now += 0.9
+    assert three.count_fences() == 0
+    await three.advance(2.0)
+    assert three.count_fences() == 1
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -138,6 +138,10 @@
         """Returns the timely requests that wait for a service at other entries."""
         return sum(peer.timely.get(service, 0) for peer in self.list_alive(now))
 
+    def count_known(self) -> int:
+        """Returns the entries that were heard of and not forgotten yet."""
+        return len(self._peers)
+
     def merge_paces(self, now: float) -> dict[str, float]:
         """Returns the paces of the instances that other entries found slow."""
         merged: dict[str, float] = {}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
@@ -1,9 +1,9 @@
-"""Decides who follows the holder of a lease that loses the store.
+"""Decides who follows the holder of a lease that loses the store or falls silent.
 
 Fencing tokens keep the orders of two holders apart whatever is decided here. These
 decisions only shorten the time without a holder: one that alone is cut off gives up at
-once and says so, and one that is cut off like everybody else goes on, since nobody can
-follow it.
+once and says so, one that is cut off like everybody else goes on, since nobody can
+follow it, and one that is frozen or dead is followed once most entries miss it.
 """
 
 from __future__ import annotations
@@ -16,6 +16,11 @@
 GIVE_UP_AFTER_S = 1.5
 
 
+# A holder acts after an announcement for this part of the time after which the others
+# miss it, so that one that wakes up has stopped before it was followed.
+ACT_SHARE = 0.8
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
     """What another entry announces of itself.
@@ -85,3 +90,17 @@
             return True
         return other.incarnation == int(incarnation) and other.released >= fence
     return False
+
+
+def is_missed(holder: str, others: Standings, known: int) -> bool:
+    """Tells whether a holder has fallen silent, and not this entry been cut off.
+
+    Args:
+        holder: Name and incarnation of the process, joined by a slash.
+        others: Entries heard of lately.
+        known: Other entries that were heard of at all, not long ago.
+    """
+    name, _, _ = holder.rpartition("/")
+    if not name or any(other.name == name for other in others):
+        return False
+    return 2 * (len(others) + 1) > known + 1
--- a/packages/chicoryweir-policy/tests/groups/test_succession.py
+++ b/packages/chicoryweir-policy/tests/groups/test_succession.py
@@ -42,3 +42,12 @@
     assert not succession.has_ended("b/5", 8, [released])
     assert not succession.has_ended("c/1", 1, [OTHER])
     assert not succession.has_ended("", 1, [OTHER])
+
+
+def test_silent_holder_is_missed_by_those_that_hear_most_entries():
+    others = [dataclasses.replace(OTHER, name=name) for name in "bcd"]
+    assert succession.is_missed("a/5", others, 4)
+    assert not succession.is_missed("b/5", others, 4)
+    assert not succession.is_missed("a/5", others[:1], 4)
+    assert not succession.is_missed("a/5", [], 1)
+    assert not succession.is_missed("", others, 4)
