Tell why a registration can't be used, and the store's loss once

Cause: a row that names no endpoint was dropped without a word, a failed enrolment told nothing but that it failed, two tasks judged by themselves whether the store was lost.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/seams.py
@@ -132,12 +132,17 @@
     position: int
 
 
+# A registration in the store that names no endpoint, with the reason.
+Unusable = endpoints.Removed
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All endpoints as of `position`."""
+    """All endpoints as of `position`, and the registrations that can't be used."""
 
     endpoints: tuple[endpoints.Endpoint, ...]
     position: int
+    unusable: tuple[Unusable, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,11 +172,11 @@
     ) -> Changes | HistoryLost | Unreachable:
         """Reads what changed since a position; waits while nothing did."""
 
-    async def enrol(self, name: str, host: str) -> bool:
-        """Writes down where this entry lives; False when the store did not take it."""
+    async def enrol(self, name: str, host: str) -> Unreachable | None:
+        """Writes down where this entry lives; None when the store took it."""
 
-    async def withdraw(self, name: str) -> bool:
-        """Removes what `enrol` wrote."""
+    async def withdraw(self, name: str) -> Unreachable | None:
+        """Removes what `enrol` wrote; None when the store took it."""
 
     async def list_entries(self) -> tuple[str, ...] | Unreachable:
         """Returns the hosts of entries that enrolled."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -110,11 +110,13 @@
         self._callers: set[callers.CallerConnection] = set()
         self._askers: set[callers.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
+        self._health = watches.StoreHealth(self._fleet, self._journal)
         self._configurations = watches.ConfigurationWatch(
             self._fleet,
             self._surroundings.registry,
             self._surroundings.decoder,
             self._journal,
+            self._health,
         )
         self._handover = handovers.Handover(
             self._fleet, self._store_pool, self._configurations, self._journal
@@ -158,7 +160,10 @@
             for work in (
                 self._configurations.run(),
                 watches.EndpointWatch(
-                    self._fleet, self._surroundings.registry, self._journal
+                    self._fleet,
+                    self._surroundings.registry,
+                    self._journal,
+                    self._health,
                 ).run(),
                 self._gossip.run(),
                 self._desk.run(),
@@ -312,11 +317,14 @@
         settings = self._settings
         enrolled = False
         while True:
-            enrolled = enrolled or await registry.enrol(settings.name, settings.host)
             if not enrolled:
-                self._journal.record(
-                    catalogue.STORE_UNREACHABLE, detail="the entry is not enrolled yet"
-                )
+                failed = await registry.enrol(settings.name, settings.host)
+                enrolled = failed is None
+                if failed is not None:
+                    self._journal.record(
+                        catalogue.STORE_UNREACHABLE,
+                        detail=f"not enrolled yet: {failed.detail}",
+                    )
             hosts = await registry.list_entries()
             if not isinstance(hosts, seams.Unreachable):
                 self._fleet.peers.add_hosts(hosts, self._fleet.clock.read())
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -25,7 +25,10 @@
 
 
 class StoreHealth:
-    """Tells the log and the endpoint book when the store is lost and regained."""
+    """Tells the log and the endpoint book when the store is lost and regained.
+
+    All tasks that follow the store share one.
+    """
 
     def __init__(self, fleet: fleets.Fleet, journal: journals.Journal) -> None:
         self._fleet = fleet
@@ -59,12 +62,13 @@
         registry: seams.Registry,
         decoder: seams.Decoder,
         journal: journals.Journal,
+        health: StoreHealth,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
         self._decoder = decoder
         self._journal = journal
-        self._health = StoreHealth(fleet, journal)
+        self._health = health
         self._position: int | None = None
 
     async def run(self) -> None:
@@ -121,21 +125,23 @@
         fleet: fleets.Fleet,
         registry: seams.Registry,
         journal: journals.Journal,
+        health: StoreHealth,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
         self._journal = journal
-        self._health = StoreHealth(fleet, journal)
+        self._health = health
         self._position: int | None = None
 
     async def run(self) -> None:
         """Follows the endpoints until cancelled."""
         while True:
             match await self._read():
-                case seams.Listing(listed, position):
+                case seams.Listing(listed, position, unusable):
                     now = self._fleet.clock.read()
                     await self._health.note(None)
                     self._take_listing(listed, now)
+                    self._report_unusable(unusable)
                     self._position = position
                 case seams.Changes(changes, position):
                     await self._health.note(None)
@@ -170,10 +176,21 @@
         return await self._registry.list_changes(self._position, ENDPOINT_WAIT_S)
 
     def _apply(self, changes: tuple[endpoints.Change, ...]) -> None:
+        self._report_unusable(changes)
         now = self._fleet.clock.read()
         applied = [self._fleet.endpoints.apply(change, now) for change in changes]
         self._report([transition for transition in applied if transition is not None])
 
+    def _report_unusable(self, changes: tuple[endpoints.Change, ...]) -> None:
+        for change in changes:
+            if isinstance(change, endpoints.Removed) and change.reason:
+                self._journal.record(
+                    catalogue.ENDPOINT_UNREADABLE,
+                    peer=change.instance,
+                    position=self._position,
+                    detail=change.reason,
+                )
+
     def _report(self, transitions: list[endpoints.Transition]) -> None:
         for transition in transitions:
             if transition.meaning == "restarted":
--- a/packages/chicoryweir-daemon/tests/forwarder/test_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_holder.py
@@ -1,6 +1,7 @@
 """Entries that follow one another as holders of a lease."""
 
 import dataclasses
+import random
 
 import pytest
 
@@ -79,6 +80,8 @@
         self.clock = Clock()
         self.table = Table()
         self.sequence = 0
+        self.loss = random.Random(3)
+        self.lost_share = 0.0
         self.links = {name: Link(self.table) for name in names}
         self.fleets = {}
         self.holders = {}
@@ -131,7 +134,9 @@
                 released=fleet.released,
                 reaches_store=not fleet.endpoints.is_away,
             )
-            for other in set(self.names) - {name} - set(silent):
+            for other in sorted(set(self.names) - {name} - set(silent)):
+                if self.loss.random() < self.lost_share:
+                    continue
                 self.fleets[other].peers.hear(dataclasses.replace(told), self.clock.now)
 
 
@@ -237,3 +242,12 @@
     assert three.count_fences() == 0
     await three.advance(2.0)
     assert three.count_fences() == 1
+
+
+async def test_lease_stays_where_it_is_while_some_announcements_are_lost(three):
+    await three.advance(2.0)
+    token = three.holders["a"].raise_token()
+    three.lost_share = 0.05
+    await three.advance(60.0)
+    assert three.holders["a"].holds
+    assert three.holders["a"].raise_token() == token + 1
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -37,6 +37,7 @@
 ENDPOINT_EJECTED = 122
 ENDPOINT_CHANGED = 123
 ENDPOINTS_LISTED = 124
+ENDPOINT_UNREADABLE = 125
 PEER_HEARD = 130
 PEER_SILENT = 131
 ANNOUNCEMENT_UNREADABLE = 132
@@ -141,6 +142,12 @@
         "An entry has its first list of endpoints, from the store or another entry.",
         "None.",
     ),
+    EventKind(
+        ENDPOINT_UNREADABLE,
+        "endpoint_unreadable",
+        "A registration in the store can't be used; the instance gets nothing.",
+        "Look at the row and at who wrote it.",
+    ),
     EventKind(
         PEER_HEARD,
         "peer_heard",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -67,9 +67,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removed:
-    """An instance's registration is gone, or holds nothing that can be used."""
+    """An instance's registration is gone, or holds nothing that can be used.
+
+    Attributes:
+        instance: Name of the instance.
+        reason: Why it can't be used; empty when it is gone.
+    """
 
     instance: str
+    reason: str = ""
 
 
 Change = Registered | Removed
--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -17,7 +17,7 @@
     """Starts systems, and stops them after the test."""
     stack = []
 
-    async def start(*endpoints, config=None, host="127.0.0.1", peer=None):
+    async def start(*endpoints, config=None, host="127.0.0.1", peer=None, source=None):
         store = fleetstandins.StoreStandIn()
         store.down = peer is not None
         servers = [await store.start()]
@@ -42,7 +42,9 @@
             bounds=process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0),
         )
         entry = service.Service(
-            settings, surroundings.bind(settings), fleetstandins.NoFile()
+            settings,
+            surroundings.bind(settings),
+            source or fleetstandins.NoFile(),
         )
         task = asyncio.create_task(entry.run())
         system = fleetstandins.System(store, entry, settings, task)
--- /dev/null
+++ b/tests/fleet_platform/test_surroundings.py
@@ -0,0 +1,110 @@
+"""An entry whose store forgets, or holds what can't be read, and whose file changes."""
+
+import asyncio
+import dataclasses
+
+import fleetstandins
+import pytest
+import structlog
+
+from chicoryweir_daemon.forwarder import seams
+
+
+async def _answer(endpoint, headers, writer):
+    writer.write(fleetstandins.build_answer(headers["chicoryweir-attempt-id"]))
+    await writer.drain()
+
+
+def _list_instances(system):
+    listed = system.entry._fleet.endpoints.list_all()
+    return sorted(endpoint.instance for endpoint in listed)
+
+
+async def test_entry_lists_anew_after_the_store_forgot_its_history(start_system):
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", _answer) for n in (1, 2)]
+    system = await start_system(*endpoints)
+    assert _list_instances(system) == ["i-1", "i-2"]
+    system.store.drop("servers", "i-1")
+    system.store.put("op", "config", fleetstandins.build_configuration(9))
+    system.store.forget()
+    await fleetstandins.wait_until(lambda: _list_instances(system) == ["i-2"], 2.0)
+    await fleetstandins.wait_until(lambda: system.entry._fleet.version == 9, 2.0)
+    assert (await system.call("/again/x"))[0] == 200
+
+
+@pytest.mark.parametrize("listed", [True, False])
+async def test_registration_that_can_not_be_read_is_told_with_the_reason(
+    start_system, listed
+):
+    endpoint = fleetstandins.EndpointStandIn("i-1", _answer)
+    with structlog.testing.capture_logs() as lines:
+        system = await start_system(endpoint)
+        system.store.put("servers", "i-2", endpoint.register(slots=0))
+        system.store.put("servers", "i-3", b"\xff")
+        if listed:
+            system.store.forget()
+
+        def find(name):
+            return [
+                line["detail"]
+                for line in lines
+                if line["event"] == "endpoint_unreadable" and line["peer"] == name
+            ]
+
+        await fleetstandins.wait_until(lambda: find("i-2") and find("i-3"))
+    assert "0 slots" in find("i-2")[0]
+    assert "no registration" in find("i-3")[0]
+
+
+async def test_store_is_told_as_lost_once_and_as_back_once(start_system):
+    with structlog.testing.capture_logs() as lines:
+        system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+        system.store.down = True
+        await asyncio.sleep(1.5)
+        system.store.down = False
+        book = system.entry._fleet.endpoints
+        await fleetstandins.wait_until(lambda: not book.is_away)
+        await asyncio.sleep(1.5)
+    events = [line["event"] for line in lines]
+    assert events.count("store_unreachable") == 1
+    assert events.count("store_back") == 1
+
+
+async def test_hosts_of_other_entries_that_are_no_addresses_are_left_out(start_system):
+    system = await start_system()
+    system.store.put("entries", "x", b"")
+    system.store.put("entries", "y", b"not an address")
+    registry = system.entry._surroundings.registry
+    hosts = await registry.list_entries()
+    assert not isinstance(hosts, seams.Unreachable)
+    assert set(hosts) <= {"127.0.0.1"}
+
+
+async def test_signal_puts_changed_settings_in_force_and_a_bad_file_changes_nothing(
+    start_system,
+):
+    source = fleetstandins.SettingsFile()
+    system = await start_system(source=source)
+    fleet = system.entry._fleet
+    bounds = dataclasses.replace(fleet.settings.bounds, budget_slack=7.0)
+    source.settings = dataclasses.replace(fleet.settings, bounds=bounds)
+    with structlog.testing.capture_logs() as lines:
+        system.entry._reload.set()
+        await fleetstandins.wait_until(lambda: fleet.settings.bounds.budget_slack == 7)
+        source.settings = None
+        system.entry._reload.set()
+        await asyncio.sleep(0.2)
+    assert fleet.settings.bounds == bounds
+    events = {line["event"]: line for line in lines}
+    assert events["daemon_reloaded"]["signalled"]
+    assert "bounds.grace_s" in events["settings_file_bad"]["detail"]
+
+
+async def test_file_that_changes_without_a_signal_is_found(start_system):
+    source = fleetstandins.SettingsFile()
+    system = await start_system(source=source)
+    fleet = system.entry._fleet
+    bounds = dataclasses.replace(fleet.settings.bounds, budget_slack=8.0)
+    source.settings = dataclasses.replace(fleet.settings, bounds=bounds)
+    source.changed = True
+    await fleetstandins.wait_until(lambda: fleet.settings.bounds.budget_slack == 8)
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -56,6 +56,7 @@
         self.version = 0
         self.log = []
         self.down = False
+        self.forgotten = 0
         self.calls = collections.Counter()
         self.port = 0
 
@@ -78,6 +79,12 @@
         row = {"table": table, "part": "", "key": key, "ver": self.version}
         self.log.append(row | {"tombstone": True})
 
+    def forget(self):
+        """Drops the history; the rows stay."""
+        self.version += 1
+        self.forgotten = self.version
+        self.log.clear()
+
     async def start(self):
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
@@ -130,6 +137,8 @@
                 for row in self.log
                 if row["table"] == query["table"] and row["ver"] > after
             ]
+            if after < self.forgotten:
+                return 410, {"rows": [], "ver": self.version, "now_ms": 1}
             if found or self.down:
                 break
             await asyncio.sleep(0.01)
@@ -309,3 +318,20 @@
 
     def load(self):
         raise ValueError("no file")
+
+
+class SettingsFile:
+    """Settings that a test changes; None stands for a file that can't be read."""
+
+    def __init__(self):
+        self.settings = None
+        self.changed = False
+
+    def has_changed(self):
+        changed, self.changed = self.changed, False
+        return changed
+
+    def load(self):
+        if self.settings is None:
+            raise ValueError("bounds.grace_s: '?' is no number")
+        return self.settings
