--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 # An entry that is silent for longer has ended, and its requests with it; raised where
 # entries announce themselves less often.
@@ -41,37 +42,52 @@
 
 
 class LoadBook:
-    """Adds up what all entries have under way at each endpoint."""
+    """Adds up what all entries have under way at each endpoint.
+
+    Sums are kept up to date with each change: they are read for each event of a stream,
+    and reading them must not cost more in a larger fleet.
+    """
 
     def __init__(self) -> None:
         self._own: dict[str, Work] = {}
         self._peers: dict[str, PeerLoad] = {}
+        self._totals: dict[str, Work] = {}
+        self._oldest_at = math.inf
         self.expiry_s = EXPIRY_S
 
     def start(self, instance: str, memory_tokens: float) -> None:
         """Counts a request that is about to be sent."""
-        before = self._own.get(instance, _NONE)
-        self._own[instance] = before.add(Work(1, memory_tokens))
+        one = Work(1, memory_tokens)
+        self._own[instance] = self._own.get(instance, _NONE).add(one)
+        self._add(instance, one)
 
     def finish(self, instance: str, memory_tokens: float) -> None:
         """Takes back a request that ended."""
         before = self._own[instance]
+        one = Work(-1, -memory_tokens)
         if before.requests == 1:
             del self._own[instance]
-            return
-        self._own[instance] = Work(
-            before.requests - 1, before.memory_tokens - memory_tokens
-        )
+        else:
+            self._own[instance] = before.add(one)
+        self._add(instance, one)
 
     def set_peer(
         self, peer: str, work: collections.abc.Mapping[str, Work], now: float
     ) -> None:
         """Records what another entry has under way."""
+        self.forget_peer(peer)
         self._peers[peer] = PeerLoad(work, now)
+        self._oldest_at = min(self._oldest_at, now)
+        for instance, done in work.items():
+            self._add(instance, done)
 
     def forget_peer(self, peer: str) -> None:
         """Drops the work of an entry that has ended."""
-        self._peers.pop(peer, None)
+        known = self._peers.pop(peer, None)
+        if known is None:
+            return
+        for instance, done in known.work.items():
+            self._add(instance, Work(-done.requests, -done.memory_tokens))
 
     def export(self) -> dict[str, Work]:
         """Returns this entry's own work."""
@@ -79,8 +95,23 @@
 
     def measure(self, instance: str, now: float) -> Work:
         """Returns the work of all entries at an endpoint."""
-        total = self._own.get(instance, _NONE)
-        for load in self._peers.values():
-            if now - load.at <= self.expiry_s:
-                total = total.add(load.work.get(instance, _NONE))
-        return total
+        if now - self._oldest_at > self.expiry_s:
+            self._expire(now)
+        return self._totals.get(instance, _NONE)
+
+    def _add(self, instance: str, more: Work) -> None:
+        total = self._totals.get(instance, _NONE).add(more)
+        if total.requests:
+            self._totals[instance] = total
+        else:
+            self._totals.pop(instance, None)
+
+    def _expire(self, now: float) -> None:
+        silent = [
+            peer for peer, load in self._peers.items() if now - load.at > self.expiry_s
+        ]
+        for peer in silent:
+            self.forget_peer(peer)
+        self._oldest_at = min(
+            (load.at for load in self._peers.values()), default=math.inf
+        )
