Work with engines that don't tell their speed or the size of experts

Cause: found on the last read: copies and steps were divided by figures of the engine that a deployment may leave out or give as 0, and the task that failed would have stopped the process.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
@@ -256,7 +256,9 @@
         )
         if proposal is None:
             return
-        copy_s = proposal.arrivals * layout.expert_bytes / engine.link_bytes_per_s
+        copy_s = planning.compute_copy_s(
+            proposal.arrivals, layout, engine.link_bytes_per_s
+        )
         plan = changes.Plan(
             version=self._holder.raise_token(),
             experts=planning.encode_maps(proposal.maps),
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/congestion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/congestion.py
@@ -77,7 +77,11 @@
         pace: Time that the slowest rank takes over the usual time.
         now: Present time, monotonic seconds.
     """
-    measured = pause_s / compute_pass_s(engine, max(1.0, running), pace)
+    usual_s = compute_pass_s(engine, max(1.0, running), pace)
+    if usual_s <= 0.0:
+        # The engine doesn't tell its speed.
+        return stretch
+    measured = pause_s / usual_s
     measured = min(max(measured, MIN_STRETCH), MAX_STRETCH)
     part = 1.0 - math.exp(-min(now - stretch.at, pause_s) / MEMORY_S)
     return Stretch(stretch.factor + part * (measured - stretch.factor), now)
@@ -103,6 +107,8 @@
         return float(engine.slots)
     one = compute_pass_s(engine, 1.0, pace)
     more = compute_pass_s(engine, 2.0, pace) - one
+    if more <= 0.0:
+        return float(engine.slots)
     room_s = TARGET_SHARE * pause_s / stretch.factor - one
     if pace > 1.0 and room_s < 0.0:
         return float(engine.slots)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -143,6 +143,19 @@
         return [known.compute_shares() for known in self._sets]
 
 
+def compute_copy_s(
+    arrivals: int, layout: configuration.ExpertLayout, link_bytes_per_s: float
+) -> float:
+    """Returns the time in which a rank copies experts, in seconds.
+
+    An engine that does not tell the speed of its links copies for the longest time
+    that is waited for.
+    """
+    if link_bytes_per_s <= 0.0:
+        return MAX_COPY_S
+    return arrivals * layout.expert_bytes / link_bytes_per_s
+
+
 def compute_step_time(
     maps: tuple[placement.ExpertMap, ...],
     shares: list[tuple[float, ...]],
@@ -180,9 +193,11 @@
     if before < best * (1.0 + MIN_GAIN):
         return None
     everything = layout.spare * layout.sets
-    short = int(MAX_COPY_S * link_bytes_per_s / layout.expert_bytes)
-    short = min(max(MIN_ARRIVALS, short), everything)
-    for most in (short, everything) if max(paces) <= 1.0 else (everything,):
+    limits = [everything]
+    if max(paces) <= 1.0 and layout.expert_bytes > 0.0:
+        quick = int(MAX_COPY_S * link_bytes_per_s / layout.expert_bytes)
+        limits.insert(0, min(max(MIN_ARRIVALS, quick), everything))
+    for most in limits:
         proposal = _repair_maps(maps, shares, layout, paces, most)
         after = compute_step_time(proposal.maps, shares, layout.share, paces)
         if (before - after) / before >= MIN_GAIN:
--- a/packages/chicoryweir-policy/tests/forwarding/test_congestion.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_congestion.py
@@ -1,5 +1,7 @@
 """Steps that stretch while the experts' load is uneven."""
 
+import dataclasses
+
 import pytest
 
 from chicoryweir_policy.forwarding import congestion
@@ -78,3 +80,16 @@
         assert step_s <= congestion.TARGET_SHARE * PAUSE_S * 1.05
     else:
         assert limit == engine.slots
+
+
+@pytest.mark.parametrize(
+    "untold",
+    [{"stride": 0}, {"sequence_s": 0.0, "context_s": 0.0}, {"step_s": 0.0}],
+)
+def test_engine_that_does_not_tell_its_speed_is_used_in_full_or_limited(engine, untold):
+    engine = dataclasses.replace(engine, **untold)
+    stretch = congestion.note_pause(
+        congestion.Stretch(), engine, PAUSE_S, 2.0, 1.0, 0.0
+    )
+    limit = congestion.compute_limit(stretch, engine, PAUSE_S, 1.0, 0.1)
+    assert congestion.MIN_LIMIT <= limit <= engine.slots
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -1,5 +1,6 @@
 """Shifts of the experts in demand."""
 
+import dataclasses
 import random
 
 import pytest
@@ -68,6 +69,16 @@
     assert proposal.copies == sum(arrived)
 
 
+@pytest.mark.parametrize(("expert_bytes", "link"), [(0.0, LINK), (2.5e9, 0.0)])
+def test_engine_that_does_not_tell_its_copies_gets_even_maps_too(expert_bytes, link):
+    layout = dataclasses.replace(LAYOUT, expert_bytes=expert_bytes)
+    shares = _draw_shares(layout, random.Random(7))
+    maps = planning.create_first_map(layout, 16)
+    proposal = planning.propose_maps(maps, shares, layout, EVEN, link)
+    assert proposal is not None
+    assert planning.compute_copy_s(proposal.arrivals, layout, link) <= 0.23
+
+
 def test_even_demand_changes_nothing():
     even = [tuple([1 / 64] * 64)] * 4
     maps = planning.create_first_map(LAYOUT, 16)
