Call one piece where the change had written it twice

Twins made one: the draw of a number from a text (five places, policy.draws), names of events (two), the line on an endpoint's transition (exchange and watches), the head of the answer to what is no request (three; only its headers were read), the turn of ranks (two). A Crash was a Loss under another name, a Silence a Broken, and a half-made Proposal with zeros is no longer passed around. Removed, since nothing calls it: BodyRelay.take_held, EventRelay.events, Dispatcher.count_free, Pool.close. Draws and lines are as before; no test was changed.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -59,13 +59,6 @@
             return failure is repeats.Failure.ERROR and not at_fault
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Silence:
-    """The endpoint sent nothing for too long; `silent_s` in seconds."""
-
-    silent_s: float
-
-
 class Attempt:
     """Sends one request to one endpoint."""
 
@@ -161,9 +154,6 @@
                     return await self._judge(connection, event, told, target, answer)
                 case answerparser.Broken(detail):
                     return None, Failed(repeats.Failure.BROKEN, detail)
-                case Silence(silent_s):
-                    detail = f"silent for {silent_s:.2f} s"
-                    return None, Failed(repeats.Failure.BROKEN, detail)
                 case answerparser.Body() | answerparser.End():
                     continue
 
@@ -198,7 +188,7 @@
         answer: callers.Answer,
     ) -> tuple[heads.AnswerHead | None, Outcome]:
         while True:
-            event = await self._receive(connection)
+            event = await self._receive(connection, " within the answer")
             match event:
                 case answerparser.Body(data):
                     if target.feed(data):
@@ -210,9 +200,6 @@
                     return None, Failed(repeats.Failure.BROKEN, detail)
                 case answerparser.Broken(detail):
                     return None, Failed(repeats.Failure.BROKEN, detail)
-                case Silence(silent_s):
-                    detail = f"silent for {silent_s:.2f} s within the answer"
-                    return None, Failed(repeats.Failure.BROKEN, detail)
                 case heads.AnswerHead():
                     detail = "an answer began within an answer"
                     return None, Failed(repeats.Failure.GARBLED, detail)
@@ -245,19 +232,21 @@
             match await self._receive(connection):
                 case answerparser.End():
                     return True
-                case answerparser.Broken() | Silence() | heads.AnswerHead():
+                case answerparser.Broken() | heads.AnswerHead():
                     return False
                 case answerparser.Body():
                     continue
 
     async def _receive(
-        self, connection: connections.Connection
-    ) -> answerparser.Event | Silence:
+        self, connection: connections.Connection, place: str = ""
+    ) -> answerparser.Event:
+        """Returns the next part; one that doesn't come in time breaks the answer."""
         event = None
         while event is None:
             limit_s = self._limit_silence(self)
             if limit_s <= 0.0:
-                return Silence(self._clock.read() - self.heard_at)
+                silent_s = self._clock.read() - self.heard_at
+                return answerparser.Broken(f"silent for {silent_s:.2f} s{place}")
             event = await connection.receive(limit_s)
         now = self._clock.read()
         if isinstance(event, answerparser.Body):
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
@@ -1,7 +1,9 @@
-"""Records that an endpoint crashed, with the evidence."""
+"""Records what became of an endpoint, and what it may have crashed under."""
 
 from __future__ import annotations
 
+import typing
+
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import journal as journals
 from chicoryweir_policy import catalogue
@@ -10,9 +12,29 @@
 
 
 def note_transition(
-    fleet: fleets.Fleet, journal: journals.Journal, change: endpoints.Transition
+    fleet: fleets.Fleet,
+    journal: journals.Journal,
+    change: endpoints.Transition,
+    request_id: str = "",
+    **inputs: typing.Any,
 ) -> None:
-    """Takes a change of an endpoint, which may tell of a crash."""
+    """Takes a change of an endpoint, which may tell of a crash.
+
+    Args:
+        fleet: What the entry knows.
+        journal: Takes the lines.
+        change: The change.
+        request_id: Request that found it, or an empty string.
+        **inputs: What else decided, for the line.
+    """
+    journal.record(
+        catalogue.ENDPOINT_CHANGED,
+        request_id,
+        change.instance,
+        service=change.service,
+        meaning=change.meaning,
+        **inputs,
+    )
     if change.meaning in crashes.CRASHED_MEANINGS:
         successor = fleet.endpoints.get(change.instance)
         _note(fleet, journal, change.instance, successor, change.meaning, "")
@@ -36,12 +58,12 @@
     request_id: str,
 ) -> None:
     found = fleet.crashes.note_crash(instance, successor, fleet.clock.read())
-    for crash in found:
+    for loss in found:
         journal.record(
             catalogue.ENDPOINT_LOST,
             request_id,
             instance,
-            incarnation=crash.process.incarnation,
+            incarnation=loss.loss_id.incarnation,
             evidence=evidence,
-            fingerprints=[f"{one:016x}" for one in sorted(crash.fingerprints)],
+            fingerprints=[f"{one:016x}" for one in sorted(loss.fingerprints)],
         )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -257,14 +257,9 @@
         """Forgets an endpoint whose address another one has taken."""
         found = self._fleet.endpoints.note_displaced(instance)
         if found is not None:
-            self._tools.journal.record(
-                catalogue.ENDPOINT_CHANGED,
-                self._request_id,
-                instance,
-                service=found.service,
-                meaning=found.meaning,
+            crashreports.note_transition(
+                self._fleet, self._tools.journal, found, self._request_id
             )
-            crashreports.note_transition(self._fleet, self._tools.journal, found)
 
     def _pass_on(self, failed: attempts.Failed) -> None:
         """Hands the endpoint's own failure to the caller."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
@@ -35,15 +35,13 @@
             limits.idle_timeout_s,
         )
 
-    def reject(self, rejected: requestparser.Rejected) -> heads.AnswerHead:
-        """Returns the head of the answer to what is no valid request."""
+    def reject(self, rejected: requestparser.Rejected) -> list[heads.Header]:
+        """Takes what is no valid request; returns headers of its answer."""
         self._tools.meters.count("malformed", str(rejected.status))
         self._tools.journal.record(
             catalogue.REQUEST_MALFORMED, status=rejected.status, detail=rejected.detail
         )
-        phrase = heads.get_phrase(rejected.status)
-        headers = tuple(self._tools.dialect.write_own(None))
-        return heads.AnswerHead(rejected.status, phrase, headers, False, False)
+        return self._tools.dialect.write_own(None)
 
     async def handle(self, request: heads.Request, answer: callers.Answer) -> None:
         """Answers one request."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/journal.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/journal.py
@@ -8,8 +8,6 @@
 
 from chicoryweir_policy import catalogue
 
-_NAMES = {kind.number: kind.name for kind in catalogue.KINDS}
-
 
 class Journal:
     """Writes numbered events with the inputs that decided them."""
@@ -32,4 +30,4 @@
             inputs["request_id"] = request_id
         if peer:
             inputs["peer"] = peer
-        self._logger.info(_NAMES[number], event_id=number, **inputs)
+        self._logger.info(catalogue.NAMES[number], event_id=number, **inputs)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
@@ -70,10 +70,9 @@
             ENDPOINTS_PATH: self._tell_endpoints,
         }
 
-    def reject(self, rejected: requestparser.Rejected) -> heads.AnswerHead:
-        """Returns the head of the answer to what is no valid request."""
-        phrase = heads.get_phrase(rejected.status)
-        return heads.AnswerHead(rejected.status, phrase, (), False, False)
+    def reject(self, rejected: requestparser.Rejected) -> list[heads.Header]:
+        """Takes what is no valid request; returns headers of its answer."""
+        return []
 
     async def handle(self, request: heads.Request, answer: callers.Answer) -> None:
         """Answers one question."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -78,17 +78,10 @@
         self._answer.finish()
         return True
 
-    def take_held(self) -> Held:
-        """Returns the answer instead of passing it on."""
-        return Held(self._get_head(), bytes(self._held))
-
-    def _get_head(self) -> heads.AnswerHead:
-        assert self._head is not None
-        return self._head
-
     def _begin(self, sized: bool) -> None:
+        assert self._head is not None
         self.begun = True
-        write_head(self._answer, self._get_head(), len(self._held) if sized else None)
+        write_head(self._answer, self._head, len(self._held) if sized else None)
         self._answer.write(bytes(self._held))
         self._held = bytearray()
 
@@ -102,7 +95,6 @@
         self._splitter = eventstream.EventSplitter()
         self._last_id = last_event_id
         self.begun = False
-        self.events = 0
 
     @property
     def resume_after(self) -> bytes | None:
@@ -123,7 +115,6 @@
                 continue
             self._begin()
             self._answer.write(event.data)
-            self.events += 1
             passed = True
             if event.event_id is not None:
                 self._last_id = event.event_id
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/care.py
@@ -140,11 +140,15 @@
             if rank in self._members and pace >= SLOW_PACE
         }
 
+    def _take_turn(self, first: int, count: int) -> list[int]:
+        """Returns the ranks that are next, from `first` on, each once at the most."""
+        size = len(self._members)
+        return [(first + n) % size for n in range(min(count, size))]
+
     async def _ask_paces(self) -> None:
         """Asks some ranks, in turn, how long they take for their work."""
-        size = len(self._members)
-        ranks = [(self._next_pace + n) % size for n in range(min(PACE_RANKS, size))]
-        self._next_pace = (self._next_pace + len(ranks)) % size
+        ranks = self._take_turn(self._next_pace, PACE_RANKS)
+        self._next_pace = ranks[-1] + 1
         found = await asyncio.gather(
             *(self._client.report(self._members[rank]) for rank in ranks)
         )
@@ -226,10 +230,9 @@
         return True
 
     async def _sample(self, layout: configuration.ExpertLayout) -> None:
-        size = len(self._members)
         count = max(MIN_SAMPLED_RANKS, SAMPLED_COUNTS // (layout.sets * layout.experts))
-        ranks = [(self._next_sampled + n) % size for n in range(min(count, size))]
-        self._next_sampled = (self._next_sampled + len(ranks)) % size
+        ranks = self._take_turn(self._next_sampled, count)
+        self._next_sampled = ranks[-1] + 1
         found = await asyncio.gather(
             *(self._client.count(self._members[rank]) for rank in ranks)
         )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -195,11 +195,6 @@
         for transition in transitions:
             if transition.meaning == "restarted":
                 self._fleet.outliers.forget(transition.instance)
-            self._journal.record(
-                catalogue.ENDPOINT_CHANGED,
-                peer=transition.instance,
-                position=self._position,
-                service=transition.service,
-                meaning=transition.meaning,
+            crashreports.note_transition(
+                self._fleet, self._journal, transition, position=self._position
             )
-            crashreports.note_transition(self._fleet, self._journal, transition)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -35,8 +35,8 @@
     async def handle(self, request: heads.Request, answer: Answer) -> None:
         """Answers one request; it is cancelled when the caller leaves."""
 
-    def reject(self, rejected: requestparser.Rejected) -> heads.AnswerHead:
-        """Returns the head of the answer to what is no valid request."""
+    def reject(self, rejected: requestparser.Rejected) -> list[heads.Header]:
+        """Takes what is no valid request; returns headers of its answer."""
 
 
 class Answer:
@@ -229,9 +229,10 @@
         self._advance()
 
     def _answer_rejection(self, rejected: requestparser.Rejected) -> None:
-        head = self._handler.reject(rejected)
-        headers = [*head.headers, (b"Content-Length", b"0"), (b"Connection", b"close")]
-        self.write(heads.encode_answer(head.status, head.reason, headers))
+        headers = self._handler.reject(rejected)
+        headers += [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        phrase = heads.get_phrase(rejected.status)
+        self.write(heads.encode_answer(rejected.status, phrase, headers))
         self.close_after_answer()
 
     def _limit_reading(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -232,14 +232,6 @@
             connection.on_idle_end = lambda ended: self._discard(address, ended)
             idle.append(connection)
 
-    def close(self, instance: str | None = None) -> None:
-        """Closes idle connections, of one instance or of all."""
-        for address in list(self._idle):
-            if instance is None or address.instance == instance:
-                for connection in self._idle.pop(address):
-                    connection.on_idle_end = None
-                    connection.abort()
-
     def _discard(self, address: Address, connection: Connection) -> None:
         with contextlib.suppress(ValueError, KeyError):
             self._idle[address].remove(connection)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
@@ -16,7 +16,6 @@
 MAX_KEPT = 2000
 # Some seconds of lines on the heaviest day of one entry.
 MAX_HELD_BYTES = 262_144
-_NAMES = {kind.number: kind.name for kind in catalogue.KINDS}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +57,7 @@
             at: Wall-clock time, in seconds.
         """
         self._sequence += 1
-        name = _NAMES.get(record.number, "unknown")
+        name = catalogue.NAMES.get(record.number, "unknown")
         self._kept.append(
             LoggedEvent(
                 self._sequence,
@@ -122,7 +121,7 @@
 
     def _describe_dropped(self) -> bytes:
         number = catalogue.LINES_DROPPED
-        line = f'{{"event":"{_NAMES[number]}","event_id":{number},'
+        line = f'{{"event":"{catalogue.NAMES[number]}","event_id":{number},'
         return f'{line}"count":{self._dropped}}}\n'.encode()
 
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -61,10 +61,9 @@
         self._pool = connections.Pool()
         self._address = connections.Address(settings.rank.host, settings.rank.port)
 
-    def reject(self, rejected: requestparser.Rejected) -> heads.AnswerHead:
-        """Returns the head of the answer to what is no valid request."""
-        phrase = heads.get_phrase(rejected.status)
-        return heads.AnswerHead(rejected.status, phrase, (), False, False)
+    def reject(self, rejected: requestparser.Rejected) -> list[heads.Header]:
+        """Takes what is no valid request; returns headers of its answer."""
+        return []
 
     async def handle(self, request: heads.Request, answer: callers.Answer) -> None:
         """Passes one call on."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/admission/delay.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/delay.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import xxhash
+from chicoryweir_policy import draws
 
 MIN_DELAY_MS = 100
 MAX_DELAY_MS = 60_000
 SPREAD_MIN = 0.5
-_HASH_RANGE = 2.0**64
 
 
 def compute_retry_after_ms(request_id: str, expected_wait_s: float) -> int:
@@ -25,6 +24,6 @@
     """
     longest_s = MAX_DELAY_MS / 1000 / (1 + SPREAD_MIN)
     wait_s = min(max(expected_wait_s, MIN_DELAY_MS / 1000), longest_s)
-    position = xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE
+    position = draws.draw(request_id)
     delay_ms = int(wait_s * 1000 * (SPREAD_MIN + position))
     return min(max(delay_ms, MIN_DELAY_MS), MAX_DELAY_MS)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/admission/overload.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/overload.py
@@ -10,8 +10,7 @@
 import collections
 import dataclasses
 
-import xxhash
-
+from chicoryweir_policy import draws
 from chicoryweir_policy import requests
 from chicoryweir_policy.admission import delay
 
@@ -26,7 +25,6 @@
     requests.PriorityClass.STANDARD: 1.5,
     requests.PriorityClass.BULK: 1.25,
 }
-_HASH_RANGE = 2.0**64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +89,7 @@
         counts = self._get_counts(workspace, priority, now)
         allowed = MULTIPLES[priority] * counts.accepted + FREE_REQUESTS
         share = max(0.0, (counts.asked - allowed) / (counts.asked + 1.0))
-        position = xxhash.xxh64_intdigest(request_id.encode(), seed=1) / _HASH_RANGE
+        position = draws.draw(request_id, seed=1)
         if position >= share:
             return Sent()
         counts.asked += 1.0
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -301,3 +301,5 @@
         "Report it with the log around it.",
     ),
 )
+
+NAMES = {kind.number: kind.name for kind in KINDS}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/crashes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/crashes.py
@@ -49,14 +49,6 @@
     since: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash and what ran: fingerprints of this entry's requests."""
-
-    process: records.LossId
-    fingerprints: frozenset[int]
-
-
 def compute_fingerprint(workspace: str, host: str, target: bytes, body: bytes) -> int:
     """Returns what two sendings of one request have in common, in 64 bits."""
     digest = hashlib.blake2b(digest_size=8)
@@ -124,7 +116,7 @@
 
     def note_crash(
         self, instance: str, successor: endpoints.Endpoint | None, now: float
-    ) -> tuple[Crash, ...]:
+    ) -> tuple[records.Loss, ...]:
         """Charges what ran on an endpoint that ended.
 
         Args:
@@ -133,7 +125,7 @@
             now: Present time, monotonic seconds.
 
         Returns:
-            The ended processes on which this entry had requests.
+            The ended processes, with what this entry had there.
         """
         while self._broken and now - self._broken[0].at > LOOKBACK_S:
             self._broken.popleft()
@@ -145,14 +137,16 @@
         for broken in self._broken:
             if broken.process.instance == instance and broken.process != alive:
                 suspects.setdefault(broken.process, set()).add(broken.fingerprint)
-        crashes = []
-        for process, found in sorted(suspects.items()):
-            fingerprints = frozenset(found)
+        losses = [
+            records.Loss(process, frozenset(found))
+            for process, found in sorted(suspects.items())
+        ]
+        for loss in losses:
+            process = loss.loss_id
             self._book.record_loss(
-                process.instance, process.incarnation, fingerprints, now
+                process.instance, process.incarnation, loss.fingerprints, now
             )
-            crashes.append(Crash(process, fingerprints))
-        return tuple(crashes)
+        return tuple(losses)
 
     def merge(self, news: records.News, now: float) -> None:
         """Takes what another entry knows."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -184,10 +184,6 @@
         """Takes back the work of a request that has left its endpoint."""
         self._loads.finish(placed.endpoint.instance, placed.ticket.wanted.memory_tokens)
 
-    def count_free(self, service: configuration.Service, now: float) -> int:
-        """Returns the requests that would start at once."""
-        return self._survey(service, now).free
-
     def _place(self, ticket: waiting.Ticket, survey: _Survey) -> Placed | None:
         others = [
             candidate
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/routes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/routes.py
@@ -5,13 +5,11 @@
 import dataclasses
 import types
 
-import xxhash
-
+from chicoryweir_policy import draws
 from chicoryweir_policy.forwarding import configuration
 
 # The key is needed, unlike for a public route.
 _NO_WORKSPACE = ""
-_HASH_RANGE = 2.0**64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +118,7 @@
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
-    draw = xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE * total
+    draw = draws.draw(request_id) * total
     for share in route.shares:
         draw -= share.weight
         if draw < 0.0:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/selection.py
@@ -13,8 +13,7 @@
 import heapq
 import typing
 
-import xxhash
-
+from chicoryweir_policy import draws
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
@@ -28,7 +27,6 @@
 # endpoints has half of what it has when all are looked at, for news that is half a
 # second old; with fresh news 4 are as good as all.
 CHOICES = 4
-_HASH_RANGE = 2.0**64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,8 +114,7 @@
 
 def _draw(candidate: Candidate, request_id: str) -> float:
     """Returns a number that differs between requests, 0 to 1."""
-    text = f"{request_id}/{candidate.endpoint.instance}"
-    return xxhash.xxh64_intdigest(text.encode()) / _HASH_RANGE
+    return draws.draw(f"{request_id}/{candidate.endpoint.instance}")
 
 
 def create_selector(data_centre: str) -> Selector:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
@@ -10,8 +10,7 @@
 import dataclasses
 import typing
 
-import xxhash
-
+from chicoryweir_policy import draws
 from chicoryweir_policy import store
 from chicoryweir_policy.charts import interpreter
 
@@ -206,7 +205,7 @@
 
 def _schedule(lease: Lease, now: float) -> Lease:
     """Sets the time of the next operation, spread by the seed."""
-    spread = xxhash.xxh64_intdigest(f"{lease.seed}/{lease.count}".encode()) / 2**64
+    spread = draws.draw(f"{lease.seed}/{lease.count}")
     period = lease.settings.period_s * (1.0 - lease.settings.jitter * spread)
     return dataclasses.replace(lease, next_at=now + period, count=lease.count + 1)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -198,10 +198,10 @@
         quick = int(MAX_COPY_S * link_bytes_per_s / layout.expert_bytes)
         limits.insert(0, min(max(MIN_ARRIVALS, quick), everything))
     for most in limits:
-        proposal = _repair_maps(maps, shares, layout, paces, most)
-        after = compute_step_time(proposal.maps, shares, layout.share, paces)
+        found, arrivals = _repair_maps(maps, shares, layout, paces, most)
+        after = compute_step_time(found, shares, layout.share, paces)
         if (before - after) / before >= MIN_GAIN:
-            return dataclasses.replace(proposal, before=before, after=after)
+            return Proposal(found, before, after, max(arrivals), sum(arrivals))
     return None
 
 
@@ -211,8 +211,12 @@
     layout: configuration.ExpertLayout,
     paces: collections.abc.Sequence[float],
     most: int,
-) -> Proposal:
-    """Returns repaired maps for which no rank copies more than `most` experts."""
+) -> tuple[tuple[placement.ExpertMap, ...], list[int]]:
+    """Repairs maps so that no rank copies more than `most` experts.
+
+    Returns:
+        The maps, and the experts that each rank copies.
+    """
     ranks = maps[0].rank_count
     weighted = [pace * SLOW_WEIGHT if pace > 1.0 else pace for pace in paces]
     arrivals = [0] * ranks
@@ -229,4 +233,4 @@
                 arrivals, one.list_experts(), new.list_experts(), strict=True
             )
         ]
-    return Proposal(tuple(found), 0.0, 0.0, max(arrivals), sum(arrivals))
+    return tuple(found), arrivals
