--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -90,10 +90,12 @@
         counts = {name: d.count_timely() for name, d in self._dispatchers.items()}
         return {name: count for name, count in counts.items() if count}
 
-    def note_timely(self, now: float) -> None:
-        """Tells the dispatchers what waits at the other entries."""
+    def note_peers(self, now: float) -> None:
+        """Tells the dispatchers what the other entries announced."""
+        alive = self.peers.list_alive(now)
         for name, dispatcher in self._dispatchers.items():
-            dispatcher.note_peers(self.peers.count_timely(name, now))
+            dispatcher.note_peers(sum(peer.timely.get(name, 0) for peer in alive))
+        self._note_paces(alive)
 
     def get_budget(self, service: str) -> budget.SharedBudget:
         """Returns this entry's budget for repeats to a service."""
@@ -110,9 +112,17 @@
         """Returns the entries that serve, this one included."""
         return self.peers.count_entries(now)
 
-    def note_paces(self, now: float) -> None:
+    def take_paces(self, paces: dict[str, float], now: float) -> None:
+        """Takes the paces of slow instances in the groups that this entry keeps."""
+        self.paces = paces
+        self._note_paces(self.peers.list_alive(now))
+
+    def _note_paces(self, alive: list[peers.Announcement]) -> None:
         """Tells the dispatchers which instances of groups are slow."""
-        slow = self.peers.merge_paces(now) | self.paces
+        slow: dict[str, float] = {}
+        for peer in alive:
+            slow.update(peer.paces)
+        slow.update(self.paces)
         if slow == self._slow:
             return
         self._slow = slow
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -65,8 +65,7 @@
         if not self._fleet.peers.hear(heard, now):
             return
         self._fleet.loads.set_peer(heard.name, heard.work, now)
-        self._fleet.note_timely(now)
-        self._fleet.note_paces(now)
+        self._fleet.note_peers(now)
         self._fleet.crashes.merge(heard.crashes, now)
         if heard.version > self._fleet.version:
             self._learn_version(heard.host, heard.version)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/steward.py
@@ -37,18 +37,14 @@
             await asyncio.sleep(PERIOD_S)
             if not self._holder.holds:
                 self._groups.clear()
-                self._take_paces({})
+                self._fleet.take_paces({}, self._fleet.clock.read())
                 continue
             for name, members in self._find_groups().items():
                 await self._look_after(name, members)
             paces: dict[str, float] = {}
             for care in self._groups.values():
                 paces |= care.list_slow()
-            self._take_paces(paces)
-
-    def _take_paces(self, paces: dict[str, float]) -> None:
-        self._fleet.paces = paces
-        self._fleet.note_paces(self._fleet.clock.read())
+            self._fleet.take_paces(paces, self._fleet.clock.read())
 
     def _find_groups(self) -> dict[str, dict[int, endpoints.Endpoint]]:
         found: dict[str, dict[int, endpoints.Endpoint]] = {}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -134,21 +134,10 @@
             if now - peer.heard_at <= alive_s
         ]
 
-    def count_timely(self, service: str, now: float) -> int:
-        """Returns the timely requests that wait for a service at other entries."""
-        return sum(peer.timely.get(service, 0) for peer in self.list_alive(now))
-
     def count_known(self) -> int:
         """Returns the entries that were heard of and not forgotten yet."""
         return len(self._peers)
 
-    def merge_paces(self, now: float) -> dict[str, float]:
-        """Returns the paces of the instances that other entries found slow."""
-        merged: dict[str, float] = {}
-        for peer in self.list_alive(now):
-            merged.update(peer.paces)
-        return merged
-
     def count_entries(self, now: float) -> int:
         """Returns the entries that serve, this one included."""
         return 1 + sum(peer.ready for peer in self.list_alive(now))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/maps/repair.py
@@ -183,10 +183,11 @@
     order = sorted(range(len(board.loads)), key=lambda rank: board.loads[rank])
     slowest, others = order[-1], order[:-1]
     for targets in (others[:FAST_RANKS], others[FAST_RANKS:]):
+        openings = {rank: _list_openings(board, rank) for rank in targets}
         edits: tuple[_Edit, ...] = (
-            *_list_copies(board, slowest, targets),
+            *_list_copies(board, slowest, openings),
             *_list_swaps(board, slowest, targets),
-            *(_list_departures(board, slowest, targets) if board.may_move else ()),
+            *(_list_departures(board, slowest, openings) if board.may_move else ()),
         )
         useful = [e for e in edits if e.moves <= moves_left and e.gain > MIN_GAIN]
         if useful:
@@ -194,71 +195,85 @@
     return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Opening:
+    """A place for one more replica at a rank.
+
+    Attributes:
+        deltas: Changes of shares by rank; none where a place is free.
+        dropped: (expert, rank) pairs that go.
+    """
+
+    deltas: dict[int, float]
+    dropped: tuple[tuple[int, int], ...]
+
+
+# Ways to make a place at each rank that might take a replica.
+_Openings = collections.abc.Mapping[int, list[_Opening]]
+
+
+def _list_openings(board: _Board, rank: int) -> list[_Opening]:
+    """Lists ways to make a place at a rank: a free one, or that of a spare replica."""
+    if board.has_place(rank):
+        return [_Opening({}, ())]
+    found = []
+    for expert in sorted(board.experts[rank]):
+        rest = board.replicas[expert] - {rank}
+        if not rest:
+            continue
+        part = board.shares[expert]
+        deltas = dict.fromkeys(rest, part / len(rest) - part / (len(rest) + 1))
+        deltas[rank] = -part / (len(rest) + 1)
+        found.append(_Opening(deltas, ((expert, rank),)))
+    return found
+
+
+def _add_deltas(first: dict[int, float], second: dict[int, float]) -> dict[int, float]:
+    """Returns the sums of two changes of shares by rank."""
+    summed = dict(first)
+    for rank, delta in second.items():
+        summed[rank] = summed.get(rank, 0.0) + delta
+    return summed
+
+
 def _list_copies(
-    board: _Board, slowest: int, targets: list[int]
+    board: _Board, slowest: int, openings: _Openings
 ) -> collections.abc.Iterator[_Edit]:
     """Lists edits by which a fast rank takes a replica of one of its experts."""
     for expert in sorted(board.experts[slowest]):
         holders = board.replicas[expert]
         count, share = len(holders), board.shares[expert]
-        eased = share / (count + 1) - share / count
-        for rank in targets:
+        eased = dict.fromkeys(holders, share / (count + 1) - share / count)
+        for rank, ways in openings.items():
             if rank in holders or not board.may_take(rank, expert):
                 continue
-            if board.has_place(rank):
-                deltas = dict.fromkeys(holders, eased)
-                deltas[rank] = share / (count + 1)
-                gain = board.compute_gain(deltas)
-                yield _Edit(gain, 1, ((expert, rank),), ())
-                continue
-            for other in sorted(board.experts[rank]):
-                rest = board.replicas[other] - {rank}
-                if not rest:
-                    continue
-                deltas = dict.fromkeys(holders, eased)
-                part = board.shares[other]
-                deltas[rank] = share / (count + 1) - part / (len(rest) + 1)
-                more = part / len(rest) - part / (len(rest) + 1)
-                for holder in rest:
-                    deltas[holder] = deltas.get(holder, 0.0) + more
-                gain = board.compute_gain(deltas)
-                yield _Edit(gain, 1, ((expert, rank),), ((other, rank),))
+            copied = {**eased, rank: share / (count + 1)}
+            for opening in ways:
+                gain = board.compute_gain(_add_deltas(copied, opening.deltas))
+                yield _Edit(gain, 1, ((expert, rank),), opening.dropped)
 
 
 def _list_departures(
-    board: _Board, slowest: int, targets: list[int]
+    board: _Board, slowest: int, openings: _Openings
 ) -> collections.abc.Iterator[_Edit]:
     """Lists edits after which the slowest rank no longer holds one of its experts."""
     for expert in sorted(board.experts[slowest]):
         holders = board.replicas[expert]
         count, share = len(holders), board.shares[expert]
+        leaving = (expert, slowest)
         if count > 1:
             deltas = dict.fromkeys(holders, share / (count - 1) - share / count)
             deltas[slowest] = -share / count
-            yield _Edit(board.compute_gain(deltas), 0, (), ((expert, slowest),))
+            yield _Edit(board.compute_gain(deltas), 0, (), (leaving,))
             continue
-        for rank in targets:
+        for rank, ways in openings.items():
             if not board.may_take(rank, expert):
                 continue
-            if board.has_place(rank):
-                gain = board.compute_gain({slowest: -share, rank: share})
-                yield _Edit(gain, 1, ((expert, rank),), ((expert, slowest),))
-                continue
-            for other in sorted(board.experts[rank]):
-                rest = board.replicas[other] - {rank}
-                if not rest:
-                    continue
-                part = board.shares[other]
-                more = part / len(rest) - part / (len(rest) + 1)
-                deltas = dict.fromkeys(rest, more)
-                deltas[rank] = share - part / (len(rest) + 1)
-                deltas[slowest] = deltas.get(slowest, 0.0) - share
-                yield _Edit(
-                    board.compute_gain(deltas),
-                    1,
-                    ((expert, rank),),
-                    ((expert, slowest), (other, rank)),
-                )
+            moved = {slowest: -share, rank: share}
+            for opening in ways:
+                gain = board.compute_gain(_add_deltas(moved, opening.deltas))
+                dropped = (leaving, *opening.dropped)
+                yield _Edit(gain, 1, ((expert, rank),), dropped)
 
 
 def _list_swaps(
