--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -71,7 +71,9 @@
             self._learn_version(heard.host, heard.version)
 
     def error_received(self, exc: Exception) -> None:
-        """A host that has no listener told so; it isn't alive, which is enough."""
+        """Takes the failure of a datagram; a host without a listener isn't alive."""
+        if not isinstance(exc, ConnectionRefusedError):
+            self._journal.record(catalogue.ANNOUNCEMENT_NOT_SENT, detail=repr(exc))
 
     async def run(self) -> None:
         """Announces this entry until cancelled."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/handover.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/handover.py
@@ -92,4 +92,12 @@
                 version=version,
             )
             return None
-        return reply.body if reply.status == 200 else None
+        if reply.status == 200:
+            return reply.body
+        self._journal.record(
+            catalogue.SETTINGS_NOT_FETCHED,
+            peer=host,
+            detail=f"status {reply.status}",
+            version=version,
+        )
+        return None
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -250,7 +250,11 @@
             server.close()
         await self._await_callers(ends_at - loop.time())
         withdrawing.cancel()
-        await asyncio.gather(withdrawing, return_exceptions=True)
+        (failed,) = await asyncio.gather(withdrawing, return_exceptions=True)
+        if failed is not None:
+            self._journal.record(
+                catalogue.STORE_UNREACHABLE, detail=f"not withdrawn: {failed!r}"
+            )
         if self._callers:
             self._journal.record(
                 catalogue.DRAIN_TIMED_OUT, connections=len(self._callers)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/holder.py
@@ -8,6 +8,7 @@
 from chicoryweir_daemon.forwarder import journal as journals
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
+from chicoryweir_policy import store
 from chicoryweir_policy.groups import leases
 from chicoryweir_policy.groups import succession
 
@@ -40,6 +41,7 @@
         self._fence_held = 0
         self._acted_fence = 0
         self._reached_at = fleet.clock.read()
+        self._failure = ""
 
     @property
     def holds(self) -> bool:
@@ -141,16 +143,28 @@
         self._lease, operation = leases.tick(self._lease, self._read_boot())
         if operation is not None:
             result = await self._store.run(operation)
+            self._note_result(result)
             self._lease = leases.settle(self._lease, result, self._read_boot())
         if leases.holds(self._lease, self._read_boot()):
             self._acted_fence = self._lease.fence
 
+    def _note_result(self, result: store.Result) -> None:
+        """Tells a failure of the store once, until another call ends well."""
+        failure = ""
+        if isinstance(result, store.Refused | store.Unknown):
+            failure = result.detail
+        if failure and not self._failure:
+            self._journal.record(
+                catalogue.STORE_UNREACHABLE, detail=f"lease of {DUTY}: {failure}"
+            )
+        self._failure = failure
+
     async def _resign(self, before: int) -> None:
         self._lease, operation = leases.resign(self._lease, self._read_boot())
         self._acted_fence = 0
         self._note(before)
         if operation is not None:
-            await self._store.run(operation)
+            self._note_result(await self._store.run(operation))
 
     def _note(self, before: int) -> None:
         """Announces what this entry holds now, and logs a change."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/ranks.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/stewardship/ranks.py
@@ -141,6 +141,7 @@
             if reply.status == AGENT_NOT_SENT and self._has_agent(endpoint):
                 reply = await self._call_rank(endpoint, call, body, fields)
         except fetching.FetchError as error:
+            self._note_silent(endpoint, str(error))
             return orders.Result.LOST if error.sent else orders.Result.REFUSED
         if reply.status == AGENT_LOST:
             return orders.Result.LOST
@@ -160,9 +161,7 @@
             detail = f"status {reply.status}"
         except (fetching.FetchError, ValueError) as error:
             detail = str(error)
-        self._journal.record(
-            catalogue.RANK_SILENT, peer=endpoint.instance, detail=detail
-        )
+        self._note_silent(endpoint, detail)
         return None
 
     async def _call(
@@ -183,8 +182,14 @@
             self._silent_until[endpoint.host] = self._clock.read() + AGENT_PAUSE_S
             if error.sent:
                 raise
+            self._note_silent(endpoint, f"its agent: {error}")
         return await self._call_rank(endpoint, call, body, fields)
 
+    def _note_silent(self, endpoint: endpoints.Endpoint, detail: str) -> None:
+        self._journal.record(
+            catalogue.RANK_SILENT, peer=endpoint.instance, detail=detail
+        )
+
     async def _call_rank(
         self,
         endpoint: endpoints.Endpoint,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -41,6 +41,7 @@
 PEER_HEARD = 130
 PEER_SILENT = 131
 ANNOUNCEMENT_UNREADABLE = 132
+ANNOUNCEMENT_NOT_SENT = 133
 LINES_DROPPED = 140
 REQUEST_REFUSED = 200
 REQUEST_RETRIED = 201
@@ -166,6 +167,12 @@
         "A datagram on the port for entries is no announcement.",
         "Look for a process of another version, or a stranger, at the peer.",
     ),
+    EventKind(
+        ANNOUNCEMENT_NOT_SENT,
+        "announcement_not_sent",
+        "The network refused a datagram to another entry.",
+        "Look at the detail; a host without a listener is not told.",
+    ),
     EventKind(
         LINES_DROPPED,
         "lines_dropped",
--- a/tests/fleet_platform/test_surroundings.py
+++ b/tests/fleet_platform/test_surroundings.py
@@ -108,3 +108,31 @@
     source.settings = dataclasses.replace(fleet.settings, bounds=bounds)
     source.changed = True
     await fleetstandins.wait_until(lambda: fleet.settings.bounds.budget_slack == 8)
+
+
+async def test_lease_that_can_not_be_read_is_told_and_ends_nothing(start_system):
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+    holder = system.entry._holder
+    await fleetstandins.wait_until(lambda: holder.holds)
+    (table, key), _ = next(
+        item for item in system.store.rows.items() if item[0][1].startswith("lease/")
+    )
+    with structlog.testing.capture_logs() as lines:
+        system.store.put(table, key, b"\xff")
+        await fleetstandins.wait_until(
+            lambda: any("be read" in line.get("detail", "") for line in lines), 8.0
+        )
+    reads = system.store.calls["rows-get"]
+    await fleetstandins.wait_until(lambda: system.store.calls["rows-get"] > reads + 2)
+    assert not system.task.done()
+    assert (await system.call("/again/x"))[0] == 200
+
+
+async def test_datagram_that_the_network_refuses_is_told(start_system):
+    system = await start_system()
+    with structlog.testing.capture_logs() as lines:
+        system.entry._gossip.error_received(OSError("message too long"))
+        system.entry._gossip.error_received(ConnectionRefusedError())
+    told = [line for line in lines if line["event"] == "announcement_not_sent"]
+    assert len(told) == 1
+    assert "too long" in told[0]["detail"]
