--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -85,6 +85,7 @@
         self._attempt_started_at = arrived_at
         self._longest_gap_s = 0.0
         self._attempt_log: list[str] = []
+        self._admission_log: dict[str, int | float] = {}
         self._attempt: attempts.Attempt | None = None
         self._relay = self._create_relay()
 
@@ -119,12 +120,29 @@
                 )
             finally:
                 self._waited_s += self._now() - queued_at
+                self._describe_admission()
             match allocated:
-                case queueing.Rejection(reason=reason, retry_after_s=retry_after_s):
-                    self._reject(reason, retry_after_s)
+                case queueing.Rejection() as rejection:
+                    if rejection.predicted_wait_s is not None:
+                        wait_s = round(rejection.predicted_wait_s, 3)
+                        self._admission_log["predicted_wait_s"] = wait_s
+                    self._reject(rejection.reason, rejection.retry_after_s)
                 case dispatching.Dispatched():
                     await self._run_attempt(allocated)
 
+    def _describe_admission(self) -> None:
+        """Keeps the inputs of the latest admission decision for the log."""
+        dispatcher = self._fleet.get_dispatcher(self._service.name)
+        inputs = dispatcher.describe_admission(self._now())
+        self._admission_log = {
+            "running": inputs.running,
+            "limit": inputs.limit,
+            "loads_age_s": round(inputs.loads_age_s, 3),
+            "queued": inputs.queued,
+            "peer_on_time": inputs.peer_on_time,
+            "first_part_s": round(dispatcher.predict_first_part_s(), 3),
+        }
+
     async def _run_attempt(self, dispatched: dispatching.Dispatched) -> None:
         endpoint = dispatched.endpoint
         attempt = attempts.Attempt(
@@ -356,6 +374,7 @@
             elapsed_s=round(now - self._arrived_at, 3),
             left_s=round(self._deadline_at - now, 3),
             attempts=self._attempt_log,
+            admission=self._admission_log,
         )
 
     def _make_pending_request(self) -> queueing.PendingRequest:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -39,6 +39,10 @@
 USUAL_STEP_S = 0.06
 
 
+# Period of the log line with the group's load.
+LOAD_LOG_PERIOD_S = 1.0
+
+
 class RankClient(typing.Protocol):
     """Client for the ranks of a group."""
 
@@ -93,6 +97,8 @@
         self._next_sampled = 0
         self._slowdowns: dict[int, float] = {}
         self._next_polled = 0
+        self._loads: dict[int, tuple[int, int]] = {}
+        self._load_logged_at = -math.inf
         self._order_lost_at = -math.inf
         self._wake = asyncio.Event()
 
@@ -144,6 +150,7 @@
         self._demand = planning.DemandTracker(layout, now)
         self._recovered = False
         self._slowdowns = {}
+        self._loads = {}
 
     def get_slowdowns(self) -> dict[str, float]:
         """Returns the slowdowns of the group's slow instances."""
@@ -159,7 +166,7 @@
         return [(first + n) % size for n in range(min(count, size))]
 
     async def _poll_slowdowns(self) -> None:
-        """Updates the slowdowns of some ranks; logs those that slow down or recover."""
+        """Reads the slowdown and the load of some ranks, and logs changes."""
         ranks = self._select_ranks(self._next_polled, RANKS_PER_SLOWDOWN_POLL)
         self._next_polled = ranks[-1] + 1
         reports = await asyncio.gather(
@@ -168,6 +175,7 @@
         for rank, report in zip(ranks, reports, strict=True):
             if report is None:
                 continue
+            self._loads[rank] = report.running, report.waiting
             slowdown = report.slowdown if report.slowdown >= SLOW_FACTOR else 1.0
             before = self._slowdowns.get(rank, 1.0)
             self._slowdowns[rank] = slowdown
@@ -181,6 +189,27 @@
                     before=round(before, 2),
                     lag_s=report.lag_s,
                 )
+        self._log_load()
+
+    def _log_load(self) -> None:
+        """Logs the load of the ranks that were read since the last such line."""
+        now = self._now()
+        if not self._loads or now - self._load_logged_at < LOAD_LOG_PERIOD_S:
+            return
+        self._load_logged_at = now
+        running, waiting = zip(*self._loads.values(), strict=True)
+        self._event_log.record(
+            catalogue.GROUP_LOAD,
+            group=self._name,
+            ranks=len(self._members),
+            read=len(self._loads),
+            running=round(sum(running) / len(running), 2),
+            running_max=max(running),
+            waiting=round(sum(waiting) / len(waiting), 2),
+            waiting_max=max(waiting),
+            step_s=round(self._step_s, 4),
+        )
+        self._loads.clear()
 
     def _update_step_time(self, report: orders.Report, now: float) -> None:
         """Updates the moving average of the step time from two reports."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -60,6 +60,7 @@
 ORDER_FAILED = 232
 RANK_SILENT = 233
 RANK_PACE_CHANGED = 234
+GROUP_LOAD = 235
 LEASE_HELD = 240
 LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
@@ -220,7 +221,8 @@
     EventKind(
         REQUEST_ENDED,
         "request_ended",
-        "A request ended; `attempts` lists the endpoints that it was sent to.",
+        "A request ended; `attempts` lists the endpoints that it was sent to, and "
+        "`admission` what it was queued, dispatched or rejected by.",
         "If it failed, see docs/OPERATIONS.md.",
     ),
     EventKind(
@@ -272,6 +274,12 @@
         "and new requests are moved to other ranks.",
         "Check the host of the rank if it stays slow.",
     ),
+    EventKind(
+        GROUP_LOAD,
+        "group_load",
+        "Running and waiting requests at the ranks of a group, from their reports.",
+        "Compare `running` with that of `request_ended` if streams are late.",
+    ),
     EventKind(
         LEASE_HELD,
         "lease_held",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -40,16 +40,39 @@
 Outcome = Dispatched | Enqueued | queueing.Rejection
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionInputs:
+    """Inputs of the latest decision to dispatch, queue or reject a request.
+
+    Attributes:
+        running: Believed number of running requests of all entries at the candidates.
+        limit: Maximum number of running requests.
+        loads_age_s: Age of the oldest announcement in `running`, in seconds.
+        queued: Requests in this entry's queue.
+        peer_on_time: On-time requests in other entries' queues.
+    """
+
+    running: int
+    limit: int
+    loads_age_s: float
+    queued: int
+    peer_on_time: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Capacity:
     """Free capacity of the endpoints of a service.
 
     Attributes:
         candidates: The endpoints, with their load and limits.
+        running: Believed number of running requests at the candidates.
+        limit: Maximum number of running requests.
         free: Number of requests that could start now.
     """
 
     candidates: list[selection.Candidate]
+    running: int
+    limit: int
     free: int
 
 
@@ -74,11 +97,22 @@
         self._first_part = latency.FirstPartLatency()
         self._peer_on_time = 0
         self._slowdowns: collections.abc.Mapping[str, float] = {}
+        self._capacity = _Capacity([], 0, 0, 0)
 
     def __len__(self) -> int:
         """Returns the number of queued requests."""
         return len(self._queue) + (self._head is not None)
 
+    def describe_admission(self, now: float) -> AdmissionInputs:
+        """Returns the inputs of the latest decision."""
+        return AdmissionInputs(
+            self._capacity.running,
+            self._capacity.limit,
+            self._loads.measure_age_s(now),
+            len(self),
+            self._peer_on_time,
+        )
+
     def set_avoidance(
         self, is_avoided: collections.abc.Callable[[str, float], bool]
     ) -> None:
@@ -225,6 +259,12 @@
         self, service: configuration.Service, now: float
     ) -> _Capacity:
         """Computes load, limits and free capacity of the endpoints."""
+        self._capacity = self._compute_capacity(service, now)
+        return self._capacity
+
+    def _compute_capacity(
+        self, service: configuration.Service, now: float
+    ) -> _Capacity:
         usable = self._endpoints.list_usable(service.name, now)
         trusted = [
             endpoint
@@ -244,8 +284,10 @@
             for endpoint in (trusted if enough else usable)
         ]
         free = sum(max(0, c.limit - c.load.requests) for c in candidates)
+        running = sum(candidate.load.requests for candidate in candidates)
+        slots = sum(candidate.limit for candidate in candidates)
         if service.engine is None or not candidates:
-            return _Capacity(candidates, free)
+            return _Capacity(candidates, running, slots, free)
         limit = congestion.compute_concurrency_limit(
             self._inflation,
             service.engine,
@@ -254,17 +296,17 @@
             now,
         )
         if limit >= service.engine.slots:
-            return _Capacity(candidates, free)
+            return _Capacity(candidates, running, slots, free)
         # In a lock-step group each request slows down all endpoints, so the limit
         # applies to the sum of their requests.
-        running = sum(candidate.load.requests for candidate in candidates)
-        free = min(free, max(0, math.floor(limit * len(candidates)) - running))
+        total_limit = math.floor(limit * len(candidates))
+        free = min(free, max(0, total_limit - running))
         max_per_endpoint = math.ceil(limit) if free else 0
         limited = [
             dataclasses.replace(candidate, limit=min(candidate.limit, max_per_endpoint))
             for candidate in candidates
         ]
-        return _Capacity(limited, free)
+        return _Capacity(limited, running, total_limit, free)
 
 
 def _reject_expired(request: queueing.PendingRequest) -> queueing.Rejection:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
@@ -99,6 +99,12 @@
             self._expire(now)
         return self._totals.get(instance, _NO_LOAD)
 
+    def measure_age_s(self, now: float) -> float:
+        """Returns the age of the oldest announcement in the totals, in seconds."""
+        if not self._peers:
+            return 0.0
+        return now - self._oldest_received_at
+
     def _add(self, instance: str, change: Load) -> None:
         total = self._totals.get(instance, _NO_LOAD).add(change)
         if total.requests:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
@@ -84,11 +84,14 @@
         request: The request.
         reason: Cause, for the answer.
         retry_after_s: Time after which a retry may succeed, in seconds.
+        predicted_wait_s: Predicted time in the queue, in seconds; None if the
+            rejection doesn't follow from it.
     """
 
     request: PendingRequest
     reason: str
     retry_after_s: float
+    predicted_wait_s: float | None = None
 
 
 class ThroughputMeter:
@@ -165,8 +168,10 @@
         if not self._requests:
             self._total_meter.restart(now)
             self._late_meter.restart(now)
-        if self._predict_wait_s(request, now) > self._compute_max_wait_s(request, now):
-            return (self._reject(request, "the wait would pass its deadline", now),)
+        wait_s = self._predict_wait_s(request, now)
+        if wait_s > self._compute_max_wait_s(request, now):
+            reason = "the wait would pass its deadline"
+            return (self._reject(request, reason, now, wait_s),)
         self._requests[request.request_id] = request
         return self._enqueue(request, now)
 
@@ -256,22 +261,28 @@
         rejections: list[Rejection] = []
         for entry in self._on_time.expire(now):
             request = self._requests[entry.attempt_id]
-            if self._predict_wait_s(request, now) > self._compute_max_wait_s(
-                request, now
-            ):
+            wait_s = self._predict_wait_s(request, now)
+            if wait_s > self._compute_max_wait_s(request, now):
                 del self._requests[entry.attempt_id]
-                rejections.append(self._reject(request, "it would start too late", now))
+                reason = "it would start too late"
+                rejections.append(self._reject(request, reason, now, wait_s))
                 continue
             rejections += self._enqueue(request, now)
         return tuple(rejections)
 
-    def _reject(self, request: PendingRequest, reason: str, now: float) -> Rejection:
+    def _reject(
+        self,
+        request: PendingRequest,
+        reason: str,
+        now: float,
+        predicted_wait_s: float | None = None,
+    ) -> Rejection:
         late_s = self._late.predict_wait(
             request.workspace, _convert_priority(request.priority), now
         )
         wait_s = min(MAX_RETRY_S, max(self.predict_wait(now), late_s))
         retry_after_ms = delay.compute_retry_after_ms(request.request_id, wait_s)
-        return Rejection(request, reason, retry_after_ms / 1000)
+        return Rejection(request, reason, retry_after_ms / 1000, predicted_wait_s)
 
 
 def _convert_priority(priority: int) -> requests.PriorityClass:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
@@ -80,6 +80,8 @@
         held: Step that the rank holds, or None.
         slowdown: Time that the rank takes for its work divided by the usual time.
         lag_s: Age of the report on arrival, in seconds.
+        running: Requests in the rank's batch.
+        waiting: Requests in the rank's own queue.
     """
 
     epoch: int
@@ -91,6 +93,8 @@
     held: int | None
     slowdown: float
     lag_s: float
+    running: int = 0
+    waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -154,3 +154,24 @@
     assert isinstance(
         _submit(dispatcher, service, all_excluded), dispatching.Dispatched
     )
+
+
+def test_inputs_of_an_admission_are_described(make_endpoint, make_request, service):
+    _, load_table, dispatcher = _build(make_endpoint, count=1)
+    load_table.set_peer("other", {"e0": loads.Load(5, 0.0)}, 0.0)
+    dispatcher.set_peer_on_time(2)
+    for number in range(3):
+        _submit(dispatcher, service, make_request(str(number)), 0.1)
+    assert dispatcher.describe_admission(0.1) == dispatching.AdmissionInputs(
+        running=6, limit=6, loads_age_s=0.1, queued=2, peer_on_time=2
+    )
+
+
+def test_rejection_names_the_wait_that_it_was_decided_by(
+    make_endpoint, make_request, service
+):
+    _, _, dispatcher = _build(make_endpoint, count=0)
+    (rejection,) = dispatcher.submit(
+        make_request("a", abandon_at=0.3, objective_at=0.1), service, 0.0
+    )
+    assert rejection.predicted_wait_s > 0.0
