--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -12,6 +12,7 @@
 from chicoryweir_daemon.forwarder.mapcontrol import lease_holder
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import congestion
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.maps import placement
 from chicoryweir_policy.rankmaps import change as changes
@@ -136,6 +137,7 @@
         if self._maps is None and not await self._load_maps(report, layout):
             return
         await self._sample_demand(layout)
+        self._log_load(engine)
         if self._maps is None or self._demand is None:
             return
         shares = self._demand.compute_shares()
@@ -189,15 +191,30 @@
                     before=round(before, 2),
                     lag_s=report.lag_s,
                 )
-        self._log_load()
 
-    def _log_load(self) -> None:
-        """Logs the load of the ranks that were read since the last such line."""
+    def _log_load(self, engine: configuration.Engine) -> None:
+        """Logs the ranks' load, and the step time beside the one that it implies.
+
+        `believed` is the relative step time under the estimated demand, `measured` the
+        step time divided by that of the same load spread evenly.
+        """
         now = self._now()
         if not self._loads or now - self._load_logged_at < LOAD_LOG_PERIOD_S:
             return
         self._load_logged_at = now
+        shares = None if self._demand is None else self._demand.compute_shares()
+        believed = None
+        if shares is not None and self._maps is not None and engine.experts is not None:
+            slowdowns = [
+                self._slowdowns.get(rank, 1.0) for rank in range(len(self._members))
+            ]
+            believed = planning.compute_relative_step_time(
+                self._maps, shares, engine.experts.share, slowdowns
+            )
         running, waiting = zip(*self._loads.values(), strict=True)
+        nominal_s = congestion.compute_event_interval_s(
+            engine, sum(running) / len(running)
+        )
         self._event_log.record(
             catalogue.GROUP_LOAD,
             group=self._name,
@@ -208,6 +225,10 @@
             waiting=round(sum(waiting) / len(waiting), 2),
             waiting_max=max(waiting),
             step_s=round(self._step_s, 4),
+            measured=round(self._step_s / max(nominal_s, 1e-3), 2),
+            believed=None if believed is None else round(believed, 2),
+            distance=None if self._demand is None else round(self._demand.distance, 3),
+            selections=None if self._demand is None else int(self._demand.selections),
         )
         self._loads.clear()
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -93,7 +93,12 @@
 
 
 class DemandTracker:
-    """Estimates the popularity of each set's experts from counts of sampled ranks."""
+    """Estimates the popularity of each set's experts from counts of sampled ranks.
+
+    Attributes:
+        distance: Distance of the latest sample from the estimate before it, 0 to 1.
+        selections: Selections in the latest sample, averaged over the sets.
+    """
 
     def __init__(self, layout: configuration.ExpertLayout, now: float) -> None:
         self._layout = layout
@@ -102,6 +107,8 @@
             for _ in range(layout.sets)
         ]
         self._latest: dict[int, tuple[int, ...]] = {}
+        self.distance = 0.0
+        self.selections = 0.0
 
     def add_counts(self, counts: dict[int, tuple[int, ...]], now: float) -> None:
         """Adds selection counts.
@@ -126,6 +133,8 @@
             total[index * size : (index + 1) * size]
             for index in range(self._layout.sets)
         ]
+        self.selections = sum(total) / self._layout.sets
+        self.distance = self._measure_distance(counts_by_set)
         if self._has_shifted(counts_by_set):
             self._sets = [popularity.create_popularity(size, now)] * len(counts_by_set)
         self._sets = [
@@ -138,11 +147,15 @@
         required = MIN_SELECTIONS_PER_EXPERT * self._layout.experts
         if any(sum(set_counts) < required for set_counts in counts_by_set):
             return False
+        return self.distance > SHIFT_DISTANCE
+
+    def _measure_distance(self, counts_by_set: list[list[int]]) -> float:
+        """Returns the distance of new selections from the estimate, over all sets."""
         distances = [
             popularity.measure_distance(estimate, set_counts)
             for estimate, set_counts in zip(self._sets, counts_by_set, strict=True)
         ]
-        return sum(distances) / len(distances) > SHIFT_DISTANCE
+        return sum(distances) / len(distances)
 
     def compute_shares(self) -> list[tuple[float, ...]] | None:
         """Returns the shares of each set; None while there are too few selections."""
--- /dev/null
+++ b/tests/support/groupload.py
@@ -0,0 +1,420 @@
+"""Simulation of many entries that send streams to one lock-step group.
+
+Entries run the real dispatchers. Each knows its own requests at once and those of the
+others from announcements. Time is simulated, and all randomness is seeded.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from chicoryweir_policy.forwarding import abandonment
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import demand
+from chicoryweir_policy.forwarding import dispatching
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.forwarding import queueing
+from chicoryweir_policy.forwarding import selection
+
+SERVICE = "model"
+TICK_S = 0.03
+# Requests that wait in an endpoint's own queue; further ones are declined.
+ENDPOINT_QUEUE = 10
+WORKSPACES = 24
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request: a route, its rate and what its answers are worth."""
+
+    route: configuration.Route
+    per_s: float
+    worth: float
+    late_worth: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Burst:
+    """A time in which one kind arrives `factor` times as often."""
+
+    kind: int
+    begin_s: float
+    end_s: float
+    factor: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """What is simulated.
+
+    Attributes:
+        engine: Engine of the ranks.
+        ranks: Number of ranks in the group.
+        entries: Number of entries; those in `late_entries` take callers from then on.
+        late_entries: Start of the further entries, by their number.
+        kinds: Kinds of requests.
+        bursts: Bursts.
+        length_s: Time in which requests arrive.
+        shift_period_s: Time between two shifts of the experts in demand.
+        shifted_s: Time after a shift until the map follows.
+        shifted_skew: Load of the most loaded rank over the mean until then.
+        skew: The same afterwards.
+    """
+
+    engine: configuration.Engine
+    ranks: int
+    entries: int
+    kinds: tuple[Kind, ...]
+    bursts: tuple[Burst, ...] = ()
+    late_entries: collections.abc.Mapping[int, float] = dataclasses.field(
+        default_factory=dict
+    )
+    length_s: float = 12.0
+    shift_period_s: float = 2.8
+    shifted_s: float = 0.8
+    shifted_skew: float = 2.4
+    skew: float = 1.2
+
+
+@dataclasses.dataclass
+class _Call:
+    """One request of a caller, over its attempts."""
+
+    number: int
+    kind: int
+    arrived_at: float
+    workspace: str
+    prompt_tokens: int
+    events: int
+    returns: int = 1
+    entry: int = 0
+    attempt_id: str = ""
+    dispatched: dispatching.Dispatched | None = None
+    sent_at: float = 0.0
+    first_at: float | None = None
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
+    events_left: int = 0
+
+
+@dataclasses.dataclass
+class Tally:
+    """Outcomes of one kind of request, or of one entry's requests."""
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    rejections: int = 0
+    refused: int = 0
+
+    @property
+    def served_share(self) -> float:
+        """Share of the requests that were answered, on time or late."""
+        return (self.on_time + self.late) / max(1, self.asked)
+
+
+@dataclasses.dataclass
+class Result:
+    """Outcome of a simulation.
+
+    Attributes:
+        kinds: Tally of each kind.
+        entries: Tally of each entry, by attempts.
+        peak_running: Most requests that ran or waited at the group.
+        worth: Worth earned over worth owed.
+    """
+
+    kinds: list[Tally]
+    entries: list[Tally]
+    peak_running: int
+    worth: float
+
+
+class _Entry:
+    def __init__(self, number: int, scenario: Scenario) -> None:
+        self.name = f"entry-{number}"
+        self.endpoints = endpoints.EndpointTable()
+        self.endpoints.replace_all(
+            [
+                endpoints.Endpoint(
+                    f"e{rank}",
+                    SERVICE,
+                    "10.0.0.1",
+                    rank + 1,
+                    "telavi",
+                    scenario.engine.slots,
+                    False,
+                    0.0,
+                    1,
+                )
+                for rank in range(scenario.ranks)
+            ],
+            0.0,
+        )
+        self.loads = loads.LoadTable()
+        self.loads.expiry_s = 10.0
+        self.dispatcher = dispatching.Dispatcher(
+            self.endpoints,
+            self.loads,
+            selection.create_selector("telavi"),
+            queueing.create_request_queue(),
+        )
+        self.on_time: dict[int, int] = {}
+        self.waiting: dict[str, _Call] = {}
+
+
+class Simulation:
+    """Simulates one scenario with one seed."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self._scenario = scenario
+        self._rng = random.Random(seed)
+        self._service = configuration.Service(SERVICE, 1000, scenario.engine)
+        self._entries = [
+            _Entry(number, scenario)
+            for number in range(scenario.entries + len(scenario.late_entries))
+        ]
+        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._now = 0.0
+        self._running: list[list[_Call]] = [[] for _ in range(scenario.ranks)]
+        self._queued: list[list[_Call]] = [[] for _ in range(scenario.ranks)]
+        self._calls = itertools.count()
+        self._result = Result(
+            [Tally() for _ in scenario.kinds], [Tally() for _ in self._entries], 0, 0.0
+        )
+        self._earned = self._owed = 0.0
+
+    def run(self) -> Result:
+        """Runs until all requests have ended."""
+        scenario = self._scenario
+        for kind in range(len(scenario.kinds)):
+            self._schedule_arrival(kind)
+        period_s = peers.ANNOUNCE_PERIOD_S * max(
+            1.0, len(self._entries) / peers.FULL_RATE_ENTRIES
+        )
+        for number in range(len(self._entries)):
+            begin_s = scenario.late_entries.get(number, 0.0)
+            offset_s = self._rng.random()
+            self._schedule(
+                begin_s + offset_s * period_s, self._make_announcer(number, period_s)
+            )
+            self._schedule(begin_s + offset_s * TICK_S, self._make_ticker(number))
+        self._schedule(0.0, self._step)
+        while self._events and self._now < scenario.length_s + 12.0:
+            self._now, _, action = heapq.heappop(self._events)
+            action()
+        self._result.worth = self._earned / self._owed
+        return self._result
+
+    def _schedule(self, at: float, action: typing.Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._order), action))
+
+    def _schedule_arrival(self, kind: int) -> None:
+        per_s = self._scenario.kinds[kind].per_s
+        for burst in self._scenario.bursts:
+            if burst.kind == kind and burst.begin_s <= self._now < burst.end_s:
+                per_s *= burst.factor
+        at = self._now + self._rng.expovariate(per_s)
+        if at < self._scenario.length_s:
+            self._schedule(at, lambda: self._arrive(kind))
+
+    def _arrive(self, kind: int) -> None:
+        self._schedule_arrival(kind)
+        rng = self._rng
+        workspace = f"w{int(WORKSPACES * rng.random() ** 2)}"
+        prompt = min(2400, max(50, int(rng.lognormvariate(6.3, 0.8))))
+        answer_events = min(48, max(2, int(rng.lognormvariate(2.7, 0.75))))
+        call = _Call(
+            next(self._calls), kind, self._now, workspace, prompt, answer_events
+        )
+        self._result.kinds[kind].asked += 1
+        self._owed += self._scenario.kinds[kind].worth
+        self._submit(call)
+
+    def _submit(self, call: _Call) -> None:
+        scenario, now = self._scenario, self._now
+        present = [
+            number
+            for number in range(len(self._entries))
+            if scenario.late_entries.get(number, 0.0) <= now
+        ]
+        call.entry = self._rng.choice(present)
+        call.attempt_id = f"{call.number}-{call.returns}"
+        route = scenario.kinds[call.kind].route
+        entry = self._entries[call.entry]
+        size = demand.RequestSize(call.prompt_tokens, 400, None)
+        estimate = demand.estimate_demand(size, scenario.engine)
+        first_part_s = max(
+            estimate.first_part_s, entry.dispatcher.predict_first_part_s()
+        )
+        deadline_at = call.arrived_at + route.timeout_s
+        request = queueing.PendingRequest(
+            call.attempt_id,
+            call.workspace,
+            1,
+            route.priority,
+            dataclasses.replace(estimate, first_part_s=first_part_s),
+            now + route.objective_s,
+            abandonment.compute_abandon_at(route, now, deadline_at),
+            now,
+        )
+        self._result.entries[call.entry].asked += 1
+        entry.waiting[call.attempt_id] = call
+        self._apply(entry, entry.dispatcher.submit(request, self._service, now))
+
+    def _apply(
+        self, entry: _Entry, outcomes: typing.Iterable[dispatching.Outcome]
+    ) -> None:
+        for outcome in outcomes:
+            match outcome:
+                case dispatching.Dispatched():
+                    call = entry.waiting.pop(outcome.request.request_id)
+                    self._send(entry, call, outcome)
+                case queueing.Rejection():
+                    call = entry.waiting.pop(outcome.request.request_id)
+                    self._reject(call, outcome.retry_after_s)
+
+    def _send(
+        self, entry: _Entry, call: _Call, dispatched: dispatching.Dispatched
+    ) -> None:
+        rank = int(dispatched.endpoint.instance[1:])
+        if len(self._queued[rank]) >= ENDPOINT_QUEUE:
+            entry.dispatcher.finish(dispatched)
+            self._reject(call, 0.3)
+            return
+        call.dispatched, call.sent_at, call.last_at = dispatched, self._now, self._now
+        call.events_left = call.events
+        self._queued[rank].append(call)
+        total = sum(map(len, self._running)) + sum(map(len, self._queued))
+        self._result.peak_running = max(self._result.peak_running, total)
+
+    def _reject(self, call: _Call, retry_after_s: float) -> None:
+        self._result.entries[call.entry].rejections += 1
+        self._result.kinds[call.kind].rejections += 1
+        timeout_s = self._scenario.kinds[call.kind].route.timeout_s
+        left_s = call.arrived_at + timeout_s - self._now
+        if not call.returns or left_s < 0.5:
+            self._result.kinds[call.kind].refused += 1
+            return
+        call.returns -= 1
+        back_at = self._now + min(retry_after_s, left_s / 3.0)
+        self._schedule(back_at, lambda: self._submit(call))
+
+    def _step(self) -> None:
+        """Runs one pass: every running stream gets an event at its end."""
+        engine, own_s = self._scenario.engine, []
+        for rank, running in enumerate(self._running):
+            started = 0.0
+            while self._queued[rank] and len(running) < engine.slots:
+                call = self._queued[rank].pop(0)
+                started += call.prompt_tokens / engine.read_tokens_per_s
+                running.append(call)
+            if running:
+                interval_s = engine.steps_per_event * (
+                    engine.step_s
+                    + (engine.sequence_s + engine.context_s * 900) * len(running)
+                )
+                own_s.append(interval_s + started)
+            else:
+                own_s.append(0.0)
+        if not any(own_s):
+            self._schedule(self._now + 0.01, self._step)
+            return
+        scenario = self._scenario
+        since_shift_s = self._now % scenario.shift_period_s
+        is_shifted = (
+            self._now > scenario.shift_period_s and since_shift_s < scenario.shifted_s
+        )
+        skew = scenario.shifted_skew if is_shifted else scenario.skew
+        mean_s = sum(own_s) / len(own_s)
+        pass_s = 0.15 * max(own_s) + 0.85 * skew * mean_s
+        self._schedule(self._now + pass_s, self._end_step)
+
+    def _end_step(self) -> None:
+        ended: list[tuple[int, _Call]] = []
+        measured: set[int] = set()
+        for rank, running in enumerate(self._running):
+            for call in list(running):
+                if self._deliver(call, measured):
+                    running.remove(call)
+                    ended.append((rank, call))
+        for _, call in ended:
+            self._end(call)
+        self._step()
+
+    def _deliver(self, call: _Call, measured: set[int]) -> bool:
+        """Delivers one event; returns whether the stream has ended."""
+        route = self._scenario.kinds[call.kind].route
+        dispatcher = self._entries[call.entry].dispatcher
+        gap_s = self._now - call.last_at
+        if call.first_at is None:
+            call.first_at = self._now
+            dispatcher.record_first_part(self._now - call.sent_at)
+        else:
+            call.longest_gap_s = max(call.longest_gap_s, gap_s)
+            if call.entry not in measured:
+                measured.add(call.entry)
+                dispatcher.record_gap(
+                    self._service, gap_s, route.max_gap_s, self._now
+                )
+        call.last_at = self._now
+        call.events_left -= 1
+        return call.events_left <= 0
+
+    def _end(self, call: _Call) -> None:
+        entry = self._entries[call.entry]
+        assert call.dispatched is not None
+        assert call.first_at is not None
+        entry.dispatcher.finish(call.dispatched)
+        kind = self._scenario.kinds[call.kind]
+        tally = self._result.kinds[call.kind]
+        if (
+            call.first_at - call.arrived_at <= kind.route.objective_s
+            and call.longest_gap_s <= kind.route.max_gap_s
+        ):
+            tally.on_time += 1
+            self._earned += kind.worth
+        else:
+            tally.late += 1
+            self._earned += kind.worth * kind.late_worth
+        self._dispatch(entry)
+
+    def _dispatch(self, entry: _Entry) -> None:
+        if len(entry.dispatcher):
+            self._apply(
+                entry, entry.dispatcher.dispatch_queued(self._service, self._now)
+            )
+
+    def _make_ticker(self, number: int) -> typing.Callable[[], None]:
+        def tick() -> None:
+            self._dispatch(self._entries[number])
+            if self._now < self._scenario.length_s + 3.0:
+                self._schedule(self._now + TICK_S, tick)
+
+        return tick
+
+    def _make_announcer(
+        self, number: int, period_s: float
+    ) -> typing.Callable[[], None]:
+        def announce() -> None:
+            sender = self._entries[number]
+            own = sender.loads.copy_own()
+            count = sender.dispatcher.count_on_time()
+            for other, entry in enumerate(self._entries):
+                if other == number:
+                    continue
+                entry.loads.set_peer(sender.name, own, self._now)
+                entry.on_time[number] = count
+                entry.dispatcher.set_peer_on_time(sum(entry.on_time.values()))
+            if self._now < self._scenario.length_s + 3.0:
+                self._schedule(self._now + period_s, announce)
+
+        return announce
