Find shifts in expert demand relative to the usual distance of samples

A shift counts as one if a sample is 0.2 (total variation) from the estimate. That suits today's sites, where a few experts have much of the load: 0.3 to 0.5 after a shift. With 144 experts of similar load a shift of half of them is 0.16, and samples showed 0.07 to 0.14, since each rank was read every third round and its difference reached back to before the shift. The estimate then follows with a half-life of 1.5 s, while shifts come every 2.4 s.

The threshold is now 2.2 times the usual distance (0.02 here, 0.09 on today's sites, which gives the 0.2 of before), all 72 ranks are read each round, and a difference over more than 1 s isn't used.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -21,12 +21,6 @@
 
 # Maximum time between two polls of a map change for commands.
 COMMAND_POLL_S = 0.02
-# Number of selection counts read in each update. They come from a few ranks, which are
-# selected in round-robin order.
-COUNTS_PER_SAMPLE = 40_000
-# Minimum number of ranks whose counts are read in each update. Each rank's requests
-# select different experts; a map computed from fewer ranks would suit only those.
-MIN_SAMPLED_RANKS = 3
 # Number of ranks whose slowdown is read in each update, in round-robin order. Their
 # agents answer, so the reads cost the group nothing.
 RANKS_PER_SLOWDOWN_POLL = 4
@@ -95,7 +89,7 @@
         self._step_s = USUAL_STEP_S
         self._last_step: tuple[int, float] | None = None
         self._recovered = False
-        self._next_sampled = 0
+        self._samples = 0
         self._slowdowns: dict[int, float] = {}
         self._next_polled = 0
         self._loads: dict[int, tuple[int, int]] = {}
@@ -297,11 +291,9 @@
         return True
 
     async def _sample_demand(self, layout: configuration.ExpertLayout) -> None:
-        count = max(
-            MIN_SAMPLED_RANKS, COUNTS_PER_SAMPLE // (layout.sets * layout.experts)
-        )
-        ranks = self._select_ranks(self._next_sampled, count)
-        self._next_sampled = ranks[-1] + 1
+        size = len(self._members)
+        ranks = planning.select_sampled_ranks(self._samples, size, layout)
+        self._samples += 1
         found = await asyncio.gather(
             *(self._client.read_counts(self._members[rank]) for rank in ranks)
         )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -8,6 +8,8 @@
 
 import collections.abc
 import dataclasses
+import math
+import operator
 
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.maps import placement
@@ -17,9 +19,28 @@
 
 # Half-life of expert selection counts while the demand does not shift.
 HALF_LIFE_S = 1.5
-# Total variation distance between new and earlier selections above which the demand
-# counts as shifted. It is 0.05 to 0.15 without a shift and 0.3 to 0.5 after one.
-SHIFT_DISTANCE = 0.2
+# Total variation distance between new and earlier selections, relative to the usual
+# distance, above which the demand counts as shifted. The distance after a shift depends
+# on how unevenly experts are used: it is 0.3 to 0.5 if a few have most of the load, and
+# 0.15 if all have a similar one, where the usual distance is 0.02.
+SHIFT_RATIO = 2.2
+# Distance up to which maps for either demand are about equally good.
+MIN_SHIFT_DISTANCE = 0.04
+# Usual distance before the first sample.
+INITIAL_DISTANCE = 0.09
+# Weights of a new distance in the usual one. A shift that is still too small to be
+# detected makes samples more distant, so these have less weight.
+NEARER_WEIGHT = 0.3
+FARTHER_WEIGHT = 0.1
+# Maximum time between two counts of a rank whose difference is used. Selections from
+# before a shift would hide it.
+MAX_INTERVAL_S = 1.0
+# Number of selection counts read in each sample. A group with more is sampled by some
+# ranks at a time.
+COUNTS_PER_SAMPLE = 130_000
+# Minimum number of ranks in a sample. Each rank's requests select different experts; a
+# map computed from fewer ranks would suit only those.
+MIN_SAMPLED_RANKS = 3
 # Minimum relative reduction of the step time by a change of the maps.
 MIN_GAIN = 0.12
 # Skew (greatest rank load over the mean) at which a set's map is not improved further.
@@ -106,7 +127,8 @@
             popularity.create_popularity(layout.experts, now)
             for _ in range(layout.sets)
         ]
-        self._latest: dict[int, tuple[int, ...]] = {}
+        self._latest: dict[int, tuple[float, tuple[int, ...]]] = {}
+        self._usual_distance = INITIAL_DISTANCE
         self.distance = 0.0
         self.selections = 0.0
 
@@ -121,14 +143,13 @@
         size = self._layout.experts
         total = [0] * (size * self._layout.sets)
         for rank, latest in counts.items():
-            before = self._latest.get(rank)
-            self._latest[rank] = latest
-            if before is None or len(latest) != len(total):
+            before_at, before = self._latest.get(rank, (-math.inf, ()))
+            self._latest[rank] = now, latest
+            if now - before_at > MAX_INTERVAL_S or len(latest) != len(total):
                 continue
-            total = [
-                summed + max(0, new - old)
-                for summed, new, old in zip(total, latest, before, strict=True)
-            ]
+            added = list(map(operator.sub, latest, before))
+            if min(added) >= 0:
+                total = list(map(operator.add, total, added))
         counts_by_set = [
             total[index * size : (index + 1) * size]
             for index in range(self._layout.sets)
@@ -147,7 +168,12 @@
         required = MIN_SELECTIONS_PER_EXPERT * self._layout.experts
         if any(sum(set_counts) < required for set_counts in counts_by_set):
             return False
-        return self.distance > SHIFT_DISTANCE
+        usual = self._usual_distance
+        if self.distance > max(MIN_SHIFT_DISTANCE, SHIFT_RATIO * usual):
+            return True
+        weight = NEARER_WEIGHT if self.distance < usual else FARTHER_WEIGHT
+        self._usual_distance += weight * (self.distance - usual)
+        return False
 
     def _measure_distance(self, counts_by_set: list[list[int]]) -> float:
         """Returns the distance of new selections from the estimate, over all sets."""
@@ -165,6 +191,27 @@
         return [estimate.compute_shares() for estimate in self._sets]
 
 
+def select_sampled_ranks(
+    sample: int, ranks: int, layout: configuration.ExpertLayout
+) -> list[int]:
+    """Returns the ranks whose counts are read for a sample.
+
+    If not all can be read, half of the ranks are those of the sample before: only their
+    selections since then are known.
+
+    Args:
+        sample: Number of the sample, from 0.
+        ranks: Number of ranks in the group.
+        layout: Expert layout of the group.
+    """
+    count = COUNTS_PER_SAMPLE // (layout.sets * layout.experts)
+    count = min(ranks, max(2 * MIN_SAMPLED_RANKS, count))
+    if count == ranks:
+        return list(range(ranks))
+    first = sample * (count // 2)
+    return [(first + offset) % ranks for offset in range(count)]
+
+
 def compute_copy_s(
     experts: int, layout: configuration.ExpertLayout, link_bytes_per_s: float
 ) -> float:
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -18,10 +18,12 @@
 LARGE_LAYOUT = configuration.ExpertLayout(2, 144, 3, 2, 2.5e9, 0.85)
 
 
-def _draw_shares(layout, rng):
+def _draw_shares(layout, rng, exponent=1.1):
     shares = []
     for _ in range(layout.sets):
-        weights = [1.0 / (position + 1) ** 1.1 for position in range(layout.experts)]
+        weights = [
+            1.0 / (position + 1) ** exponent for position in range(layout.experts)
+        ]
         rng.shuffle(weights)
         shares.append(tuple(weight / sum(weights) for weight in weights))
     return shares
@@ -160,17 +162,17 @@
         assert all(max(set_shares) == set_shares[hot] for set_shares in shares)
 
 
-def _count(shares, selections, rng):
+def _count(shares, selections, rng, noise=0.2):
     """Returns the counts of one sample, with noise like that of varying requests."""
     counts = []
     for set_shares in shares:
-        noisy = [share * rng.uniform(0.8, 1.2) for share in set_shares]
+        noisy = [share * rng.uniform(1.0 - noise, 1.0 + noise) for share in set_shares]
         counts += [int(selections * share / sum(noisy)) for share in noisy]
     return counts
 
 
-def _add_sample(tracker, shares, total, now, rng, selections=20_000):
-    for index, count in enumerate(_count(shares, selections, rng)):
+def _add_sample(tracker, shares, total, now, rng, selections=20_000, noise=0.2):
+    for index, count in enumerate(_count(shares, selections, rng, noise)):
         total[index] += count
     tracker.add_counts({0: tuple(total)}, now)
 
@@ -205,6 +207,37 @@
                     assert _measure_error(slow, shares) > 0.3
 
 
+def _shift_flat_shares(shares, rng):
+    """Permutes the popularity of half of the experts."""
+    shifted = []
+    for set_shares in shares:
+        moved = [e for e in range(len(set_shares)) if rng.random() < 0.5]
+        targets = rng.sample(moved, len(moved))
+        after = list(set_shares)
+        for expert, target in zip(moved, targets, strict=True):
+            after[expert] = set_shares[target]
+        shifted.append(tuple(after))
+    return shifted
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_shift_among_evenly_used_experts_is_followed(seed):
+    # Guards against shares and maps of the demand before a shift, which is small where
+    # no expert has much of the load (issue 19).
+    rng = random.Random(seed)
+    tracker = planning.DemandTracker(LARGE_LAYOUT, 0.0)
+    shares = _draw_shares(LARGE_LAYOUT, rng, exponent=0.53)
+    total = [0] * (LARGE_LAYOUT.sets * LARGE_LAYOUT.experts)
+    now = 0.0
+    for _ in range(4):
+        for sample in range(8):
+            now += 0.3
+            _add_sample(tracker, shares, total, now, rng, 1_000_000, noise=0.06)
+            if sample >= 1:
+                assert _measure_error(tracker.compute_shares(), shares) < 0.04
+        shares = _shift_flat_shares(shares, rng)
+
+
 def _measure_error(estimates, shares):
     errors = [
         sum(abs(a - b) for a, b in zip(estimate, exact, strict=True)) / 2
