Let the entry with the largest machine hold the lease of the expert maps

Candidates were compared by name only.

Entries announce the size of their machine, the largest one that reaches the store is the candidate, each listens for 0.45 s before it acquires, and only a holder that was heard is presumed dead. The layout of announcements changes (format 3).

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -11,8 +11,8 @@
 from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; incremented when the layout changes.
-FORMAT_VERSION = 2
-_PART_COUNT = 17
+FORMAT_VERSION = 3
+_PART_COUNT = 18
 _DECODING_ERRORS = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
@@ -41,6 +41,7 @@
             announcement.released_fence,
             _encode_crash_update(announcement.crash_update),
             dict(announcement.slowdowns),
+            announcement.capacity,
         )
     )
 
@@ -78,6 +79,7 @@
             slowdowns={
                 str(name): float(slowdown) for name, slowdown in parts[16].items()
             },
+            capacity=float(parts[17]),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -134,6 +134,7 @@
             reaches_store=not self._fleet.endpoints.is_store_unreachable,
             crash_update=self._fleet.crashes.select_update(receivers, now),
             slowdowns=self._fleet.slowdowns,
+            capacity=settings.capacity,
         )
 
     def _update_alive(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
@@ -45,6 +45,7 @@
         self._held_fence = 0
         self._acting_fence = 0
         self._store_reached_at = fleet.clock.read()
+        self._listening_until = fleet.clock.read() + succession.LISTENING_S
         self._store_failure = ""
 
     @property
@@ -132,24 +133,33 @@
                 peer.reaches_store,
                 DUTY in peer.duties,
                 peer.released_fence,
+                peer.capacity,
             )
             for peer in self._fleet.peers.list_alive(self._fleet.clock.read())
         ]
 
+    def _describe_own_state(self) -> succession.PeerState:
+        return succession.PeerState(
+            self._fleet.settings.name,
+            self._incarnation,
+            ready=True,
+            reaches_store=not self._fleet.endpoints.is_store_unreachable,
+            holds=False,
+            released_fence=0,
+            capacity=self._fleet.settings.capacity,
+        )
+
     def _is_candidate(self) -> bool:
-        if not self._fleet.is_ready:
+        if not self._fleet.is_ready or self._fleet.clock.read() < self._listening_until:
             return False
-        reaches = not self._fleet.endpoints.is_store_unreachable
-        name = self._fleet.settings.name
-        return succession.is_candidate(name, reaches, self._list_peer_states())
+        own = self._describe_own_state()
+        return succession.is_candidate(own, self._list_peer_states())
 
     async def _tick(self) -> None:
-        own = succession.PeerState(
-            self._fleet.settings.name, self._incarnation, True, True, False, 0
-        )
+        own = self._describe_own_state()
         holder, fence = self._lease.row_holder, self._lease.row_fence
         others = self._list_peer_states()
-        known = self._fleet.peers.count_known()
+        known = self._fleet.peers.list_known()
         if succession.has_stopped_acting(holder, fence, [own, *others]) or (
             holder != self._lease.holder
             and succession.is_presumed_dead(holder, others, known)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -58,6 +58,9 @@
         store: Host and port of the platform's store.
         heartbeat_s: Interval between an endpoint's registrations, in seconds.
         bounds: Limits that the platform sets.
+        capacity: Size of the machine: its share of a processor, multiplied by that
+            processor's speed and by the bandwidth of its link. Compared between
+            entries only.
     """
 
     name: str
@@ -72,3 +75,4 @@
     store: Listener
     heartbeat_s: float
     bounds: Bounds
+    capacity: float = 0.0
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -29,6 +29,7 @@
         (records.Clearance(11, frozenset({records.LossId("i-2", "17")})),),
     ),
     slowdowns={"i-3": 6.25},
+    capacity=430.2,
 )
 
 
--- a/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
@@ -66,19 +66,32 @@
         return await self._store_rows.run(operation)
 
 
-def _settings(name):
+def _settings(name, capacity=0.0):
     listener = process.Listener("127.0.0.1", 1)
     bounds = process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0)
     return process.Settings(
-        name, name, "dc", listener, None, None, 1, 2, (), listener, 1.2, bounds
+        name,
+        name,
+        "dc",
+        listener,
+        None,
+        None,
+        1,
+        2,
+        (),
+        listener,
+        1.2,
+        bounds,
+        capacity,
     )
 
 
 class Entries:
     """Entries named by letters that share a clock and a store."""
 
-    def __init__(self, names):
+    def __init__(self, names, capacities=None):
         self.names = names
+        self.capacities = capacities or {}
         self.clock = Clock()
         self.store = StoreStandIn()
         self.sequence = 0
@@ -91,7 +104,8 @@
             self.start(name, 1)
 
     def start(self, name, incarnation):
-        fleet = fleets.Fleet(_settings(name), self.clock)
+        settings = _settings(name, self.capacities.get(name, 0.0))
+        fleet = fleets.Fleet(settings, self.clock)
         config = configuration.Configuration(1, (), (), None, configuration.Limits())
         fleet.adopt(config, b"{}")
         fleet.endpoints_listed = True
@@ -137,6 +151,7 @@
                 duties=fleet.duties,
                 released_fence=fleet.released_fence,
                 reaches_store=not fleet.endpoints.is_store_unreachable,
+                capacity=fleet.settings.capacity,
             )
             for other in sorted(set(self.names) - {name} - set(silent)):
                 if self.random.random() < self.loss_rate:
@@ -162,6 +177,15 @@
     assert not entries.holders["b"].holds
 
 
+async def test_entry_with_the_largest_machine_holds_the_lease_from_the_start():
+    # Guards against a small machine that takes the lease before it has heard the
+    # others, and against another one that presumes this holder dead (issue 19).
+    entries = Entries("abc", {"a": 1.0, "b": 9.0, "c": 2.0})
+    await entries.advance(2.0)
+    assert entries.holders["b"].holds
+    assert entries.holders["b"].raise_token() // lease_holder.TOKENS_PER_LEASE == 1
+
+
 async def test_isolated_holder_is_replaced_within_three_seconds(entries):
     await entries.advance(2.0)
     token = entries.holders["a"].raise_token()
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -45,6 +45,7 @@
         reaches_store: Whether its last call to the store succeeded.
         crash_update: Recent records of crashed endpoints.
         slowdowns: Slowdowns of the slow instances in the groups that it manages.
+        capacity: Size of its machine, relative to those of other entries.
     """
 
     name: str
@@ -65,6 +66,7 @@
     slowdowns: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    capacity: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,9 +143,9 @@
             if now - peer.received_at <= alive_timeout_s
         ]
 
-    def count_known(self) -> int:
-        """Returns the number of entries in the table, alive or not."""
-        return len(self._peers)
+    def list_known(self) -> frozenset[str]:
+        """Returns the names of the entries in the table, alive or not."""
+        return frozenset(self._peers)
 
     def count_entries(self, now: float) -> int:
         """Returns the number of entries that accept callers, plus this one."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
@@ -20,6 +20,9 @@
 # after which peers count it as silent. A holder that resumes from a pause has thus
 # stopped before it is replaced.
 MAX_ANNOUNCEMENT_AGE_SHARE = 0.8
+# Time after its start in which an entry only listens, before it may acquire the lease.
+# Others announce themselves several times within it.
+LISTENING_S = 0.45
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +36,7 @@
         reaches_store: Whether its latest calls to the store succeeded.
         holds: Whether it acts as the lease holder.
         released_fence: Highest fencing token under which it will never act again.
+        capacity: Size of its machine, relative to those of other entries.
     """
 
     name: str
@@ -41,17 +45,26 @@
     reaches_store: bool
     holds: bool
     released_fence: int
+    capacity: float = 0.0
 
 
 PeerStates = collections.abc.Sequence[PeerState]
 
 
-def is_candidate(own: str, reaches_store: bool, others: PeerStates) -> bool:
-    """Returns whether an entry is the first by name that can acquire the lease."""
-    if not reaches_store or any(other.holds for other in others):
+def is_candidate(own: PeerState, others: PeerStates) -> bool:
+    """Returns whether an entry is the one that should acquire the lease.
+
+    Of the entries that reach the store it is the one with the largest machine, and the
+    first by name of those: a change of a large group's map sends the map to each rank.
+    """
+    if not own.reaches_store or any(other.holds for other in others):
         return False
     rivals = (other for other in others if other.ready and other.reaches_store)
-    return all(own < other.name for other in rivals)
+    return all(_rank_candidate(own) < _rank_candidate(rival) for rival in rivals)
+
+
+def _rank_candidate(entry: PeerState) -> tuple[float, str]:
+    return -entry.capacity, entry.name
 
 
 def should_stop_early(store_outage_s: float, others: PeerStates) -> bool:
@@ -93,17 +106,20 @@
     return False
 
 
-def is_presumed_dead(holder: str, others: PeerStates, known_count: int) -> bool:
+def is_presumed_dead(
+    holder: str, others: PeerStates, known: collections.abc.Set[str]
+) -> bool:
     """Returns whether a holder is silent while a majority of entries is not.
 
-    The majority rules out that this entry itself is isolated.
+    The majority rules out that this entry itself is isolated. A holder that was never
+    heard may just not have been reached yet by this entry, which has just started.
 
     Args:
         holder: Name and incarnation of the process, joined by a slash.
         others: Entries with a recent announcement.
-        known_count: Number of other known entries, silent ones included.
+        known: Names of the other entries that were heard, silent ones included.
     """
     name, _, _ = holder.rpartition("/")
-    if not name or any(other.name == name for other in others):
+    if name not in known or any(other.name == name for other in others):
         return False
-    return 2 * (len(others) + 1) > known_count + 1
+    return 2 * (len(others) + 1) > len(known) + 1
--- a/packages/chicoryweir-policy/tests/groups/test_succession.py
+++ b/packages/chicoryweir-policy/tests/groups/test_succession.py
@@ -8,16 +8,31 @@
 WITHOUT_STORE = dataclasses.replace(OTHER, reaches_store=False)
 
 
+def _state(name, **changes):
+    return dataclasses.replace(OTHER, name=name, **changes)
+
+
 def test_candidate_is_first_entry_by_name_that_reaches_the_store():
-    assert succession.is_candidate("a", True, [OTHER])
-    assert not succession.is_candidate("c", True, [OTHER])
-    assert succession.is_candidate("c", True, [WITHOUT_STORE])
-    assert not succession.is_candidate("a", False, [OTHER])
+    assert succession.is_candidate(_state("a"), [OTHER])
+    assert not succession.is_candidate(_state("c"), [OTHER])
+    assert succession.is_candidate(_state("c"), [WITHOUT_STORE])
+    assert not succession.is_candidate(_state("a", reaches_store=False), [OTHER])
+
+
+def test_candidate_is_entry_with_the_largest_machine():
+    # Guards against maps that follow slowly because a small machine sends them to all
+    # ranks of a large group (issue 19).
+    large = _state("c", capacity=200.0)
+    assert succession.is_candidate(large, [OTHER, _state("a", capacity=20.0)])
+    assert not succession.is_candidate(_state("a", capacity=20.0), [large])
+    assert succession.is_candidate(
+        _state("a"), [dataclasses.replace(large, reaches_store=False)]
+    )
 
 
 def test_no_candidate_while_another_entry_holds():
     holder = dataclasses.replace(OTHER, holds=True)
-    assert not succession.is_candidate("a", True, [holder])
+    assert not succession.is_candidate(_state("a"), [holder])
 
 
 def test_holder_stops_early_if_only_it_cannot_reach_the_store():
@@ -46,8 +61,16 @@
 
 def test_silent_holder_is_presumed_dead_while_a_majority_announces():
     others = [dataclasses.replace(OTHER, name=name) for name in "bcd"]
-    assert succession.is_presumed_dead("a/5", others, 4)
-    assert not succession.is_presumed_dead("b/5", others, 4)
-    assert not succession.is_presumed_dead("a/5", others[:1], 4)
-    assert not succession.is_presumed_dead("a/5", [], 1)
-    assert not succession.is_presumed_dead("", others, 4)
+    known = frozenset("abcd")
+    assert succession.is_presumed_dead("a/5", others, known)
+    assert not succession.is_presumed_dead("b/5", others, known)
+    assert not succession.is_presumed_dead("a/5", others[:1], known)
+    assert not succession.is_presumed_dead("a/5", [], frozenset("a"))
+    assert not succession.is_presumed_dead("", others, known)
+
+
+def test_holder_that_was_never_heard_is_not_presumed_dead():
+    # Guards against two entries that take the lease one after the other while the
+    # fleet starts, of which the second may be a small machine (issue 19).
+    others = [_state(name) for name in "bcd"]
+    assert not succession.is_presumed_dead("a/5", others, frozenset("bcd"))
