Order requests by their workspace's priority, then by their route's

A workspace's priority replaced that of the route; all but two of the 24 workspaces have the same one, so that all kinds were in one class, and the kind with the longest objective waited longest and was served most.

The priority of a workspace, relative to the median one, now comes first, and that of the route second. test_workspace_priority_overrides_route_priority asserted the replacement; the new test asserts both orders for three workspaces and three routes.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/routes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import types
 
@@ -10,6 +11,8 @@
 
 # Workspace of requests without a valid key, on public routes or if no keys are checked.
 _NO_WORKSPACE = ""
+# Least urgent priority.
+MAX_PRIORITY = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,7 +22,8 @@
     Attributes:
         route: Route of the request.
         workspace: Workspace of the key; empty if there is none.
-        priority: Priority of the request; 0 is the most urgent.
+        priority: Priority of the request; 0 is the most urgent. It follows from that of
+            the workspace relative to the usual one, and then from that of the route.
         service: Service that runs the request.
         version: Version of the configuration that was used.
     """
@@ -65,6 +69,8 @@
             for workspace in config.workspaces or ()
             for key in workspace.keys
         }
+        self._levels = 1 + max((route.priority for route in config.routes), default=0)
+        self._usual_priority = _find_usual_priority(config.workspaces or ())
 
     @property
     def version(self) -> int:
@@ -95,10 +101,13 @@
             if owner is not None:
                 workspace = owner.name
                 if owner.priority is not None:
-                    priority = owner.priority
+                    # Requests of one workspace keep the order of their routes.
+                    difference = owner.priority - self._usual_priority
+                    priority += difference * self._levels
             elif not route.public:
                 return KeyUnknown(route.name, self.version)
         service = _draw_service(route, request_id)
+        priority = min(max(priority, 0), MAX_PRIORITY)
         return Routed(route, workspace, priority, service, self.version)
 
     def _find_route(self, host: str, path: bytes) -> configuration.Route | None:
@@ -114,6 +123,14 @@
         return None
 
 
+def _find_usual_priority(
+    workspaces: collections.abc.Iterable[configuration.Workspace],
+) -> int:
+    """Returns the median priority of the workspaces that have one."""
+    priorities = sorted(w.priority for w in workspaces if w.priority is not None)
+    return priorities[(len(priorities) - 1) // 2] if priorities else 0
+
+
 def _draw_service(route: configuration.Route, request_id: str) -> str:
     if len(route.shares) == 1:
         return route.shares[0].service
--- a/packages/chicoryweir-policy/tests/forwarding/test_routes.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_routes.py
@@ -35,10 +35,30 @@
     assert isinstance(table.resolve("other", b"/a/", b"key", "1"), routes.NotFound)
 
 
-def test_workspace_priority_overrides_route_priority(route):
-    found = _build_table(route, ["/a/"]).resolve("h.example", b"/a/", b"key", "1")
-    assert isinstance(found, routes.Routed)
-    assert (found.workspace, found.priority) == ("w", 2)
+def test_workspace_priority_precedes_route_priority(route):
+    # Guards against routes of all priorities in one class because most workspaces have
+    # a priority (issue 19).
+    config = configuration.Configuration(
+        1,
+        tuple(
+            dataclasses.replace(route, name=str(n), prefix=f"/{n}/", priority=n)
+            for n in range(3)
+        ),
+        (),
+        tuple(
+            configuration.Workspace(f"w{n}", (f"k{n}",), priority)
+            for n, priority in enumerate((0, 1, 1, 2))
+        ),
+        configuration.Limits(),
+    )
+    table = routes.RouteTable(config)
+    found = {
+        key: [
+            table.resolve("h.example", b"/%d/" % n, key, "1").priority for n in range(3)
+        ]
+        for key in (b"k0", b"k1", b"k3")
+    }
+    assert found == {b"k0": [0, 0, 0], b"k1": [0, 1, 2], b"k3": [3, 4, 5]}
 
 
 def test_unknown_key_is_rejected_unless_route_is_public(route):
