Reserve a group's capacity by class, and drop the throughput of late requests

In bursts 406 requests were at a group with 360 slots.

Causes, of one class: each entry decided about a shared resource by its own small sample of it. (1) The wait of a late request was predicted from the throughput of late requests at this entry. Where none starts it falls to its minimum, all are rejected, and none measures it again. (2) The limit was compared with totals that are 0.5 to 1 s old, and each of 46 entries used all places that it saw free. (3) An entry has 0 to 2 requests queued, so that the order of its queue says little about the order in which the fleet starts requests.

A class is now admitted up to its share of the limit (trunk reservation): 1.0 to 1.1 for the most urgent class in demand, 0.9 to 1.0 and 0.8 to 0.95 for the next ones, 0.7 to 0.9 for late requests, each entry drawing its threshold anew each second; each class keeps 8 % of the starts. Late requests are rejected at once while the average load is above their share and over half of the slots are taken, and queued otherwise. Nothing of this depends on what the decision itself changes.

tests/support/groupload.py plays many entries before one group without a network. The new tests fail before: the old queue rejects the late request of test_late_request_is_queued_after_a_time_in_which_none_could_start.

Tests changed: pop takes a function that says what may start instead of on_time_only; the late request that waits for other entries' on-time ones now has two free slots, since one is reserved; the one that is rejected early is told that the service is saturated, as the dispatcher does.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -88,6 +88,7 @@
                 self.loads,
                 self._selector,
                 queueing.create_request_queue(),
+                self.settings.name,
             )
             dispatcher.set_avoidance(self._is_ejected)
             dispatcher.set_slowdowns(self._merged_slowdowns)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/admission/fair_queue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/fair_queue.py
@@ -54,9 +54,23 @@
         heapq.heappush(self._expiries, expiry)
         return queued.Accepted(request, evicted)
 
-    def pop(self, now: float) -> queued.QueuedRequest | None:
-        """Dequeues the request to start next; returns None when the queue is empty."""
-        backlogged = self._list_backlogged()
+    def pop(
+        self,
+        now: float,
+        least_urgent: requests.PriorityClass = requests.PriorityClass.BULK,
+    ) -> queued.QueuedRequest | None:
+        """Dequeues the request to start next; returns None when there is none.
+
+        Args:
+            now: Present time, monotonic seconds.
+            least_urgent: Least urgent class that is considered.
+        """
+        backlogged = [
+            has_backlog and priority <= least_urgent
+            for priority, has_backlog in zip(
+                _CLASSES, self._list_backlogged(), strict=True
+            )
+        ]
         priority = self._floors.select_class(backlogged)
         if priority is None:
             return None
@@ -109,6 +123,11 @@
             priority, correction_tokens, self._list_backlogged(), self._tokens_per_s
         )
 
+    def list_backlogged(self) -> list[requests.PriorityClass]:
+        """Returns the classes that have queued requests, most urgent first."""
+        backlogged = self._list_backlogged()
+        return [priority for priority in _CLASSES if backlogged[priority]]
+
     def set_speed(self, tokens_per_s: float) -> None:
         """Sets the throughput of the whole endpoint, used to predict queueing times."""
         self._tokens_per_s = tokens_per_s
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/admission/first_come.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/first_come.py
@@ -28,10 +28,20 @@
         self._requests[request.attempt_id] = request
         return queued.Accepted(request)
 
-    def pop(self, now: float) -> queued.QueuedRequest | None:
-        """Dequeues the oldest request; returns None when the queue is empty."""
-        for attempt_id in self._requests:
-            return self._requests.pop(attempt_id)
+    def pop(
+        self,
+        now: float,
+        least_urgent: requests.PriorityClass = requests.PriorityClass.BULK,
+    ) -> queued.QueuedRequest | None:
+        """Dequeues the oldest request; returns None when there is none.
+
+        Args:
+            now: Present time, monotonic seconds.
+            least_urgent: Least urgent class that is considered.
+        """
+        for attempt_id, request in self._requests.items():
+            if request.priority <= least_urgent:
+                return self._requests.pop(attempt_id)
         return None
 
     def remove(self, attempt_id: str) -> queued.QueuedRequest | None:
@@ -58,6 +68,10 @@
     ) -> None:
         """Does nothing: the order of service does not depend on the cost."""
 
+    def list_backlogged(self) -> list[requests.PriorityClass]:
+        """Returns the classes that have queued requests, most urgent first."""
+        return sorted({request.priority for request in self._requests.values()})
+
     def set_speed(self, tokens_per_s: float) -> None:
         """Sets the throughput of the whole endpoint, used to predict queueing times."""
         self._tokens_per_s = tokens_per_s
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/admission/queued.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/admission/queued.py
@@ -105,8 +105,17 @@
     def push(self, request: QueuedRequest, now: float) -> Outcome:
         """Enqueues a request, which may be rejected or evict others."""
 
-    def pop(self, now: float) -> QueuedRequest | None:
-        """Dequeues the request to start next; returns None when the queue is empty."""
+    def pop(
+        self,
+        now: float,
+        least_urgent: requests.PriorityClass = requests.PriorityClass.BULK,
+    ) -> QueuedRequest | None:
+        """Dequeues the request to start next; returns None when there is none.
+
+        Args:
+            now: Present time, monotonic seconds.
+            least_urgent: Least urgent class that is considered.
+        """
 
     def remove(self, attempt_id: str) -> QueuedRequest | None:
         """Removes a cancelled attempt; returns None when it is not queued."""
@@ -130,6 +139,9 @@
             now: Present time, monotonic seconds.
         """
 
+    def list_backlogged(self) -> list[requests.PriorityClass]:
+        """Returns the classes that have queued requests, most urgent first."""
+
     def set_speed(self, tokens_per_s: float) -> None:
         """Sets the throughput of the whole endpoint, used to predict queueing times."""
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -4,14 +4,17 @@
 
 import collections.abc
 import dataclasses
+import functools
 import math
 
+from chicoryweir_policy import requests
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import latency
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import queueing
+from chicoryweir_policy.forwarding import reservation
 from chicoryweir_policy.forwarding import selection
 
 # Retry-after time of requests that expired in the queue.
@@ -20,6 +23,11 @@
 # remains. Fewer would be overloaded, and a problem of most endpoints usually has a
 # common cause.
 MIN_TRUSTED_SHARE = 0.4
+# Time constant of the moving average of the load that shows whether late requests can
+# start at all.
+LOAD_AVERAGING_S = 1.0
+# Share of the slots up to which no request is rejected for the load alone.
+UNSATURATED_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,12 +75,14 @@
         candidates: The endpoints, with their load and limits.
         running: Believed number of running requests at the candidates.
         limit: Maximum number of running requests.
+        slots: Number of running requests that the candidates have slots for.
         free: Number of requests that could start now.
     """
 
     candidates: list[selection.Candidate]
     running: int
     limit: int
+    slots: int
     free: int
 
 
@@ -85,7 +95,17 @@
         load_table: loads.LoadTable,
         selector: selection.Selector,
         queue: queueing.RequestQueue,
+        entry: str = "",
     ) -> None:
+        """Initializes the dispatcher.
+
+        Args:
+            endpoint_table: Endpoints known to this entry.
+            load_table: Load of the endpoints.
+            selector: Selects the endpoint of a request.
+            queue: Queue of the service.
+            entry: Name of this entry.
+        """
         self._endpoints = endpoint_table
         self._loads = load_table
         self._selector = selector
@@ -97,7 +117,10 @@
         self._first_part = latency.FirstPartLatency()
         self._peer_on_time = 0
         self._slowdowns: collections.abc.Mapping[str, float] = {}
-        self._capacity = _Capacity([], 0, 0, 0)
+        self._reservation = reservation.Reservation(entry)
+        self._average_running = 0.0
+        self._averaged_at = -math.inf
+        self._capacity = _Capacity([], 0, 0, 0, 0)
 
     def __len__(self) -> int:
         """Returns the number of queued requests."""
@@ -173,8 +196,11 @@
             The outcome of the request, and those of requests that were evicted for it
             or dispatched from the queue.
         """
-        if not len(self):
-            dispatched = self._dispatch(request, self._measure_capacity(service, now))
+        self._reservation.record_request(request.priority, now)
+        capacity = self._measure_capacity(service, now)
+        late = now > request.latest_on_time_start_at
+        if not len(self) and self._admits(capacity, request.priority, late, now):
+            dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
                 return (dispatched,)
         rejections = self._queue.push(request, now)
@@ -194,16 +220,16 @@
             capacity = self._measure_capacity(service, now)
             if not capacity.free:
                 break
-            # The free capacity may be needed by other entries' on-time requests.
-            on_time_only = capacity.free <= self._peer_on_time
-            request = self._head or self._queue.pop(now, on_time_only)
+            request = self._head or self._queue.pop(
+                now, functools.partial(self._admits_queued, capacity, now)
+            )
             self._head = None
             if request is None:
                 break
             if request.latest_start_at < now:
                 outcomes.append(_reject_expired(request))
                 continue
-            dispatched = self._dispatch(request, capacity)
+            dispatched = self._dispatch(request, capacity, now)
             if dispatched is None:
                 # Every free endpoint is excluded for it or lacks memory.
                 self._head = request
@@ -232,8 +258,23 @@
             dispatched.endpoint.instance, dispatched.request.estimate.memory_tokens
         )
 
+    def _admits(
+        self, capacity: _Capacity, priority: int, late: bool, now: float
+    ) -> bool:
+        """Returns whether requests of a priority may start now."""
+        limit = self._reservation.compute_limit(capacity.limit, priority, late, now)
+        return capacity.running < limit
+
+    def _admits_queued(
+        self, capacity: _Capacity, now: float, priority: int, late: bool
+    ) -> bool:
+        # The free capacity may be needed by other entries' on-time requests.
+        if late and capacity.free <= self._peer_on_time:
+            return False
+        return self._admits(capacity, priority, late, now)
+
     def _dispatch(
-        self, request: queueing.PendingRequest, capacity: _Capacity
+        self, request: queueing.PendingRequest, capacity: _Capacity, now: float
     ) -> Dispatched | None:
         allowed = [
             candidate
@@ -247,6 +288,7 @@
         self._loads.record_start(
             chosen.endpoint.instance, request.estimate.memory_tokens
         )
+        self._reservation.record_start(request.priority, now)
         return Dispatched(request, chosen.endpoint)
 
     def _find_max_slowdown(self, usable: list[endpoints.Endpoint]) -> float:
@@ -260,8 +302,16 @@
         self, service: configuration.Service, now: float
     ) -> _Capacity:
         """Computes load, limits and free capacity of the endpoints."""
-        self._capacity = self._compute_capacity(service, now)
-        return self._capacity
+        capacity = self._capacity = self._compute_capacity(service, now)
+        weight = 1.0 - math.exp(-max(0.0, now - self._averaged_at) / LOAD_AVERAGING_S)
+        self._average_running += weight * (capacity.running - self._average_running)
+        self._averaged_at = now
+        late_limit = self._reservation.compute_limit(
+            capacity.limit, max(requests.PriorityClass), True, now
+        )
+        unsaturated = max(late_limit, UNSATURATED_SHARE * capacity.slots)
+        self._queue.set_saturated(self._average_running >= max(1.0, unsaturated))
+        return capacity
 
     def _compute_capacity(
         self, service: configuration.Service, now: float
@@ -288,7 +338,7 @@
         running = sum(candidate.load.requests for candidate in candidates)
         slots = sum(candidate.limit for candidate in candidates)
         if service.engine is None or not candidates:
-            return _Capacity(candidates, running, slots, free)
+            return _Capacity(candidates, running, slots, slots, free)
         limit = congestion.compute_concurrency_limit(
             self._inflation,
             service.engine,
@@ -297,17 +347,16 @@
             now,
         )
         if limit >= service.engine.slots:
-            return _Capacity(candidates, running, slots, free)
+            return _Capacity(candidates, running, slots, slots, free)
         # In a lock-step group each request slows down all endpoints, so the limit
         # applies to the sum of their requests.
         total_limit = math.floor(limit * len(candidates))
-        free = min(free, max(0, total_limit - running))
-        max_per_endpoint = math.ceil(limit) if free else 0
+        max_per_endpoint = math.ceil(limit)
         limited = [
             dataclasses.replace(candidate, limit=min(candidate.limit, max_per_endpoint))
             for candidate in candidates
         ]
-        return _Capacity(limited, running, total_limit, free)
+        return _Capacity(limited, running, total_limit, slots, free)
 
 
 def _reject_expired(request: queueing.PendingRequest) -> queueing.Rejection:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
@@ -32,6 +32,9 @@
 MAX_RETRY_S = 2.7
 # Minimum throughput used for predictions, in cost per second.
 MIN_THROUGHPUT = 1.0
+# Expected wait of a request that is rejected because on-time requests use all capacity,
+# in seconds. With the spread of retry-after times the longest is MAX_RETRY_S.
+SATURATED_WAIT_S = 1.8
 # Averaging time of the throughput.
 THROUGHPUT_AVERAGING_S = 2.0
 # Share of the remaining time that a predicted wait may use, since predictions are
@@ -124,14 +127,24 @@
         return True
 
 
+class Admits(typing.Protocol):
+    """Returns whether requests of a priority may start now."""
+
+    def __call__(self, priority: int, late: bool) -> bool:
+        """Returns it for on-time or for late requests."""
+
+
 class RequestQueue(typing.Protocol):
     """Queue of requests that need an endpoint."""
 
     def push(self, request: PendingRequest, now: float) -> tuple[Rejection, ...]:
         """Enqueues a request; returns all requests rejected as a result."""
 
-    def pop(self, now: float, on_time_only: bool) -> PendingRequest | None:
-        """Dequeues the next request; skips late ones if `on_time_only`."""
+    def pop(self, now: float, admits: Admits) -> PendingRequest | None:
+        """Dequeues the next request of those that may start; None if there is none."""
+
+    def set_saturated(self, saturated: bool) -> None:
+        """Sets whether late requests are rejected: on-time ones use all capacity."""
 
     def remove(self, request_id: str) -> bool:
         """Removes a request; returns False if it isn't queued."""
@@ -156,8 +169,10 @@
         self._on_time = fair_queue.create_fair_queue(MAX_QUEUED, INITIAL_THROUGHPUT)
         self._late = fair_queue.create_fair_queue(MAX_QUEUED, INITIAL_THROUGHPUT)
         self._requests: dict[str, PendingRequest] = {}
-        self._total_meter = ThroughputMeter()
-        self._late_meter = ThroughputMeter()
+        self._meter = ThroughputMeter()
+        self._saturated = False
+        # Rejections to be returned by `expire`.
+        self._rejected: tuple[Rejection, ...] = ()
 
     def __len__(self) -> int:
         """Returns the number of queued requests."""
@@ -166,12 +181,10 @@
     def push(self, request: PendingRequest, now: float) -> tuple[Rejection, ...]:
         """Enqueues a request; returns all requests rejected as a result."""
         if not self._requests:
-            self._total_meter.restart(now)
-            self._late_meter.restart(now)
-        wait_s = self._predict_wait_s(request, now)
-        if wait_s > self._compute_max_wait_s(request, now):
-            reason = "the wait would pass its deadline"
-            return (self._reject(request, reason, now, wait_s),)
+            self._meter.restart(now)
+        rejection = self._check_wait(request, "the wait would pass its deadline", now)
+        if rejection is not None:
+            return (rejection,)
         self._requests[request.request_id] = request
         return self._enqueue(request, now)
 
@@ -179,23 +192,26 @@
         """Returns the number of requests that can still be on time."""
         return len(self._on_time)
 
-    def pop(self, now: float, on_time_only: bool) -> PendingRequest | None:
-        """Dequeues the next request; skips late ones if `on_time_only`."""
-        self._demote(now)
-        entry = self._on_time.pop(now)
-        late_cost = 0.0
-        if entry is None:
-            if on_time_only:
-                return None
-            entry = self._late.pop(now)
-            if entry is None:
-                return None
-            late_cost = entry.cost_tokens
-        if self._total_meter.add(entry.cost_tokens, now):
-            self._on_time.set_speed(self._total_meter.throughput)
-        if self._late_meter.add(late_cost, now):
-            self._late.set_speed(self._late_meter.throughput)
-        return self._requests.pop(entry.attempt_id)
+    def pop(self, now: float, admits: Admits) -> PendingRequest | None:
+        """Dequeues the next request of those that may start; None if there is none."""
+        self._rejected += self._demote(now)
+        for queue, late in ((self._on_time, False), (self._late, True)):
+            admitted = [
+                priority
+                for priority in queue.list_backlogged()
+                if admits(priority, late)
+            ]
+            entry = queue.pop(now, max(admitted)) if admitted else None
+            if entry is not None:
+                if self._meter.add(entry.cost_tokens, now):
+                    self._on_time.set_speed(self._meter.throughput)
+                    self._late.set_speed(self._meter.throughput)
+                return self._requests.pop(entry.attempt_id)
+        return None
+
+    def set_saturated(self, saturated: bool) -> None:
+        """Sets whether late requests are rejected: on-time ones use all capacity."""
+        self._saturated = saturated
 
     def remove(self, request_id: str) -> bool:
         """Removes a request; returns False if it isn't queued."""
@@ -207,7 +223,8 @@
 
     def expire(self, now: float) -> tuple[Rejection, ...]:
         """Removes and rejects requests whose callers would leave before the start."""
-        rejections = list(self._demote(now))
+        rejections = [*self._rejected, *self._demote(now)]
+        self._rejected = ()
         for entry in self._late.expire(now):
             request = self._requests.pop(entry.attempt_id)
             rejections.append(self._reject(request, "its time ran out waiting", now))
@@ -219,9 +236,7 @@
             *self._on_time.measure_backlog(now),
             *self._late.measure_backlog(now),
         ]
-        return (
-            sum(measure.tokens for measure in measures) / self._total_meter.throughput
-        )
+        return sum(measure.tokens for measure in measures) / self._meter.throughput
 
     def _predict_wait_s(self, request: PendingRequest, now: float) -> float:
         priority = _convert_priority(request.priority)
@@ -229,10 +244,9 @@
             ahead = self._on_time.predict_wait(request.workspace, priority, now)
             if now + ahead <= request.latest_on_time_start_at:
                 return ahead
-        # Late requests have their own throughput: they get the capacity that on-time
-        # requests leave.
-        own_s = request.estimate.cost / self._late_meter.throughput
-        return own_s + self._late.predict_wait(request.workspace, priority, now)
+        # A rejected request isn't started and measures no throughput. The prediction
+        # for an empty queue must therefore not depend on it.
+        return self._late.predict_wait(request.workspace, priority, now)
 
     def _compute_max_wait_s(self, request: PendingRequest, now: float) -> float:
         """Returns the longest acceptable wait of a request, in seconds."""
@@ -261,15 +275,30 @@
         rejections: list[Rejection] = []
         for entry in self._on_time.expire(now):
             request = self._requests[entry.attempt_id]
-            wait_s = self._predict_wait_s(request, now)
-            if wait_s > self._compute_max_wait_s(request, now):
+            rejection = self._check_wait(request, "it would start too late", now)
+            if rejection is not None:
                 del self._requests[entry.attempt_id]
-                reason = "it would start too late"
-                rejections.append(self._reject(request, reason, now, wait_s))
+                rejections.append(rejection)
                 continue
             rejections += self._enqueue(request, now)
         return tuple(rejections)
 
+    def _check_wait(
+        self, request: PendingRequest, reason: str, now: float
+    ) -> Rejection | None:
+        """Rejects a request that would wait in vain; returns None if it may wait."""
+        late = now > request.latest_on_time_start_at
+        if late and self._saturated:
+            retry_after_ms = delay.compute_retry_after_ms(
+                request.request_id, SATURATED_WAIT_S
+            )
+            reason = "on-time requests use all capacity"
+            return Rejection(request, reason, retry_after_ms / 1000)
+        wait_s = self._predict_wait_s(request, now)
+        if wait_s > self._compute_max_wait_s(request, now):
+            return self._reject(request, reason, now, wait_s)
+        return None
+
     def _reject(
         self,
         request: PendingRequest,
