Give up an endpoint's answer that has no end

An event without end was kept in memory and searched from its start with each part. A call to the store, a rank or another entry had no limit but its time.

Limits now: 64 KiB without a complete head (interim answers and trailers included), 256 KiB of a stream without a new event, 64 KiB and 0.4 s for an answer whose body doesn't matter, four answers to other attempts, 8 MiB for an answer to a call. Such an answer counts as garbled: the request is repeated or resumed elsewhere where it may be, and fails with 502 at once where it may not.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -16,6 +16,13 @@
 
 # Status codes that guarantee the caller that its request did not run and won't run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Maximum size, and maximum time to receive the rest, of an answer that is discarded: it
+# belongs to another attempt, or only its head matters. Beyond them its connection is
+# closed instead.
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.4
+# Maximum number of answers to other attempts before the answer to this one.
+MAX_STALE_ANSWERS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,21 +154,25 @@
         answer: callers.Answer,
     ) -> tuple[heads.AnswerHead | None, Outcome]:
         """Returns the answer's head if the connection is reusable, and the outcome."""
-        while True:
+        for _ in range(MAX_STALE_ANSWERS + 1):
             event = await self._receive(connection)
             match event:
                 case heads.AnswerHead():
                     answer_facts = self._header_codec.read_answer(event)
-                    if answer_facts.attempt_id not in (None, facts.attempt_id):
-                        await self._discard_answer(connection)
-                        continue
-                    return await self._process_answer(
-                        connection, event, answer_facts, target, answer
-                    )
+                    if answer_facts.attempt_id in (None, facts.attempt_id):
+                        return await self._process_answer(
+                            connection, event, answer_facts, target, answer
+                        )
+                    if not await self._discard_answer(connection):
+                        detail = "an answer to another attempt didn't end"
+                        return None, Failed(retries.Failure.GARBLED, detail)
                 case answerparser.Broken(detail):
                     return None, Failed(retries.Failure.BROKEN, detail)
                 case answerparser.BodyPart() | answerparser.End():
-                    continue
+                    detail = "a body without a head"
+                    return None, Failed(retries.Failure.GARBLED, detail)
+        detail = f"over {MAX_STALE_ANSWERS} answers to other attempts"
+        return None, Failed(retries.Failure.GARBLED, detail)
 
     async def _process_answer(
         self,
@@ -197,7 +208,11 @@
             event = await self._receive(connection, " within the answer")
             match event:
                 case answerparser.BodyPart(data):
-                    if target.feed(data):
+                    try:
+                        sent = target.feed(data)
+                    except relay.RelayError as error:
+                        return None, Failed(retries.Failure.GARBLED, str(error))
+                    if sent:
                         await answer.drain()
                 case answerparser.End():
                     if target.finish():
@@ -238,14 +253,19 @@
 
     async def _discard_answer(self, connection: connections.Connection) -> bool:
         """Discards the rest of an answer; returns whether its end was received."""
-        while True:
-            match await self._receive(connection):
+        until = self._clock.read() + DISCARD_TIMEOUT_S
+        discarded_bytes = 0
+        while discarded_bytes <= MAX_DISCARDED_BYTES:
+            left_s = until - self._clock.read()
+            event = await connection.receive(left_s) if left_s > 0.0 else None
+            match event:
                 case answerparser.End():
                     return True
-                case answerparser.Broken() | heads.AnswerHead():
+                case answerparser.BodyPart(data):
+                    discarded_bytes += len(data)
+                case _:
                     return False
-                case answerparser.BodyPart():
-                    continue
+        return False
 
     async def _receive(
         self, connection: connections.Connection, suffix: str = ""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
@@ -9,6 +9,10 @@
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
 
+# Maximum size of an answer. The store's and other entries' answers have at most some
+# 1.5 MB, the counts of a rank some 40 KB.
+MAX_REPLY_BYTES = 8_388_608
+
 
 class FetchError(Exception):
     """A call got no complete answer; it may have taken effect if `sent` is True.
@@ -96,6 +100,9 @@
                 head = event
             case answerparser.BodyPart(data):
                 body += data
+                if len(body) > MAX_REPLY_BYTES:
+                    detail = f"an answer longer than {MAX_REPLY_BYTES} bytes"
+                    raise FetchError("receive", peer, detail, sent=True)
             case answerparser.End():
                 assert head is not None
                 return head, bytes(body)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -12,6 +12,13 @@
 # An answer up to this size is buffered until it is complete, so that the request can be
 # retried if the answer ends early; a longer answer is relayed as it arrives.
 MAX_BUFFERED_BYTES = 262_144
+# Maximum number of bytes of a stream that are received in a row without an event that
+# the caller lacks.
+MAX_UNSENT_BYTES = 262_144
+
+
+class RelayError(Exception):
+    """A body can't be relayed; the message gives the reason."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +42,11 @@
         """Starts to relay the answer of an attempt."""
 
     def feed(self, data: bytes) -> bool:
-        """Processes part of the body; returns whether data was sent to the caller."""
+        """Processes part of the body; returns whether data was sent to the caller.
+
+        Raises:
+            RelayError: The body is not one that can be relayed.
+        """
 
     def finish(self) -> bool:
         """Ends the answer; returns False if it is incomplete."""
@@ -98,6 +109,7 @@
         self._head: heads.AnswerHead | None = None
         self._splitter = eventstream.EventSplitter()
         self._last_id = last_event_id
+        self._unsent_bytes = 0
         self.begun = False
 
     @property
@@ -108,11 +120,16 @@
     def start(self, head: heads.AnswerHead) -> None:
         """Starts to relay the answer of an attempt; the caller gets the first head."""
         self._splitter = eventstream.EventSplitter()
+        self._unsent_bytes = 0
         if not self.begun:
             self._head = head
 
     def feed(self, data: bytes) -> bool:
-        """Sends the complete events that the caller hasn't received yet."""
+        """Sends the complete events that the caller hasn't received yet.
+
+        Raises:
+            RelayError: There was no such event in `MAX_UNSENT_BYTES`.
+        """
         sent = False
         for event in self._splitter.feed(data):
             if self._is_duplicate(event):
@@ -122,6 +139,9 @@
             sent = True
             if event.event_id is not None:
                 self._last_id = event.event_id
+        self._unsent_bytes = 0 if sent else self._unsent_bytes + len(data)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            raise RelayError(f"{self._unsent_bytes} bytes without a new event")
         return sent
 
     def finish(self) -> bool:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/answerparser.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/answerparser.py
@@ -8,6 +8,10 @@
 
 from chicoryweir_daemon.http1 import heads
 
+# Maximum number of bytes in a row that are neither body nor the end of a head: heads,
+# interim answers and trailers. Endpoints send heads of some hundred bytes.
+MAX_HEAD_BYTES = 65_536
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyPart:
@@ -45,6 +49,7 @@
         self._ends_at_close = False
         self._is_interim = False
         self._broken = False
+        self._head_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -62,6 +67,9 @@
             self._fail("the endpoint switched protocols")
         except httptools.HttpParserError as error:
             self._fail(f"not a valid answer: {error}")
+        self._head_bytes = 0 if self._events else self._head_bytes + len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(f"over {MAX_HEAD_BYTES} bytes without a complete head")
         return self._events
 
     def feed_eof(self, clean: bool) -> list[Event]:
