--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import json
 import typing
 import urllib.parse
 
@@ -22,6 +23,8 @@
 CACHE_POLL_PERIOD_S = 1.0
 IDLE_CONNECTION_TIMEOUT_S = 2.0
 CHUNK_BYTES = 64 * 1024
+# Maximum size of a document of the engine; its cache events have some 10 KB.
+MAX_DOCUMENT_BYTES = 4 << 20
 _OK = 200
 _PLAIN_INCARNATION = "plain"
 
@@ -65,13 +68,10 @@
         while True:
             await asyncio.sleep(CACHE_POLL_PERIOD_S)
             try:
-                answer = await self._client.get(
-                    "/cache/events", params={"after": after}, timeout=PROBE_TIMEOUT_S
-                )
-                document = answer.json()
+                document = await self._get_document("/cache/events", {"after": after})
                 after = int(document["next"])
                 changed = _get_block_states(document["events"])
-            except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            except (httpx.HTTPError, TimeoutError, ValueError, KeyError, TypeError):
                 continue
             if changed.stored or changed.evicted:
                 self._core_task.post(changed)
@@ -101,7 +101,7 @@
             lost = await self._check_lost(incarnation)
             detail = type(error).__name__
             self._core_task.post(events.EndpointFailed(attempt_id, False, lost, detail))
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, streams.EventTooLongError) as error:
             lost = await self._check_lost(incarnation)
             detail = f"{type(error).__name__}: {error}"
             self._core_task.post(events.EndpointFailed(attempt_id, True, lost, detail))
@@ -173,11 +173,33 @@
 
     async def _probe_model(self) -> events.EndpointProbed:
         try:
-            answer = await self._client.get("/load", timeout=PROBE_TIMEOUT_S)
-            return _parse_load(answer.json())
-        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            return _parse_load(await self._get_document("/load", {}))
+        except (httpx.HTTPError, TimeoutError, ValueError, KeyError, TypeError):
             return events.EndpointProbed("", 0, 0, 0.0, ())
 
+    async def _get_document(
+        self, path: str, parameters: collections.abc.Mapping[str, int]
+    ) -> typing.Any:
+        """Reads a JSON document of the engine within `PROBE_TIMEOUT_S`.
+
+        Raises:
+            httpx.HTTPError: The engine didn't answer.
+            TimeoutError: The document did not end in time.
+            ValueError: It is longer than `MAX_DOCUMENT_BYTES` or no JSON.
+        """
+        body = bytearray()
+        async with (
+            asyncio.timeout(PROBE_TIMEOUT_S),
+            self._client.stream("GET", path, params=dict(parameters)) as answer,
+        ):
+            async for data in answer.aiter_bytes():
+                body += data
+                if len(body) > MAX_DOCUMENT_BYTES:
+                    raise ValueError(
+                        f"{path} is longer than {MAX_DOCUMENT_BYTES} bytes"
+                    )
+        return json.loads(body)
+
 
 def _parse_load(
     load: collections.abc.Mapping[str, typing.Any],
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/streams.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/streams.py
@@ -7,6 +7,10 @@
 _DATA_PREFIX = b"data:"
 
 
+class EventTooLongError(ValueError):
+    """An event of an engine exceeds `MAX_EVENT_BYTES`."""
+
+
 class EventParser:
     """Extracts the data of complete events from a stream of bytes.
 
@@ -22,13 +26,13 @@
         """Parses bytes and returns the data of the events that they complete.
 
         Raises:
-            ValueError: An event is larger than `MAX_EVENT_BYTES`.
+            EventTooLongError: An event is larger than `MAX_EVENT_BYTES`.
         """
         text = (self._buffer + data).replace(b"\r\n", b"\n")
         blocks = text.split(b"\n\n")
         self._buffer = blocks.pop()
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError("event exceeds the maximum size")
+            raise EventTooLongError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         payloads: list[bytes] = []
         for block in blocks:
             payload = _extract_data(block)
--- /dev/null
+++ b/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
@@ -0,0 +1,103 @@
+"""Tests of an agent whose engine sends bytes without end."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from chicoryweir_daemon import configuration
+from chicoryweir_daemon.agent import endpoints
+from chicoryweir_policy import requests
+from chicoryweir_policy.cores import commands
+from chicoryweir_policy.cores import events
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+PART = b"a" * 65_536
+
+
+class CoreStandIn:
+    """Core that keeps the events posted to it."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.events = []
+
+    def set_handler(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def post(self, event):
+        self.events.append(event)
+
+
+@pytest_asyncio.fixture
+async def engine():
+    """Yields the URL of an engine that never ends an answer, and its bytes sent."""
+    sent = [0]
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"data: ")
+            while not writer.is_closing():
+                writer.write(PART)
+                await writer.drain()
+                sent[0] += len(PART)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}", sent
+    server.close()
+
+
+def _make_task(url):
+    core = CoreStandIn()
+    endpoint = configuration.Endpoint(
+        configuration.EndpointKind.MODEL, url, 2, False, "", ()
+    )
+    return core, endpoints.EndpointTask(endpoint, core)
+
+
+async def _wait_for(core, kind):
+    for _ in range(500):
+        for event in core.events:
+            if isinstance(event, kind):
+                return event
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"no {kind.__name__}")
+
+
+async def test_event_without_end_fails_the_attempt(engine):
+    # Guards against an attempt that ends without an outcome (issue 19).
+    core, task = _make_task(engine[0])
+    call = commands.CallEndpoint(
+        "a",
+        "r",
+        "POST",
+        "/x",
+        "",
+        "",
+        b"",
+        requests.AnswerMode.EVENTS,
+        requests.PriorityClass.URGENT,
+        0,
+    )
+    core.handlers[commands.CallEndpoint](call)
+    failed = await _wait_for(core, events.EndpointFailed)
+    assert failed.attempt_id == "a"
+    await task.close()
+
+
+async def test_load_report_without_end_is_given_up(engine):
+    # Guards against a probe that keeps bytes without end in memory (issue 19).
+    core, task = _make_task(engine[0])
+    probes = asyncio.create_task(task.run_probes())
+    probed = await _wait_for(core, events.EndpointProbed)
+    assert probed.incarnation == ""
+    probes.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await probes
+    await task.close()
+    assert engine[1][0] < 16 * endpoints.MAX_DOCUMENT_BYTES
