Keep the turn of a request whose attempt failed

A late request is now rejected at once while on-time ones use all capacity. A stream that broke midway is late in that sense as soon as its objective has passed, and would have been broken off for good although its place in the group has just become free.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -378,18 +378,22 @@
         )
 
     def _make_pending_request(self) -> queueing.PendingRequest:
+        abandon_at = abandonment.compute_abandon_at(
+            self._route,
+            self._last_received_at or self._arrived_at,
+            self._deadline_at,
+        )
+        retried = self._attempt_history.deliveries > 0
         return queueing.PendingRequest(
             self._request_id,
             self._routed.workspace,
             self._routed.priority,
             self._route.priority,
             self._estimate_demand(),
-            self._arrived_at + self._route.objective_s,
-            abandonment.compute_abandon_at(
-                self._route,
-                self._last_received_at or self._arrived_at,
-                self._deadline_at,
+            abandonment.compute_objective_at(
+                self._route, self._arrived_at, abandon_at, retried
             ),
+            abandon_at,
             self._arrived_at,
             self._excluded,
         )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/abandonment.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/abandonment.py
@@ -12,6 +12,23 @@
 WAIT_GAPS = 8.0
 
 
+def compute_objective_at(
+    route: configuration.Route, arrived_at: float, abandon_at: float, retried: bool
+) -> float:
+    """Returns the time until which a request counts as on time.
+
+    A request whose attempt failed keeps its turn until its caller leaves: other entries
+    have counted it as running, and part of its answer may have been sent.
+
+    Args:
+        route: Route of the request.
+        arrived_at: Time of arrival, monotonic seconds.
+        abandon_at: Time at which its caller leaves, monotonic seconds.
+        retried: Whether an attempt has reached an endpoint.
+    """
+    return abandon_at if retried else arrived_at + route.objective_s
+
+
 def compute_abandon_at(
     route: configuration.Route, waited_since: float, deadline_at: float
 ) -> float:
