Keep floors and estimates where priorities are low or samples far apart

A priority above 2 was counted as a class of its own, so that a workspace of low priority had no floor in the queue: test_lowest_priorities_share_the_floor_of_their_class. A holder whose rounds take over 1 s never used a sample, and would have left maps as they were: test_demand_is_estimated_from_samples_that_are_far_apart.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -196,10 +196,11 @@
             The outcome of the request, and those of requests that were evicted for it
             or dispatched from the queue.
         """
-        self._reservation.record_request(request.priority, now)
+        priority = queueing.convert_priority(request.priority)
+        self._reservation.record_request(priority, now)
         capacity = self._measure_capacity(service, now)
         late = now > request.latest_on_time_start_at
-        if not len(self) and self._admits(capacity, request.priority, late, now):
+        if not len(self) and self._admits(capacity, priority, late, now):
             dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
                 return (dispatched,)
@@ -288,7 +289,8 @@
         self._loads.record_start(
             chosen.endpoint.instance, request.estimate.memory_tokens
         )
-        self._reservation.record_start(request.priority, now)
+        priority = queueing.convert_priority(request.priority)
+        self._reservation.record_start(priority, now)
         return Dispatched(request, chosen.endpoint)
 
     def _find_max_slowdown(self, usable: list[endpoints.Endpoint]) -> float:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
@@ -239,7 +239,7 @@
         return sum(measure.tokens for measure in measures) / self._meter.throughput
 
     def _predict_wait_s(self, request: PendingRequest, now: float) -> float:
-        priority = _convert_priority(request.priority)
+        priority = convert_priority(request.priority)
         if now <= request.latest_on_time_start_at:
             ahead = self._on_time.predict_wait(request.workspace, priority, now)
             if now + ahead <= request.latest_on_time_start_at:
@@ -307,21 +307,22 @@
         predicted_wait_s: float | None = None,
     ) -> Rejection:
         late_s = self._late.predict_wait(
-            request.workspace, _convert_priority(request.priority), now
+            request.workspace, convert_priority(request.priority), now
         )
         wait_s = min(MAX_RETRY_S, max(self.predict_wait(now), late_s))
         retry_after_ms = delay.compute_retry_after_ms(request.request_id, wait_s)
         return Rejection(request, reason, retry_after_ms / 1000, predicted_wait_s)
 
 
-def _convert_priority(priority: int) -> requests.PriorityClass:
+def convert_priority(priority: int) -> requests.PriorityClass:
+    """Returns the class of a priority."""
     return requests.PriorityClass(min(priority, max(requests.PriorityClass)))
 
 
 def _create_entry(
     request: PendingRequest, latest_start_at: float
 ) -> queued.QueuedRequest:
-    priority = _convert_priority(request.priority)
+    priority = convert_priority(request.priority)
     shift_s = request.route_priority * PRIORITY_SHIFT_S
     return queued.QueuedRequest(
         attempt_id=request.request_id,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/reservation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/reservation.py
@@ -28,6 +28,8 @@
 # Share of the started requests that each class in demand gets even if more urgent ones
 # use all capacity.
 FLOOR_SHARE = 0.08
+# Maximum number of starts that a class saves up for its floor.
+MAX_CREDIT = 2.0
 
 
 class Reservation:
@@ -51,10 +53,12 @@
 
     def record_start(self, priority: int, now: float) -> None:
         """Records that a request of a class was started."""
+        credit = self._credits.get(priority, 0.0)
+        self._credits[priority] = max(0.0, credit - 1.0)
         self._credits = {
-            other: min(1.0, self._credits.get(other, 0.0) + FLOOR_SHARE)
+            other: min(MAX_CREDIT, self._credits.get(other, 0.0) + FLOOR_SHARE)
             for other, at in self._requested_at.items()
-            if other != priority and now - at <= DEMAND_MEMORY_S
+            if now - at <= DEMAND_MEMORY_S
         }
 
     def compute_limit(self, limit: int, priority: int, late: bool, now: float) -> float:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -32,8 +32,8 @@
 # detected makes samples more distant, so these have less weight.
 NEARER_WEIGHT = 0.3
 FARTHER_WEIGHT = 0.1
-# Maximum time between two counts of a rank whose difference is used. Selections from
-# before a shift would hide it.
+# Maximum time between two counts of a rank whose difference is used, unless they are
+# from consecutive samples. Selections from before a shift would hide it.
 MAX_INTERVAL_S = 1.0
 # Number of selection counts read in each sample. A group with more is sampled by some
 # ranks at a time.
@@ -129,6 +129,7 @@
         ]
         self._latest: dict[int, tuple[float, tuple[int, ...]]] = {}
         self._usual_distance = INITIAL_DISTANCE
+        self._sampled_at = -math.inf
         self.distance = 0.0
         self.selections = 0.0
 
@@ -142,10 +143,12 @@
         """
         size = self._layout.experts
         total = [0] * (size * self._layout.sets)
+        oldest_at = min(self._sampled_at, now - MAX_INTERVAL_S)
+        self._sampled_at = now
         for rank, latest in counts.items():
             before_at, before = self._latest.get(rank, (-math.inf, ()))
             self._latest[rank] = now, latest
-            if now - before_at > MAX_INTERVAL_S or len(latest) != len(total):
+            if before_at < oldest_at or len(latest) != len(before):
                 continue
             added = list(map(operator.sub, latest, before))
             if min(added) >= 0:
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -200,3 +200,25 @@
     load_table.set_peer("other", {"e0": loads.Load(3), "e1": loads.Load(2)}, 0.0)
     late = make_request("late", objective_at=0.0)
     assert isinstance(_submit(dispatcher, service, late), dispatching.Dispatched)
+
+
+def test_lowest_priorities_share_the_floor_of_their_class(
+    make_endpoint, make_request, service
+):
+    # Guards against workspaces of low priority that are never served in an overload.
+    endpoint_table, load_table, dispatcher = _build(make_endpoint, count=2)
+    started = 0
+    for number in range(400):
+        now = 0.05 * number
+        load_table.set_peer("other", {"e0": loads.Load(5), "e1": loads.Load(5)}, now)
+        for priority in (0, 5):
+            outcomes = dispatcher.submit(
+                make_request(f"{number}-{priority}", now, priority=priority),
+                service,
+                now,
+            )
+            for outcome in outcomes:
+                if isinstance(outcome, dispatching.Dispatched):
+                    started += outcome.request.priority == 5
+                    dispatcher.finish(outcome)
+    assert started > 0
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -238,6 +238,30 @@
         shares = _shift_flat_shares(shares, rng)
 
 
+def test_demand_is_estimated_from_samples_that_are_far_apart():
+    # Guards against a holder on a slow machine that never has an estimate.
+    rng = random.Random(3)
+    shares = _draw_shares(LAYOUT, rng)
+    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    total = [0] * 256
+    for sample in range(3):
+        _add_sample(tracker, shares, total, 4.0 * sample, rng)
+    assert _measure_error(tracker.compute_shares(), shares) < 0.1
+
+
+def test_rank_that_was_not_in_the_last_sample_shows_no_old_selections():
+    rng = random.Random(4)
+    before, after = (_draw_shares(LAYOUT, rng) for _ in range(2))
+    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    total = [0] * 256
+    tracker.add_counts({1: (0,) * 256}, 0.0)
+    old = _count(before, 1_000_000, rng)
+    for sample in range(1, 8):
+        _add_sample(tracker, after, total, 0.3 * sample, rng)
+    tracker.add_counts({0: tuple(total), 1: tuple(old)}, 2.4)
+    assert _measure_error(tracker.compute_shares(), after) < 0.1
+
+
 def _measure_error(estimates, shares):
     errors = [
         sum(abs(a - b) for a, b in zip(estimate, exact, strict=True)) / 2
