--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/eventstream.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/eventstream.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
-_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
-_MAX_TERMINATOR_BYTES = max(map(len, _TERMINATORS))
+_TERMINATOR = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_TERMINATOR_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,30 +33,16 @@
         """Adds bytes; returns the events that they complete."""
         self._pending += data
         events: list[StreamEvent] = []
-        while True:
-            end = _find_end(self._pending, self._searched)
-            if end < 0:
-                # A terminator may have arrived in part.
-                self._searched = max(0, len(self._pending) - _MAX_TERMINATOR_BYTES)
-                return events
-            event, self._pending = self._pending[:end], self._pending[end:]
-            self._searched = 0
+        start = 0
+        for terminator in _TERMINATOR.finditer(self._pending, self._searched):
+            event = self._pending[start : terminator.end()]
             events.append(StreamEvent(event, _read_id(event)))
-
-
-def _find_end(data: bytes, start: int) -> int:
-    """Returns the length of the first complete event, or -1.
-
-    Args:
-        data: Bytes received and not yet split.
-        start: Position before which no terminator begins.
-    """
-    ends = [
-        position + len(terminator)
-        for terminator in _TERMINATORS
-        if (position := data.find(terminator, start)) >= 0
-    ]
-    return min(ends, default=-1)
+            start = terminator.end()
+        if start:
+            self._pending = self._pending[start:]
+        # A terminator may have arrived in part.
+        self._searched = max(0, len(self._pending) - _MAX_TERMINATOR_BYTES)
+        return events
 
 
 def _read_id(event: bytes) -> bytes | None:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_eventstream.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_eventstream.py
@@ -62,3 +62,29 @@
 def test_random_datagram_raises_value_error(data):
     with pytest.raises(ValueError, match="."):
         announcements.decode(data)
+
+
+class CountedBytes(bytes):
+    """Bytes that count how many of them were copied by slicing."""
+
+    copied = 0
+
+    def __add__(self, other):
+        return CountedBytes(bytes(self) + other)
+
+    def __radd__(self, other):
+        return CountedBytes(other + bytes(self))
+
+    def __getitem__(self, key):
+        part = super().__getitem__(key)
+        CountedBytes.copied += len(part)
+        return CountedBytes(part)
+
+
+def test_many_events_in_one_part_are_split_without_copying_the_rest():
+    # Guards against an entry that is blocked by a large part of small events.
+    data = b"id: 1\ndata: a\n\n" * 2_000
+    CountedBytes.copied = 0
+    events = eventstream.EventSplitter().feed(CountedBytes(data))
+    assert len(events) == 2_000
+    assert CountedBytes.copied <= 4 * len(data)
