--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -197,9 +197,9 @@
             or dispatched from the queue.
         """
         priority = queueing.convert_priority(request.priority)
-        self._reservation.record_request(priority, now)
-        capacity = self._measure_capacity(service, now)
         late = now > request.latest_on_time_start_at
+        self._reservation.record_request(priority, late, now)
+        capacity = self._measure_capacity(service, now)
         if not len(self) and self._admits(capacity, priority, late, now):
             dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/reservation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/reservation.py
@@ -21,6 +21,8 @@
 ADMISSION_SHARES = ((1.0, 1.1), (0.9, 1.0), (0.8, 0.95))
 # The same for requests that would be late.
 LATE_SHARES = (0.7, 0.9)
+# Time after the last on-time request at an entry for which late ones leave capacity.
+ON_TIME_MEMORY_S = 1.0
 # Time after which an entry draws its thresholds again.
 DRAW_PERIOD_S = 1.0
 # Time after its last request for which a class counts as in demand.
@@ -43,13 +45,16 @@
         """
         self._entry = entry
         self._requested_at: dict[int, float] = {}
+        self._on_time_at = -math.inf
         self._credits: dict[int, float] = {}
         self._period = -1
         self._draw = 0.0
 
-    def record_request(self, priority: int, now: float) -> None:
+    def record_request(self, priority: int, late: bool, now: float) -> None:
         """Records that a request of a class arrived."""
         self._requested_at[priority] = now
+        if not late:
+            self._on_time_at = now
 
     def record_start(self, priority: int, now: float) -> None:
         """Records that a request of a class was started."""
@@ -70,6 +75,8 @@
             late: Whether the request would be late.
             now: Present time, monotonic seconds.
         """
+        if late and now - self._on_time_at > ON_TIME_MEMORY_S:
+            return float(limit)
         more_urgent = sum(
             other < priority and now - at <= DEMAND_MEMORY_S
             for other, at in self._requested_at.items()
