Let endpoint stand-ins queue as many connections as a test opens

test_concurrent_retries_share_one_budget opens 200 connections at once before one event loop. The stand-ins' listen queue had asyncio's 100 places; if the loop was starved, connects were dropped and timed out after 0.7 s, and the test measured that. Its bounds and its checks are unchanged.

--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -10,6 +10,9 @@
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import service
 
+# Connections that wait to be accepted; a test opens 200 at once.
+BACKLOG = 1024
+
 
 def build_configuration(version=7, **changes):
     """Returns a configuration in the platform's format, with one route per kind."""
@@ -86,7 +89,9 @@
         self.history.clear()
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, backlog=BACKLOG
+        )
         self.port = server.sockets[0].getsockname()[1]
         return server
 
@@ -202,7 +207,9 @@
         self.port = 0
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, backlog=BACKLOG
+        )
         self.port = server.sockets[0].getsockname()[1]
         return server
 
