--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -148,7 +148,7 @@
         for rank, latest in counts.items():
             before_at, before = self._latest.get(rank, (-math.inf, ()))
             self._latest[rank] = now, latest
-            if before_at < oldest_at or len(latest) != len(before):
+            if before_at < oldest_at or not len(before) == len(latest) == len(total):
                 continue
             added = list(map(operator.sub, latest, before))
             if min(added) >= 0:
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -292,6 +292,20 @@
     assert _measure_error(tracker.compute_shares(), shares) < 0.05
 
 
+@pytest.mark.parametrize("wrong", [(), (5,) * 3, (5,) * 300])
+def test_counts_of_another_length_are_ignored(wrong):
+    rng = random.Random(7)
+    shares = _draw_shares(LAYOUT, rng)
+    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    total = [0] * 256
+    for sample in range(4):
+        now = 0.1 * sample
+        for index, count in enumerate(_count(shares, 20_000, rng)):
+            total[index] += count
+        tracker.add_counts({0: tuple(total), 1: wrong}, now)
+    assert _measure_error(tracker.compute_shares(), shares) < 0.1
+
+
 def test_too_few_selections_give_no_shares():
     tracker = planning.DemandTracker(LAYOUT, 0.0)
     tracker.add_counts({0: (0,) * 256}, 0.0)
