--- a/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
+++ b/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
@@ -69,8 +69,8 @@
     raise AssertionError(f"no {kind.__name__}")
 
 
+# Guards against an attempt that ends without an outcome.
 async def test_event_without_end_fails_the_attempt(engine):
-    # Guards against an attempt that ends without an outcome (issue 19).
     core, task = _make_task(engine[0])
     call = commands.CallEndpoint(
         "a",
@@ -90,8 +90,8 @@
     await task.close()
 
 
+# Guards against a probe that keeps bytes without end in memory.
 async def test_load_report_without_end_is_given_up(engine):
-    # Guards against a probe that keeps bytes without end in memory (issue 19).
     core, task = _make_task(engine[0])
     probes = asyncio.create_task(task.run_probes())
     probed = await _wait_for(core, events.EndpointProbed)
--- a/packages/chicoryweir-daemon/tests/forwarder/test_eventstream.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_eventstream.py
@@ -81,8 +81,8 @@
         return CountedBytes(part)
 
 
+# Guards against an entry that is blocked by a large part of small events.
 def test_many_events_in_one_part_are_split_without_copying_the_rest():
-    # Guards against an entry that is blocked by a large part of small events.
     data = b"id: 1\ndata: a\n\n" * 2_000
     CountedBytes.copied = 0
     events = eventstream.EventSplitter().feed(CountedBytes(data))
--- a/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
@@ -177,9 +177,8 @@
     assert not entries.holders["b"].holds
 
 
+# Guards against a small machine that acquires the lease before it hears the others.
 async def test_entry_with_the_largest_machine_holds_the_lease_from_the_start():
-    # Guards against a small machine that takes the lease before it has heard the
-    # others, and against another one that presumes this holder dead (issue 19).
     entries = Entries("abc", {"a": 1.0, "b": 9.0, "c": 2.0})
     await entries.advance(2.0)
     assert entries.holders["b"].holds
--- a/packages/chicoryweir-policy/tests/forwarding/test_abandonment.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_abandonment.py
@@ -18,10 +18,10 @@
     assert abandonment.compute_abandon_at(plain, 5.0, 60.0) == 60.0
 
 
+# Guards against streams that are broken off because the group is saturated.
 def test_broken_stream_is_queued_again_while_late_requests_are_rejected(
     route, service, make_endpoint, make_request
 ):
-    # Guards against streams that are broken off midway because the group is saturated.
     endpoint_table = endpoints.EndpointTable()
     endpoint_table.replace_all([make_endpoint("e0")], 0.0)
     load_table = loads.LoadTable()
--- a/packages/chicoryweir-policy/tests/forwarding/test_congestion.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_congestion.py
@@ -69,9 +69,8 @@
     )
 
 
+# Guards against requests admitted between two shifts that are late at the next.
 def test_limit_stays_low_between_two_shifts_in_demand(engine):
-    # Guards against requests that are admitted in the few seconds of even load between
-    # two shifts, and are all late at the next one (issue 19).
     inflation, now = _measure_inflation(engine, 2.2)
     during = congestion.compute_concurrency_limit(
         inflation, engine, MAX_GAP_S, 1.0, now
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -202,10 +202,10 @@
     assert isinstance(_submit(dispatcher, service, late), dispatching.Dispatched)
 
 
+# Guards against workspaces of low priority that starve in an overload.
 def test_lowest_priorities_share_the_floor_of_their_class(
     make_endpoint, make_request, service
 ):
-    # Guards against workspaces of low priority that are never served in an overload.
     endpoint_table, load_table, dispatcher = _build(make_endpoint, count=2)
     started = 0
     for number in range(400):
--- a/packages/chicoryweir-policy/tests/forwarding/test_group_overload.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_group_overload.py
@@ -56,13 +56,12 @@
     return dataclasses.replace(route, max_gap_s=0.15)
 
 
+# Guards against an exceeded limit, and the least urgent kind being served best.
 @pytest.mark.parametrize("seed", range(2))
 @pytest.mark.parametrize(("entries", "load"), [(46, 1.3), (7, 1.0)])
 def test_overloaded_group_serves_the_most_urgent_kind_on_time(
     stream_route, entries, load, seed
 ):
-    # Guards against a limit that all entries exceed at once, so that all streams are
-    # late, and against the least urgent kind being served best (issue 19).
     scenario = _build_scenario(stream_route, load, entries)
     result = groupload.Simulation(scenario, seed).run()
     assert result.worth >= TARGET_WORTH
--- a/packages/chicoryweir-policy/tests/forwarding/test_queueing.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_queueing.py
@@ -99,9 +99,8 @@
     assert "x" in rejected
 
 
+# Guards against an estimate that rejects all requests which could correct it.
 def test_late_request_is_queued_after_a_time_in_which_none_could_start(make_request):
-    # Guards against an estimate of the wait that rejects all late requests, and isn't
-    # measured again because none of them starts (issue 19).
     queue = queueing.create_request_queue()
     now = 0.0
     for number in range(400):
--- a/packages/chicoryweir-policy/tests/forwarding/test_reservation.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_reservation.py
@@ -57,8 +57,8 @@
     assert max(found) - min(found) > 10
 
 
+# Guards against late requests that wait for their deadline beside free slots.
 def test_late_requests_get_all_capacity_while_no_on_time_ones_arrive():
-    # Guards against late requests that wait until their deadline beside free slots.
     limits = reservation.Reservation("entry")
     limits.record_request(0, False, 5.0)
     limits.record_request(0, True, 6.5)
--- a/packages/chicoryweir-policy/tests/forwarding/test_routes.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_routes.py
@@ -35,9 +35,8 @@
     assert isinstance(table.resolve("other", b"/a/", b"key", "1"), routes.NotFound)
 
 
+# Guards against routes of all priorities in the class of their workspace.
 def test_workspace_priority_precedes_route_priority(route):
-    # Guards against routes of all priorities in one class because most workspaces have
-    # a priority (issue 19).
     config = configuration.Configuration(
         1,
         tuple(
--- a/packages/chicoryweir-policy/tests/groups/test_succession.py
+++ b/packages/chicoryweir-policy/tests/groups/test_succession.py
@@ -19,9 +19,8 @@
     assert not succession.is_candidate(_state("a", reaches_store=False), [OTHER])
 
 
+# Guards against a small machine that sends maps to all ranks of a large group.
 def test_candidate_is_entry_with_the_largest_machine():
-    # Guards against maps that follow slowly because a small machine sends them to all
-    # ranks of a large group (issue 19).
     large = _state("c", capacity=200.0)
     assert succession.is_candidate(large, [OTHER, _state("a", capacity=20.0)])
     assert not succession.is_candidate(_state("a", capacity=20.0), [large])
@@ -69,8 +68,7 @@
     assert not succession.is_presumed_dead("", others, known)
 
 
+# Guards against two entries that acquire the lease in turn while a fleet starts.
 def test_holder_that_was_never_heard_is_not_presumed_dead():
-    # Guards against two entries that take the lease one after the other while the
-    # fleet starts, of which the second may be a small machine (issue 19).
     others = [_state(name) for name in "bcd"]
     assert not succession.is_presumed_dead("a/5", others, frozenset("bcd"))
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -220,10 +220,9 @@
     return shifted
 
 
+# Guards against maps that stay those of the demand before a small shift.
 @pytest.mark.parametrize("seed", range(5))
 def test_shift_among_evenly_used_experts_is_followed(seed):
-    # Guards against shares and maps of the demand before a shift, which is small where
-    # no expert has much of the load (issue 19).
     rng = random.Random(seed)
     tracker = planning.DemandTracker(LARGE_LAYOUT, 0.0)
     shares = _draw_shares(LARGE_LAYOUT, rng, exponent=0.53)
@@ -238,8 +237,8 @@
         shares = _shift_flat_shares(shares, rng)
 
 
+# Guards against a holder on a slow machine that never has an estimate.
 def test_demand_is_estimated_from_samples_that_are_far_apart():
-    # Guards against a holder on a slow machine that never has an estimate.
     rng = random.Random(3)
     shares = _draw_shares(LAYOUT, rng)
     tracker = planning.DemandTracker(LAYOUT, 0.0)
--- a/tests/fleet_platform/test_endless_answers.py
+++ b/tests/fleet_platform/test_endless_answers.py
@@ -113,11 +113,11 @@
     await writer.drain()
 
 
+# Guards against requests that are held until their deadline.
 @pytest.mark.parametrize("build", ANY_ROUTE)
 async def test_idempotent_request_with_endless_answer_is_retried_elsewhere(
     start_system, build
 ):
-    # Guards against requests that are held until their deadline (issue 19).
     endless = EndlessEndpoint("i-1", build)
     system = await start_system(endless, fleetstandins.EndpointStandIn("i-2", _answer))
     for number in range(4):
@@ -145,11 +145,11 @@
     assert len(endless.requests) == 1
 
 
+# Guards against an entry that keeps bytes without end in memory.
 @pytest.mark.parametrize("build", [*ANY_ROUTE, *STREAMS])
 async def test_stream_with_endless_bytes_is_resumed_elsewhere(
     start_system, write_events, build
 ):
-    # Guards against an entry that keeps bytes without end in memory (issue 19).
     async def stream(endpoint, headers, writer):
         first = int(headers.get("last-event-id", "0")) + 1
         await write_events(headers, writer, first, 3)
