Take what no test uses out of the simulation of a group

Entries that start late and tallies by entry served a test that did not tell the old code from the new one, and was not kept. The order of random draws is as before, so that the four overload tests play the same requests.

--- a/tests/support/groupload.py
+++ b/tests/support/groupload.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 import heapq
 import itertools
@@ -57,8 +56,7 @@
     Attributes:
         engine: Engine of the ranks.
         ranks: Number of ranks in the group.
-        entries: Number of entries; those in `late_entries` take callers from then on.
-        late_entries: Start of the further entries, by their number.
+        entries: Number of entries.
         kinds: Kinds of requests.
         bursts: Bursts.
         length_s: Time in which requests arrive.
@@ -73,9 +71,6 @@
     entries: int
     kinds: tuple[Kind, ...]
     bursts: tuple[Burst, ...] = ()
-    late_entries: collections.abc.Mapping[int, float] = dataclasses.field(
-        default_factory=dict
-    )
     length_s: float = 12.0
     shift_period_s: float = 2.8
     shifted_s: float = 0.8
@@ -106,7 +101,7 @@
 
 @dataclasses.dataclass
 class Tally:
-    """Outcomes of one kind of request, or of one entry's requests."""
+    """Outcomes of one kind of request."""
 
     asked: int = 0
     on_time: int = 0
@@ -126,13 +121,11 @@
 
     Attributes:
         kinds: Tally of each kind.
-        entries: Tally of each entry, by attempts.
         peak_running: Most requests that ran or waited at the group.
         worth: Worth earned over worth owed.
     """
 
     kinds: list[Tally]
-    entries: list[Tally]
     peak_running: int
     worth: float
 
@@ -178,19 +171,14 @@
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._service = configuration.Service(SERVICE, 1000, scenario.engine)
-        self._entries = [
-            _Entry(number, scenario)
-            for number in range(scenario.entries + len(scenario.late_entries))
-        ]
+        self._entries = [_Entry(number, scenario) for number in range(scenario.entries)]
         self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._order = itertools.count()
         self._now = 0.0
         self._running: list[list[_Call]] = [[] for _ in range(scenario.ranks)]
         self._queued: list[list[_Call]] = [[] for _ in range(scenario.ranks)]
         self._calls = itertools.count()
-        self._result = Result(
-            [Tally() for _ in scenario.kinds], [Tally() for _ in self._entries], 0, 0.0
-        )
+        self._result = Result([Tally() for _ in scenario.kinds], 0, 0.0)
         self._earned = self._owed = 0.0
 
     def run(self) -> Result:
@@ -202,12 +190,9 @@
             1.0, len(self._entries) / peers.FULL_RATE_ENTRIES
         )
         for number in range(len(self._entries)):
-            begin_s = scenario.late_entries.get(number, 0.0)
-            offset_s = self._rng.random()
-            self._schedule(
-                begin_s + offset_s * period_s, self._make_announcer(number, period_s)
-            )
-            self._schedule(begin_s + offset_s * TICK_S, self._make_ticker(number))
+            offset = self._rng.random()
+            self._schedule(offset * period_s, self._make_announcer(number, period_s))
+            self._schedule(offset * TICK_S, self._make_ticker(number))
         self._schedule(0.0, self._step)
         while self._events and self._now < scenario.length_s + 12.0:
             self._now, _, action = heapq.heappop(self._events)
@@ -242,12 +227,7 @@
 
     def _submit(self, call: _Call) -> None:
         scenario, now = self._scenario, self._now
-        present = [
-            number
-            for number in range(len(self._entries))
-            if scenario.late_entries.get(number, 0.0) <= now
-        ]
-        call.entry = self._rng.choice(present)
+        call.entry = self._rng.randrange(len(self._entries))
         call.attempt_id = f"{call.number}-{call.returns}"
         route = scenario.kinds[call.kind].route
         entry = self._entries[call.entry]
@@ -267,7 +247,6 @@
             abandonment.compute_abandon_at(route, now, deadline_at),
             now,
         )
-        self._result.entries[call.entry].asked += 1
         entry.waiting[call.attempt_id] = call
         self._apply(entry, entry.dispatcher.submit(request, self._service, now))
 
@@ -298,7 +277,6 @@
         self._result.peak_running = max(self._result.peak_running, total)
 
     def _reject(self, call: _Call, retry_after_s: float) -> None:
-        self._result.entries[call.entry].rejections += 1
         self._result.kinds[call.kind].rejections += 1
         timeout_s = self._scenario.kinds[call.kind].route.timeout_s
         left_s = call.arrived_at + timeout_s - self._now
