Log the parts of a prompt that other requests may share

Whether requests that crash endpoints have something in common couldn't be told from the log: request_ended named the route and the workspace, and endpoint_lost a hash of the whole content. request_ended now lists the ids of all parts but the last, which belongs to the request itself.

No logic changes.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -374,6 +374,7 @@
             elapsed_s=round(now - self._arrived_at, 3),
             left_s=round(self._deadline_at - now, 3),
             attempts=self._attempt_log,
+            shared_parts=self._facts.shared_parts,
             admission=self._admission_log,
         )
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -26,6 +26,8 @@
         key: API key of the caller; None if not given.
         size: Token counts of a generation request; None for other requests.
         host: Requested host, in lower case without a port.
+        shared_parts: Ids of the parts of the prompt that other requests may share, in
+            order; empty if not given.
     """
 
     attempt_id: bytes
@@ -33,6 +35,7 @@
     key: bytes | None
     size: demand.RequestSize | None
     host: str
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -221,8 +221,9 @@
     EventKind(
         REQUEST_ENDED,
         "request_ended",
-        "A request ended; `attempts` lists the endpoints that it was sent to, and "
-        "`admission` what it was queued, dispatched or rejected by.",
+        "A request ended; `attempts` lists the endpoints that it was sent to, "
+        "`admission` what it was queued, dispatched or rejected by, and `shared_parts` "
+        "the parts of its prompt that other requests may share.",
         "If it failed, see docs/OPERATIONS.md.",
     ),
     EventKind(
--- a/tests/fleet_platform/test_formats.py
+++ b/tests/fleet_platform/test_formats.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import endpoints
 from fleet_platform import decoding
+from fleet_platform import headers
 from fleet_platform import settings
 
 SETTINGS = """\
@@ -135,3 +137,25 @@
     assert isinstance(decoded, endpoints.Registered)
     assert decoded.endpoint.member == endpoints.GroupMember("g", 2, 3, 16, True)
     assert decoded.endpoint.born_ms == 5
+
+
+@pytest.mark.parametrize(
+    ("value", "shared"),
+    [
+        (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b"5C1E07A2:800 , e4402b7d:250", ("5c1e07a2",)),
+        (b"e4402b7d:250", ()),
+        (b"", ()),
+        (b"," * 40, ()),
+        (b"a" * 33 + b":1,b:1", ()),
+    ],
+)
+def test_last_part_of_a_prompt_is_not_shared(value, shared):
+    fields = (
+        (b"Host", b"h.example"),
+        (headers.ATTEMPT_ID, b"a1"),
+        (headers.PROMPT_PREFIX, value),
+    )
+    head = heads.RequestHead(b"POST", b"/a/", fields, True)
+    facts = headers.HeaderCodec().read_request(head)
+    assert facts.shared_parts == shared
