Don't record an endpoint that declines a request as crashed

A request that was on three such endpoints could have been rejected as one that crashes them.

Cause: an endpoint that answers 503 names the endpoint at fault, which is itself where it is only full or its group is down. The entry took each name for a crash and charged it to all that ran there.

A report counts only if another endpoint makes it. The new test failed before (recorded as crashed, position 1) and passes now.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
@@ -43,11 +43,24 @@
 
 
 def record_endpoint_at_fault(
-    fleet: fleets.Fleet, event_log: eventlog.EventLog, address: str, request_id: str
+    fleet: fleets.Fleet,
+    event_log: eventlog.EventLog,
+    address: str,
+    reported_by: str,
+    request_id: str,
 ) -> None:
-    """Records a crash of an endpoint that another endpoint reports as at fault."""
+    """Records a crash of an endpoint that another endpoint reports as at fault.
+
+    Args:
+        fleet: State of the entry.
+        event_log: Event log.
+        address: Address of the endpoint at fault; empty if none is reported.
+        reported_by: Instance that reports it. One that reports itself only declines
+            the request.
+        request_id: Request that was answered with the report.
+    """
     at_fault = fleet.endpoints.find_by_address(address)
-    if at_fault is not None:
+    if at_fault is not None and at_fault.instance != reported_by:
         _record_crash(fleet, event_log, at_fault.instance, None, "blamed", request_id)
 
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -195,11 +195,12 @@
             self._attempt_log.append(
                 f"{instance} {outcome.failure.value}: {outcome.detail}"
             )
-            if outcome.at_fault and outcome.failure is not retries.Failure.MISDIRECTED:
+            if outcome.failure is not retries.Failure.MISDIRECTED:
                 crashreports.record_endpoint_at_fault(
                     self._fleet,
                     self._context.event_log,
                     outcome.at_fault,
+                    instance,
                     self._request_id,
                 )
         else:
--- a/tests/fleet_platform/test_crashes.py
+++ b/tests/fleet_platform/test_crashes.py
@@ -68,3 +68,33 @@
     status, _, _, _ = await system.call("/stream/x", body=b"poison", attempt="b")
     assert status == 503
     assert _count_poison_requests(endpoints) == 3
+
+
+# Guards against charging requests with the crash of an endpoint that was only full.
+async def test_endpoint_that_declines_a_request_is_not_recorded_as_crashed(
+    start_system,
+):
+    declined = asyncio.Event()
+
+    async def decline_second(endpoint, headers, writer):
+        attempt = headers["chicoryweir-attempt-id"]
+        if attempt == "first":
+            await declined.wait()
+            writer.write(fleetstandins.build_answer(attempt))
+        else:
+            fields = {
+                "Chicoryweir-Not-Executed": "shed",
+                "Chicoryweir-Server-Stamp": "",
+                "At-Server": f"127.0.0.1:{endpoint.port}",
+            }
+            writer.write(fleetstandins.build_answer(attempt, b"", 503, **fields))
+        await writer.drain()
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", decline_second)
+    system = await start_system(endpoint)
+    first = asyncio.create_task(system.call("/again/x", attempt="first"))
+    await fleetstandins.wait_until(lambda: endpoint.requests)
+    assert (await system.call("/again/x", attempt="second"))[0] == 503
+    declined.set()
+    assert (await first)[0] == 200
+    assert system.entry._fleet.crashes.position == 0
