--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -28,7 +28,8 @@
         if config is not False:
             store.put("op", "config", config or fleetstandins.build_configuration())
         for endpoint in endpoints:
-            servers.append(await endpoint.start())
+            await endpoint.start()
+            servers.append(endpoint)
             store.put("servers", endpoint.name, endpoint.build_registration())
         free_ports = iter(ports.pick_ports(5))
         settings = process.Settings(
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -205,13 +205,26 @@
         self.closed_by_client = 0
         self.connections = 0
         self.port = 0
+        self._server = None
+        self._writers = set()
 
     async def start(self):
-        server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, backlog=BACKLOG
+        """Listens on a free port, or after a crash on the same port again."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, backlog=BACKLOG
         )
-        self.port = server.sockets[0].getsockname()[1]
-        return server
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self._server
+
+    def close(self):
+        """Closes the listener."""
+        self._server.close()
+
+    def crash(self):
+        """Closes the listener and resets all connections."""
+        self.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     def build_registration(self, **changes):
         return {
@@ -228,6 +241,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 head, body = await read_message(reader)
@@ -247,6 +261,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
