Hold a prompt part that crashes endpoints from its first crash on

Cause: a request that crashes endpoints was recognised by a hash of its whole content. The class of fault: an identity that is narrower than the cause. Also late: the registrations showed each crash as the group opened again, and on a service without a group the retry crashed the next endpoint at once.

Evidence: shared_parts in the log.

Why it works: an endpoint that goes on writing proves the parts of a prompt, so few requests are suspects of a crash, and a part that many share is proven before. A part that none has proven is held; the entry finds the crash by a refused connection before it retries, and announces it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -7,12 +7,14 @@
 import cbor2
 
 from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; incremented when the layout changes.
-FORMAT_VERSION = 3
-_PART_COUNT = 18
+FORMAT_VERSION = 4
+_PART_COUNT = 19
 _DECODING_ERRORS = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
@@ -42,6 +44,7 @@
             _encode_crash_update(announcement.crash_update),
             dict(announcement.slowdowns),
             announcement.capacity,
+            _encode_part_update(announcement.part_update),
         )
     )
 
@@ -80,6 +83,7 @@
                 str(name): float(slowdown) for name, slowdown in parts[16].items()
             },
             capacity=float(parts[17]),
+            part_update=_decode_part_update(parts[18]),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
@@ -131,3 +135,39 @@
             for fingerprint, loss_ids in clearances
         ),
     )
+
+
+def _encode_part_update(update: promptparts.Update) -> tuple[typing.Any, ...]:
+    crashes = [
+        (
+            crash.process.instance,
+            crash.process.incarnation,
+            [
+                (suspect.fingerprint, suspect.parts)
+                for suspect in sorted(crash.suspects)
+            ],
+            crash.age_s,
+        )
+        for crash in update.crashes
+    ]
+    return crashes, [(proof.part, proof.age_s) for proof in update.proofs]
+
+
+def _decode_part_update(parts: typing.Any) -> promptparts.Update:
+    crashes, proofs = parts
+    return promptparts.Update(
+        tuple(
+            promptparts.Crash(
+                records.LossId(str(instance), str(incarnation)),
+                frozenset(
+                    partattribution.Suspect(
+                        int(fingerprint), tuple(str(part) for part in shared_parts)
+                    )
+                    for fingerprint, shared_parts in suspects
+                ),
+                float(age_s),
+            )
+            for instance, incarnation, suspects, age_s in crashes
+        ),
+        tuple(promptparts.Proof(str(part), float(age_s)) for part, age_s in proofs),
+    )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
@@ -9,6 +9,8 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import partattribution
+from chicoryweir_policy.forwarding import promptparts
 
 
 def record_transition(
@@ -64,6 +66,34 @@
         _record_crash(fleet, event_log, at_fault.instance, None, "blamed", request_id)
 
 
+def record_refused_connection(
+    fleet: fleets.Fleet,
+    event_log: eventlog.EventLog,
+    endpoint: endpoints.Endpoint,
+    request_id: str,
+) -> None:
+    """Records a crash of an endpoint that no longer listens, unless it is leaving."""
+    current = fleet.endpoints.get(endpoint.instance)
+    if current is not None and not current.leaving:
+        _record_crash(fleet, event_log, endpoint.instance, None, "refused", request_id)
+
+
+def record_part_transitions(fleet: fleets.Fleet, event_log: eventlog.EventLog) -> None:
+    """Logs the prompt parts that were held or released since the last call."""
+    now = fleet.clock.read()
+    for transition in fleet.crashes.parts.take_transitions(now):
+        match transition:
+            case partattribution.Held(part, losses, until):
+                event_log.record(
+                    catalogue.PROMPT_PART_HELD,
+                    part=part,
+                    lost=[f"{loss.instance}/{loss.incarnation}" for loss in losses],
+                    trial_in_s=round(until - now, 2),
+                )
+            case promptparts.Released(part):
+                event_log.record(catalogue.PROMPT_PART_RELEASED, part=part)
+
+
 def _record_crash(
     fleet: fleets.Fleet,
     event_log: eventlog.EventLog,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -24,6 +24,7 @@
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import dispatching
+from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import retries
 from chicoryweir_policy.forwarding import routes
@@ -32,6 +33,13 @@
 
 # Retry-After value for a rejected request without an estimate.
 DEFAULT_RETRY_AFTER_S = 0.3
+# An answer proves the parts of its prompt when a piece of it arrives at least this much
+# later than the one before; closer ones may be pieces of one event. An engine's step
+# takes some milliseconds.
+MIN_STEP_S = 0.004
+# Maximum time to find out whether an endpoint still listens. A round trip takes a few
+# milliseconds.
+LISTENER_CHECK_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +84,10 @@
         self._fingerprint = crashes.compute_fingerprint(
             routed.workspace, facts.host, request.head.target, request.body
         )
+        self._prompt_parts = tuple(
+            f"{service.name}/{part}" for part in facts.shared_parts
+        )
+        self._is_proven = False
         self._demand = demand.estimate_demand(facts.size, service.engine)
         self._excluded: frozenset[str] = frozenset()
         self._attempt_history = retries.AttemptHistory(0, 0, 0, False, 0)
@@ -107,11 +119,7 @@
 
     async def _serve(self) -> None:
         while not self._answer.ended:
-            quarantined = self._fleet.crashes.find_quarantine(
-                self._fingerprint, self._now()
-            )
-            if quarantined is not None:
-                self._quarantine(quarantined)
+            if self._reject_quarantined():
                 continue
             queued_at = self._now()
             try:
@@ -128,7 +136,11 @@
                         self._admission_log["predicted_wait_s"] = wait_s
                     self._reject(rejection.reason, rejection.retry_after_s)
                 case dispatching.Dispatched():
-                    await self._run_attempt(allocated)
+                    # Crashes may have been reported while the request was queued.
+                    if self._reject_quarantined():
+                        self._context.allocator.release(allocated, self._service)
+                    else:
+                        await self._run_attempt(allocated)
 
     def _describe_admission(self) -> None:
         """Keeps the inputs of the latest admission decision for the log."""
@@ -164,6 +176,8 @@
         started_at = self._attempt_started_at = self._now()
         crash_tracker = self._fleet.crashes
         crash_tracker.record_sent(endpoint, self._fingerprint)
+        crash_tracker.parts.record_sent(self._prompt_parts, started_at)
+        self._is_proven = False
         may_have_crashed = False
         try:
             outcome = await attempt.run(
@@ -175,14 +189,41 @@
                 fresh=not self._route.retryable,
             )
             may_have_crashed = attempts.may_have_crashed(outcome)
+        except asyncio.CancelledError:
+            may_have_crashed = self._has_been_silent(attempt)
+            raise
         finally:
+            unproven_parts = () if self._is_proven else self._prompt_parts
             crash_tracker.record_ended(
-                endpoint, self._fingerprint, may_have_crashed, self._now()
+                endpoint,
+                self._fingerprint,
+                may_have_crashed,
+                self._now(),
+                unproven_parts,
             )
             self._context.allocator.release(dispatched, self._service)
         self._attempt = None
+        if may_have_crashed and crash_tracker.parts.has_unproven(unproven_parts):
+            await self._check_listener(endpoint)
         self._process_outcome(endpoint.instance, outcome, started_at, attempt)
 
+    def _has_been_silent(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether the endpoint sent nothing for long before now."""
+        silent_s = self._now() - attempt.last_received_at
+        return attempt.sent and silent_s > stalls.SERVICE_STALL_S
+
+    async def _check_listener(self, endpoint: endpoints.Endpoint) -> None:
+        """Records a crash of an endpoint that broke an attempt and doesn't listen.
+
+        Its registration would show the crash only some seconds later, when the request
+        may already have crashed the endpoint that it is retried at.
+        """
+        address = connections.Address(endpoint.host, endpoint.port, endpoint.instance)
+        if await self._context.pool.is_refused(address, LISTENER_CHECK_S):
+            crashreports.record_refused_connection(
+                self._fleet, self._context.event_log, endpoint, self._request_id
+            )
+
     def _process_outcome(
         self,
         instance: str,
@@ -210,6 +251,8 @@
         self._report_outcome(instance, outcome, attempt, started_at, now)
         match outcome:
             case attempts.Finished(status):
+                if status < 300 and not self._is_proven:
+                    self._prove_parts(now)
                 self._context.metrics.observe(
                     "answer", self._route.kind.value, now - self._arrived_at
                 )
@@ -310,15 +353,33 @@
         self._answer.finish()
         self._log_end("failure passed on", error_answer.head.status, failed.detail)
 
-    def _quarantine(self, quarantined: records.Quarantined) -> None:
-        """Rejects a request whose previous attempts crashed their endpoints."""
+    def _reject_quarantined(self) -> bool:
+        """Rejects a request that would crash its endpoint; returns whether it did."""
+        crash_tracker = self._fleet.crashes
+        now = self._now()
+        quarantined = crash_tracker.find_quarantine(self._fingerprint, now)
+        if quarantined is not None:
+            self._log_quarantine(quarantined.losses)
+            self._reject("endpoints crashed while it ran", quarantined.retry_after_s)
+            return True
+        held = crash_tracker.parts.find_hold(self._prompt_parts, now)
+        if held is not None:
+            self._log_quarantine(held.crashes, held.part)
+            detail = "endpoints crashed on a part of its prompt"
+            self._reject(detail, max(DEFAULT_RETRY_AFTER_S, held.until - now))
+            return True
+        return False
+
+    def _log_quarantine(
+        self, losses: tuple[records.LossId, ...], part: str = ""
+    ) -> None:
         self._context.event_log.record(
             catalogue.REQUEST_QUARANTINED,
             self._request_id,
             fingerprint=f"{self._fingerprint:016x}",
-            lost=[loss.instance for loss in quarantined.losses],
+            part=part,
+            lost=[loss.instance for loss in losses],
         )
-        self._reject("endpoints crashed while it ran", quarantined.retry_after_s)
 
     def _end_at_deadline(self) -> None:
         is_sent = self._attempt is not None and self._attempt.sent
@@ -420,6 +481,8 @@
                 first part.
         """
         now = self._now()
+        if gap_s >= MIN_STEP_S and not self._is_proven:
+            self._prove_parts(now)
         if self._last_received_at is None:
             self._first_part_s = now - self._arrived_at
             dispatcher = self._fleet.get_dispatcher(self._service.name)
@@ -433,6 +496,10 @@
             dispatcher = self._fleet.get_dispatcher(self._service.name)
             dispatcher.record_gap(self._service, gap_s, self._route.max_gap_s, now)
 
+    def _prove_parts(self, now: float) -> None:
+        self._is_proven = True
+        self._fleet.crashes.parts.record_proof(self._prompt_parts, now)
+
     def _get_stall_timeout(self, attempt: attempts.Attempt) -> float:
         now = self._now()
         return stalls.compute_stall_timeout(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -46,7 +46,7 @@
         self.loads = loads.LoadTable()
         self.peers = peers.PeerTable(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
-        self.crashes = crashes.CrashTracker()
+        self.crashes = crashes.CrashTracker(settings.name)
         self.slowdowns: dict[str, float] = {}
         self._merged_slowdowns: dict[str, float] = {}
         self.ejected_until: dict[str, float] = {}
@@ -107,6 +107,7 @@
     def apply_peer_announcements(self, now: float) -> None:
         """Passes the other entries' announcements to the dispatchers."""
         alive = self.peers.list_alive(now)
+        self.crashes.parts.set_entries(peer.name for peer in alive)
         for name, dispatcher in self._dispatchers.items():
             dispatcher.set_peer_on_time(
                 sum(peer.on_time.get(name, 0) for peer in alive)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -8,6 +8,7 @@
 import typing
 
 from chicoryweir_daemon.forwarder import announcements
+from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_policy import catalogue
@@ -68,6 +69,7 @@
         self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
         self._fleet.apply_peer_announcements(now)
         self._fleet.crashes.merge(announcement.crash_update, now)
+        self._fleet.crashes.parts.merge(announcement.part_update, now)
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
 
@@ -81,6 +83,7 @@
         while True:
             self.announce()
             self._update_alive()
+            crashreports.record_part_transitions(self._fleet, self._event_log)
             await asyncio.sleep(self._fleet.peers.announce_period_s)
 
     def announce(self, force: bool = False) -> None:
@@ -94,6 +97,7 @@
             endpoint_loads,
             on_time,
             self._fleet.crashes.position,
+            self._fleet.crashes.parts.revision,
             self._fleet.slowdowns,
         )
         if not (force or is_due or content != self._last_content):
@@ -135,6 +139,7 @@
             crash_update=self._fleet.crashes.select_update(receivers, now),
             slowdowns=self._fleet.slowdowns,
             capacity=settings.capacity,
+            part_update=self._fleet.crashes.parts.select_update(receivers, now),
         )
 
     def _update_alive(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -371,6 +371,9 @@
         self._metrics.register_gauge(
             "configuration_version", lambda: self._fleet.version
         )
+        self._metrics.register_gauge(
+            "held_prompt_parts", lambda: self._fleet.crashes.parts.count_held()
+        )
         self._metrics.register_gauge(
             "waiting_requests",
             lambda: sum(len(d) for _, d in self._fleet.list_dispatchers()),
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -230,6 +230,21 @@
             break
         return await self._open(address)
 
+    async def is_refused(self, address: Address, timeout_s: float) -> bool:
+        """Returns whether the peer refuses a new connection, since nothing listens.
+
+        Args:
+            address: Address of the peer.
+            timeout_s: Maximum time to wait for its answer, in seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._open(address)
+        except (ConnectError, TimeoutError) as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.abort()
+        return False
+
     def release(
         self,
         address: Address,
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -5,7 +5,9 @@
 
 from chicoryweir_daemon.forwarder import announcements
 from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.quarantine import records
 
 ANNOUNCEMENT = peers.Announcement(
@@ -30,6 +32,18 @@
     ),
     slowdowns={"i-3": 6.25},
     capacity=430.2,
+    part_update=promptparts.Update(
+        (
+            promptparts.Crash(
+                records.LossId("i-4", "18"),
+                frozenset(
+                    {partattribution.Suspect(2**63 + 6, ("model/5c", "model/91"))}
+                ),
+                0.25,
+            ),
+        ),
+        (promptparts.Proof("model/5c", 2.5),),
+    ),
 )
 
 
@@ -37,8 +51,8 @@
     assert announcements.decode(announcements.encode(ANNOUNCEMENT)) == ANNOUNCEMENT
 
 
-# Positions of the mappings and the crash update in the datagram.
-STRUCTURED_PARTS = (9, 13, 15, 16)
+# Positions of the mappings and the updates on crashes in the datagram.
+STRUCTURED_PARTS = (9, 13, 15, 16, 18)
 
 
 @pytest.mark.parametrize("position", STRUCTURED_PARTS)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -55,6 +55,8 @@
 REQUEST_MALFORMED = 206
 CLAIM_TAKEN_OVER = 210
 REQUEST_QUARANTINED = 220
+PROMPT_PART_HELD = 221
+PROMPT_PART_RELEASED = 222
 MAP_CHANGED = 230
 MAP_PROPOSED = 231
 ORDER_FAILED = 232
@@ -241,9 +243,26 @@
     EventKind(
         REQUEST_QUARANTINED,
         "request_quarantined",
-        "A request was rejected because endpoints died while they ran its content.",
+        "A request was rejected because endpoints died while they ran its content, or "
+        "began to answer on a part of its prompt.",
         "Examine the content with the owner of the workspace.",
     ),
+    EventKind(
+        PROMPT_PART_HELD,
+        "prompt_part_held",
+        "Requests with a part of a prompt are rejected, because endpoints (`lost`) "
+        "crashed as they began to answer on it; after `trial_in_s`, single requests "
+        "may run.",
+        "Find the part in `shared_parts` of request_ended, and examine it with the "
+        "owners of the workspaces.",
+    ),
+    EventKind(
+        PROMPT_PART_RELEASED,
+        "prompt_part_released",
+        "A part of a prompt is no longer held: an endpoint answered on it, another "
+        "part explains the crashes, or they are too long ago.",
+        "None.",
+    ),
     EventKind(
         MAP_CHANGED,
         "map_changed",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/crashes.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/crashes.py
@@ -14,6 +14,8 @@
 import hashlib
 
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import partattribution
+from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.quarantine import records
 from chicoryweir_policy.quarantine import suspicion
 
@@ -37,10 +39,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _BrokenAttempt:
-    """An attempt whose endpoint may have crashed."""
+    """An attempt whose endpoint may have crashed.
+
+    Attributes:
+        process: Process that the request was sent to.
+        fingerprint: Fingerprint of the request.
+        unproven_parts: Shared parts of the prompt, if the attempt broke before the
+            endpoint proved them; otherwise empty.
+        at: Time of the end of the attempt, monotonic seconds.
+    """
 
     process: records.LossId
     fingerprint: int
+    unproven_parts: tuple[str, ...]
     at: float
 
 
@@ -68,9 +79,15 @@
 
 
 class CrashTracker:
-    """Tracks which requests run at each endpoint and charges them if it crashes."""
+    """Tracks which requests run at each endpoint and charges them if it crashes.
+
+    Attributes:
+        parts: Parts of prompts that crash endpoints.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, entry: str = "") -> None:
+        """Initializes the tracker of the entry with that name."""
+        self.parts = promptparts.PartTracker(entry, SPREAD_S)
         self._suspicions = suspicion.SuspicionTracker(QUARANTINE_CRASHES)
         self._running: dict[records.LossId, collections.Counter[int]] = {}
         self._broken: collections.deque[_BrokenAttempt] = collections.deque(
@@ -98,7 +115,12 @@
         running[fingerprint] += 1
 
     def record_ended(
-        self, endpoint: endpoints.Endpoint, fingerprint: int, broke: bool, now: float
+        self,
+        endpoint: endpoints.Endpoint,
+        fingerprint: int,
+        broke: bool,
+        now: float,
+        unproven_parts: tuple[str, ...] = (),
     ) -> None:
         """Records the end of an attempt.
 
@@ -107,6 +129,8 @@
             fingerprint: Fingerprint of the request.
             broke: Whether the endpoint may have crashed during the attempt.
             now: Present time, monotonic seconds.
+            unproven_parts: Shared parts of the prompt, if the endpoint didn't go on
+                writing an answer on them; otherwise empty.
         """
         process = make_process_id(endpoint)
         running = self._running.get(process)
@@ -117,7 +141,9 @@
             if not running:
                 del self._running[process]
         if broke:
-            self._broken.append(_BrokenAttempt(process, fingerprint, now))
+            self._broken.append(
+                _BrokenAttempt(process, fingerprint, unproven_parts, now)
+            )
 
     def record_finished(self, fingerprint: int, now: float) -> None:
         """Records that an endpoint completed the request, which clears the request."""
@@ -155,6 +181,12 @@
             self._suspicions.record_loss(
                 process.instance, process.incarnation, loss.fingerprints, now
             )
+            unproven = [
+                partattribution.Suspect(broken.fingerprint, broken.unproven_parts)
+                for broken in self._broken
+                if broken.process == process and broken.unproven_parts
+            ]
+            self.parts.record_crash(process, unproven, now)
         return tuple(losses)
 
     def merge(self, update: records.News, now: float) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.quarantine import records
 
 # Period of announcements while there are updates.
@@ -46,6 +47,7 @@
         crash_update: Recent records of crashed endpoints.
         slowdowns: Slowdowns of the slow instances in the groups that it manages.
         capacity: Size of its machine, relative to those of other entries.
+        part_update: Recent records of prompt parts that crash endpoints.
     """
 
     name: str
@@ -67,6 +69,7 @@
         default_factory=dict
     )
     capacity: float = 0.0
+    part_update: promptparts.Update = promptparts.Update()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/fleet_platform/test_crashing_parts.py
+++ b/tests/fleet_platform/test_crashing_parts.py
@@ -73,3 +73,25 @@
         assert (status, complete) == (200, True)
         assert body.endswith(b"t4\n\n")
     assert sum(endpoint.crashes for endpoint in endpoints) == 1
+
+
+# Guards against missing a silent crash whose requests were given up by their callers.
+async def test_part_is_held_if_the_caller_left_before_the_crash_was_known(start_system):
+    async def go_silent(_, headers, writer):
+        await asyncio.sleep(10.0)
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", go_silent)
+    system = await start_system(endpoint)
+    parts = system.entry._fleet.crashes.parts
+    _, writer = await system.connect()
+    writer.write(
+        system.encode_request(
+            "/stream/x", Chicoryweir_Prompt_Prefix=f"{CRASHING},e4402b7d:250"
+        )
+    )
+    await asyncio.sleep(0.6)
+    writer.close()
+    await fleetstandins.wait_until(lambda: endpoint.closed_by_client)
+    assert parts.count_held() == 0
+    system.store.delete("servers", endpoint.name)
+    await fleetstandins.wait_until(lambda: parts.count_held() == 1)
