End a map change whose rank is gone when the group has a new epoch

Cause: releasing and rolling back retry orders without limit, and only reports tell of a new epoch; these states ask for none. The crashed rank came back at another address, the old one refused the order to disarm for good, and the holder waited in 'disarming'. The class of fault: a wait whose end only the lost peer can announce.

In a new epoch nothing is armed or held, so that there is nothing left to roll back. While the epoch is the same, it goes on as before.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -8,7 +8,9 @@
 A rank may execute an unanswered order seconds later. The order is therefore retried
 under a higher fencing token, after which ranks refuse the unanswered order. A rollback
 first sends the holding rank a higher token, so that it refuses a late GO order, and
-then disarms the ranks.
+then disarms the ranks. Releasing and rolling back take as many retries as needed; if a
+rank takes no orders meanwhile, the others are asked whether the group has a new epoch,
+in which nothing is armed or held.
 """
 
 from __future__ import annotations
@@ -122,6 +124,8 @@
         self._lead_s = HOLD_LEAD_S if not plan.orders_lost else LOSSY_HOLD_LEAD_S
         self._hold_conflicts = 0
         self._step_known = False
+        self._epoch_check_at = -math.inf
+        self._epoch_checks = 0
         self._ranks = [_RankProgress() for _ in range(plan.ranks)]
         self.lost_order_count = 0
         self.fenced = False
@@ -155,7 +159,7 @@
             return self._request_reports(now)
         if self._state == "holding" and not self._step_known:
             return self._request_step(now)
-        return self._send_orders(now)
+        return [*self._send_orders(now), *self._check_epoch(now)]
 
     def handle_result(
         self, rank: int, order: orders.Order, result: orders.Result, now: float
@@ -206,7 +210,8 @@
             )
             progress.next_send_at = now
             return
-        progress.done = self._is_confirmed_by(report)
+        if self._state in ("checking", "verifying"):
+            progress.done = self._is_confirmed_by(report)
         self._advance_if_done(now)
 
     def _request_step(self, now: float) -> list[orders.Command]:
@@ -249,6 +254,19 @@
             sent.append(orders.SendOrder(rank, self._build_order(now)))
         return sent
 
+    def _check_epoch(self, now: float) -> list[orders.Command]:
+        """Requests a report of one rank in turn if a rank keeps failing orders."""
+        is_stuck = self._state in _UNLIMITED_STATES and any(
+            not progress.done and progress.tries > MAX_RETRIES
+            for progress in self._ranks
+        )
+        if not is_stuck or now < self._epoch_check_at:
+            return []
+        self._epoch_check_at = now + POLL_INTERVAL_S
+        rank = self._epoch_checks % self._plan.ranks
+        self._epoch_checks += 1
+        return [orders.RequestReport(rank)]
+
     def _list_target_ranks(self) -> range:
         if self._state in ("holding", "releasing", "fencing", "withdrawing"):
             return range(HOLDING_RANK, HOLDING_RANK + 1)
--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -145,6 +145,7 @@
 
     def __init__(self, delays_s, idle=False, silent=None):
         self.group = Group(idle)
+        self.gone = set()
         self._silent = silent
         self.now = 0.0
         self._delays_s = iter(delays_s)
@@ -187,6 +188,10 @@
 
     def _execute(self, map_change, command):
         match command:
+            case orders.RequestReport(rank) if rank in self.gone:
+                map_change.handle_report(rank, None, self.now)
+            case orders.SendOrder(rank, order) if rank in self.gone:
+                map_change.handle_result(rank, order, orders.Result.REFUSED, self.now)
             case orders.RequestReport(rank):
                 map_change.handle_report(rank, self.group.report(rank), self.now)
             case orders.SendOrder(rank, order):
@@ -285,6 +290,32 @@
     assert map_change.state == "ended"
 
 
+# Guards against a group that keeps its first map for good because one of its ranks
+# crashed in the middle of a change and came back elsewhere.
+@pytest.mark.parametrize("gone", [0, 2])
+@pytest.mark.parametrize("state", ["releasing", "fencing", "disarming", "withdrawing"])
+def test_new_epoch_ends_a_change_whose_rank_is_gone(state, gone):
+    simulation = Simulation([])
+    plan = dataclasses.replace(_plan(simulation, 1), step=simulation.group.step + 5)
+    map_change = change.MapChange(plan, Tokens(1), simulation.now, state)
+    simulation.gone = {gone}
+    simulation.drive(map_change, 3.0)
+    simulation.group.epoch = 2
+    assert simulation.drive(map_change, 1.0)
+    assert map_change.state in ("ended", "done", "abandoned")
+
+
+def test_change_whose_rank_is_gone_goes_on_while_the_epoch_is_the_same():
+    simulation = Simulation([])
+    map_change = change.create_recovery(_plan(simulation, 1), Tokens(1), simulation.now)
+    simulation.gone = {2}
+    assert not simulation.drive(map_change, 5.0)
+    assert map_change.state == "disarming"
+    simulation.gone = set()
+    assert simulation.drive(map_change, 1.0)
+    assert map_change.state == "abandoned"
+
+
 DELAYS_S = strategies.lists(
     strategies.one_of(
         strategies.just(0.0), strategies.just(0.0), strategies.floats(0.05, 12.0)
