Break off an unframed stream that ends before its first event

What callers saw: a complete answer without a single event. A stream with neither a length nor chunks ends with its connection, and so does the stream of an endpoint whose process ended before the first event.

Cause: the relay only looked for a part of an event. Found by the tests of unframed answers; the new one failed before (200, empty, complete) and passes now. Such an answer counts as broken off and is resumed where the route allows it. With a length or chunks, or when it resumes another one, a stream may still be empty.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -217,7 +217,7 @@
                 case answerparser.End():
                     if target.finish():
                         return head, Finished(head.status)
-                    detail = "the stream ended within an event"
+                    detail = "the stream ended within an event or before the first"
                     return None, Failed(retries.Failure.BROKEN, detail)
                 case answerparser.Broken(detail):
                     return None, Failed(retries.Failure.BROKEN, detail)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -110,6 +110,7 @@
         self._splitter = eventstream.EventSplitter()
         self._last_id = last_event_id
         self._unsent_bytes = 0
+        self._may_be_empty = True
         self.begun = False
 
     @property
@@ -121,6 +122,9 @@
         """Starts to relay the answer of an attempt; the caller gets the first head."""
         self._splitter = eventstream.EventSplitter()
         self._unsent_bytes = 0
+        # Without a length or chunks, the end of a process before its first event looks
+        # like an empty stream. A resumed stream may have no events left.
+        self._may_be_empty = not head.ends_at_close or self._last_id is not None
         if not self.begun:
             self._head = head
 
@@ -145,9 +149,11 @@
         return sent
 
     def finish(self) -> bool:
-        """Ends the answer unless an event is incomplete."""
+        """Ends the answer unless an event is incomplete or there should be one."""
         if self._splitter.has_partial_event:
             return False
+        if not (self.begun or self._may_be_empty):
+            return False
         self._begin()
         self._answer.finish()
         return True
--- a/tests/fleet_platform/test_unframed_answers.py
+++ b/tests/fleet_platform/test_unframed_answers.py
@@ -184,3 +184,31 @@
     assert (status, complete) == (200, False)
     assert EVENTS.startswith(body)
     assert len(runs) == 1
+
+
+# Guards against passing on an empty stream as the answer of an endpoint that crashed
+# before its first event.
+async def test_stream_with_neither_length_nor_chunks_nor_events_is_broken_off(
+    start_system,
+):
+    async def answer(headers, writer):
+        writer.write(_encode_head(headers))
+        await _end(writer, reset=False)
+
+    endpoints, runs = _build_endpoints(answer)
+    system = await start_system(*endpoints)
+    status, _, body, complete = await system.call("/stream/x")
+    assert (status, body, complete) == (200, EVENTS, True)
+    assert len(runs) == 2
+
+
+async def test_empty_framed_stream_is_complete(start_system):
+    async def answer(headers, writer):
+        writer.write(_encode_framed(headers, "length", b""))
+        await writer.drain()
+
+    endpoints, runs = _build_endpoints(answer)
+    system = await start_system(*endpoints)
+    status, _, body, complete = await system.call("/stream/x")
+    assert (status, body, complete) == (200, b"", True)
+    assert len(runs) == 1
