Log the request rate that an endpoint states in its answers

Whether entries know the limit of an endpoint couldn't be told from the log. The platform's adapter now reads it, and request_ended shows what the last endpoint of the request stated. Numbers below zero, infinite ones and other text count as no limit.

No decision changes.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -78,6 +78,7 @@
         endpoint: endpoints.Endpoint,
         record_progress: collections.abc.Callable[[float], None],
         get_stall_timeout: collections.abc.Callable[[Attempt], float],
+        record_max_rate: collections.abc.Callable[[float | None], None],
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
@@ -85,6 +86,7 @@
         self._endpoint = endpoint
         self._record_progress = record_progress
         self._get_stall_timeout = get_stall_timeout
+        self._record_max_rate = record_max_rate
         self.sent = False
         self.last_received_at = 0.0
         self.first_part_at: float | None = None
@@ -182,6 +184,8 @@
         target: relay.Relay,
         answer: callers.Answer,
     ) -> tuple[heads.AnswerHead | None, Outcome]:
+        if not facts.misdirected:
+            self._record_max_rate(facts.max_rate)
         if facts.misdirected or (facts.not_run and not facts.stamped):
             is_reusable = await self._discard_answer(connection)
             kind = retries.Failure.DECLINED
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -96,6 +96,7 @@
         self._first_part_s: float | None = None
         self._attempt_started_at = arrived_at
         self._longest_gap_s = 0.0
+        self._max_rate: float | None = None
         self._attempt_log: list[str] = []
         self._admission_log: dict[str, int | float] = {}
         self._attempt: attempts.Attempt | None = None
@@ -164,6 +165,7 @@
             endpoint,
             self._record_progress,
             self._get_stall_timeout,
+            self._record_max_rate,
         )
         self._attempt = attempt
         forwarding = interfaces.ForwardingFacts(
@@ -436,6 +438,7 @@
             elapsed_s=round(now - self._arrived_at, 3),
             left_s=round(self._deadline_at - now, 3),
             attempts=self._attempt_log,
+            max_rate=self._max_rate,
             shared_parts=self._facts.shared_parts,
             admission=self._admission_log,
         )
@@ -496,6 +499,10 @@
             dispatcher = self._fleet.get_dispatcher(self._service.name)
             dispatcher.record_gap(self._service, gap_s, self._route.max_gap_s, now)
 
+    def _record_max_rate(self, max_rate: float | None) -> None:
+        """Records the request rate that the endpoint accepts; None for any."""
+        self._max_rate = max_rate
+
     def _prove_parts(self, now: float) -> None:
         self._is_proven = True
         self._fleet.crashes.parts.record_proof(self._prompt_parts, now)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -77,6 +77,8 @@
         encoded: Whether the body was encoded in transit.
         at_fault: Address of another endpoint that the endpoint reports as the cause of
             its failure, or empty.
+        max_rate: Requests per second that the endpoint accepts from all entries
+            together; None if it states no limit.
     """
 
     attempt_id: bytes | None
@@ -85,6 +87,7 @@
     misdirected: bool
     encoded: bool
     at_fault: str
+    max_rate: float | None = None
 
 
 class HeaderCodec(typing.Protocol):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -224,8 +224,9 @@
         REQUEST_ENDED,
         "request_ended",
         "A request ended; `attempts` lists the endpoints that it was sent to, "
-        "`admission` what it was queued, dispatched or rejected by, and `shared_parts` "
-        "the parts of its prompt that other requests may share.",
+        "`admission` what it was queued, dispatched or rejected by, `shared_parts` "
+        "the parts of its prompt that other requests may share, and `max_rate` the "
+        "requests per second that the last endpoint accepts, if it states a limit.",
         "If it failed, see docs/OPERATIONS.md.",
     ),
     EventKind(
--- a/tests/fleet_platform/test_formats.py
+++ b/tests/fleet_platform/test_formats.py
@@ -159,3 +159,22 @@
     head = heads.RequestHead(b"POST", b"/a/", fields, True)
     facts = headers.HeaderCodec().read_request(head)
     assert facts.shared_parts == shared
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        (b"1.4", 1.4),
+        (b"0", 0.0),
+        (b" 12 ", 12.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"", None),
+        (b"many", None),
+    ],
+)
+def test_rate_limit_of_an_answer_is_read_if_it_is_a_number(value, rate):
+    fields = ((headers.SERVER_LIMIT, value),)
+    head = heads.AnswerHead(200, b"OK", fields, False, True)
+    assert headers.HeaderCodec().read_answer(head).max_rate == rate
