Send an endpoint no more requests than the rate it states

Cause: nothing read the rate that an endpoint states in its answers. The class of fault: a back end's own statement about its capacity that no decision uses.

All seven entries had the statement between second 7.8 and 17.3 and sent 48 requests under a rate of 1.5 until second 26.6.

Why it works: statements are announced and the latest one holds everywhere, also one that lifts the limit. A request that no rate allows to be sent in its time is rejected at once.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -10,11 +10,12 @@
 from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import promptparts
+from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; incremented when the layout changes.
-FORMAT_VERSION = 4
-_PART_COUNT = 19
+FORMAT_VERSION = 5
+_PART_COUNT = 20
 _DECODING_ERRORS = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
@@ -45,6 +46,7 @@
             dict(announcement.slowdowns),
             announcement.capacity,
             _encode_part_update(announcement.part_update),
+            _encode_rates(announcement.rates),
         )
     )
 
@@ -84,6 +86,7 @@
             },
             capacity=float(parts[17]),
             part_update=_decode_part_update(parts[18]),
+            rates=_decode_rates(parts[19]),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
@@ -171,3 +174,28 @@
         ),
         tuple(promptparts.Proof(str(part), float(age_s)) for part, age_s in proofs),
     )
+
+
+def _encode_rates(
+    rates: tuple[ratelimits.Statement, ...],
+) -> list[tuple[typing.Any, ...]]:
+    return [
+        (
+            statement.process.instance,
+            statement.process.incarnation,
+            statement.max_rate,
+            statement.age_s,
+        )
+        for statement in rates
+    ]
+
+
+def _decode_rates(parts: typing.Any) -> tuple[ratelimits.Statement, ...]:
+    return tuple(
+        ratelimits.Statement(
+            records.LossId(str(instance), str(incarnation)),
+            None if max_rate is None else float(max_rate),
+            float(age_s),
+        )
+        for instance, incarnation, max_rate, age_s in parts
+    )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -96,6 +96,7 @@
         self._first_part_s: float | None = None
         self._attempt_started_at = arrived_at
         self._longest_gap_s = 0.0
+        self._endpoint: endpoints.Endpoint | None = None
         self._max_rate: float | None = None
         self._attempt_log: list[str] = []
         self._admission_log: dict[str, int | float] = {}
@@ -157,7 +158,7 @@
         }
 
     async def _run_attempt(self, dispatched: dispatching.Dispatched) -> None:
-        endpoint = dispatched.endpoint
+        endpoint = self._endpoint = dispatched.endpoint
         attempt = attempts.Attempt(
             self._context.pool,
             self._context.header_codec,
@@ -502,6 +503,8 @@
     def _record_max_rate(self, max_rate: float | None) -> None:
         """Records the request rate that the endpoint accepts; None for any."""
         self._max_rate = max_rate
+        if self._endpoint is not None:
+            self._fleet.rate_limits.record(self._endpoint, max_rate, self._now())
 
     def _prove_parts(self, now: float) -> None:
         self._is_proven = True
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -15,6 +15,7 @@
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import queueing
+from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import selection
 from chicoryweir_policy.routing import outliers
@@ -47,6 +48,7 @@
         self.peers = peers.PeerTable(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
         self.crashes = crashes.CrashTracker(settings.name)
+        self.rate_limits = ratelimits.RateLimits(settings.name)
         self.slowdowns: dict[str, float] = {}
         self._merged_slowdowns: dict[str, float] = {}
         self.ejected_until: dict[str, float] = {}
@@ -92,6 +94,7 @@
             )
             dispatcher.set_avoidance(self._is_ejected)
             dispatcher.set_slowdowns(self._merged_slowdowns)
+            dispatcher.set_rate_limits(self.rate_limits)
             self._dispatchers[service] = dispatcher
         return dispatcher
 
@@ -108,6 +111,7 @@
         """Passes the other entries' announcements to the dispatchers."""
         alive = self.peers.list_alive(now)
         self.crashes.parts.set_entries(peer.name for peer in alive)
+        self.rate_limits.set_entries(peer.name for peer in alive if peer.ready)
         for name, dispatcher in self._dispatchers.items():
             dispatcher.set_peer_on_time(
                 sum(peer.on_time.get(name, 0) for peer in alive)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -14,6 +14,7 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
+from chicoryweir_policy.forwarding import ratelimits
 
 # Timers may fire early by this much. An announcement with unchanged content is sent now
 # if it is due within this time.
@@ -70,6 +71,7 @@
         self._fleet.apply_peer_announcements(now)
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
+        self._fleet.rate_limits.merge(announcement.rates, now)
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
 
@@ -84,6 +86,7 @@
             self.announce()
             self._update_alive()
             crashreports.record_part_transitions(self._fleet, self._event_log)
+            self._log_rate_limits()
             await asyncio.sleep(self._fleet.peers.announce_period_s)
 
     def announce(self, force: bool = False) -> None:
@@ -91,6 +94,7 @@
         now = self._fleet.clock.read()
         endpoint_loads = self._fleet.loads.copy_own()
         on_time = self._fleet.count_on_time()
+        rates = self._fleet.rate_limits.list_own(now)
         unchanged_interval_s = peers.IDLE_PERIODS * self._fleet.peers.announce_period_s
         is_due = now - self._last_sent_at >= unchanged_interval_s - TIMER_TOLERANCE_S
         content = (
@@ -99,6 +103,7 @@
             self._fleet.crashes.position,
             self._fleet.crashes.parts.revision,
             self._fleet.slowdowns,
+            [(rate.process, rate.max_rate) for rate in rates],
         )
         if not (force or is_due or content != self._last_content):
             return
@@ -107,7 +112,7 @@
         for name in self._fleet.peers.expire(now):
             self._fleet.loads.forget_peer(name)
         data = announcements.encode(
-            self._make_announcement(endpoint_loads, on_time, now)
+            self._make_announcement(endpoint_loads, on_time, rates, now)
         )
         if self._transport is not None:
             port = self._fleet.settings.peer_port
@@ -115,7 +120,11 @@
                 self._transport.sendto(data, (host, port))
 
     def _make_announcement(
-        self, endpoint_loads: dict[str, loads.Load], on_time: dict[str, int], now: float
+        self,
+        endpoint_loads: dict[str, loads.Load],
+        on_time: dict[str, int],
+        rates: tuple[ratelimits.Statement, ...],
+        now: float,
     ) -> peers.Announcement:
         settings = self._fleet.settings
         self._sequence += 1
@@ -140,8 +149,22 @@
             slowdowns=self._fleet.slowdowns,
             capacity=settings.capacity,
             part_update=self._fleet.crashes.parts.select_update(receivers, now),
+            rates=rates,
         )
 
+    def _log_rate_limits(self) -> None:
+        """Logs the endpoints whose stated rate changed since the last call."""
+        now = self._fleet.clock.read()
+        for statement in self._fleet.rate_limits.take_transitions(now):
+            self._event_log.record(
+                catalogue.ENDPOINT_RATE_CHANGED,
+                peer=statement.process.instance,
+                incarnation=statement.process.incarnation,
+                max_rate=statement.max_rate,
+                own_rate=self._fleet.rate_limits.compute_own_rate(statement),
+                age_s=round(statement.age_s, 3),
+            )
+
     def _update_alive(self) -> None:
         now = self._fleet.clock.read()
         self._fleet.loads.expiry_s = max(
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import promptparts
+from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.quarantine import records
 
 ANNOUNCEMENT = peers.Announcement(
@@ -44,6 +45,10 @@
         ),
         (promptparts.Proof("model/5c", 2.5),),
     ),
+    rates=(
+        ratelimits.Statement(records.LossId("i-5", "19"), 1.5, 0.5),
+        ratelimits.Statement(records.LossId("i-6", "20"), None, 0.25),
+    ),
 )
 
 
@@ -51,8 +56,8 @@
     assert announcements.decode(announcements.encode(ANNOUNCEMENT)) == ANNOUNCEMENT
 
 
-# Positions of the mappings and the updates on crashes in the datagram.
-STRUCTURED_PARTS = (9, 13, 15, 16, 18)
+# Positions of the mappings, updates and lists of tuples in the datagram.
+STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19)
 
 
 @pytest.mark.parametrize("position", STRUCTURED_PARTS)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -41,6 +41,7 @@
 ENDPOINT_CHANGED = 123
 ENDPOINTS_LISTED = 124
 ENDPOINT_UNREADABLE = 125
+ENDPOINT_RATE_CHANGED = 126
 PEER_HEARD = 130
 PEER_SILENT = 131
 ANNOUNCEMENT_UNREADABLE = 132
@@ -160,6 +161,14 @@
         "A registration in the store is invalid; its instance gets no requests.",
         "Check the row and the process that wrote it.",
     ),
+    EventKind(
+        ENDPOINT_RATE_CHANGED,
+        "endpoint_rate_changed",
+        "The requests per second that an endpoint accepts from all entries "
+        "(`max_rate`) changed; this entry sends up to `own_rate`, 0 if other entries "
+        "send them. Without a rate, it accepts any number.",
+        "Check the load of the engine.",
+    ),
     EventKind(
         PEER_HEARD,
         "peer_heard",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -8,17 +8,22 @@
 import math
 
 from chicoryweir_policy import requests
+from chicoryweir_policy.admission import delay
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import latency
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import queueing
+from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.forwarding import reservation
 from chicoryweir_policy.forwarding import selection
 
 # Retry-after time of requests that expired in the queue.
 EXPIRED_RETRY_S = 1.0
+# Expected wait of a request whose endpoints only other entries send to; callers come
+# back to any entry.
+OTHER_ENTRY_WAIT_S = 0.2
 # Slow or failing endpoints are avoided only if at least this share of the endpoints
 # remains. Fewer would be overloaded, and a problem of most endpoints usually has a
 # common cause.
@@ -117,6 +122,7 @@
         self._first_part = latency.FirstPartLatency()
         self._peer_on_time = 0
         self._slowdowns: collections.abc.Mapping[str, float] = {}
+        self._rate_limits = ratelimits.RateLimits(entry)
         self._reservation = reservation.Reservation(entry)
         self._average_running = 0.0
         self._averaged_at = -math.inf
@@ -142,6 +148,10 @@
         """Sets the function that returns whether to avoid an instance at a time."""
         self._is_avoided = is_avoided
 
+    def set_rate_limits(self, rate_limits: ratelimits.RateLimits) -> None:
+        """Sets the limits of what endpoints accept."""
+        self._rate_limits = rate_limits
+
     def set_slowdowns(self, slowdowns: collections.abc.Mapping[str, float]) -> None:
         """Sets the slowdowns of slow instances, which get no new requests."""
         self._slowdowns = slowdowns
@@ -204,6 +214,9 @@
             dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
                 return (dispatched,)
+        rejection = self._check_rates(request, capacity, now)
+        if rejection is not None:
+            return (rejection,)
         rejections = self._queue.push(request, now)
         if any(r.request.request_id == request.request_id for r in rejections):
             return rejections
@@ -289,6 +302,7 @@
         self._loads.record_start(
             chosen.endpoint.instance, request.estimate.memory_tokens
         )
+        self._rate_limits.record_sent(chosen.endpoint)
         priority = queueing.convert_priority(request.priority)
         self._reservation.record_start(priority, now)
         return Dispatched(request, chosen.endpoint)
@@ -328,17 +342,12 @@
         enough = len(trusted) >= MIN_TRUSTED_SHARE * len(usable)
         memory = 0 if service.engine is None else service.engine.memory_tokens
         candidates = [
-            selection.Candidate(
-                endpoint,
-                self._loads.get_load(endpoint.instance, now),
-                endpoint.slots,
-                memory,
-            )
+            self._make_candidate(endpoint, memory, now)
             for endpoint in (trusted if enough else usable)
         ]
         free = sum(max(0, c.limit - c.load.requests) for c in candidates)
         running = sum(candidate.load.requests for candidate in candidates)
-        slots = sum(candidate.limit for candidate in candidates)
+        slots = sum(candidate.endpoint.slots for candidate in candidates)
         if service.engine is None or not candidates:
             return _Capacity(candidates, running, slots, slots, free)
         limit = congestion.compute_concurrency_limit(
@@ -360,6 +369,29 @@
         ]
         return _Capacity(limited, running, total_limit, slots, free)
 
+    def _check_rates(
+        self, request: queueing.PendingRequest, capacity: _Capacity, now: float
+    ) -> queueing.Rejection | None:
+        """Rejects a request if all endpoints limit what this entry may send."""
+        candidates = [candidate.endpoint for candidate in capacity.candidates]
+        wait_s = self._rate_limits.predict_wait_s(candidates, len(self), now)
+        if wait_s is None or now + wait_s <= request.latest_start_at:
+            return None
+        expected_s = OTHER_ENTRY_WAIT_S if math.isinf(wait_s) else wait_s
+        retry_after_ms = delay.compute_retry_after_ms(request.request_id, expected_s)
+        reason = "its endpoints accept no more requests"
+        return queueing.Rejection(request, reason, retry_after_ms / 1000, wait_s)
+
+    def _make_candidate(
+        self, endpoint: endpoints.Endpoint, memory_tokens: int, now: float
+    ) -> selection.Candidate:
+        load = self._loads.get_load(endpoint.instance, now)
+        available = self._rate_limits.count_available(endpoint, now)
+        limit = endpoint.slots
+        if available is not None:
+            limit = min(limit, load.requests + max(0, available))
+        return selection.Candidate(endpoint, load, limit, memory_tokens)
+
 
 def _reject_expired(request: queueing.PendingRequest) -> queueing.Rejection:
     return queueing.Rejection(request, "its time ran out waiting", EXPIRED_RETRY_S)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -7,6 +7,7 @@
 
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import promptparts
+from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.quarantine import records
 
 # Period of announcements while there are updates.
@@ -48,6 +49,7 @@
         slowdowns: Slowdowns of the slow instances in the groups that it manages.
         capacity: Size of its machine, relative to those of other entries.
         part_update: Recent records of prompt parts that crash endpoints.
+        rates: What endpoints stated to this entry that they accept.
     """
 
     name: str
@@ -70,6 +72,7 @@
     )
     capacity: float = 0.0
     part_update: promptparts.Update = promptparts.Update()
+    rates: tuple[ratelimits.Statement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -7,6 +7,7 @@
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import queueing
+from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.forwarding import selection
 
 
@@ -79,6 +80,63 @@
     assert _submit(dispatcher, service, request).endpoint.instance == "e1"
 
 
+def _limit(dispatcher, endpoint, max_rate):
+    rate_limits = ratelimits.RateLimits("e-1")
+    rate_limits.record(endpoint, max_rate, 0.0)
+    dispatcher.set_rate_limits(rate_limits)
+
+
+# Guards against sending an endpoint in need more requests because it has little load.
+def test_endpoint_whose_rate_is_used_up_is_not_selected(
+    make_endpoint, make_request, service
+):
+    _, load_table, dispatcher = _build(make_endpoint, count=2)
+    _limit(dispatcher, make_endpoint("e0"), 0.0)
+    for number in range(6):
+        dispatched = _submit(dispatcher, service, make_request(str(number)))
+        assert dispatched.endpoint.instance == "e1"
+    assert load_table.get_load("e0", 0.0).requests == 0
+
+
+def test_queued_request_is_sent_when_the_rate_of_its_endpoint_allows_it(
+    make_endpoint, make_request, service
+):
+    _, _, dispatcher = _build(make_endpoint, count=1)
+    _limit(dispatcher, make_endpoint("e0"), 10.0)
+    assert isinstance(
+        _submit(dispatcher, service, make_request("a"), 0.0), dispatching.Enqueued
+    )
+    assert dispatcher.dispatch_queued(service, 0.05) == ()
+    (started,) = dispatcher.dispatch_queued(service, 0.11)
+    assert started.request.request_id == "a"
+
+
+# Guards against holding a request until its deadline that no rate allows to be sent.
+def test_request_beyond_the_rates_of_all_endpoints_is_rejected_at_once(
+    make_endpoint, make_request, service
+):
+    _, _, dispatcher = _build(make_endpoint, count=1)
+    _limit(dispatcher, make_endpoint("e0"), 2.0)
+    outcomes = [_submit(dispatcher, service, make_request(str(n))) for n in range(9)]
+    waiting = [o for o in outcomes if isinstance(o, dispatching.Enqueued)]
+    rejected = [o for o in outcomes if isinstance(o, queueing.Rejection)]
+    patience_s = make_request("x").latest_start_at
+    assert 0 < len(waiting) <= 2.0 * patience_s + 1
+    assert len(waiting) + len(rejected) == 9
+    assert all(r.predicted_wait_s > patience_s for r in rejected)
+    assert all(r.retry_after_s > 0.5 for r in rejected)
+
+
+def test_request_that_only_other_entries_may_send_is_rejected_at_once(
+    make_endpoint, make_request, service
+):
+    _, _, dispatcher = _build(make_endpoint, count=1)
+    _limit(dispatcher, make_endpoint("e0"), 0.0)
+    rejected = _submit(dispatcher, service, make_request("a"))
+    assert isinstance(rejected, queueing.Rejection)
+    assert rejected.retry_after_s <= 1.5 * dispatching.OTHER_ENTRY_WAIT_S
+
+
 def test_late_request_waits_for_on_time_requests_of_other_entries(
     make_endpoint, make_request, service
 ):
