--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
@@ -32,11 +32,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Status and body of an answer."""
+    """Head and body of an answer."""
 
-    status: int
+    head: heads.AnswerHead
     body: bytes
 
+    @property
+    def status(self) -> int:
+        """Status code of the answer."""
+        return self.head.status
+
 
 async def fetch(
     pool: connections.Pool,
@@ -79,7 +84,7 @@
         if not is_complete:
             connection.abort()
     pool.release(address, connection, head, loop.time())
-    return Reply(head.status, data)
+    return Reply(head, data)
 
 
 async def _read(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -120,6 +120,19 @@
     """The store no longer has the changes after a position; a full read is needed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Position:
+    """A position in the store's history.
+
+    Attributes:
+        version: Version of the latest change up to the position.
+        era: Era of the store; None if the store did not state it.
+    """
+
+    version: int
+    era: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredConfiguration:
     """A configuration as stored.
@@ -130,14 +143,14 @@
     """
 
     data: bytes
-    position: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoNewerConfiguration:
     """No configuration is stored or it is unchanged, as of `position`."""
 
-    position: int
+    position: Position
 
 
 # A registration in the store that doesn't describe an endpoint, with the reason.
@@ -149,7 +162,7 @@
     """All endpoints as of `position`, and the unusable registrations."""
 
     endpoints: tuple[endpoints.Endpoint, ...]
-    position: int
+    position: Position
     unusable: tuple[Unusable, ...] = ()
 
 
@@ -158,7 +171,7 @@
     """Changes of endpoints up to `position`, in the order of the store."""
 
     changes: tuple[endpoints.Change, ...]
-    position: int
+    position: Position
 
 
 class Registry(typing.Protocol):
@@ -170,7 +183,7 @@
         """Reads the newest configuration."""
 
     async def await_configuration(
-        self, position: int, wait_s: float
+        self, position: Position, wait_s: float
     ) -> StoredConfiguration | NoNewerConfiguration | HistoryLost | Unreachable:
         """Waits up to `wait_s` seconds for a configuration stored after a position."""
 
@@ -178,7 +191,7 @@
         """Reads all endpoints."""
 
     async def list_changes(
-        self, position: int, wait_s: float
+        self, position: Position, wait_s: float
     ) -> Changes | HistoryLost | Unreachable:
         """Reads the changes after a position; waits up to `wait_s` seconds for one."""
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -20,6 +20,7 @@
 from chicoryweir_daemon.forwarder import operations
 from chicoryweir_daemon.forwarder import peerfetch
 from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_daemon.forwarder.mapcontrol import lease_holder
 from chicoryweir_daemon.forwarder.mapcontrol import map_controller
@@ -111,7 +112,7 @@
         self._caller_connections: set[callers.CallerConnection] = set()
         self._operations_connections: set[callers.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
-        self._store_health = watches.StoreHealth(self._fleet, self._event_log)
+        self._store_health = storehealth.StoreHealth(self._fleet, self._event_log)
         self._configuration_watch = watches.ConfigurationWatch(
             self._fleet,
             self._adapters.registry,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import random
+import typing
 
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
-from chicoryweir_platform import backoff
+from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import endpoints
 
@@ -24,38 +25,6 @@
 # Random variation of the pause, as a share of it, so that entries don't call the store
 # at the same time.
 JITTER_SHARE = 0.2
-BACKOFF = backoff.BackoffPolicy(base_s=0.1, cap_s=1.0)
-
-
-class StoreHealth:
-    """Tracks whether the store is reachable, for the log and the endpoint table.
-
-    All tasks that call the store share one instance.
-    """
-
-    def __init__(self, fleet: fleets.Fleet, event_log: eventlog.EventLog) -> None:
-        self._fleet = fleet
-        self._event_log = event_log
-        self._backoff = backoff.Backoff()
-        self._seed = random.getrandbits(32)
-
-    async def record_call(self, unreachable: interfaces.Unreachable | None) -> None:
-        """Records the result of a call; sleeps for the backoff after a failure."""
-        now = self._fleet.clock.read()
-        self._fleet.endpoints.record_store_call(unreachable is None, now)
-        if unreachable is None:
-            if self._backoff.failures:
-                self._event_log.record(
-                    catalogue.STORE_BACK, failures=self._backoff.failures
-                )
-            self._backoff = backoff.Backoff()
-            return
-        if not self._backoff.failures:
-            self._event_log.record(
-                catalogue.STORE_UNREACHABLE, detail=unreachable.detail
-            )
-        self._backoff = backoff.record_failure(self._backoff, BACKOFF, self._seed, now)
-        await asyncio.sleep(self._backoff.retry_at - now)
 
 
 class ConfigurationWatch:
@@ -67,24 +36,26 @@
         registry: interfaces.Registry,
         decoder: interfaces.ConfigurationDecoder,
         event_log: eventlog.EventLog,
-        store_health: StoreHealth,
+        store_health: storehealth.StoreHealth,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
         self._decoder = decoder
         self._event_log = event_log
         self._store_health = store_health
-        self._position: int | None = None
+        self._position: interfaces.Position | None = None
 
     async def run(self) -> None:
         """Watches the configuration until cancelled."""
         while True:
             match await self._read():
                 case interfaces.StoredConfiguration(data, position):
-                    self.apply(data, "store")
+                    self._store_health.observe_era(position.era)
+                    self.apply(data, "store", position)
                     self._position = position
                     await self._store_health.record_call(None)
                 case interfaces.NoNewerConfiguration(position):
+                    self._store_health.observe_era(position.era)
                     self._position = position
                     await self._store_health.record_call(None)
                 case interfaces.HistoryLost():
@@ -93,8 +64,16 @@
                 case interfaces.Unreachable() as unreachable:
                     await self._store_health.record_call(unreachable)
 
-    def apply(self, data: bytes, source: str) -> None:
-        """Applies a configuration if it is valid and newer than the current one."""
+    def apply(
+        self, data: bytes, source: str, position: interfaces.Position | None = None
+    ) -> None:
+        """Applies a configuration if it is valid and newer than the current one.
+
+        Args:
+            data: Encoded configuration.
+            source: Where it was read, for the log.
+            position: Position of the read in the store's history, if it was read there.
+        """
         try:
             config = self._decoder.decode(data)
         except ValueError as error:
@@ -110,6 +89,15 @@
                 version=config.version,
                 before=previous_version,
                 routes=len(config.routes),
+                **_describe(position),
+            )
+        elif config.version < previous_version:
+            self._event_log.record(
+                catalogue.SETTINGS_KEPT,
+                source=source,
+                version=config.version,
+                in_force=previous_version,
+                **_describe(position),
             )
 
     async def _read(
@@ -135,13 +123,13 @@
         fleet: fleets.Fleet,
         registry: interfaces.Registry,
         event_log: eventlog.EventLog,
-        store_health: StoreHealth,
+        store_health: storehealth.StoreHealth,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
         self._event_log = event_log
         self._store_health = store_health
-        self._position: int | None = None
+        self._position: interfaces.Position | None = None
 
     async def run(self) -> None:
         """Watches the endpoints until cancelled."""
@@ -150,11 +138,13 @@
                 case interfaces.Listing(listed, position, unusable):
                     now = self._fleet.clock.read()
                     await self._store_health.record_call(None)
+                    self._store_health.observe_era(position.era)
                     self._apply_listing(listed, now)
                     self._log_unusable(unusable)
                     self._position = position
                 case interfaces.Changes(changes, position):
                     await self._store_health.record_call(None)
+                    self._store_health.observe_era(position.era)
                     self._apply_changes(changes)
                     self._position = position
                 case interfaces.HistoryLost():
@@ -208,8 +198,8 @@
                 self._event_log.record(
                     catalogue.ENDPOINT_UNREADABLE,
                     peer=change.instance,
-                    position=self._position,
                     detail=change.reason,
+                    **_describe(self._position),
                 )
 
     def _log_transitions(self, transitions: list[endpoints.Transition]) -> None:
@@ -217,5 +207,12 @@
             if transition.meaning == "restarted":
                 self._fleet.outliers.discard(transition.instance)
             crashreports.record_transition(
-                self._fleet, self._event_log, transition, position=self._position
+                self._fleet, self._event_log, transition, **_describe(self._position)
             )
+
+
+def _describe(position: interfaces.Position | None) -> dict[str, typing.Any]:
+    """Returns the log fields of a position."""
+    if position is None:
+        return {}
+    return {"position": position.version, "era": position.era}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -69,8 +69,10 @@
 SETTINGS_ADOPTED = 300
 SETTINGS_REFUSED = 301
 SETTINGS_NOT_FETCHED = 302
+SETTINGS_KEPT = 303
 STORE_UNREACHABLE = 310
 STORE_BACK = 311
+STORE_RESTORED = 312
 INVARIANT_VIOLATED = 900
 
 KINDS: tuple[EventKind, ...] = (
@@ -340,6 +342,12 @@
         "Settings or endpoints could not be fetched from another entry.",
         "None; they are also fetched from the store.",
     ),
+    EventKind(
+        SETTINGS_KEPT,
+        "settings_kept",
+        "A version of the settings older than the one in force was read and ignored.",
+        "None; after `store_restored`, the newer version is written again.",
+    ),
     EventKind(
         STORE_UNREACHABLE,
         "store_unreachable",
@@ -347,6 +355,12 @@
         "Idempotent requests still run; at-most-once requests are rejected as not run.",
     ),
     EventKind(STORE_BACK, "store_back", "The platform's store responds.", "None."),
+    EventKind(
+        STORE_RESTORED,
+        "store_restored",
+        "The platform's store was restored from a copy and lost its latest changes.",
+        "None; the entry reads everything again.",
+    ),
     EventKind(
         INVARIANT_VIOLATED,
         "invariant_violated",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/store.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/store.py
@@ -86,9 +86,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rows:
-    """Result of a read or scan; absent rows are omitted."""
+    """Result of a read or scan; absent rows are omitted.
+
+    Attributes:
+        rows: The rows.
+        era: Era of the store; None if the store did not state it.
+    """
 
     rows: tuple[Row, ...]
+    era: int | None = None
 
     def find(self, key: str) -> Row | None:
         """Returns the row with this key, or None."""
@@ -97,16 +103,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Committed:
-    """The transaction was applied; `versions` maps written keys to new versions."""
+    """The transaction was applied.
+
+    Attributes:
+        versions: New versions by written key.
+        era: Era of the store; None if the store did not state it.
+    """
 
     versions: collections.abc.Mapping[str, int]
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflicted:
-    """The transaction's checks failed; `rows` are the checked rows as stored."""
+    """The transaction's checks failed.
+
+    Attributes:
+        rows: The checked rows as stored.
+        era: Era of the store; None if the store did not state it.
+    """
 
     rows: tuple[Row, ...]
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
