--- a/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
@@ -34,35 +34,62 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = 1
+
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era += 1
 
     async def run(self, operation):
         match operation:
             case store.Read(keys):
                 found = tuple(self.rows[key] for key in keys if key in self.rows)
-                return store.Rows(found)
+                return store.Rows(found, self.era)
             case store.Transact(checks, writes):
                 for check in checks:
                     row = self.rows.get(check.key)
                     if (row.version if row else 0) != check.version:
-                        return store.Conflicted((row,) if row else ())
+                        return store.Conflicted((row,) if row else (), self.era)
                 for write in writes:
                     self.version += 1
                     self.rows[write.key] = store.Row(
                         write.key, self.version, write.value
                     )
-                return store.Committed({w.key: self.version for w in writes})
+                versions = {write.key: self.version for write in writes}
+                return store.Committed(versions, self.era)
 
 
 class StoreLink:
-    """One entry's connection to the store; refuses operations while disconnected."""
+    """One entry's connection to the store.
+
+    Attributes:
+        disconnected: Whether the store refuses all operations.
+        loses_replies: Whether transactions are performed without a reply.
+        lost: Number of transactions performed without a reply.
+        delayed: Transactions that were not performed, without a reply; None if all are.
+    """
 
     def __init__(self, store_rows):
         self._store_rows = store_rows
         self.disconnected = False
+        self.loses_replies = False
+        self.lost = 0
+        self.delayed = None
 
     async def run(self, operation):
         if self.disconnected:
             return store.Refused("disconnected")
+        if isinstance(operation, store.Transact):
+            if self.delayed is not None:
+                self.delayed.append(operation)
+                return store.Unknown("delayed")
+            if self.loses_replies:
+                self.lost += 1
+                await self._store_rows.run(operation)
+                return store.Unknown("lost")
         return await self._store_rows.run(operation)
 
 
@@ -280,3 +307,116 @@
     await three_entries.advance(60.0)
     assert three_entries.holders["a"].holds
     assert three_entries.holders["a"].raise_token() == token + 1
+
+
+# Guards against a token that two entries use: the copy lacks the row of the first.
+async def test_token_of_a_lost_row_is_not_assigned_again(three_entries):
+    await three_entries.advance(2.0)
+    copy = three_entries.store.copy()
+    three_entries.holders["a"].stop_acting()
+    await three_entries.advance(2.0)
+    (last,) = [h for h in three_entries.holders.values() if h.holds]
+    token = last.raise_token()
+    three_entries.store.restore(copy)
+    for name in "abc":
+        three_entries.start(name, 2)
+    await three_entries.advance(8.0)
+    (holder,) = [h for h in three_entries.holders.values() if h.holds]
+    assert holder.raise_token() > token
+
+
+# Guards against two holders: the copy names an earlier holder, or none.
+@pytest.mark.parametrize("emptied", [True, False])
+async def test_restored_row_does_not_make_a_second_holder(three_entries, emptied):
+    copy = three_entries.store.copy()
+    await three_entries.advance(2.0)
+    if not emptied:
+        copy = three_entries.store.copy()
+    await three_entries.advance(1.0, silent="a")
+    await three_entries.advance(3.0, silent="a")
+    assert three_entries.holders["b"].holds
+    token = three_entries.holders["b"].raise_token()
+    three_entries.store.restore(copy)
+    # Entry b is not heard and can't reach the store, but acts until its lease expires.
+    three_entries.links["b"].disconnected = True
+    for _ in range(40):
+        three_entries.clock.now += 0.1
+        for name in "ac":
+            await three_entries.holders[name].poll()
+            three_entries.fleets[name].announced_at = three_entries.clock.now
+        three_entries.fleets["b"].announced_at = three_entries.clock.now
+        assert three_entries.count_holders() <= 1
+    await three_entries.advance(4.0, silent="b")
+    (holder,) = [h for h in three_entries.holders.values() if h.holds]
+    assert holder.raise_token() > token
+
+
+async def _lose_reply_before_outage(entries):
+    """Loses the reply to a renewal of `a`, then the store until the lease lapsed."""
+    link = entries.links["a"]
+    link.loses_replies = True
+    while not link.lost:
+        await entries.advance(0.25)
+    link.loses_replies = False
+    for other in entries.links.values():
+        other.disconnected = True
+    await entries.advance(1.75)
+    for other in entries.links.values():
+        other.disconnected = False
+
+
+async def _assert_released_tokens_are_unused(entries):
+    for _ in range(40):
+        await entries.advance(0.25)
+        for name, holder in entries.holders.items():
+            if holder.holds:
+                held = holder.raise_token() // lease_holder.TOKENS_PER_LEASE
+                assert held > entries.fleets[name].released_fence
+    assert entries.count_holders() == 1
+
+
+# Guards against a renewal that was lost and is taken for performed, since the version
+# of the restored row differs from the latest known one.
+async def test_lost_renewal_is_not_taken_for_performed_after_a_restore(entries):
+    await entries.advance(2.0)
+    copy = entries.store.copy()
+    await entries.advance(3.0)
+    await _lose_reply_before_outage(entries)
+    entries.store.restore(copy)
+    await _assert_released_tokens_are_unused(entries)
+
+
+# Guards against a token that is used again after its release, when the renewal whose
+# reply was lost turns out to have been performed.
+async def test_released_token_is_unused_although_a_lost_renewal_was_performed(entries):
+    await entries.advance(5.0)
+    await _lose_reply_before_outage(entries)
+    await _assert_released_tokens_are_unused(entries)
+
+
+# Guards against a write from before the restore that is performed after it, since the
+# version that it expects was assigned again.
+async def test_late_write_of_an_earlier_era_does_not_end_the_lease(three_entries):
+    entries = three_entries
+    await entries.advance(2.0)
+    copy = entries.store.copy()
+    await entries.advance(3.0)
+    link = entries.links["a"]
+    link.delayed = []
+    while not link.delayed:
+        await entries.advance(0.25)
+    (late,) = link.delayed
+    link.disconnected = True
+    entries.store.restore(copy)
+    await entries.advance(8.0, silent="a")
+    (holder,) = [h for h in entries.holders.values() if h.holds]
+    token = holder.raise_token()
+    (check,) = late.checks
+    row = entries.store.rows.get(check.key)
+    if row is not None:
+        row = dataclasses.replace(row, version=check.version)
+        entries.store.rows[check.key] = row
+    await entries.store.run(late)
+    await entries.advance(6.0, silent="a")
+    assert holder.holds
+    assert holder.raise_token() == token + 1
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -60,6 +60,7 @@
         self.history = []
         self.down = False
         self.history_start = 0
+        self.era = 1
         self.calls = collections.Counter()
         self.port = 0
 
@@ -88,6 +89,21 @@
         self.history_start = self.version
         self.history.clear()
 
+    def copy(self):
+        """Returns a copy of the contents, for `restore`."""
+        return dict(self.rows), self.version, list(self.history), self.history_start
+
+    def restore(self, copy):
+        """Restores a copy; versions assigned since then are assigned again."""
+        rows, self.version, history, self.history_start = copy
+        self.rows, self.history = dict(rows), list(history)
+        self.era += 1
+
+    def assign_versions(self, count):
+        """Assigns versions to changes of a row that nobody reads."""
+        for _ in range(count):
+            self.put("unread", "row", {})
+
     async def start(self):
         server = await asyncio.start_server(
             self._serve, "127.0.0.1", 0, backlog=BACKLOG
@@ -105,7 +121,8 @@
                 status, answer = await self._answer(method, target, body)
                 data = json.dumps(answer).encode()
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                    b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
+                    % (status, self.era, len(data))
                 )
                 writer.write(data)
                 await writer.drain()
@@ -142,7 +159,7 @@
                 for row in self.history
                 if row["table"] == query["table"] and row["ver"] > after
             ]
-            if after < self.history_start:
+            if not self.history_start <= after <= self.version:
                 return 410, {"rows": [], "ver": self.version, "now_ms": 1}
             if found or self.down:
                 break
