Read the store again from the start once it was restored from a copy

What callers would see: a confirmed configuration that isn't in force (a new route answers 404), and requests sent to a leaving endpoint. After a restore the store assigns the lost versions again.

A position now carries the era that its answer stated. The configuration's waiting read ends as soon as any task sees the new era, since it may last 10 s.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -27,6 +27,7 @@
         self._backoff = backoff.Backoff()
         self._seed = random.getrandbits(32)
         self._eras = storeeras.EraTracker()
+        self._restored = asyncio.Event()
 
     async def record_call(self, unreachable: interfaces.Unreachable | None) -> None:
         """Records the result of a call; sleeps for the backoff after a failure."""
@@ -46,10 +47,40 @@
         self._backoff = backoff.record_failure(self._backoff, BACKOFF, self._seed, now)
         await asyncio.sleep(self._backoff.retry_at - now)
 
-    def observe_era(self, era: int | None) -> None:
-        """Records the era that an answer of the store states."""
-        previous = self._eras.current
-        if self._eras.observe(era) is storeeras.Observation.RESTORED:
+    @property
+    def era(self) -> int | None:
+        """The latest known era of the store; None before the first."""
+        return self._eras.current
+
+    def observe_era(self, era: int | None) -> bool:
+        """Records the era of an answer; returns False if the answer is outdated."""
+        previous_era = self._eras.current
+        observation = self._eras.observe(era)
+        if observation is storeeras.Observation.RESTORED:
             self._event_log.record(
-                catalogue.STORE_RESTORED, era=era, previous_era=previous
+                catalogue.STORE_RESTORED, era=era, previous_era=previous_era
+            )
+            self._restored.set()
+            self._restored = asyncio.Event()
+        return observation is not storeeras.Observation.OUTDATED
+
+    async def await_restore(self) -> None:
+        """Waits until an answer shows that the store was restored."""
+        await self._restored.wait()
+
+    def check_position(
+        self, position: interfaces.Position, previous: interfaces.Position | None
+    ) -> interfaces.HistoryLost | interfaces.Unreachable | None:
+        """Returns why an answer can't be used, or None if it can.
+
+        Args:
+            position: Position of the answer.
+            previous: Position that it continues from; None for a full read.
+        """
+        if not self.observe_era(position.era):
+            return interfaces.Unreachable(
+                f"an answer of era {position.era} after one of {self.era}"
             )
+        if previous is not None and previous.era != position.era:
+            return interfaces.HistoryLost()
+        return None
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -50,12 +50,10 @@
         while True:
             match await self._read():
                 case interfaces.StoredConfiguration(data, position):
-                    self._store_health.observe_era(position.era)
                     self.apply(data, "store", position)
                     self._position = position
                     await self._store_health.record_call(None)
                 case interfaces.NoNewerConfiguration(position):
-                    self._store_health.observe_era(position.era)
                     self._position = position
                     await self._store_health.record_call(None)
                 case interfaces.HistoryLost():
@@ -108,11 +106,41 @@
         | interfaces.HistoryLost
         | interfaces.Unreachable
     ):
+        answer: (
+            interfaces.StoredConfiguration
+            | interfaces.NoNewerConfiguration
+            | interfaces.HistoryLost
+            | interfaces.Unreachable
+        )
         if self._position is None:
-            return await self._registry.read_configuration()
-        return await self._registry.await_configuration(
-            self._position, CONFIGURATION_WAIT_S
+            answer = await self._registry.read_configuration()
+        else:
+            answer = await self._await_change(self._position)
+        if isinstance(answer, interfaces.HistoryLost | interfaces.Unreachable):
+            return answer
+        return (
+            self._store_health.check_position(answer.position, self._position) or answer
+        )
+
+    async def _await_change(
+        self, position: interfaces.Position
+    ) -> (
+        interfaces.StoredConfiguration
+        | interfaces.NoNewerConfiguration
+        | interfaces.HistoryLost
+        | interfaces.Unreachable
+    ):
+        """Waits for a change after a position; ends early if the store is restored."""
+        change = asyncio.ensure_future(
+            self._registry.await_configuration(position, CONFIGURATION_WAIT_S)
         )
+        restore = asyncio.ensure_future(self._store_health.await_restore())
+        try:
+            await asyncio.wait({change, restore}, return_when=asyncio.FIRST_COMPLETED)
+            return change.result() if change.done() else interfaces.HistoryLost()
+        finally:
+            change.cancel()
+            restore.cancel()
 
 
 class EndpointWatch:
@@ -138,13 +166,11 @@
                 case interfaces.Listing(listed, position, unusable):
                     now = self._fleet.clock.read()
                     await self._store_health.record_call(None)
-                    self._store_health.observe_era(position.era)
                     self._apply_listing(listed, now)
                     self._log_unusable(unusable)
                     self._position = position
                 case interfaces.Changes(changes, position):
                     await self._store_health.record_call(None)
-                    self._store_health.observe_era(position.era)
                     self._apply_changes(changes)
                     self._position = position
                 case interfaces.HistoryLost():
@@ -180,9 +206,21 @@
         | interfaces.HistoryLost
         | interfaces.Unreachable
     ):
+        answer: (
+            interfaces.Listing
+            | interfaces.Changes
+            | interfaces.HistoryLost
+            | interfaces.Unreachable
+        )
         if self._position is None:
-            return await self._registry.list_endpoints()
-        return await self._registry.list_changes(self._position, ENDPOINT_WAIT_S)
+            answer = await self._registry.list_endpoints()
+        else:
+            answer = await self._registry.list_changes(self._position, ENDPOINT_WAIT_S)
+        if isinstance(answer, interfaces.HistoryLost | interfaces.Unreachable):
+            return answer
+        return (
+            self._store_health.check_position(answer.position, self._position) or answer
+        )
 
     def _apply_changes(self, changes: tuple[endpoints.Change, ...]) -> None:
         self._log_unusable(changes)
--- a/tests/fleet_platform/test_restored_store.py
+++ b/tests/fleet_platform/test_restored_store.py
@@ -4,6 +4,8 @@
 
 import fleetstandins
 
+from chicoryweir_daemon.forwarder import interfaces
+
 # Time within which a confirmed configuration must be in force.
 CONFIGURATION_S = 2.0
 
@@ -84,6 +86,28 @@
     await _wait_until_usable(system, "i-2")
 
 
+# Guards against a list of endpoints that mixes pages from before and after a restore.
+async def test_listing_that_spans_a_restore_is_discarded(start_system, monkeypatch):
+    first, second = _create_endpoints()
+    system = await start_system(first, second)
+    for number in range(600):
+        system.store.put("servers", f"j-{number}", first.build_registration())
+    copy = system.store.copy()
+    registry = system.entry._adapters.registry
+    listed = await registry.list_endpoints()
+    assert len(listed.endpoints) == 602
+    answer = system.store._answer
+
+    async def answer_and_restore(method, target, body):
+        answered = await answer(method, target, body)
+        if "rows-get?table=servers" in target:
+            system.store.restore(copy)
+        return answered
+
+    monkeypatch.setattr(system.store, "_answer", answer_and_restore)
+    assert isinstance(await registry.list_endpoints(), interfaces.Unreachable)
+
+
 # Guards against requests to a leaving endpoint that the copy lists as ready.
 async def test_leaving_endpoint_stays_unused_while_the_copy_lists_it_as_ready(
     start_system,
