Register an entry again once the store was restored from a copy

What callers would see: an entry that starts later doesn't learn of this one from the store and, where the seeds are stale, doesn't hear it; each then counts too few entries and takes too large a share of the retry budget. An entry wrote its row once, at its start; a store restored from an earlier copy lacks it for good.

The registration now carries the era in which it was written, and is repeated once any answer shows a later one.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -174,6 +174,13 @@
     position: Position
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """A write was performed in this era of the store; None if it stated none."""
+
+    era: int | None = None
+
+
 class Registry(typing.Protocol):
     """Client of the platform's store."""
 
@@ -195,11 +202,11 @@
     ) -> Changes | HistoryLost | Unreachable:
         """Reads the changes after a position; waits up to `wait_s` seconds for one."""
 
-    async def register_entry(self, name: str, host: str) -> Unreachable | None:
-        """Registers this entry with its host; returns None on success."""
+    async def register_entry(self, name: str, host: str) -> Written | Unreachable:
+        """Registers this entry with its host."""
 
-    async def deregister_entry(self, name: str) -> Unreachable | None:
-        """Removes the registration of this entry; returns None on success."""
+    async def deregister_entry(self, name: str) -> Written | Unreachable:
+        """Removes the registration of this entry."""
 
     async def list_entries(self) -> tuple[str, ...] | Unreachable:
         """Returns the hosts of the registered entries."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -274,7 +274,7 @@
         await self._await_callers(deadline_at - loop.time())
         deregistration.cancel()
         (result,) = await asyncio.gather(deregistration, return_exceptions=True)
-        if result is not None:
+        if not isinstance(result, interfaces.Written):
             self._event_log.record(
                 catalogue.STORE_UNREACHABLE, detail=f"not deregistered: {result!r}"
             )
@@ -339,27 +339,33 @@
         self._fleet.peers.add_hosts(applied.seeds, self._fleet.clock.read())
 
     async def _register(self) -> None:
-        """Registers this entry in the store and adds the other entries' hosts."""
+        """Registers this entry in the store and adds the other entries' hosts.
+
+        Repeats this when the store was restored, which may have lost the registration.
+        """
         registry = self._adapters.registry
         settings = self._settings
-        registered = False
+        written: interfaces.Written | None = None
         while True:
-            if not registered:
-                failure = await registry.register_entry(settings.name, settings.host)
-                registered = failure is None
-                if failure is not None:
+            if written is None:
+                result = await registry.register_entry(settings.name, settings.host)
+                if isinstance(result, interfaces.Written):
+                    written = result
+                    self._store_health.observe_era(written.era)
+                else:
                     self._event_log.record(
                         catalogue.STORE_UNREACHABLE,
-                        detail=f"not registered yet: {failure.detail}",
+                        detail=f"not registered yet: {result.detail}",
                     )
             hosts = await registry.list_entries()
             if not isinstance(hosts, interfaces.Unreachable):
                 self._fleet.peers.add_hosts(hosts, self._fleet.clock.read())
                 self._gossip.announce(force=True)
-                if registered:
-                    break
+                if written is not None:
+                    await self._store_health.await_restore(written.era)
+                    written = None
+                    continue
             await asyncio.sleep(REGISTRATION_RETRY_S)
-        await asyncio.Event().wait()
 
     def _add_gauges(self) -> None:
         self._metrics.register_gauge(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -64,9 +64,10 @@
             self._restored = asyncio.Event()
         return observation is not storeeras.Observation.OUTDATED
 
-    async def await_restore(self) -> None:
-        """Waits until an answer shows that the store was restored."""
-        await self._restored.wait()
+    async def await_restore(self, era: int | None) -> None:
+        """Waits until an answer shows that the store was restored since an era."""
+        if era is None or self.era is None or self.era <= era:
+            await self._restored.wait()
 
     def check_position(
         self, position: interfaces.Position, previous: interfaces.Position | None
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -134,7 +134,7 @@
         change = asyncio.ensure_future(
             self._registry.await_configuration(position, CONFIGURATION_WAIT_S)
         )
-        restore = asyncio.ensure_future(self._store_health.await_restore())
+        restore = asyncio.ensure_future(self._store_health.await_restore(position.era))
         try:
             await asyncio.wait({change, restore}, return_when=asyncio.FIRST_COMPLETED)
             return change.result() if change.done() else interfaces.HistoryLost()
