Don't take the endpoints of a restored copy for news

What callers would see: requests sent to endpoints that were leaving or gone, and sound ones out of use for seconds. After a restore the store lists endpoints as they were some seconds ago, until those write again. The table took the list as it is: one that leaves was ready again, a process that had restarted was replaced by its predecessor, and one that registered in the lost seconds was removed at once and counted as crashed, unless the entry had noticed an outage.

A listed registration that contradicts what is known right after a restore (the process was leaving or gone, or a later one is known) is not applied until the platform would have removed it, three heartbeats and 2 s. A change of it that follows proves that the process is alive and is applied at once. What the copy lacks is kept for the same grace as after an outage. A process that is leaving stays so, whatever else is registered for it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -335,7 +335,7 @@
 
     def _remove_displaced(self, instance: str) -> None:
         """Removes an endpoint whose address another instance uses now."""
-        transition = self._fleet.endpoints.remove_displaced(instance)
+        transition = self._fleet.endpoints.remove_displaced(instance, self._now())
         if transition is not None:
             crashreports.record_transition(
                 self._fleet, self._context.event_log, transition, self._request_id
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -43,7 +43,7 @@
         self.clock = clock
         self.table: routes.RouteTable | None = None
         self.configuration_data = b""
-        self.endpoints = endpoints.EndpointTable()
+        self.endpoints = endpoints.EndpointTable(settings.heartbeat_s)
         self.loads = loads.LoadTable()
         self.peers = peers.PeerTable(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -60,6 +60,7 @@
             self._event_log.record(
                 catalogue.STORE_RESTORED, era=era, previous_era=previous_era
             )
+            self._fleet.endpoints.record_restore(self._fleet.clock.read())
             self._restored.set()
             self._restored = asyncio.Event()
         return observation is not storeeras.Observation.OUTDATED
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -1,4 +1,10 @@
-"""Table of endpoints; keeps those whose registration lapsed in a store outage."""
+"""Table of endpoints; keeps those whose registration lapsed in a store outage.
+
+A store that was restored from a copy lists endpoints as they were when it was copied:
+some have left since, and some are missing. Registrations in the copy that contradict
+what is known are ignored until the platform would have removed those of ended
+processes.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +15,13 @@
 # Time after a store outage until missing endpoints are removed. A live endpoint
 # registers again within about 2 s of the store's return.
 LAPSE_GRACE_S = 2.2
+# Heartbeats after which the platform removes the registration of a silent process, and
+# the time that the removal takes to arrive here.
+HEARTBEATS_UNTIL_REMOVED = 3
+REMOVAL_DELAY_S = 2.0
+# Time for which endpoints that are gone are remembered. The copies that the store is
+# restored from are some seconds old.
+DEPARTED_KEPT_S = 120.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +95,14 @@
 Change = Registered | Removed
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departed:
+    """An endpoint that is gone, and when it went, in seconds."""
+
+    endpoint: Endpoint
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transition:
     """Effect of a change on one endpoint; `meaning` is a single word."""
@@ -98,16 +119,25 @@
     is reachable again, may have lapsed although the endpoint is alive. The endpoint is
     kept until `LAPSE_GRACE_S` after the store's return. If several registrations have
     the same address, only the one with the latest start is used; the others are left
-    over from processes that ended.
+    over from processes that ended. A process that is leaving stays so.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_s: float = 1.2) -> None:
+        """Initializes an empty table.
+
+        Args:
+            heartbeat_s: Period at which endpoints renew their registrations.
+        """
+        self._confirmation_s = HEARTBEATS_UNTIL_REMOVED * heartbeat_s + REMOVAL_DELAY_S
         self._endpoints: dict[str, Endpoint] = {}
         self._addresses: dict[tuple[str, int], set[str]] = {}
         self._outdated: set[str] = set()
         self._missing: dict[str, float] = {}
         self._store_unreachable = False
         self._store_reachable_since = -math.inf
+        self._store_restored_at = -math.inf
+        self._departed: dict[str, _Departed] = {}
+        self._unconfirmed: dict[str, Endpoint] = {}
 
     @property
     def is_store_unreachable(self) -> bool:
@@ -154,19 +184,26 @@
             self._store_reachable_since = now
         self._store_unreachable = not reachable
 
+    def record_restore(self, now: float) -> None:
+        """Records that the store was restored from a copy."""
+        self._store_reachable_since = now
+        self._store_restored_at = now
+
     def apply(self, change: Change, now: float) -> Transition | None:
         """Applies one change and returns its effect, if any."""
         match change:
             case Registered(endpoint):
+                self._unconfirmed.pop(endpoint.instance, None)
                 return self._register(endpoint)
             case Removed(instance):
+                self._unconfirmed.pop(instance, None)
                 return self._remove(instance, now)
 
-    def remove_displaced(self, instance: str) -> Transition | None:
+    def remove_displaced(self, instance: str, now: float) -> Transition | None:
         """Removes an endpoint if another instance answered at its address."""
         if instance not in self._endpoints:
             return None
-        return self._delete(instance, "displaced")
+        return self._delete(instance, "displaced", now)
 
     def replace_all(
         self, registered: collections.abc.Iterable[Endpoint], now: float
@@ -174,14 +211,58 @@
         """Applies a complete list; endpoints missing from it count as removed."""
         listed = {endpoint.instance: endpoint for endpoint in registered}
         absent = [name for name in self._endpoints if name not in listed]
-        transitions = [self._register(endpoint) for endpoint in listed.values()]
+        self._unconfirmed = {
+            instance: endpoint
+            for instance, endpoint in listed.items()
+            if self._contradicts(endpoint, now)
+        }
+        transitions = [
+            self._register(endpoint)
+            for endpoint in listed.values()
+            if endpoint.instance not in self._unconfirmed
+        ]
         transitions += [self._remove(instance, now) for instance in absent]
+        transitions += [
+            Transition(endpoint.instance, endpoint.service, "unconfirmed")
+            for endpoint in self._unconfirmed.values()
+        ]
         return [transition for transition in transitions if transition is not None]
 
     def expire(self, now: float) -> list[Transition]:
-        """Removes endpoints that did not register again after a store outage."""
+        """Removes endpoints that did not register again after a store outage.
+
+        Applies registrations of the copy that the store was restored from, if the
+        platform has not removed them.
+        """
         due = [name for name in self._missing if self._has_lapsed(name, now)]
-        return [self._delete(name, "lapsed") for name in due]
+        transitions = [self._delete(name, "lapsed", now) for name in due]
+        if now >= self._store_restored_at + self._confirmation_s:
+            confirmed = [self._register(e) for e in self._unconfirmed.values()]
+            transitions += [t for t in confirmed if t is not None]
+            self._unconfirmed.clear()
+        return transitions
+
+    def _contradicts(self, endpoint: Endpoint, now: float) -> bool:
+        """Returns whether a listed endpoint may be of a copy and is known to be over.
+
+        Right after a restore, this is so if its process is known to be leaving or gone,
+        or if a later process of the instance is known.
+        """
+        if now >= self._store_restored_at + self._confirmation_s:
+            return False
+        known = self._endpoints.get(endpoint.instance)
+        if known is not None:
+            return endpoint.born_ms < known.born_ms or (
+                endpoint.born_ms == known.born_ms
+                and known.leaving
+                and not endpoint.leaving
+            )
+        departed = self._departed.get(endpoint.instance)
+        return (
+            departed is not None
+            and departed.at <= self._store_restored_at
+            and endpoint.born_ms <= departed.endpoint.born_ms
+        )
 
     def _has_lapsed(self, instance: str, now: float) -> bool:
         return (
@@ -191,6 +272,10 @@
     def _register(self, endpoint: Endpoint) -> Transition | None:
         self._missing.pop(endpoint.instance, None)
         before = self._endpoints.get(endpoint.instance)
+        departed = self._departed.pop(endpoint.instance, None)
+        known = departed.endpoint if before is None and departed else before
+        if known is not None and known.leaving and _is_same_process(known, endpoint):
+            endpoint = dataclasses.replace(endpoint, leaving=True)
         if before is not None and _get_address(before) != _get_address(endpoint):
             self._remove_address(before)
         self._endpoints[endpoint.instance] = endpoint
@@ -210,7 +295,7 @@
             return None
         keep_until = self._store_reachable_since + LAPSE_GRACE_S
         if endpoint.leaving or (not self._store_unreachable and keep_until <= now):
-            return self._delete(instance, "removed")
+            return self._delete(instance, "removed", now)
         if instance not in self._missing:
             self._missing[instance] = (
                 keep_until if not self._store_unreachable else math.inf
@@ -218,9 +303,15 @@
             return Transition(instance, endpoint.service, "missing")
         return None
 
-    def _delete(self, instance: str, meaning: str) -> Transition:
+    def _delete(self, instance: str, meaning: str, now: float) -> Transition:
         self._missing.pop(instance, None)
         endpoint = self._endpoints.pop(instance)
+        self._departed = {
+            name: departed
+            for name, departed in self._departed.items()
+            if now - departed.at <= DEPARTED_KEPT_S
+        }
+        self._departed[instance] = _Departed(endpoint, now)
         self._remove_address(endpoint)
         if endpoint.leaving:
             meaning = "left"
@@ -252,5 +343,10 @@
                 self._outdated.discard(endpoint.instance)
 
 
+def _is_same_process(one: Endpoint, other: Endpoint) -> bool:
+    """Returns whether two registrations of an instance have the same known start."""
+    return one.born_ms == other.born_ms != 0
+
+
 def _get_address(endpoint: Endpoint) -> tuple[str, int]:
     return endpoint.host, endpoint.port
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -1,5 +1,7 @@
 """Tests of endpoints that leave, lapse, restart or register again."""
 
+import dataclasses
+
 from chicoryweir_policy.forwarding import endpoints
 
 
@@ -84,8 +86,8 @@
 
 def test_displaced_endpoint_is_usable_only_after_registering_again(make_endpoint):
     table = _create_table(make_endpoint, "a", "b")
-    assert table.remove_displaced("a").meaning == "displaced"
-    assert table.remove_displaced("a") is None
+    assert table.remove_displaced("a", 1.0).meaning == "displaced"
+    assert table.remove_displaced("a", 1.0) is None
     assert _list_usable(table) == ["b"]
     table.apply(endpoints.Registered(make_endpoint("a")), 2.0)
     assert _list_usable(table) == ["a", "b"]
@@ -114,7 +116,7 @@
     table = endpoints.EndpointTable()
     table.apply(endpoints.Registered(make_endpoint("right", port=81, born_ms=1)), 0.0)
     table.apply(endpoints.Registered(make_endpoint("wrong", port=81, born_ms=2)), 0.0)
-    table.remove_displaced("wrong")
+    table.remove_displaced("wrong", 1.0)
     assert _list_usable(table) == ["right"]
 
 
@@ -125,3 +127,86 @@
     assert _list_usable(table) == ["a"]
     table.apply(endpoints.Registered(make_endpoint("a", port=82, born_ms=5)), 1.0)
     assert _list_usable(table) == ["a", "b"]
+
+
+def _create_restored_table(make_endpoint, changes, listed):
+    """Returns a table to which changes and then a copy's list were applied."""
+    table = _create_table(make_endpoint, "a", "b")
+    for change in changes:
+        table.apply(change, 1.0)
+    table.record_restore(2.0)
+    table.replace_all(listed, 2.0)
+    return table
+
+
+# Guards against requests to endpoints that a restored store lists as they were before.
+def test_endpoint_that_left_is_unusable_although_a_copy_lists_it(make_endpoint):
+    changes = [
+        endpoints.Registered(make_endpoint("a", leaving=True)),
+        endpoints.Removed("a"),
+        endpoints.Removed("b"),
+    ]
+    listed = [make_endpoint("a"), make_endpoint("b")]
+    table = _create_restored_table(make_endpoint, changes, listed)
+    assert _list_usable(table, 7.0) == []
+    assert table.expire(7.0) == []
+    # The platform did not remove them, so that b, which did not leave, is alive.
+    table.expire(8.0)
+    assert _list_usable(table, 8.0) == ["b"]
+
+
+def test_endpoint_of_a_copy_that_is_removed_again_is_never_used(make_endpoint):
+    listed = [make_endpoint("a"), make_endpoint("b")]
+    table = _create_restored_table(make_endpoint, [endpoints.Removed("b")], listed)
+    (transition,) = table.replace_all(listed, 2.1)
+    assert (transition.instance, transition.meaning) == ("b", "unconfirmed")
+    assert table.apply(endpoints.Removed("b"), 5.0) is None
+    table.expire(8.0)
+    assert _list_usable(table, 8.0) == ["a"]
+
+
+def test_later_process_than_the_one_that_left_is_used_at_once(make_endpoint):
+    changes = [
+        endpoints.Registered(make_endpoint("a", leaving=True)),
+        endpoints.Removed("a"),
+    ]
+    listed = [make_endpoint("a", born_ms=5, host="10.0.0.2"), make_endpoint("b")]
+    table = _create_restored_table(make_endpoint, changes, listed)
+    assert _list_usable(table, 2.0) == ["a", "b"]
+
+
+# Guards against a leaving endpoint that gets requests again.
+def test_leaving_process_stays_leaving_whatever_is_registered(make_endpoint):
+    table = _create_table(make_endpoint, "a", "b")
+    table.apply(endpoints.Registered(make_endpoint("a", leaving=True)), 1.0)
+    table.apply(endpoints.Registered(make_endpoint("a")), 2.0)
+    assert _list_usable(table) == ["b"]
+    table.apply(
+        endpoints.Registered(make_endpoint("a", born_ms=2, host="10.0.0.2")), 3.0
+    )
+    assert _list_usable(table) == ["a", "b"]
+
+
+def test_leaving_endpoint_without_a_start_time_may_be_another_process(make_endpoint):
+    ready = make_endpoint("a", born_ms=0, host="10.0.0.2")
+    leaving = endpoints.Registered(dataclasses.replace(ready, leaving=True))
+    listed = [ready, make_endpoint("b")]
+    table = _create_restored_table(make_endpoint, [leaving], listed)
+    assert _list_usable(table, 7.0) == ["b"]
+    table.expire(8.0)
+    assert _list_usable(table, 8.0) == ["a", "b"]
+
+
+def test_endpoint_missing_from_a_copy_is_kept_for_the_grace_period(make_endpoint):
+    table = _create_restored_table(make_endpoint, [], [make_endpoint("b")])
+    until = 2.0 + endpoints.LAPSE_GRACE_S
+    assert _list_usable(table, until - 0.1) == ["a", "b"]
+    assert _list_usable(table, until) == ["b"]
+
+
+def test_list_without_a_restore_brings_a_removed_endpoint_back(make_endpoint):
+    table = _create_table(make_endpoint, "a", "b")
+    table.record_restore(2.0)
+    table.apply(endpoints.Removed("a"), 30.0)
+    table.replace_all([make_endpoint("a"), make_endpoint("b")], 31.0)
+    assert _list_usable(table, 31.0) == ["a", "b"]
