Don't act under a fencing token that was released

What callers could see: two entries that change the expert maps of one group under one token, against which ranks can't tell them apart. An entry whose lease lapses in an outage announces the token as released, so that others may replace it at once. If the reply to a renewal had been lost and a later read showed the row changed, it held the lease again under that token, since the renewal's time was not over yet.

A lease is no longer won under a token below the highest known one.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
@@ -253,9 +253,13 @@
 
 
 def _start_holding(lease: Lease, sent_at: float, now: float) -> Lease:
-    """Starts holding the lease, which counts from `sent_at`, unless it has expired."""
+    """Starts holding the lease, which counts from `sent_at`.
+
+    Doesn't if it has expired, or if its fencing token was released meanwhile.
+    """
     held_until = sent_at + lease.settings.ttl_s - lease.settings.margin_s
-    if lease.resigned or now >= held_until:
+    is_released = lease.row_fence < lease.highest_fence
+    if lease.resigned or is_released or now >= held_until:
         return _apply_event(lease, "lapse")
     held_lease = dataclasses.replace(
         lease, fence=lease.row_fence, held_until=held_until
