Give each era of the store a row of its own for the lease

What callers could see: two entries that change the expert maps of one group at the same time, some under the same fencing token, against which ranks can't tell them apart (MAP), or a group without any holder that rank accept for some seconds. After a restore the row of the lease is as it was some seconds ago, or absent: a token was assigned again, an earlier holder found its name in the row and went on, and a conditional write from before the restore could be performed after it, since the version that it expects was assigned again.

The row's key now names the era, so that no write from before a restore can touch it. Tokens start from era * 1,000,000. While the row of an era is absent, a holder of the former era may still act: it goes on and writes the new row, and all others wait for the duration of a lease.

Lease tests without eras are as they were.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
@@ -6,6 +6,7 @@
 
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import store
@@ -32,14 +33,17 @@
         fleet: fleets.Fleet,
         store: protocols.Store,
         event_log: eventlog.EventLog,
+        store_health: storehealth.StoreHealth,
         incarnation: int,
     ) -> None:
         self._fleet = fleet
         self._store = store
         self._event_log = event_log
+        self._store_health = store_health
         self._incarnation = incarnation
         name = f"{fleet.settings.name}/{incarnation}"
         self._lease = leases.create_lease(DUTY, name, LEASE_SETTINGS, incarnation)
+        self._era: int | None = None
         self._token_count = 0
         self._token_fence = 0
         self._held_fence = 0
@@ -51,16 +55,11 @@
     @property
     def holds(self) -> bool:
         """Whether this entry may change expert maps now."""
-        now = self._read_boot()
-        announcement_age_s = now - self._fleet.announced_at
-        if (
-            announcement_age_s
-            > succession.MAX_ANNOUNCEMENT_AGE_SHARE * self._fleet.peers.alive_timeout_s
-        ):
+        if not self._is_heard():
             # The process was suspended or its tasks run late, so another entry may
             # have replaced it.
             return False
-        if leases.holds(self._lease, now):
+        if leases.holds(self._lease, self._read_boot()):
             return True
         if not self._acting_fence or self._fleet.stopping:
             return False
@@ -68,6 +67,12 @@
             self._compute_outage_s(), self._list_peer_states()
         )
 
+    def _is_heard(self) -> bool:
+        """Returns whether this entry announced itself recently enough."""
+        age_s = self._read_boot() - self._fleet.announced_at
+        max_age_share = succession.MAX_ANNOUNCEMENT_AGE_SHARE
+        return age_s <= max_age_share * self._fleet.peers.alive_timeout_s
+
     def _read_boot(self) -> float:
         return self._fleet.clock.read_boot()
 
@@ -91,6 +96,7 @@
         if self._fleet.stopping:
             await self._resign(previous_fence)
             return
+        self._enter_era()
         self._check_store()
         if leases.holds(self._lease, self._read_boot()) or self._is_candidate():
             await self._tick()
@@ -169,10 +175,37 @@
         if operation is not None:
             result = await self._store.run(operation)
             self._log_failure(result)
-            self._lease = leases.apply_result(self._lease, result, self._read_boot())
+            self._apply_result(result)
         if leases.holds(self._lease, self._read_boot()):
             self._acting_fence = self._lease.fence
 
+    def _apply_result(self, result: store.Result) -> None:
+        match result:
+            case (
+                store.Rows(era=era)
+                | store.Committed(era=era)
+                | store.Conflicted(era=era)
+            ):
+                if not self._store_health.observe_era(era):
+                    result = store.Refused(f"an answer of the earlier era {era}")
+                elif self._enter_era():
+                    # The result concerns the row of the earlier era.
+                    return
+        self._lease = leases.apply_result(self._lease, result, self._read_boot())
+
+    def _enter_era(self) -> bool:
+        """Moves on to the store's latest known era; returns whether it is another."""
+        era = self._store_health.era
+        if era is None or era == self._era:
+            return False
+        self._era = era
+        # It may have acted past its lease until just now, when the store was back.
+        is_acting = bool(self._held_fence and self._acting_fence) and self._is_heard()
+        self._lease = leases.enter_era(
+            self._lease, DUTY, era, is_acting, self._read_boot()
+        )
+        return True
+
     def _log_failure(self, result: store.Result) -> None:
         """Logs the first of consecutive store failures."""
         failure = ""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -131,7 +131,11 @@
             self._peer_fetcher.fetch_newer_configuration,
         )
         self._lease_holder = lease_holder.LeaseHolder(
-            self._fleet, self._adapters.store, self._event_log, incarnation
+            self._fleet,
+            self._adapters.store,
+            self._event_log,
+            self._store_health,
+            incarnation,
         )
         self._map_controller = map_controller.MapController(
             self._fleet,
--- a/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
@@ -4,10 +4,12 @@
 import random
 
 import pytest
+import pytest_asyncio
 
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_daemon.forwarder.mapcontrol import lease_holder
 from chicoryweir_policy import store
 from chicoryweir_policy.forwarding import configuration
@@ -29,12 +31,15 @@
 
 
 class StoreStandIn:
-    """Store with conditional writes, shared by all entries."""
+    """Store with conditional writes, shared by all entries.
 
-    def __init__(self):
+    With an era of None, it states none.
+    """
+
+    def __init__(self, era):
         self.rows = {}
         self.version = 0
-        self.era = 1
+        self.era = era
 
     def copy(self):
         return dict(self.rows), self.version
@@ -116,16 +121,17 @@
 class Entries:
     """Entries named by letters that share a clock and a store."""
 
-    def __init__(self, names, capacities=None):
+    def __init__(self, names, capacities=None, era=None):
         self.names = names
         self.capacities = capacities or {}
         self.clock = Clock()
-        self.store = StoreStandIn()
+        self.store = StoreStandIn(era)
         self.sequence = 0
         self.random = random.Random(3)
         self.loss_rate = 0.0
         self.links = {name: StoreLink(self.store) for name in names}
         self.fleets = {}
+        self.health = {}
         self.holders = {}
         for name in names:
             self.start(name, 1)
@@ -137,8 +143,10 @@
         fleet.adopt(config, b"{}")
         fleet.endpoints_listed = True
         self.fleets[name] = fleet
+        event_log = eventlog.EventLog(name)
+        self.health[name] = storehealth.StoreHealth(fleet, event_log)
         self.holders[name] = lease_holder.LeaseHolder(
-            fleet, self.links[name], eventlog.EventLog(name), incarnation
+            fleet, self.links[name], event_log, self.health[name], incarnation
         )
         fleet.incarnation = incarnation
 
@@ -152,6 +160,8 @@
                 self.fleets[name].endpoints.record_store_call(
                     not disconnected, self.clock.now
                 )
+                if not disconnected:
+                    self.health[name].observe_era(self.store.era)
                 await self.holders[name].poll()
             self._announce(silent)
             assert self.count_holders() <= 1
@@ -198,6 +208,15 @@
     return Entries("abc")
 
 
+@pytest_asyncio.fixture
+async def restorable_entries():
+    """Three entries and a store that states its era; entry `a` holds the lease."""
+    entries = Entries("abc", era=1)
+    await entries.advance(5.0)
+    assert entries.holders["a"].holds
+    return entries
+
+
 async def test_first_entry_by_name_holds_the_lease(entries):
     await entries.advance(2.0)
     assert entries.holders["a"].holds
@@ -310,44 +329,42 @@
 
 
 # Guards against a token that two entries use: the copy lacks the row of the first.
-async def test_token_of_a_lost_row_is_not_assigned_again(three_entries):
-    await three_entries.advance(2.0)
-    copy = three_entries.store.copy()
-    three_entries.holders["a"].stop_acting()
-    await three_entries.advance(2.0)
-    (last,) = [h for h in three_entries.holders.values() if h.holds]
+async def test_token_of_a_lost_row_is_not_assigned_again(restorable_entries):
+    entries = restorable_entries
+    copy = entries.store.copy()
+    entries.holders["a"].stop_acting()
+    await entries.advance(2.0)
+    (last,) = [h for h in entries.holders.values() if h.holds]
     token = last.raise_token()
-    three_entries.store.restore(copy)
+    entries.store.restore(copy)
     for name in "abc":
-        three_entries.start(name, 2)
-    await three_entries.advance(8.0)
-    (holder,) = [h for h in three_entries.holders.values() if h.holds]
+        entries.start(name, 2)
+    await entries.advance(8.0)
+    (holder,) = [h for h in entries.holders.values() if h.holds]
     assert holder.raise_token() > token
 
 
 # Guards against two holders: the copy names an earlier holder, or none.
 @pytest.mark.parametrize("emptied", [True, False])
-async def test_restored_row_does_not_make_a_second_holder(three_entries, emptied):
-    copy = three_entries.store.copy()
-    await three_entries.advance(2.0)
-    if not emptied:
-        copy = three_entries.store.copy()
-    await three_entries.advance(1.0, silent="a")
-    await three_entries.advance(3.0, silent="a")
-    assert three_entries.holders["b"].holds
-    token = three_entries.holders["b"].raise_token()
-    three_entries.store.restore(copy)
+async def test_restored_row_does_not_make_a_second_holder(restorable_entries, emptied):
+    entries = restorable_entries
+    copy = ({}, 0) if emptied else entries.store.copy()
+    await entries.advance(1.0, silent="a")
+    await entries.advance(3.0, silent="a")
+    assert entries.holders["b"].holds
+    token = entries.holders["b"].raise_token()
+    entries.store.restore(copy)
     # Entry b is not heard and can't reach the store, but acts until its lease expires.
-    three_entries.links["b"].disconnected = True
+    entries.links["b"].disconnected = True
     for _ in range(40):
-        three_entries.clock.now += 0.1
+        entries.clock.now += 0.1
         for name in "ac":
-            await three_entries.holders[name].poll()
-            three_entries.fleets[name].announced_at = three_entries.clock.now
-        three_entries.fleets["b"].announced_at = three_entries.clock.now
-        assert three_entries.count_holders() <= 1
-    await three_entries.advance(4.0, silent="b")
-    (holder,) = [h for h in three_entries.holders.values() if h.holds]
+            await entries.holders[name].poll()
+            entries.fleets[name].announced_at = entries.clock.now
+        entries.fleets["b"].announced_at = entries.clock.now
+        assert entries.count_holders() <= 1
+    await entries.advance(4.0, silent="b")
+    (holder,) = [h for h in entries.holders.values() if h.holds]
     assert holder.raise_token() > token
 
 
@@ -377,8 +394,10 @@
 
 # Guards against a renewal that was lost and is taken for performed, since the version
 # of the restored row differs from the latest known one.
-async def test_lost_renewal_is_not_taken_for_performed_after_a_restore(entries):
-    await entries.advance(2.0)
+async def test_lost_renewal_is_not_taken_for_performed_after_a_restore(
+    restorable_entries,
+):
+    entries = restorable_entries
     copy = entries.store.copy()
     await entries.advance(3.0)
     await _lose_reply_before_outage(entries)
@@ -396,9 +415,8 @@
 
 # Guards against a write from before the restore that is performed after it, since the
 # version that it expects was assigned again.
-async def test_late_write_of_an_earlier_era_does_not_end_the_lease(three_entries):
-    entries = three_entries
-    await entries.advance(2.0)
+async def test_late_write_of_an_earlier_era_does_not_end_the_lease(restorable_entries):
+    entries = restorable_entries
     copy = entries.store.copy()
     await entries.advance(3.0)
     link = entries.links["a"]
@@ -420,3 +438,43 @@
     await entries.advance(6.0, silent="a")
     assert holder.holds
     assert holder.raise_token() == token + 1
+
+
+# Guards against a gap without a holder, and against a change of maps that is cut off.
+async def test_holder_goes_on_acting_over_a_restore(restorable_entries):
+    entries = restorable_entries
+    token = entries.holders["a"].raise_token()
+    copy = entries.store.copy()
+    await entries.advance(2.0)
+    for _ in range(3):
+        entries.store.restore(copy)
+        for _ in range(12):
+            await entries.advance(0.25)
+            assert entries.holders["a"].holds
+            next_token = entries.holders["a"].raise_token()
+            assert next_token > token
+            token = next_token
+
+
+async def test_holder_that_outlived_its_lease_in_the_outage_goes_on_after_a_restore(
+    restorable_entries,
+):
+    entries = restorable_entries
+    copy = entries.store.copy()
+    for link in entries.links.values():
+        link.disconnected = True
+    await entries.advance(6.0)
+    entries.store.restore(copy)
+    for link in entries.links.values():
+        link.disconnected = False
+    await entries.advance(1.5)
+    assert entries.holders["a"].holds
+
+
+async def test_holder_killed_at_a_restore_is_replaced(restorable_entries):
+    entries = restorable_entries
+    token = entries.holders["a"].raise_token()
+    entries.store.restore(({}, 0))
+    await entries.advance(6.0, silent="a")
+    assert entries.holders["b"].holds
+    assert entries.holders["b"].raise_token() > token
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
@@ -4,6 +4,12 @@
 lease; a contender counts it from when it has read that write, which is later. The
 holder therefore stops before another contender can acquire the lease, without any
 message between them, unless their clock rates differ by more than the margin.
+
+A store that was restored from a copy may have lost the latest writes of the row, and
+assigns their versions again. Each era of the store therefore has a row of its own.
+Until that row exists, a holder of the former era may still act. The holder itself goes
+on and writes the new row; others wait for the duration of a lease. Fencing tokens of an
+era are higher than those of all earlier ones.
 """
 
 from __future__ import annotations
@@ -17,6 +23,8 @@
 
 CHART = interpreter.load_chart("lease")
 HOLDING_STATES = frozenset({"held", "renewing", "unsettled"})
+# Difference between the lowest fencing tokens of two consecutive eras.
+FENCES_PER_ERA = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +60,8 @@
         row_fence: Fencing token in the row.
         row_holder: Holder in the row, or an empty string after a release.
         seen_at: When this version was first read; None before the first read.
+        vacant_until: Time until which another contender may hold the lease although the
+            row doesn't exist.
         held_until: When this contender stops holding the lease.
         pending: Operation in progress, or None.
         sent_at: When the last write was sent.
@@ -73,6 +83,7 @@
     row_fence: int = 0
     row_holder: str = ""
     seen_at: float | None = None
+    vacant_until: float = 0.0
     held_until: float = 0.0
     pending: store.Operation | None = None
     sent_at: float = 0.0
@@ -90,6 +101,36 @@
     return Lease(f"lease/{group}", holder, settings, seed)
 
 
+def enter_era(lease: Lease, group: str, era: int, is_acting: bool, now: float) -> Lease:
+    """Returns a contender's view of the lease in a new era of the store.
+
+    A holder keeps the lease as long as in the former era, and its next renewal writes
+    the row of this era.
+
+    Args:
+        lease: Its view in the former era.
+        group: Group of the lease.
+        era: The new era.
+        is_acting: Whether it acts under the lease, so that no other contender can.
+        now: Present time, in seconds.
+    """
+    lowest_fence = era * FENCES_PER_ERA
+    entered = dataclasses.replace(
+        create_lease(f"{group}/{era}", lease.holder, lease.settings, lease.seed),
+        fence=lease.fence,
+        highest_fence=max(lease.highest_fence, lease.row_fence, lowest_fence),
+        vacant_until=now + lease.settings.ttl_s,
+        jitter_counter=lease.jitter_counter,
+        resigned=lease.resigned,
+    )
+    if not is_acting:
+        return entered
+    entered = dataclasses.replace(entered, seen_at=now, vacant_until=now)
+    if not holds(lease, now):
+        return entered
+    return dataclasses.replace(entered, state="held", held_until=lease.held_until)
+
+
 def holds(lease: Lease, now: float) -> bool:
     """Returns whether this contender may act under its fencing token at `now`."""
     return lease.state in HOLDING_STATES and now < lease.held_until
@@ -102,8 +143,10 @@
         return lease, None
     if lease.state in ("unknown", "unsettled") or lease.seen_at is None:
         return _read(lease, now)
-    if lease.state == "held":
+    if lease.state == "held" and lease.fence >= lease.highest_fence:
         return _request_lease(lease, lease.fence, now)
+    if lease.state == "held":
+        return _request_lease(lease, lease.highest_fence + 1, now)
     if lease.resigned or not _may_acquire(lease, now):
         return _read(lease, now)
     if lease.row_holder == lease.holder and lease.row_fence >= lease.highest_fence:
@@ -170,6 +213,8 @@
 
 def _may_acquire(lease: Lease, now: float) -> bool:
     """Returns whether no other contender can still hold the lease."""
+    if not lease.version and now < lease.vacant_until:
+        return False
     if lease.row_holder in ("", lease.holder):
         return True
     assert lease.seen_at is not None
