Learn the era of the store from answers without history, too

What callers could see: no entry changes the expert maps for 3.3 s after a restore. The first answer of a restored store is 410, whose era was not read. The entry knew that the store was back, so that the holder of the lease no longer acted past its end, before it knew of the new era; then it had to wait like all others.

The era of a 410 is now observed before the call is recorded. test_era_is_known_as_soon_as_the_store_is_known_to_be_back fails without it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -117,7 +117,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """The store no longer has the changes after a position; a full read is needed."""
+    """The store doesn't have the changes after a position; a full read is needed.
+
+    Attributes:
+        era: Era of the store; None if the store did not state it.
+    """
+
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import typing
 
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
@@ -12,6 +13,15 @@
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import storeeras
 
+AnswerT = typing.TypeVar(
+    "AnswerT",
+    bound=interfaces.StoredConfiguration
+    | interfaces.NoNewerConfiguration
+    | interfaces.Listing
+    | interfaces.Changes
+    | interfaces.HistoryLost
+    | interfaces.Unreachable,
+)
 BACKOFF = backoff.BackoffPolicy(base_s=0.1, cap_s=1.0)
 
 
@@ -70,19 +80,26 @@
         if era is None or self.era is None or self.era <= era:
             await self._restored.wait()
 
-    def check_position(
-        self, position: interfaces.Position, previous: interfaces.Position | None
-    ) -> interfaces.HistoryLost | interfaces.Unreachable | None:
-        """Returns why an answer can't be used, or None if it can.
+    def check(
+        self, answer: AnswerT, previous: interfaces.Position | None
+    ) -> AnswerT | interfaces.HistoryLost | interfaces.Unreachable:
+        """Returns an answer if it can be used, or else why it can't.
 
         Args:
-            position: Position of the answer.
-            previous: Position that it continues from; None for a full read.
+            answer: Answer to a read.
+            previous: Position that the read continues from; None for a full read.
         """
-        if not self.observe_era(position.era):
+        match answer:
+            case interfaces.Unreachable():
+                return answer
+            case interfaces.HistoryLost(era):
+                pass
+            case _:
+                era = answer.position.era
+        if not self.observe_era(era):
             return interfaces.Unreachable(
-                f"an answer of era {position.era} after one of {self.era}"
+                f"an answer of era {era} after one of {self.era}"
             )
-        if previous is not None and previous.era != position.era:
-            return interfaces.HistoryLost()
-        return None
+        if previous is not None and previous.era != era:
+            return interfaces.HistoryLost(era)
+        return answer
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -116,11 +116,7 @@
             answer = await self._registry.read_configuration()
         else:
             answer = await self._await_change(self._position)
-        if isinstance(answer, interfaces.HistoryLost | interfaces.Unreachable):
-            return answer
-        return (
-            self._store_health.check_position(answer.position, self._position) or answer
-        )
+        return self._store_health.check(answer, self._position)
 
     async def _await_change(
         self, position: interfaces.Position
@@ -137,7 +133,11 @@
         restore = asyncio.ensure_future(self._store_health.await_restore(position.era))
         try:
             await asyncio.wait({change, restore}, return_when=asyncio.FIRST_COMPLETED)
-            return change.result() if change.done() else interfaces.HistoryLost()
+            return (
+                change.result()
+                if change.done()
+                else interfaces.HistoryLost(self._store_health.era)
+            )
         finally:
             change.cancel()
             restore.cancel()
@@ -216,11 +216,7 @@
             answer = await self._registry.list_endpoints()
         else:
             answer = await self._registry.list_changes(self._position, ENDPOINT_WAIT_S)
-        if isinstance(answer, interfaces.HistoryLost | interfaces.Unreachable):
-            return answer
-        return (
-            self._store_health.check_position(answer.position, self._position) or answer
-        )
+        return self._store_health.check(answer, self._position)
 
     def _apply_changes(self, changes: tuple[endpoints.Change, ...]) -> None:
         self._log_unusable(changes)
--- /dev/null
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -0,0 +1,100 @@
+"""Tests of what a read of the store tells about its era, and of unusable answers."""
+
+import asyncio
+
+from chicoryweir_daemon.forwarder import eventlog
+from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import interfaces
+from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import storehealth
+from chicoryweir_daemon.forwarder import watches
+
+LISTENER = process.Listener("127.0.0.1", 1)
+SETTINGS = process.Settings(
+    name="front-1",
+    host="127.0.0.1",
+    data_centre="dc",
+    callers=LISTENER,
+    readiness=None,
+    resolution=None,
+    peer_port=1,
+    metrics_port=2,
+    seeds=(),
+    store=LISTENER,
+    heartbeat_s=1.2,
+    bounds=process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0),
+)
+
+
+class Clock:
+    def read(self):
+        return 0.0
+
+
+class ScriptedRegistry:
+    """Answers reads of the configuration in order, and blocks after the last."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.positions = []
+        self.exhausted = asyncio.Event()
+
+    async def read_configuration(self):
+        return await self._answer(None)
+
+    async def await_configuration(self, position, wait_s):
+        return await self._answer(position)
+
+    async def _answer(self, position):
+        self.positions.append(position)
+        if not self.answers:
+            self.exhausted.set()
+            await asyncio.Event().wait()
+        return self.answers.pop(0)
+
+
+async def _watch(*answers):
+    """Watches until all answers are read; returns what the watch knows."""
+    fleet = fleets.Fleet(SETTINGS, Clock())
+    event_log = eventlog.EventLog("front-1")
+    health = storehealth.StoreHealth(fleet, event_log)
+    registry = ScriptedRegistry(*answers)
+    watch = watches.ConfigurationWatch(fleet, registry, None, event_log, health)
+    task = asyncio.create_task(watch.run())
+    async with asyncio.timeout(5.0):
+        await registry.exhausted.wait()
+    task.cancel()
+    return fleet, health, registry
+
+
+# Guards against a holder of the lease that gives it up for seconds: it knew that the
+# store is back before it knew that it was restored.
+async def test_era_is_known_as_soon_as_the_store_is_known_to_be_back():
+    fleet, health, _ = await _watch(
+        interfaces.NoNewerConfiguration(interfaces.Position(60, 1)),
+        interfaces.Unreachable("down"),
+        interfaces.HistoryLost(2),
+    )
+    assert not fleet.endpoints.is_store_unreachable
+    assert health.era == 2
+
+
+async def test_answer_of_a_later_era_is_read_again_from_the_start():
+    position = interfaces.Position(70, 2)
+    _, _, registry = await _watch(
+        interfaces.NoNewerConfiguration(interfaces.Position(60, 1)),
+        interfaces.NoNewerConfiguration(position),
+        interfaces.NoNewerConfiguration(position),
+    )
+    assert registry.positions == [None, interfaces.Position(60, 1), None, position]
+
+
+async def test_answer_of_an_earlier_era_counts_as_a_failed_call():
+    position = interfaces.Position(60, 3)
+    fleet, health, registry = await _watch(
+        interfaces.NoNewerConfiguration(position),
+        interfaces.NoNewerConfiguration(interfaces.Position(70, 2)),
+    )
+    assert fleet.endpoints.is_store_unreachable
+    assert health.era == 3
+    assert registry.positions == [None, position, position]
