Don't lose a change at the end of a waiting read in the store's stand-in

The stand-in looked for changes, slept, and then answered with the position after the sleep: a change in the last 10 ms of a waiting read was never delivered.

--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -153,7 +153,8 @@
                 "now_ms": 1,
             }
         after = int(query["after_rev"])
-        for _ in range(int(query.get("wait_ms", 0)) // 10 + 1):
+        waits = int(query.get("wait_ms", 0)) // 10
+        while True:
             found = [
                 row
                 for row in self.history
@@ -161,10 +162,10 @@
             ]
             if not self.history_start <= after <= self.version:
                 return 410, {"rows": [], "ver": self.version, "now_ms": 1}
-            if found or self.down:
-                break
+            if found or self.down or not waits:
+                return 200, {"rows": found, "ver": self.version, "now_ms": 1}
+            waits -= 1
             await asyncio.sleep(0.01)
-        return 200, {"rows": found, "ver": self.version, "now_ms": 1}
 
     def _transact(self, body):
         for check in body["expected_rev"]:
