Hold the lease again soon after a restore if no entry holds it

What callers could see: the maps of a group aren't changed for 3.3 s after a restore, and a group that was held in the middle of a change stalls as long. The holder had outlived its lease in the outage, and gave up because others reached the restored store 0.1 s before it. Nobody then knew of a holder in the new era, and all waited for the duration of a lease.

A holder announces itself. Once every known entry was heard 0.3 s or more after the restore became known, and none holds, the lease is free. If one is silent, all wait as before, and ranks refuse its lower token in any case. The new test failed before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
@@ -44,6 +45,7 @@
         name = f"{fleet.settings.name}/{incarnation}"
         self._lease = leases.create_lease(DUTY, name, LEASE_SETTINGS, incarnation)
         self._era: int | None = None
+        self._settled_at = math.inf
         self._token_count = 0
         self._token_fence = 0
         self._held_fence = 0
@@ -171,6 +173,9 @@
             and succession.is_presumed_dead(holder, others, known)
         ):
             self._lease = leases.clear_dead_holder(self._lease, holder)
+        heard = self._fleet.peers.list_heard_since(self._settled_at)
+        if succession.is_unheld(others, known, heard):
+            self._lease = leases.clear_vacancy(self._lease)
         self._lease, operation = leases.tick(self._lease, self._read_boot())
         if operation is not None:
             result = await self._store.run(operation)
@@ -199,6 +204,7 @@
         if era is None or era == self._era:
             return False
         self._era = era
+        self._settled_at = self._fleet.clock.read() + succession.SETTLING_S
         # It may have acted past its lease until just now, when the store was back.
         is_acting = bool(self._held_fence and self._acting_fence) and self._is_heard()
         self._lease = leases.enter_era(
--- a/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
@@ -471,6 +471,28 @@
     assert entries.holders["a"].holds
 
 
+# Guards against a gap of a lease's duration: the holder gave up in the outage, as the
+# others reached the restored store first.
+async def test_lease_given_up_before_a_restore_was_known_is_soon_held_again(
+    restorable_entries,
+):
+    entries = restorable_entries
+    token = entries.holders["a"].raise_token()
+    copy = entries.store.copy()
+    for link in entries.links.values():
+        link.disconnected = True
+    await entries.advance(3.0)
+    assert entries.holders["a"].holds
+    entries.store.restore(copy)
+    entries.links["b"].disconnected = entries.links["c"].disconnected = False
+    await entries.advance(0.5)
+    assert not entries.holders["a"].holds
+    entries.links["a"].disconnected = False
+    await entries.advance(1.5)
+    (holder,) = [h for h in entries.holders.values() if h.holds]
+    assert holder.raise_token() > token
+
+
 async def test_holder_killed_at_a_restore_is_replaced(restorable_entries):
     entries = restorable_entries
     token = entries.holders["a"].raise_token()
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -153,6 +153,12 @@
         """Returns the names of the entries in the table, alive or not."""
         return frozenset(self._peers)
 
+    def list_heard_since(self, at: float) -> frozenset[str]:
+        """Returns the names of the entries whose last announcement came after `at`."""
+        return frozenset(
+            name for name, peer in self._peers.items() if peer.received_at > at
+        )
+
     def count_entries(self, now: float) -> int:
         """Returns the number of entries that accept callers, plus this one."""
         return 1 + sum(peer.ready for peer in self.list_alive(now))
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/leases.py
@@ -131,6 +131,13 @@
     return dataclasses.replace(entered, state="held", held_until=lease.held_until)
 
 
+def clear_vacancy(lease: Lease) -> Lease:
+    """Ends the wait for a holder of the former era, if the row doesn't exist."""
+    if lease.version or not lease.vacant_until:
+        return lease
+    return dataclasses.replace(lease, vacant_until=0.0, next_at=0.0)
+
+
 def holds(lease: Lease, now: float) -> bool:
     """Returns whether this contender may act under its fencing token at `now`."""
     return lease.state in HOLDING_STATES and now < lease.held_until
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
@@ -23,6 +23,9 @@
 # Time after its start in which an entry only listens, before it may acquire the lease.
 # Others announce themselves several times within it.
 LISTENING_S = 0.45
+# Time from when the store is known to be restored until announcements show whether an
+# entry acquired the lease just before. A holder announces it from its next poll on.
+SETTLING_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +109,21 @@
     return False
 
 
+def is_unheld(
+    others: PeerStates,
+    known: collections.abc.Set[str],
+    heard: collections.abc.Set[str],
+) -> bool:
+    """Returns whether no entry can act under a lease of the store's former era.
+
+    Args:
+        others: Entries with a recent announcement.
+        known: Names of the other entries that were heard, silent ones included.
+        heard: Names of those heard since `SETTLING_S` after the restore.
+    """
+    return bool(known) and known <= heard and not any(other.holds for other in others)
+
+
 def is_presumed_dead(
     holder: str, others: PeerStates, known: collections.abc.Set[str]
 ) -> bool:
--- a/packages/chicoryweir-policy/tests/groups/test_succession.py
+++ b/packages/chicoryweir-policy/tests/groups/test_succession.py
@@ -72,3 +72,12 @@
 def test_holder_that_was_never_heard_is_not_presumed_dead():
     others = [_state(name) for name in "bcd"]
     assert not succession.is_presumed_dead("a/5", others, frozenset("bcd"))
+
+
+def test_lease_is_unheld_only_once_all_known_entries_were_heard_since_the_restore():
+    others = [_state("b"), _state("c")]
+    known = frozenset("bc")
+    assert succession.is_unheld(others, known, known)
+    assert not succession.is_unheld(others, known, frozenset("b"))
+    assert not succession.is_unheld([_state("b", holds=True)], known, known)
+    assert not succession.is_unheld([], frozenset(), frozenset())
