Log what endpoints state about themselves: a rest, that they leave, and the unknown

No line had the Retry-After of an endpoint that declines, so that the log could not tell whether entries ignore it or their retries go to the next one that declines.

All that an endpoint states about itself is now one Statement, read in one place. A header in the platform's form that has no meaning there is logged once for each service, so that another one isn't dropped without a line. No decision uses the new fields yet.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -13,6 +13,7 @@
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import retries
+from chicoryweir_policy.forwarding import statements
 
 # Status codes that guarantee the caller that its request did not run and won't run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -78,7 +79,7 @@
         endpoint: endpoints.Endpoint,
         record_progress: collections.abc.Callable[[float], None],
         get_stall_timeout: collections.abc.Callable[[Attempt], float],
-        record_max_rate: collections.abc.Callable[[float | None], None],
+        record_statement: collections.abc.Callable[[statements.Statement], None],
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
@@ -86,7 +87,7 @@
         self._endpoint = endpoint
         self._record_progress = record_progress
         self._get_stall_timeout = get_stall_timeout
-        self._record_max_rate = record_max_rate
+        self._record_statement = record_statement
         self.sent = False
         self.last_received_at = 0.0
         self.first_part_at: float | None = None
@@ -185,7 +186,7 @@
         answer: callers.Answer,
     ) -> tuple[heads.AnswerHead | None, Outcome]:
         if not facts.misdirected:
-            self._record_max_rate(facts.max_rate)
+            self._record_statement(facts.statement)
         if facts.misdirected or (facts.not_run and not facts.stamped):
             is_reusable = await self._discard_answer(connection)
             kind = retries.Failure.DECLINED
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -29,6 +29,7 @@
 from chicoryweir_policy.forwarding import retries
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import stalls
+from chicoryweir_policy.forwarding import statements
 from chicoryweir_policy.quarantine import records
 
 # Retry-After value for a rejected request without an estimate.
@@ -97,7 +98,7 @@
         self._attempt_started_at = arrived_at
         self._longest_gap_s = 0.0
         self._endpoint: endpoints.Endpoint | None = None
-        self._max_rate: float | None = None
+        self._statement = statements.Statement()
         self._attempt_log: list[str] = []
         self._admission_log: dict[str, int | float] = {}
         self._attempt: attempts.Attempt | None = None
@@ -166,7 +167,7 @@
             endpoint,
             self._record_progress,
             self._get_stall_timeout,
-            self._record_max_rate,
+            self._record_statement,
         )
         self._attempt = attempt
         forwarding = interfaces.ForwardingFacts(
@@ -439,7 +440,8 @@
             elapsed_s=round(now - self._arrived_at, 3),
             left_s=round(self._deadline_at - now, 3),
             attempts=self._attempt_log,
-            max_rate=self._max_rate,
+            max_rate=self._statement.max_rate,
+            leaving=self._statement.leaving,
             shared_parts=self._facts.shared_parts,
             admission=self._admission_log,
         )
@@ -500,11 +502,32 @@
             dispatcher = self._fleet.get_dispatcher(self._service.name)
             dispatcher.record_gap(self._service, gap_s, self._route.max_gap_s, now)
 
-    def _record_max_rate(self, max_rate: float | None) -> None:
-        """Records the request rate that the endpoint accepts; None for any."""
-        self._max_rate = max_rate
-        if self._endpoint is not None:
-            self._fleet.rate_limits.record(self._endpoint, max_rate, self._now())
+    def _record_statement(self, statement: statements.Statement) -> None:
+        """Records what the endpoint of the current attempt states about itself."""
+        self._statement = statement
+        if self._endpoint is None:
+            return
+        self._fleet.rate_limits.record(self._endpoint, statement.max_rate, self._now())
+        self._log_statement(self._endpoint, statement)
+
+    def _log_statement(
+        self, endpoint: endpoints.Endpoint, statement: statements.Statement
+    ) -> None:
+        if statement.rest_s:
+            self._context.event_log.record(
+                catalogue.ENDPOINT_RESTING,
+                self._request_id,
+                endpoint.instance,
+                rest_s=statement.rest_s,
+            )
+        for name in self._fleet.take_unknown_statements(endpoint.service, statement):
+            self._context.event_log.record(
+                catalogue.STATEMENT_UNKNOWN,
+                self._request_id,
+                endpoint.instance,
+                header=name,
+                service=endpoint.service,
+            )
 
     def _prove_parts(self, now: float) -> None:
         self._is_proven = True
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -18,8 +18,12 @@
 from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import selection
+from chicoryweir_policy.forwarding import statements
 from chicoryweir_policy.routing import outliers
 
+# Maximum number of headers without a known meaning that are remembered and logged.
+MAX_UNKNOWN_STATEMENTS = 64
+
 
 class Fleet:
     """State of one entry: configuration, endpoints, other entries and loads.
@@ -62,6 +66,7 @@
         self._selector = selection.create_selector(settings.data_centre)
         self._dispatchers: dict[str, dispatching.Dispatcher] = {}
         self._budgets: dict[str, budget.RetryBudget] = {}
+        self._unknown_statements: set[tuple[str, str]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -118,6 +123,19 @@
             )
         self._update_slowdowns(alive)
 
+    def take_unknown_statements(
+        self, service: str, statement: statements.Statement
+    ) -> list[str]:
+        """Returns the headers without a known meaning that are new for a service."""
+        taken = [
+            name
+            for name in statement.unknown
+            if (service, name) not in self._unknown_statements
+            and len(self._unknown_statements) < MAX_UNKNOWN_STATEMENTS
+        ]
+        self._unknown_statements.update((service, name) for name in taken)
+        return taken
+
     def get_retry_budget(self, service: str) -> budget.RetryBudget:
         """Returns this entry's retry budget for a service."""
         retry_budget = self._budgets.get(service)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -14,6 +14,7 @@
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import statements
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,8 +78,7 @@
         encoded: Whether the body was encoded in transit.
         at_fault: Address of another endpoint that the endpoint reports as the cause of
             its failure, or empty.
-        max_rate: Requests per second that the endpoint accepts from all entries
-            together; None if it states no limit.
+        statement: What the endpoint states about itself.
     """
 
     attempt_id: bytes | None
@@ -87,7 +87,7 @@
     misdirected: bool
     encoded: bool
     at_fault: str
-    max_rate: float | None = None
+    statement: statements.Statement = statements.Statement()
 
 
 class HeaderCodec(typing.Protocol):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -42,6 +42,8 @@
 ENDPOINTS_LISTED = 124
 ENDPOINT_UNREADABLE = 125
 ENDPOINT_RATE_CHANGED = 126
+ENDPOINT_RESTING = 127
+STATEMENT_UNKNOWN = 128
 PEER_HEARD = 130
 PEER_SILENT = 131
 ANNOUNCEMENT_UNREADABLE = 132
@@ -171,6 +173,18 @@
         "send them. Without a rate, it accepts any number.",
         "Check the load of the engine.",
     ),
+    EventKind(
+        ENDPOINT_RESTING,
+        "endpoint_resting",
+        "An endpoint declined a request and wants none from this entry for `rest_s`.",
+        "Check the load of the engine.",
+    ),
+    EventKind(
+        STATEMENT_UNKNOWN,
+        "statement_unknown",
+        "Endpoints of a service send a header about themselves that no decision uses.",
+        "Look the header up in the platform's pages and report it.",
+    ),
     EventKind(
         PEER_HEARD,
         "peer_heard",
--- a/tests/fleet_platform/test_formats.py
+++ b/tests/fleet_platform/test_formats.py
@@ -177,4 +177,39 @@
 def test_rate_limit_of_an_answer_is_read_if_it_is_a_number(value, rate):
     fields = ((headers.SERVER_LIMIT, value),)
     head = heads.AnswerHead(200, b"OK", fields, False, True)
-    assert headers.HeaderCodec().read_answer(head).max_rate == rate
+    statement = headers.HeaderCodec().read_answer(head).statement
+    assert statement.max_rate == rate
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "rest_s"),
+    [
+        (503, b"3", 3.0),
+        (503, b"0.25", 0.25),
+        (429, b" 2 ", 2.0),
+        (200, b"3", 0.0),
+        (500, b"3", 0.0),
+        (503, b"-1", 0.0),
+        (503, b"Fri, 04 Dec 2026 17:00:00 GMT", 0.0),
+    ],
+)
+def test_rest_is_read_from_answers_that_decline_a_request(status, value, rest_s):
+    fields = ((headers.RETRY_AFTER, value),)
+    head = heads.AnswerHead(status, b"", fields, False, True)
+    assert headers.HeaderCodec().read_answer(head).statement.rest_s == rest_s
+
+
+@pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False)])
+def test_leaving_endpoint_is_read_from_an_answer(value, leaving):
+    fields = ((headers.SERVER_LEAVING, value),)
+    head = heads.AnswerHead(200, b"", fields, False, True)
+    assert headers.HeaderCodec().read_answer(head).statement.leaving is leaving
+
+
+# Guards against a statement of an endpoint that no decision uses and no line names.
+def test_unknown_statements_of_an_endpoint_are_named():
+    names = (b"Server-Mood", b"At-Server", b"chicoryweir-load", b"X-Other", b"Date")
+    fields = tuple((name, b"1") for name in names)
+    head = heads.AnswerHead(200, b"", fields, False, True)
+    statement = headers.HeaderCodec().read_answer(head).statement
+    assert statement.unknown == ("server-mood", "chicoryweir-load")
