Send an endpoint nothing for as long as it asked for

Endpoints that decline with 503 and Retry-After want nothing from that entry for so long.

For the time of its rest an endpoint is no candidate; afterwards it gets one request at a time until it accepts one, since it has the least load then. While all endpoints rest, a request that can't wait until the first rest is over is rejected at once, and told to come back when it is; those in the queue, too.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -507,7 +507,9 @@
         self._statement = statement
         if self._endpoint is None:
             return
-        self._fleet.rate_limits.record(self._endpoint, statement.max_rate, self._now())
+        self._fleet.record_statement(
+            self._endpoint, statement, self._attempt_started_at, self._now()
+        )
         self._log_statement(self._endpoint, statement)
 
     def _log_statement(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import ratelimits
+from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import selection
 from chicoryweir_policy.forwarding import statements
@@ -53,6 +54,7 @@
         self.outliers = outliers.OutlierDetector()
         self.crashes = crashes.CrashTracker(settings.name)
         self.rate_limits = ratelimits.RateLimits(settings.name)
+        self.rests = rests.Rests()
         self.slowdowns: dict[str, float] = {}
         self._merged_slowdowns: dict[str, float] = {}
         self.ejected_until: dict[str, float] = {}
@@ -100,6 +102,7 @@
             dispatcher.set_avoidance(self._is_ejected)
             dispatcher.set_slowdowns(self._merged_slowdowns)
             dispatcher.set_rate_limits(self.rate_limits)
+            dispatcher.set_rests(self.rests)
             self._dispatchers[service] = dispatcher
         return dispatcher
 
@@ -123,6 +126,24 @@
             )
         self._update_slowdowns(alive)
 
+    def record_statement(
+        self,
+        endpoint: endpoints.Endpoint,
+        statement: statements.Statement,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Passes on what an endpoint states to the decisions that use it.
+
+        Args:
+            endpoint: The endpoint.
+            statement: What it states in an answer.
+            sent_at: Time at which the request was sent.
+            now: Present time, monotonic seconds.
+        """
+        self.rate_limits.record(endpoint, statement.max_rate, now)
+        self.rests.record(endpoint, statement.rest_s, sent_at, now)
+
     def take_unknown_statements(
         self, service: str, statement: statements.Statement
     ) -> list[str]:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -17,6 +17,7 @@
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.forwarding import reservation
+from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.forwarding import selection
 
 # Retry-after time of requests that expired in the queue.
@@ -24,6 +25,8 @@
 # Expected wait of a request whose endpoints only other entries send to; callers come
 # back to any entry.
 OTHER_ENTRY_WAIT_S = 0.2
+# Mean time from the end of a rest to the return of requests that were rejected in it.
+REST_SPREAD_S = 0.3
 # Slow or failing endpoints are avoided only if at least this share of the endpoints
 # remains. Fewer would be overloaded, and a problem of most endpoints usually has a
 # common cause.
@@ -82,6 +85,7 @@
         limit: Maximum number of running requests.
         slots: Number of running requests that the candidates have slots for.
         free: Number of requests that could start now.
+        rest_s: Time until an endpoint wants a request, in seconds; 0 if one does now.
     """
 
     candidates: list[selection.Candidate]
@@ -89,6 +93,7 @@
     limit: int
     slots: int
     free: int
+    rest_s: float = 0.0
 
 
 class Dispatcher:
@@ -123,6 +128,7 @@
         self._peer_on_time = 0
         self._slowdowns: collections.abc.Mapping[str, float] = {}
         self._rate_limits = ratelimits.RateLimits(entry)
+        self._rests = rests.Rests()
         self._reservation = reservation.Reservation(entry)
         self._average_running = 0.0
         self._averaged_at = -math.inf
@@ -152,6 +158,10 @@
         """Sets the limits of what endpoints accept."""
         self._rate_limits = rate_limits
 
+    def set_rests(self, known_rests: rests.Rests) -> None:
+        """Sets the rests that endpoints asked for."""
+        self._rests = known_rests
+
     def set_slowdowns(self, slowdowns: collections.abc.Mapping[str, float]) -> None:
         """Sets the slowdowns of slow instances, which get no new requests."""
         self._slowdowns = slowdowns
@@ -214,7 +224,7 @@
             dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
                 return (dispatched,)
-        rejection = self._check_rates(request, capacity, now)
+        rejection = self._check_acceptance(request, capacity, now)
         if rejection is not None:
             return (rejection,)
         rejections = self._queue.push(request, now)
@@ -232,6 +242,8 @@
             self._head = None
         while len(self):
             capacity = self._measure_capacity(service, now)
+            if capacity.rest_s:
+                outcomes += self._reject_in_rest(capacity.rest_s, now)
             if not capacity.free:
                 break
             request = self._head or self._queue.pop(
@@ -303,6 +315,7 @@
             chosen.endpoint.instance, request.estimate.memory_tokens
         )
         self._rate_limits.record_sent(chosen.endpoint)
+        self._rests.record_sent(chosen.endpoint, now)
         priority = queueing.convert_priority(request.priority)
         self._reservation.record_start(priority, now)
         return Dispatched(request, chosen.endpoint)
@@ -333,18 +346,22 @@
         self, service: configuration.Service, now: float
     ) -> _Capacity:
         usable = self._endpoints.list_usable(service.name, now)
+        accepting = [e for e in usable if not self._rests.is_resting(e, now)]
         trusted = [
             endpoint
-            for endpoint in usable
+            for endpoint in accepting
             if endpoint.instance not in self._slowdowns
             and not self._is_avoided(endpoint.instance, now)
         ]
-        enough = len(trusted) >= MIN_TRUSTED_SHARE * len(usable)
+        enough = len(trusted) >= MIN_TRUSTED_SHARE * len(accepting)
         memory = 0 if service.engine is None else service.engine.memory_tokens
         candidates = [
             self._make_candidate(endpoint, memory, now)
-            for endpoint in (trusted if enough else usable)
+            for endpoint in (trusted if enough else accepting)
         ]
+        if not accepting:
+            rest_s = self._rests.predict_wait_s(usable, now) or 0.0
+            return _Capacity([], 0, 0, 0, 0, rest_s)
         free = sum(max(0, c.limit - c.load.requests) for c in candidates)
         running = sum(candidate.load.requests for candidate in candidates)
         slots = sum(candidate.endpoint.slots for candidate in candidates)
@@ -369,10 +386,14 @@
         ]
         return _Capacity(limited, running, total_limit, slots, free)
 
-    def _check_rates(
+    def _check_acceptance(
         self, request: queueing.PendingRequest, capacity: _Capacity, now: float
     ) -> queueing.Rejection | None:
-        """Rejects a request if all endpoints limit what this entry may send."""
+        """Rejects a request if no endpoint accepts one from this entry in its time."""
+        if capacity.rest_s:
+            if now + capacity.rest_s <= request.latest_start_at:
+                return None
+            return _reject_in_rest(request, capacity.rest_s)
         candidates = [candidate.endpoint for candidate in capacity.candidates]
         wait_s = self._rate_limits.predict_wait_s(candidates, len(self), now)
         if wait_s is None or now + wait_s <= request.latest_start_at:
@@ -382,14 +403,25 @@
         reason = "its endpoints accept no more requests"
         return queueing.Rejection(request, reason, retry_after_ms / 1000, wait_s)
 
+    def _reject_in_rest(self, rest_s: float, now: float) -> list[queueing.Rejection]:
+        """Rejects the queued requests that can't wait until an endpoint's rest ends."""
+        rejected = [r.request for r in self._queue.expire(now + rest_s)]
+        if self._head is not None and self._head.latest_start_at < now + rest_s:
+            rejected.append(self._head)
+            self._head = None
+        return [_reject_in_rest(request, rest_s) for request in rejected]
+
     def _make_candidate(
         self, endpoint: endpoints.Endpoint, memory_tokens: int, now: float
     ) -> selection.Candidate:
         load = self._loads.get_load(endpoint.instance, now)
-        available = self._rate_limits.count_available(endpoint, now)
         limit = endpoint.slots
-        if available is not None:
-            limit = min(limit, load.requests + max(0, available))
+        for available in (
+            self._rate_limits.count_available(endpoint, now),
+            self._rests.count_available(endpoint, now),
+        ):
+            if available is not None:
+                limit = min(limit, load.requests + max(0, available))
         return selection.Candidate(endpoint, load, limit, memory_tokens)
 
 
@@ -397,5 +429,13 @@
     return queueing.Rejection(request, "its time ran out waiting", EXPIRED_RETRY_S)
 
 
+def _reject_in_rest(
+    request: queueing.PendingRequest, rest_s: float
+) -> queueing.Rejection:
+    spread_ms = delay.compute_retry_after_ms(request.request_id, REST_SPREAD_S)
+    reason = "its endpoints want no requests for now"
+    return queueing.Rejection(request, reason, rest_s + spread_ms / 1000, rest_s)
+
+
 def _avoid_none(instance: str, now: float) -> bool:
     return False
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -8,6 +8,7 @@
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import ratelimits
+from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.forwarding import selection
 
 
@@ -280,3 +281,54 @@
                     started += outcome.request.priority == 5
                     dispatcher.finish(outcome)
     assert started > 0
+
+
+def _rest(dispatcher, endpoint_table, *names, rest_s=1.0):
+    known = rests.Rests()
+    for name in names:
+        known.record(endpoint_table.get(name), rest_s, 0.0, 0.0)
+    dispatcher.set_rests(known)
+    return known
+
+
+def test_request_goes_to_the_endpoints_that_do_not_rest(
+    make_endpoint, make_request, service
+):
+    endpoint_table, _, dispatcher = _build(make_endpoint)
+    _rest(dispatcher, endpoint_table, "e0", "e1", "e2")
+    sent = [_submit(dispatcher, service, make_request(str(n))) for n in range(6)]
+    assert {dispatched.endpoint.instance for dispatched in sent} == {"e3"}
+    assert isinstance(
+        _submit(dispatcher, service, make_request("queued")), dispatching.Enqueued
+    )
+
+
+def test_request_waits_for_the_end_of_a_rest_that_leaves_it_enough_time(
+    make_endpoint, make_request, service
+):
+    endpoint_table, _, dispatcher = _build(make_endpoint, count=2)
+    _rest(dispatcher, endpoint_table, "e0", "e1")
+    outcome = _submit(dispatcher, service, make_request("a"))
+    assert isinstance(outcome, dispatching.Enqueued)
+    assert dispatcher.dispatch_queued(service, 0.9) == ()
+    (started,) = dispatcher.dispatch_queued(service, 1.0)
+    assert isinstance(started, dispatching.Dispatched)
+
+
+# Guards against requests that wait for their deadline although no endpoint accepts any.
+def test_queued_requests_are_rejected_when_all_endpoints_begin_a_long_rest(
+    make_endpoint, make_request, service
+):
+    endpoint_table, _, dispatcher = _build(make_endpoint, count=1)
+    for number in range(6):
+        _submit(dispatcher, service, make_request(str(number)))
+    for name in ("q1", "q2"):
+        outcome = _submit(dispatcher, service, make_request(name))
+        assert isinstance(outcome, dispatching.Enqueued)
+    _rest(dispatcher, endpoint_table, "e0", rest_s=4.0)
+    rejections = dispatcher.dispatch_queued(service, 0.1)
+    assert {r.request.request_id for r in rejections} == {"q1", "q2"}
+    for rejection in rejections:
+        assert isinstance(rejection, queueing.Rejection)
+        assert 3.9 <= rejection.retry_after_s <= 5.0
+    assert not len(dispatcher)
