Send nothing new to an endpoint whose answers state that it is leaving

What callers would see: requests that are declined or cut off by an endpoint that is about to stop, for as long as the store doesn't say so: up to 1.5 s usually, and as long as it is away. Endpoints that leave say so in all their answers, in a header that no decision used.

The statement is applied to the table of endpoints at once, as the store's would be, and is final for that process: a registration that is older than it doesn't make the endpoint usable again, a later process of the instance is usable.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -507,9 +507,17 @@
         self._statement = statement
         if self._endpoint is None:
             return
-        self._fleet.record_statement(
+        transition = self._fleet.record_statement(
             self._endpoint, statement, self._attempt_started_at, self._now()
         )
+        if transition is not None:
+            crashreports.record_transition(
+                self._fleet,
+                self._context.event_log,
+                transition,
+                self._request_id,
+                evidence="stated",
+            )
         self._log_statement(self._endpoint, statement)
 
     def _log_statement(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -132,7 +132,7 @@
         statement: statements.Statement,
         sent_at: float,
         now: float,
-    ) -> None:
+    ) -> endpoints.Transition | None:
         """Passes on what an endpoint states to the decisions that use it.
 
         Args:
@@ -140,9 +140,16 @@
             statement: What it states in an answer.
             sent_at: Time at which the request was sent.
             now: Present time, monotonic seconds.
+
+        Returns:
+            The effect on the table of endpoints, if any.
         """
         self.rate_limits.record(endpoint, statement.max_rate, now)
         self.rests.record(endpoint, statement.rest_s, sent_at, now)
+        if not statement.leaving:
+            return None
+        leaving = endpoints.Leaving(endpoint.instance, endpoint.born_ms)
+        return self.endpoints.record_leaving(leaving)
 
     def take_unknown_statements(
         self, service: str, statement: statements.Statement
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -95,6 +95,19 @@
 Change = Registered | Removed
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """A process that said that it is leaving.
+
+    Attributes:
+        instance: Name of the instance.
+        born_ms: Unix time of its start, in milliseconds.
+    """
+
+    instance: str
+    born_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Departed:
     """An endpoint that is gone, and when it went, in seconds."""
@@ -205,6 +218,14 @@
             return None
         return self._delete(instance, "displaced", now)
 
+    def record_leaving(self, leaving: Leaving) -> Transition | None:
+        """Records that a process is leaving, as it said itself; returns the effect."""
+        endpoint = self._endpoints.get(leaving.instance)
+        if endpoint is None or endpoint.leaving or endpoint.born_ms != leaving.born_ms:
+            return None
+        self._endpoints[leaving.instance] = dataclasses.replace(endpoint, leaving=True)
+        return Transition(leaving.instance, endpoint.service, "leaving")
+
     def replace_all(
         self, registered: collections.abc.Iterable[Endpoint], now: float
     ) -> list[Transition]:
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -210,3 +210,22 @@
     table.apply(endpoints.Removed("a"), 30.0)
     table.replace_all([make_endpoint("a"), make_endpoint("b")], 31.0)
     assert _list_usable(table, 31.0) == ["a", "b"]
+
+
+# Guards against requests to an endpoint that said that it is leaving.
+def test_process_that_says_that_it_leaves_is_unusable(make_endpoint):
+    table = _create_table(make_endpoint, "a", "b")
+    transition = table.record_leaving(endpoints.Leaving("a", 1))
+    assert transition.meaning == "leaving"
+    assert table.record_leaving(endpoints.Leaving("a", 1)) is None
+    assert _list_usable(table) == ["b"]
+    table.apply(endpoints.Registered(make_endpoint("a", cold_s=1.0)), 1.0)
+    assert _list_usable(table) == ["b"]
+
+
+def test_statement_of_an_earlier_process_does_not_concern_its_successor(make_endpoint):
+    table = _create_table(make_endpoint, "a", "b")
+    table.apply(endpoints.Registered(make_endpoint("a", born_ms=2)), 1.0)
+    assert table.record_leaving(endpoints.Leaving("a", 1)) is None
+    assert table.record_leaving(endpoints.Leaving("gone", 1)) is None
+    assert not table.get("a").leaving
