Announce the endpoints that stated that they are leaving

What callers would see: while the store is away, each entry sends a leaving endpoint one request at least before it learns the same; on a fleet of 46 entries that are 46 requests that may be declined or cut off. Entries now announce for 5 s what endpoints told them themselves; what was learned from an announcement isn't announced again.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -6,6 +6,7 @@
 
 import cbor2
 
+from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
@@ -14,8 +15,8 @@
 from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; incremented when the layout changes.
-FORMAT_VERSION = 5
-_PART_COUNT = 20
+FORMAT_VERSION = 6
+_PART_COUNT = 21
 _DECODING_ERRORS = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
@@ -47,6 +48,7 @@
             announcement.capacity,
             _encode_part_update(announcement.part_update),
             _encode_rates(announcement.rates),
+            [(leaving.instance, leaving.born_ms) for leaving in announcement.leaving],
         )
     )
 
@@ -87,6 +89,10 @@
             capacity=float(parts[17]),
             part_update=_decode_part_update(parts[18]),
             rates=_decode_rates(parts[19]),
+            leaving=tuple(
+                endpoints.Leaving(str(instance), int(born_ms))
+                for instance, born_ms in parts[20]
+            ),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -149,7 +149,7 @@
         if not statement.leaving:
             return None
         leaving = endpoints.Leaving(endpoint.instance, endpoint.born_ms)
-        return self.endpoints.record_leaving(leaving)
+        return self.endpoints.record_stated_leaving(leaving, now)
 
     def take_unknown_statements(
         self, service: str, statement: statements.Statement
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -12,6 +12,7 @@
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import ratelimits
@@ -72,9 +73,22 @@
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
         self._fleet.rate_limits.merge(announcement.rates, now)
+        self._record_leaving(announcement)
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
 
+    def _record_leaving(self, announcement: peers.Announcement) -> None:
+        for leaving in announcement.leaving:
+            transition = self._fleet.endpoints.record_leaving(leaving)
+            if transition is not None:
+                crashreports.record_transition(
+                    self._fleet,
+                    self._event_log,
+                    transition,
+                    evidence="announced",
+                    source=announcement.name,
+                )
+
     def error_received(self, exc: Exception) -> None:
         """Logs a send error, unless the connection was refused by a stopped peer."""
         if not isinstance(exc, ConnectionRefusedError):
@@ -95,6 +109,7 @@
         endpoint_loads = self._fleet.loads.copy_own()
         on_time = self._fleet.count_on_time()
         rates = self._fleet.rate_limits.list_own(now)
+        leaving = self._fleet.endpoints.list_stated_leaving(now)
         unchanged_interval_s = peers.IDLE_PERIODS * self._fleet.peers.announce_period_s
         is_due = now - self._last_sent_at >= unchanged_interval_s - TIMER_TOLERANCE_S
         content = (
@@ -104,6 +119,7 @@
             self._fleet.crashes.parts.revision,
             self._fleet.slowdowns,
             [(rate.process, rate.max_rate) for rate in rates],
+            leaving,
         )
         if not (force or is_due or content != self._last_content):
             return
@@ -112,7 +128,7 @@
         for name in self._fleet.peers.expire(now):
             self._fleet.loads.forget_peer(name)
         data = announcements.encode(
-            self._make_announcement(endpoint_loads, on_time, rates, now)
+            self._make_announcement(endpoint_loads, on_time, rates, leaving, now)
         )
         if self._transport is not None:
             port = self._fleet.settings.peer_port
@@ -124,6 +140,7 @@
         endpoint_loads: dict[str, loads.Load],
         on_time: dict[str, int],
         rates: tuple[ratelimits.Statement, ...],
+        leaving: tuple[endpoints.Leaving, ...],
         now: float,
     ) -> peers.Announcement:
         settings = self._fleet.settings
@@ -150,6 +167,7 @@
             capacity=settings.capacity,
             part_update=self._fleet.crashes.parts.select_update(receivers, now),
             rates=rates,
+            leaving=leaving,
         )
 
     def _log_rate_limits(self) -> None:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -4,6 +4,7 @@
 import pytest
 
 from chicoryweir_daemon.forwarder import announcements
+from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
@@ -49,6 +50,7 @@
         ratelimits.Statement(records.LossId("i-5", "19"), 1.5, 0.5),
         ratelimits.Statement(records.LossId("i-6", "20"), None, 0.25),
     ),
+    leaving=(endpoints.Leaving("i-7", 21),),
 )
 
 
@@ -57,7 +59,7 @@
 
 
 # Positions of the mappings, updates and lists of tuples in the datagram.
-STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19)
+STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19, 20)
 
 
 @pytest.mark.parametrize("position", STRUCTURED_PARTS)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -19,6 +19,9 @@
 # the time that the removal takes to arrive here.
 HEARTBEATS_UNTIL_REMOVED = 3
 REMOVAL_DELAY_S = 2.0
+# Time for which announcements repeat that an endpoint is leaving, since single ones may
+# be lost.
+SPREAD_S = 5.0
 # Time for which endpoints that are gone are remembered. The copies that the store is
 # restored from are some seconds old.
 DEPARTED_KEPT_S = 120.0
@@ -151,6 +154,7 @@
         self._store_restored_at = -math.inf
         self._departed: dict[str, _Departed] = {}
         self._unconfirmed: dict[str, Endpoint] = {}
+        self._stated_leaving: dict[Leaving, float] = {}
 
     @property
     def is_store_unreachable(self) -> bool:
@@ -226,6 +230,22 @@
         self._endpoints[leaving.instance] = dataclasses.replace(endpoint, leaving=True)
         return Transition(leaving.instance, endpoint.service, "leaving")
 
+    def record_stated_leaving(self, leaving: Leaving, now: float) -> Transition | None:
+        """Records that a process told this entry that it is leaving."""
+        transition = self.record_leaving(leaving)
+        if transition is not None:
+            self._stated_leaving[leaving] = now
+        return transition
+
+    def list_stated_leaving(self, now: float) -> tuple[Leaving, ...]:
+        """Returns the processes that told this entry lately that they are leaving."""
+        self._stated_leaving = {
+            leaving: at
+            for leaving, at in self._stated_leaving.items()
+            if now - at <= SPREAD_S
+        }
+        return tuple(self._stated_leaving)
+
     def replace_all(
         self, registered: collections.abc.Iterable[Endpoint], now: float
     ) -> list[Transition]:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -5,6 +5,7 @@
 import collections.abc
 import dataclasses
 
+from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.forwarding import ratelimits
@@ -50,6 +51,7 @@
         capacity: Size of its machine, relative to those of other entries.
         part_update: Recent records of prompt parts that crash endpoints.
         rates: What endpoints stated to this entry that they accept.
+        leaving: Processes that told this entry lately that they are leaving.
     """
 
     name: str
@@ -73,6 +75,7 @@
     capacity: float = 0.0
     part_update: promptparts.Update = promptparts.Update()
     rates: tuple[ratelimits.Statement, ...] = ()
+    leaving: tuple[endpoints.Leaving, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -229,3 +229,12 @@
     assert table.record_leaving(endpoints.Leaving("a", 1)) is None
     assert table.record_leaving(endpoints.Leaving("gone", 1)) is None
     assert not table.get("a").leaving
+
+
+def test_own_knowledge_of_leaving_processes_is_announced_for_some_time(make_endpoint):
+    table = _create_table(make_endpoint, "a", "b")
+    table.record_stated_leaving(endpoints.Leaving("a", 1), 1.0)
+    table.record_leaving(endpoints.Leaving("b", 1))
+    announced = table.list_stated_leaving(1.0 + endpoints.SPREAD_S)
+    assert announced == (endpoints.Leaving("a", 1),)
+    assert table.list_stated_leaving(1.1 + endpoints.SPREAD_S) == ()
