Announce the rests that endpoints ask for, and avoid endpoints that rest for others

Entries announce the rests that endpoints asked them for, up to 32 of them. The others avoid such an endpoint while enough others remain, unless it has accepted a request of theirs in the last 3 s: one that declines the requests of some entries only stays in use for the rest.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -12,11 +12,12 @@
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.forwarding import ratelimits
+from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; incremented when the layout changes.
-FORMAT_VERSION = 6
-_PART_COUNT = 21
+FORMAT_VERSION = 7
+_PART_COUNT = 22
 _DECODING_ERRORS = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
 
 
@@ -49,6 +50,10 @@
             _encode_part_update(announcement.part_update),
             _encode_rates(announcement.rates),
             [(leaving.instance, leaving.born_ms) for leaving in announcement.leaving],
+            [
+                (rest.process.instance, rest.process.incarnation, rest.left_s)
+                for rest in announcement.rests
+            ],
         )
     )
 
@@ -93,6 +98,12 @@
                 endpoints.Leaving(str(instance), int(born_ms))
                 for instance, born_ms in parts[20]
             ),
+            rests=tuple(
+                rests.Announced(
+                    records.LossId(str(instance), str(incarnation)), float(left_s)
+                )
+                for instance, incarnation, left_s in parts[21]
+            ),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         raise ValueError(f"not an announcement: {error!r}") from error
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -12,10 +12,8 @@
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_policy import catalogue
-from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
-from chicoryweir_policy.forwarding import ratelimits
 
 # Timers may fire early by this much. An announcement with unchanged content is sent now
 # if it is due within this time.
@@ -73,6 +71,7 @@
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
         self._fleet.rate_limits.merge(announcement.rates, now)
+        self._fleet.rests.merge(announcement.rests, now)
         self._record_leaving(announcement)
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
@@ -108,8 +107,6 @@
         now = self._fleet.clock.read()
         endpoint_loads = self._fleet.loads.copy_own()
         on_time = self._fleet.count_on_time()
-        rates = self._fleet.rate_limits.list_own(now)
-        leaving = self._fleet.endpoints.list_stated_leaving(now)
         unchanged_interval_s = peers.IDLE_PERIODS * self._fleet.peers.announce_period_s
         is_due = now - self._last_sent_at >= unchanged_interval_s - TIMER_TOLERANCE_S
         content = (
@@ -118,8 +115,12 @@
             self._fleet.crashes.position,
             self._fleet.crashes.parts.revision,
             self._fleet.slowdowns,
-            [(rate.process, rate.max_rate) for rate in rates],
-            leaving,
+            [
+                (rate.process, rate.max_rate)
+                for rate in self._fleet.rate_limits.list_own(now)
+            ],
+            self._fleet.endpoints.list_stated_leaving(now),
+            [rest.process for rest in self._fleet.rests.list_own(now)],
         )
         if not (force or is_due or content != self._last_content):
             return
@@ -128,7 +129,7 @@
         for name in self._fleet.peers.expire(now):
             self._fleet.loads.forget_peer(name)
         data = announcements.encode(
-            self._make_announcement(endpoint_loads, on_time, rates, leaving, now)
+            self._make_announcement(endpoint_loads, on_time, now)
         )
         if self._transport is not None:
             port = self._fleet.settings.peer_port
@@ -139,8 +140,6 @@
         self,
         endpoint_loads: dict[str, loads.Load],
         on_time: dict[str, int],
-        rates: tuple[ratelimits.Statement, ...],
-        leaving: tuple[endpoints.Leaving, ...],
         now: float,
     ) -> peers.Announcement:
         settings = self._fleet.settings
@@ -166,8 +165,9 @@
             slowdowns=self._fleet.slowdowns,
             capacity=settings.capacity,
             part_update=self._fleet.crashes.parts.select_update(receivers, now),
-            rates=rates,
-            leaving=leaving,
+            rates=self._fleet.rate_limits.list_own(now),
+            leaving=self._fleet.endpoints.list_stated_leaving(now),
+            rests=self._fleet.rests.list_own(now),
         )
 
     def _log_rate_limits(self) -> None:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -10,6 +10,7 @@
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.forwarding import ratelimits
+from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.quarantine import records
 
 ANNOUNCEMENT = peers.Announcement(
@@ -51,6 +52,7 @@
         ratelimits.Statement(records.LossId("i-6", "20"), None, 0.25),
     ),
     leaving=(endpoints.Leaving("i-7", 21),),
+    rests=(rests.Announced(records.LossId("i-8", "22"), 2.5),),
 )
 
 
@@ -59,7 +61,7 @@
 
 
 # Positions of the mappings, updates and lists of tuples in the datagram.
-STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19, 20)
+STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19, 20, 21)
 
 
 @pytest.mark.parametrize("position", STRUCTURED_PARTS)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -352,6 +352,7 @@
             for endpoint in accepting
             if endpoint.instance not in self._slowdowns
             and not self._is_avoided(endpoint.instance, now)
+            and not self._rests.is_avoided(endpoint, now)
         ]
         enough = len(trusted) >= MIN_TRUSTED_SHARE * len(accepting)
         memory = 0 if service.engine is None else service.engine.memory_tokens
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -9,6 +9,7 @@
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.forwarding import ratelimits
+from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.quarantine import records
 
 # Period of announcements while there are updates.
@@ -52,6 +53,7 @@
         part_update: Recent records of prompt parts that crash endpoints.
         rates: What endpoints stated to this entry that they accept.
         leaving: Processes that told this entry lately that they are leaving.
+        rests: Rests that endpoints asked this entry for.
     """
 
     name: str
@@ -76,6 +78,7 @@
     part_update: promptparts.Update = promptparts.Update()
     rates: tuple[ratelimits.Statement, ...] = ()
     leaving: tuple[endpoints.Leaving, ...] = ()
+    rests: tuple[rests.Announced, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/rests.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/rests.py
@@ -3,12 +3,17 @@
 An endpoint that has declined requests has the least load when its rest is over, and
 would get most requests until the first answer. It therefore gets one at a time until it
 accepts one.
+
+An endpoint that asks one entry for a rest usually declines the requests of the others,
+too. Entries announce the rests that they were asked for; the others avoid the endpoint
+meanwhile, unless it has accepted a request of theirs lately.
 """
 
 from __future__ import annotations
 
 import collections.abc
 import dataclasses
+import math
 
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import endpoints
@@ -19,6 +24,23 @@
 TRIAL_S = 1.0
 # Time after its end for which a rest is remembered.
 KEPT_S = 30.0
+# Time for which an accepted request outweighs the rest that another entry announces.
+ACCEPTED_S = 3.0
+# Maximum number of rests in an announcement, to keep datagrams small.
+MAX_ANNOUNCED = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announced:
+    """A rest that an endpoint asked an entry for.
+
+    Attributes:
+        process: The process of the endpoint.
+        left_s: Time until the rest is over, in seconds.
+    """
+
+    process: records.LossId
+    left_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +61,9 @@
 
     def __init__(self) -> None:
         self._rests: dict[records.LossId, _Rest] = {}
+        self._accepted_at: dict[records.LossId, float] = {}
+        self._announced_until: dict[records.LossId, float] = {}
+        self._expired_at = -math.inf
 
     def record(
         self, endpoint: endpoints.Endpoint, rest_s: float, sent_at: float, now: float
@@ -56,11 +81,40 @@
         rest = self._rests.get(process)
         if rest_s > 0.0:
             until = max(now + rest_s, 0.0 if rest is None else rest.until)
-            self._expire(now)
             self._rests[process] = _Rest(until, until)
-        elif rest is not None and sent_at >= rest.until:
+            self._accepted_at.pop(process, None)
+            return
+        self._accepted_at[process] = now
+        if rest is not None and sent_at >= rest.until:
             del self._rests[process]
 
+    def merge(self, announced: collections.abc.Iterable[Announced], now: float) -> None:
+        """Merges the rests that another entry announces."""
+        for rest in announced:
+            until = now + rest.left_s
+            known_until = self._announced_until.get(rest.process, until)
+            self._announced_until[rest.process] = max(until, known_until)
+
+    def list_own(self, now: float) -> tuple[Announced, ...]:
+        """Returns the rests to announce, the longest ones first."""
+        self._expire(now)
+        rests = [
+            Announced(process, rest.until - now)
+            for process, rest in self._rests.items()
+            if now < rest.until
+        ]
+        rests.sort(key=lambda rest: -rest.left_s)
+        return tuple(rests[:MAX_ANNOUNCED])
+
+    def is_avoided(self, endpoint: endpoints.Endpoint, now: float) -> bool:
+        """Returns whether to avoid an endpoint that rests for other entries."""
+        if not self._announced_until:
+            return False
+        process = crashes.make_process_id(endpoint)
+        if now >= self._announced_until.get(process, -math.inf):
+            return False
+        return now - self._accepted_at.get(process, -math.inf) > ACCEPTED_S
+
     def is_resting(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Returns whether an endpoint wants no request now."""
         rest = self._find(endpoint)
@@ -101,8 +155,22 @@
         return self._rests.get(crashes.make_process_id(endpoint))
 
     def _expire(self, now: float) -> None:
+        """Forgets what is over for long."""
+        if now - self._expired_at < KEPT_S:
+            return
+        self._expired_at = now
         self._rests = {
             process: rest
             for process, rest in self._rests.items()
             if now - rest.until <= KEPT_S
         }
+        self._announced_until = {
+            process: until
+            for process, until in self._announced_until.items()
+            if now < until
+        }
+        self._accepted_at = {
+            process: at
+            for process, at in self._accepted_at.items()
+            if now - at <= ACCEPTED_S
+        }
--- a/packages/chicoryweir-policy/tests/forwarding/test_rests.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_rests.py
@@ -62,5 +62,37 @@
 def test_rest_of_an_endpoint_that_is_gone_is_forgotten(make_endpoint):
     known = _create_rest(make_endpoint("a"))
     now = 13.0 + rests.KEPT_S + 0.1
-    known.record(make_endpoint("b"), 3.0, now, now)
+    assert known.list_own(now) == ()
     assert known.count_available(make_endpoint("a"), now) is None
+
+
+# Guards against a fleet whose entries each find out on their own, again and again, that
+# an endpoint declines.
+def test_endpoint_that_rests_for_another_entry_is_avoided(make_endpoint):
+    endpoint = make_endpoint("a")
+    announced = _create_rest(endpoint).list_own(11.0)
+    assert [rest.left_s for rest in announced] == [2.0]
+    other = rests.Rests()
+    other.merge(announced, 50.0)
+    assert other.is_avoided(endpoint, 51.9)
+    assert not other.is_avoided(endpoint, 52.0)
+    assert not other.is_avoided(make_endpoint("a", born_ms=2), 51.0)
+
+
+# Guards against an endpoint unused by all that declines the requests of some only.
+def test_endpoint_that_accepts_the_requests_of_this_entry_is_not_avoided(make_endpoint):
+    endpoint = make_endpoint("a")
+    other = rests.Rests()
+    other.record(endpoint, 0.0, 49.8, 50.0)
+    other.merge(_create_rest(endpoint).list_own(10.0), 51.0)
+    assert not other.is_avoided(endpoint, 52.0)
+    assert other.is_avoided(endpoint, 50.1 + rests.ACCEPTED_S)
+
+
+def test_number_of_announced_rests_is_bounded(make_endpoint):
+    known = rests.Rests()
+    for number in range(rests.MAX_ANNOUNCED + 8):
+        known.record(make_endpoint(f"e{number}"), 1.0 + number, 0.0, 0.0)
+    announced = known.list_own(0.0)
+    assert len(announced) == rests.MAX_ANNOUNCED
+    assert announced[0].process.instance == f"e{rests.MAX_ANNOUNCED + 7}"
