Take the first era of a store that stated none for a restore

A store that begins to state its era once it was restored would have gone unnoticed: the endpoints of the copy would be taken as they are.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/storeeras.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/storeeras.py
@@ -15,7 +15,8 @@
 
     Attributes:
         CURRENT: The answer is of the latest known era, or states none.
-        RESTORED: The store has been restored since the latest known era.
+        RESTORED: The store has been restored since the latest answer, or has stated no
+            era until then.
         OUTDATED: The store has been restored since it sent the answer.
     """
 
@@ -29,6 +30,7 @@
 
     def __init__(self) -> None:
         self._current: int | None = None
+        self._has_answered = False
 
     @property
     def current(self) -> int | None:
@@ -37,10 +39,11 @@
 
     def observe(self, era: int | None) -> Observation:
         """Records the era of an answer; None if the answer states none."""
+        is_first = not self._has_answered
+        self._has_answered = True
         if era is None or era == self._current:
             return Observation.CURRENT
         if self._current is not None and era < self._current:
             return Observation.OUTDATED
-        is_first = self._current is None
         self._current = era
         return Observation.CURRENT if is_first else Observation.RESTORED
