Record statements of endpoints, own and announced, in one module

Read the change as a newcomer: exchange.py had grown by the logging of statements, gossip.py by that of announced ones; both now call statementreports. Tests of the forwarder share their settings; a method without a caller is gone.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -15,6 +15,7 @@
 from chicoryweir_daemon.forwarder import metrics_registry
 from chicoryweir_daemon.forwarder import problems
 from chicoryweir_daemon.forwarder import relay as relays
+from chicoryweir_daemon.forwarder import statementreports
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
@@ -505,38 +506,14 @@
     def _record_statement(self, statement: statements.Statement) -> None:
         """Records what the endpoint of the current attempt states about itself."""
         self._statement = statement
-        if self._endpoint is None:
-            return
-        transition = self._fleet.record_statement(
-            self._endpoint, statement, self._attempt_started_at, self._now()
-        )
-        if transition is not None:
-            crashreports.record_transition(
+        if self._endpoint is not None:
+            statementreports.record_statement(
                 self._fleet,
                 self._context.event_log,
-                transition,
-                self._request_id,
-                evidence="stated",
-            )
-        self._log_statement(self._endpoint, statement)
-
-    def _log_statement(
-        self, endpoint: endpoints.Endpoint, statement: statements.Statement
-    ) -> None:
-        if statement.rest_s:
-            self._context.event_log.record(
-                catalogue.ENDPOINT_RESTING,
-                self._request_id,
-                endpoint.instance,
-                rest_s=statement.rest_s,
-            )
-        for name in self._fleet.take_unknown_statements(endpoint.service, statement):
-            self._context.event_log.record(
-                catalogue.STATEMENT_UNKNOWN,
+                self._endpoint,
+                statement,
+                self._attempt_started_at,
                 self._request_id,
-                endpoint.instance,
-                header=name,
-                service=endpoint.service,
             )
 
     def _prove_parts(self, now: float) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -11,6 +11,7 @@
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import statementreports
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
@@ -70,24 +71,10 @@
         self._fleet.apply_peer_announcements(now)
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
-        self._fleet.rate_limits.merge(announcement.rates, now)
-        self._fleet.rests.merge(announcement.rests, now)
-        self._record_leaving(announcement)
+        statementreports.record_announced(self._fleet, self._event_log, announcement)
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
 
-    def _record_leaving(self, announcement: peers.Announcement) -> None:
-        for leaving in announcement.leaving:
-            transition = self._fleet.endpoints.record_leaving(leaving)
-            if transition is not None:
-                crashreports.record_transition(
-                    self._fleet,
-                    self._event_log,
-                    transition,
-                    evidence="announced",
-                    source=announcement.name,
-                )
-
     def error_received(self, exc: Exception) -> None:
         """Logs a send error, unless the connection was refused by a stopped peer."""
         if not isinstance(exc, ConnectionRefusedError):
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
@@ -178,13 +178,12 @@
             self._lease = leases.clear_vacancy(self._lease)
         self._lease, operation = leases.tick(self._lease, self._read_boot())
         if operation is not None:
-            result = await self._store.run(operation)
-            self._log_failure(result)
-            self._apply_result(result)
+            self._apply_result(await self._store.run(operation))
         if leases.holds(self._lease, self._read_boot()):
             self._acting_fence = self._lease.fence
 
     def _apply_result(self, result: store.Result) -> None:
+        """Applies the result of an operation, unless it is of another era."""
         match result:
             case (
                 store.Rows(era=era)
@@ -196,6 +195,7 @@
                 elif self._enter_era():
                     # The result concerns the row of the earlier era.
                     return
+        self._log_failure(result)
         self._lease = leases.apply_result(self._lease, result, self._read_boot())
 
     def _enter_era(self) -> bool:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_fleet.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_fleet.py
@@ -5,7 +5,6 @@
 import pytest
 
 from chicoryweir_daemon.forwarder import fleet as fleets
-from chicoryweir_daemon.forwarder import process
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import dispatching
@@ -13,21 +12,6 @@
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import statements
 
-LISTENER = process.Listener("127.0.0.1", 1)
-SETTINGS = process.Settings(
-    name="front-1",
-    host="127.0.0.1",
-    data_centre="dc",
-    callers=LISTENER,
-    readiness=None,
-    resolution=None,
-    peer_port=1,
-    metrics_port=2,
-    seeds=(),
-    store=LISTENER,
-    heartbeat_s=1.2,
-    bounds=process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0),
-)
 SERVICE = configuration.Service("svc", 9, None)
 ENDPOINT = endpoints.Endpoint("i-1", "svc", "10.0.0.1", 80, "dc", 6, False, 0.0, 1)
 # A value of each field with which an endpoint wants no request.
@@ -52,8 +36,8 @@
 
 # Guards against a statement of an endpoint that is read but that no decision uses.
 @pytest.mark.parametrize("field", sorted(FIELDS - {"unknown"}))
-def test_each_statement_keeps_requests_from_the_endpoint(field):
-    fleet = fleets.Fleet(SETTINGS, None)
+def test_each_statement_keeps_requests_from_the_endpoint(settings, field):
+    fleet = fleets.Fleet(settings, None)
     fleet.endpoints.replace_all([ENDPOINT], 0.0)
     assert isinstance(_submit(fleet, "a", 0.0), dispatching.Dispatched)
     statement = statements.Statement(**{field: REFUSING[field]})
@@ -61,16 +45,16 @@
     assert not isinstance(_submit(fleet, "b", 0.2), dispatching.Dispatched)
 
 
-def test_unknown_statements_are_reported_once_for_a_service():
-    fleet = fleets.Fleet(SETTINGS, None)
+def test_unknown_statements_are_reported_once_for_a_service(settings):
+    fleet = fleets.Fleet(settings, None)
     statement = statements.Statement(unknown=("server-mood",))
     assert fleet.take_unknown_statements("svc", statement) == ["server-mood"]
     assert fleet.take_unknown_statements("svc", statement) == []
     assert fleet.take_unknown_statements("other", statement) == ["server-mood"]
 
 
-def test_number_of_remembered_unknown_statements_is_bounded():
-    fleet = fleets.Fleet(SETTINGS, None)
+def test_number_of_remembered_unknown_statements_is_bounded(settings):
+    fleet = fleets.Fleet(settings, None)
     names = tuple(f"server-{n}" for n in range(fleets.MAX_UNKNOWN_STATEMENTS + 9))
     taken = [
         name
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -5,26 +5,9 @@
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
-from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_daemon.forwarder import watches
 
-LISTENER = process.Listener("127.0.0.1", 1)
-SETTINGS = process.Settings(
-    name="front-1",
-    host="127.0.0.1",
-    data_centre="dc",
-    callers=LISTENER,
-    readiness=None,
-    resolution=None,
-    peer_port=1,
-    metrics_port=2,
-    seeds=(),
-    store=LISTENER,
-    heartbeat_s=1.2,
-    bounds=process.Bounds(8.0, 0.2, 90.0, 10.0, 1.5, 5.0),
-)
-
 
 class Clock:
     def read(self):
@@ -53,9 +36,9 @@
         return self.answers.pop(0)
 
 
-async def _watch(*answers):
+async def _watch(settings, *answers):
     """Watches until all answers are read; returns what the watch knows."""
-    fleet = fleets.Fleet(SETTINGS, Clock())
+    fleet = fleets.Fleet(settings, Clock())
     event_log = eventlog.EventLog("front-1")
     health = storehealth.StoreHealth(fleet, event_log)
     registry = ScriptedRegistry(*answers)
@@ -69,8 +52,9 @@
 
 # Guards against a holder of the lease that gives it up for seconds: it knew that the
 # store is back before it knew that it was restored.
-async def test_era_is_known_as_soon_as_the_store_is_known_to_be_back():
+async def test_era_is_known_as_soon_as_the_store_is_known_to_be_back(settings):
     fleet, health, _ = await _watch(
+        settings,
         interfaces.NoNewerConfiguration(interfaces.Position(60, 1)),
         interfaces.Unreachable("down"),
         interfaces.HistoryLost(2),
@@ -79,9 +63,10 @@
     assert health.era == 2
 
 
-async def test_answer_of_a_later_era_is_read_again_from_the_start():
+async def test_answer_of_a_later_era_is_read_again_from_the_start(settings):
     position = interfaces.Position(70, 2)
     _, _, registry = await _watch(
+        settings,
         interfaces.NoNewerConfiguration(interfaces.Position(60, 1)),
         interfaces.NoNewerConfiguration(position),
         interfaces.NoNewerConfiguration(position),
@@ -89,9 +74,10 @@
     assert registry.positions == [None, interfaces.Position(60, 1), None, position]
 
 
-async def test_answer_of_an_earlier_era_counts_as_a_failed_call():
+async def test_answer_of_an_earlier_era_counts_as_a_failed_call(settings):
     position = interfaces.Position(60, 3)
     fleet, health, registry = await _watch(
+        settings,
         interfaces.NoNewerConfiguration(position),
         interfaces.NoNewerConfiguration(interfaces.Position(70, 2)),
     )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/rests.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/rests.py
@@ -2,11 +2,11 @@
 
 An endpoint that has declined requests has the least load when its rest is over, and
 would get most requests until the first answer. It therefore gets one at a time until it
-accepts one.
+answers without asking for another rest.
 
 An endpoint that asks one entry for a rest usually declines the requests of the others,
 too. Entries announce the rests that they were asked for; the others avoid the endpoint
-meanwhile, unless it has accepted a request of theirs lately.
+meanwhile, unless it has lately answered one of theirs without asking for a rest.
 """
 
 from __future__ import annotations
@@ -24,8 +24,8 @@
 TRIAL_S = 1.0
 # Time after its end for which a rest is remembered.
 KEPT_S = 30.0
-# Time for which an accepted request outweighs the rest that another entry announces.
-ACCEPTED_S = 3.0
+# Time for which an own answer without a rest outweighs an announced rest.
+ANSWERED_S = 3.0
 # Maximum number of rests in an announcement, to keep datagrams small.
 MAX_ANNOUNCED = 32
 
@@ -61,7 +61,7 @@
 
     def __init__(self) -> None:
         self._rests: dict[records.LossId, _Rest] = {}
-        self._accepted_at: dict[records.LossId, float] = {}
+        self._answered_at: dict[records.LossId, float] = {}
         self._announced_until: dict[records.LossId, float] = {}
         self._expired_at = -math.inf
 
@@ -82,9 +82,9 @@
         if rest_s > 0.0:
             until = max(now + rest_s, 0.0 if rest is None else rest.until)
             self._rests[process] = _Rest(until, until)
-            self._accepted_at.pop(process, None)
+            self._answered_at.pop(process, None)
             return
-        self._accepted_at[process] = now
+        self._answered_at[process] = now
         if rest is not None and sent_at >= rest.until:
             del self._rests[process]
 
@@ -113,18 +113,13 @@
         process = crashes.make_process_id(endpoint)
         if now >= self._announced_until.get(process, -math.inf):
             return False
-        return now - self._accepted_at.get(process, -math.inf) > ACCEPTED_S
+        return now - self._answered_at.get(process, -math.inf) > ANSWERED_S
 
     def is_resting(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Returns whether an endpoint wants no request now."""
         rest = self._find(endpoint)
         return rest is not None and now < rest.until
 
-    def is_on_trial(self, endpoint: endpoints.Endpoint, now: float) -> bool:
-        """Returns whether an endpoint has not accepted a request since its rest."""
-        rest = self._find(endpoint)
-        return rest is not None and now >= rest.until
-
     def count_available(self, endpoint: endpoints.Endpoint, now: float) -> int | None:
         """Returns how many requests may be sent now; None for any number."""
         rest = self._find(endpoint)
@@ -169,8 +164,8 @@
             for process, until in self._announced_until.items()
             if now < until
         }
-        self._accepted_at = {
+        self._answered_at = {
             process: at
-            for process, at in self._accepted_at.items()
-            if now - at <= ACCEPTED_S
+            for process, at in self._answered_at.items()
+            if now - at <= ANSWERED_S
         }
--- a/packages/chicoryweir-policy/tests/forwarding/test_rests.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_rests.py
@@ -86,7 +86,7 @@
     other.record(endpoint, 0.0, 49.8, 50.0)
     other.merge(_create_rest(endpoint).list_own(10.0), 51.0)
     assert not other.is_avoided(endpoint, 52.0)
-    assert other.is_avoided(endpoint, 50.1 + rests.ACCEPTED_S)
+    assert other.is_avoided(endpoint, 50.1 + rests.ANSWERED_S)
 
 
 def test_number_of_announced_rests_is_bounded(make_endpoint):
