Avoid an endpoint for the rests of another data centre only if several announce them

What callers could see: an endpoint that declines the requests of one data centre would soon be unused by all. An entry sends each of 16 endpoints a request every 3 s at best, so that its own answers seldom outweigh what is announced, and once it avoids an endpoint it gets none.

Rests now count within their data centre, and for all once they come from two.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -54,7 +54,7 @@
         self.outliers = outliers.OutlierDetector()
         self.crashes = crashes.CrashTracker(settings.name)
         self.rate_limits = ratelimits.RateLimits(settings.name)
-        self.rests = rests.Rests()
+        self.rests = rests.Rests(settings.data_centre)
         self.slowdowns: dict[str, float] = {}
         self._merged_slowdowns: dict[str, float] = {}
         self.ejected_until: dict[str, float] = {}
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/statementreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/statementreports.py
@@ -60,7 +60,7 @@
     """Records what endpoints stated to another entry, and logs what it changes."""
     now = fleet.clock.read()
     fleet.rate_limits.merge(announcement.rates, now)
-    fleet.rests.merge(announcement.rests, now)
+    fleet.rests.merge(announcement.rests, announcement.data_centre, now)
     for leaving in announcement.leaving:
         transition = fleet.endpoints.record_leaving(leaving)
         if transition is not None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -128,7 +128,7 @@
         self._peer_on_time = 0
         self._slowdowns: collections.abc.Mapping[str, float] = {}
         self._rate_limits = ratelimits.RateLimits(entry)
-        self._rests = rests.Rests()
+        self._rests = rests.Rests("")
         self._reservation = reservation.Reservation(entry)
         self._average_running = 0.0
         self._averaged_at = -math.inf
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/rests.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/rests.py
@@ -5,8 +5,10 @@
 answers without asking for another rest.
 
 An endpoint that asks one entry for a rest usually declines the requests of the others,
-too. Entries announce the rests that they were asked for; the others avoid the endpoint
-meanwhile, unless it has lately answered one of theirs without asking for a rest.
+too, or at least of those in the same data centre. Entries announce the rests that they
+were asked for. Those in the same data centre avoid the endpoint meanwhile, and all do
+if it rests for several data centres, unless it has lately answered one of their
+requests without asking for a rest.
 """
 
 from __future__ import annotations
@@ -26,6 +28,8 @@
 KEPT_S = 30.0
 # Time for which an own answer without a rest outweighs an announced rest.
 ANSWERED_S = 3.0
+# Number of data centres for which an endpoint rests until all entries avoid it.
+MIN_DATA_CENTRES = 2
 # Maximum number of rests in an announcement, to keep datagrams small.
 MAX_ANNOUNCED = 32
 
@@ -59,10 +63,11 @@
 class Rests:
     """Knows which endpoints want no request from this entry, and until when."""
 
-    def __init__(self) -> None:
+    def __init__(self, data_centre: str) -> None:
+        self._data_centre = data_centre
         self._rests: dict[records.LossId, _Rest] = {}
         self._answered_at: dict[records.LossId, float] = {}
-        self._announced_until: dict[records.LossId, float] = {}
+        self._announced_until: dict[records.LossId, dict[str, float]] = {}
         self._expired_at = -math.inf
 
     def record(
@@ -88,12 +93,22 @@
         if rest is not None and sent_at >= rest.until:
             del self._rests[process]
 
-    def merge(self, announced: collections.abc.Iterable[Announced], now: float) -> None:
-        """Merges the rests that another entry announces."""
+    def merge(
+        self,
+        announced: collections.abc.Iterable[Announced],
+        data_centre: str,
+        now: float,
+    ) -> None:
+        """Merges the rests that another entry announces.
+
+        Args:
+            announced: The rests.
+            data_centre: Data centre of that entry.
+            now: Present time, monotonic seconds.
+        """
         for rest in announced:
-            until = now + rest.left_s
-            known_until = self._announced_until.get(rest.process, until)
-            self._announced_until[rest.process] = max(until, known_until)
+            known = self._announced_until.setdefault(rest.process, {})
+            known[data_centre] = max(now + rest.left_s, known.get(data_centre, now))
 
     def list_own(self, now: float) -> tuple[Announced, ...]:
         """Returns the rests to announce, the longest ones first."""
@@ -111,7 +126,9 @@
         if not self._announced_until:
             return False
         process = crashes.make_process_id(endpoint)
-        if now >= self._announced_until.get(process, -math.inf):
+        announced = self._announced_until.get(process, {})
+        resting = [name for name, until in announced.items() if now < until]
+        if self._data_centre not in resting and len(resting) < MIN_DATA_CENTRES:
             return False
         return now - self._answered_at.get(process, -math.inf) > ANSWERED_S
 
@@ -160,9 +177,9 @@
             if now - rest.until <= KEPT_S
         }
         self._announced_until = {
-            process: until
-            for process, until in self._announced_until.items()
-            if now < until
+            process: announced
+            for process, announced in self._announced_until.items()
+            if now < max(announced.values())
         }
         self._answered_at = {
             process: at
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -284,7 +284,7 @@
 
 
 def _rest(dispatcher, endpoint_table, *names, rest_s=1.0):
-    known = rests.Rests()
+    known = rests.Rests("telavi")
     for name in names:
         known.record(endpoint_table.get(name), rest_s, 0.0, 0.0)
     dispatcher.set_rests(known)
--- a/packages/chicoryweir-policy/tests/forwarding/test_rests.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_rests.py
@@ -4,7 +4,7 @@
 
 
 def _create_rest(endpoint, rest_s=3.0, now=10.0):
-    known = rests.Rests()
+    known = rests.Rests("dc-1")
     known.record(endpoint, rest_s, now - 0.1, now)
     return known
 
@@ -72,8 +72,8 @@
     endpoint = make_endpoint("a")
     announced = _create_rest(endpoint).list_own(11.0)
     assert [rest.left_s for rest in announced] == [2.0]
-    other = rests.Rests()
-    other.merge(announced, 50.0)
+    other = rests.Rests("dc-1")
+    other.merge(announced, "dc-1", 50.0)
     assert other.is_avoided(endpoint, 51.9)
     assert not other.is_avoided(endpoint, 52.0)
     assert not other.is_avoided(make_endpoint("a", born_ms=2), 51.0)
@@ -82,17 +82,29 @@
 # Guards against an endpoint unused by all that declines the requests of some only.
 def test_endpoint_that_accepts_the_requests_of_this_entry_is_not_avoided(make_endpoint):
     endpoint = make_endpoint("a")
-    other = rests.Rests()
+    other = rests.Rests("dc-1")
     other.record(endpoint, 0.0, 49.8, 50.0)
-    other.merge(_create_rest(endpoint).list_own(10.0), 51.0)
+    other.merge(_create_rest(endpoint).list_own(10.0), "dc-1", 51.0)
     assert not other.is_avoided(endpoint, 52.0)
     assert other.is_avoided(endpoint, 50.1 + rests.ANSWERED_S)
 
 
 def test_number_of_announced_rests_is_bounded(make_endpoint):
-    known = rests.Rests()
+    known = rests.Rests("dc-1")
     for number in range(rests.MAX_ANNOUNCED + 8):
         known.record(make_endpoint(f"e{number}"), 1.0 + number, 0.0, 0.0)
     announced = known.list_own(0.0)
     assert len(announced) == rests.MAX_ANNOUNCED
     assert announced[0].process.instance == f"e{rests.MAX_ANNOUNCED + 7}"
+
+
+# Guards against an endpoint unused by all that declines those of one data centre only.
+def test_endpoint_that_rests_for_another_data_centre_only_is_not_avoided(make_endpoint):
+    endpoint = make_endpoint("a")
+    announced = _create_rest(endpoint).list_own(10.0)
+    other = rests.Rests("dc-1")
+    other.merge(announced, "dc-2", 10.0)
+    assert not other.is_avoided(endpoint, 11.0)
+    other.merge(announced, "dc-3", 10.5)
+    assert other.is_avoided(endpoint, 11.0)
+    assert not other.is_avoided(endpoint, 13.2)
