Tell processes of an entry apart without the time of day

Cause: an announcement was ordered by its process's start in Unix time. An entry that started while the time of day was set back was ignored by the others until they forgot its earlier process (20 s), and the lease's succession compared the same number.

Change: an incarnation is a random identifier. A process that is heard after another one of its entry replaces it, and late announcements of the ended one are ignored; one that is heard while its supposed successor is silent is taken back. The lease's holder has stopped acting if it is known to have been replaced, or is an earlier process of this entry. Clocks of a forwarding process no longer include the time of day.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -249,8 +249,5 @@
     def read(self) -> float:
         """Returns monotonic time, in seconds."""
 
-    def read_wall(self) -> float:
-        """Returns Unix time, in seconds."""
-
     def read_boot(self) -> float:
         """Returns time since boot, including suspension, in seconds."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
@@ -142,6 +142,7 @@
                 DUTY in peer.duties,
                 peer.released_fence,
                 peer.capacity,
+                self._fleet.peers.list_ended(peer.name),
             )
             for peer in self._fleet.peers.list_alive(self._fleet.clock.read())
         ]
@@ -168,7 +169,7 @@
         holder, fence = self._lease.row_holder, self._lease.row_fence
         others = self._list_peer_states()
         known = self._fleet.peers.list_known()
-        if succession.has_stopped_acting(holder, fence, [own, *others]) or (
+        if succession.has_stopped_acting(holder, fence, own, others) or (
             holder != self._lease.holder
             and succession.is_presumed_dead(holder, others, known)
         ):
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import secrets
 import signal
 import time
 
@@ -44,6 +45,9 @@
 EJECTION_PERIOD_S = 1.0
 # Interval at which the settings file is checked for changes without a signal.
 SETTINGS_CHECK_S = 2.0
+# Entries of earlier releases take the greater of two incarnations for the later
+# process, and have incarnations of fewer bits.
+INCARNATION_BITS = 62
 # Delay between two attempts to register this entry and to list the other entries.
 REGISTRATION_RETRY_S = 1.0
 
@@ -67,10 +71,6 @@
         """Returns monotonic time, in seconds."""
         return time.monotonic()
 
-    def read_wall(self) -> float:
-        """Returns Unix time, in seconds."""
-        return time.time()
-
     def read_boot(self) -> float:
         """Returns time since boot, including suspension, in seconds."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -123,7 +123,7 @@
         self._peer_fetcher = peerfetch.PeerFetcher(
             self._fleet, self._store_pool, self._configuration_watch, self._event_log
         )
-        incarnation = time.time_ns() // 1000
+        incarnation = _create_incarnation()
         self._gossip = gossips.Gossip(
             self._fleet,
             self._event_log,
@@ -391,6 +391,11 @@
         )
 
 
+def _create_incarnation() -> int:
+    """Returns a random identifier of a process."""
+    return secrets.randbits(INCARNATION_BITS - 1) | 1 << (INCARNATION_BITS - 1)
+
+
 async def run(
     settings: process.Settings,
     create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -26,6 +26,8 @@
 ALIVE_IDLE_PERIODS = 2.5
 # Time without an announcement after which an entry or address is removed.
 FORGET_S = 20.0
+# Number of ended processes remembered of each entry.
+MAX_ENDED_PROCESSES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,8 +36,9 @@
 
     Attributes:
         name: Instance name of the entry.
-        incarnation: Number that is larger for each later start of the process.
-        sequence: Sequence number of the announcement.
+        incarnation: Identifier of the process. It doesn't tell which of two processes
+            started later.
+        sequence: Sequence number of the announcement in its process.
         host: IP address of the entry.
         data_centre: Data centre of the entry.
         address: Host and port for callers.
@@ -83,10 +86,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
-    """The latest announcement of an entry; `received_at` is in monotonic seconds."""
+    """The latest announcement of an entry.
+
+    Attributes:
+        announcement: The announcement.
+        received_at: When it was received, monotonic seconds.
+        ended: Incarnations of the entry's ended processes, the latest at the end.
+    """
 
     announcement: Announcement
     received_at: float
+    ended: tuple[int, ...] = ()
 
 
 class PeerTable:
@@ -105,19 +115,35 @@
                 self._hosts.setdefault(host, now)
 
     def record(self, announcement: Announcement, now: float) -> bool:
-        """Records an announcement; returns False if it is outdated or this entry's."""
+        """Records an announcement; returns False if it is outdated or this entry's.
+
+        Two processes of an entry are told apart by their incarnations, and ordered by
+        which of them was heard first.
+        """
         if announcement.name == self._name:
             return False
         known = self._peers.get(announcement.name)
-        if known is not None and _get_version(announcement) <= _get_version(
-            known.announcement
-        ):
+        if known is not None and self._is_outdated(announcement, known, now):
             return False
-        self._peers[announcement.name] = Peer(announcement, now)
+        ended = () if known is None else _list_ended(known, announcement.incarnation)
+        self._peers[announcement.name] = Peer(announcement, now, ended)
         self._hosts[announcement.host] = now
         self.add_hosts(announcement.peers, now)
         return True
 
+    def _is_outdated(self, announcement: Announcement, known: Peer, now: float) -> bool:
+        if announcement.incarnation == known.announcement.incarnation:
+            return announcement.sequence <= known.announcement.sequence
+        # A process that is heard while its supposed successor is silent is the one that
+        # runs: an announcement of the other was late.
+        is_silent = now - known.received_at > self.alive_timeout_s
+        return announcement.incarnation in known.ended and not is_silent
+
+    def list_ended(self, name: str) -> tuple[int, ...]:
+        """Returns the incarnations of an entry's ended processes."""
+        known = self._peers.get(name)
+        return () if known is None else known.ended
+
     def expire(self, now: float) -> list[str]:
         """Removes silent hosts and entries; returns the names of removed entries."""
         self._hosts = {
@@ -170,5 +196,10 @@
         return 1 + sum(peer.ready for peer in self.list_alive(now))
 
 
-def _get_version(announcement: Announcement) -> tuple[int, int]:
-    return announcement.incarnation, announcement.sequence
+def _list_ended(known: Peer, incarnation: int) -> tuple[int, ...]:
+    """Returns the ended processes of an entry whose process is now `incarnation`."""
+    before = known.announcement.incarnation
+    if before == incarnation:
+        return known.ended
+    others = [ended for ended in known.ended if ended != incarnation]
+    return (*others, before)[-MAX_ENDED_PROCESSES:]
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/groups/succession.py
@@ -34,12 +34,13 @@
 
     Attributes:
         name: Name of its instance.
-        incarnation: Number of its process; increases with each start.
+        incarnation: Identifier of its process.
         ready: Whether it serves requests.
         reaches_store: Whether its latest calls to the store succeeded.
         holds: Whether it acts as the lease holder.
         released_fence: Highest fencing token under which it will never act again.
         capacity: Size of its machine, relative to those of other entries.
+        ended: Identifiers of earlier processes of its instance.
     """
 
     name: str
@@ -49,6 +50,7 @@
     holds: bool
     released_fence: int
     capacity: float = 0.0
+    ended: tuple[int, ...] = ()
 
 
 PeerStates = collections.abc.Sequence[PeerState]
@@ -89,23 +91,29 @@
     return not any(other.reaches_store for other in others)
 
 
-def has_stopped_acting(holder: str, fence: int, others: PeerStates) -> bool:
+def has_stopped_acting(
+    holder: str, fence: int, own: PeerState, others: PeerStates
+) -> bool:
     """Returns whether the process that wrote the lease will never act under it again.
 
     Args:
         holder: Name and incarnation of the process, joined by a slash.
         fence: Fencing token in the lease.
+        own: State of this entry.
         others: Entries with a recent announcement.
     """
     name, _, incarnation = holder.rpartition("/")
     if not incarnation.isdigit():
         return False
+    process = int(incarnation)
+    if name == own.name:
+        return process != own.incarnation
     for other in others:
         if other.name != name:
             continue
-        if other.incarnation > int(incarnation):
+        if process in other.ended:
             return True
-        return other.incarnation == int(incarnation) and other.released_fence >= fence
+        return other.incarnation == process and other.released_fence >= fence
     return False
 
 
