Send digests of counts and compressed orders between holder and agents

A change of the map is 192 times 20 KB; 36 prepare orders of each change got no answer within 0.3 s. Their agents were then passed over for 2 s, so that reports were 0.2 s old (0.25 s of each change went into checking instead of 6 ms) and counts of these ranks were not read. Counts were 20 KB for a rank over a link of 3 Mbit/s, so that only 33 of 192 ranks were read, half of them without a difference.

Change: an agent keeps the counts of its last digests and sends what was added since, one byte a value and compressed; the holder adds those of all ranks as long integers. A group is sampled at most 2.5 million numbers a second. Bodies of 1 KB and more are compressed for agents. An agent of an earlier release answers 404, and its rank is left out of samples until it is updated.

Those of the demand now read counts through digests; their checks are unchanged.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.maps import placement
 from chicoryweir_policy.rankmaps import change as changes
+from chicoryweir_policy.rankmaps import digests
 from chicoryweir_policy.rankmaps import orders
 from chicoryweir_policy.rankmaps import planning
 
@@ -44,10 +45,10 @@
     async def read_report(self, endpoint: endpoints.Endpoint) -> orders.Report | None:
         """Reads a rank's report; returns None if the call fails."""
 
-    async def read_counts(
-        self, endpoint: endpoints.Endpoint
-    ) -> tuple[int, tuple[int, ...]] | None:
-        """Reads a rank's epoch and its selection count of each expert.
+    async def read_digest(
+        self, endpoint: endpoints.Endpoint, after: int
+    ) -> digests.Digest | None:
+        """Reads the selections at a rank since an earlier digest of its agent.
 
         Returns None if the call fails or no agent is available.
         """
@@ -89,7 +90,8 @@
         self._step_s = USUAL_STEP_S
         self._last_step: tuple[int, float] | None = None
         self._recovered = False
-        self._samples = 0
+        self._sampled_at = -math.inf
+        self._digest_numbers: dict[str, int] = {}
         self._slowdowns: dict[int, float] = {}
         self._next_polled = 0
         self._loads: dict[int, tuple[int, int]] = {}
@@ -130,9 +132,9 @@
             return
         if self._maps is None and not await self._load_maps(report, layout):
             return
-        await self._sample_demand(layout)
+        is_sampled = await self._sample_demand(layout)
         self._log_load(engine)
-        if self._maps is None or self._demand is None:
+        if not is_sampled or self._maps is None or self._demand is None:
             return
         shares = self._demand.compute_shares()
         if shares is not None:
@@ -145,6 +147,8 @@
         self._maps = None
         self._demand = planning.DemandTracker(layout, now)
         self._recovered = False
+        self._sampled_at = -math.inf
+        self._digest_numbers = {}
         self._slowdowns = {}
         self._loads = {}
 
@@ -223,6 +227,7 @@
             believed=None if believed is None else round(believed, 2),
             distance=None if self._demand is None else round(self._demand.distance, 3),
             selections=None if self._demand is None else int(self._demand.selections),
+            sampled=None if self._demand is None else self._demand.sampled,
         )
         self._loads.clear()
 
@@ -290,21 +295,33 @@
         self._maps = planning.decode_maps(by_set, layout)
         return True
 
-    async def _sample_demand(self, layout: configuration.ExpertLayout) -> None:
-        size = len(self._members)
-        ranks = planning.select_sampled_ranks(self._samples, size, layout)
-        self._samples += 1
+    async def _sample_demand(self, layout: configuration.ExpertLayout) -> bool:
+        """Adds the selections at all ranks since the last sample, if a sample is due.
+
+        Returns whether there is a new sample.
+        """
+        interval_s = planning.compute_sample_interval_s(len(self._members), layout)
+        if self._now() - self._sampled_at < interval_s:
+            return False
+        self._sampled_at = self._now()
         found = await asyncio.gather(
-            *(self._client.read_counts(self._members[rank]) for rank in ranks)
+            *(self._read_digest(endpoint) for endpoint in self._members.values())
         )
-        now = self._now()
-        counts = {
-            rank: counted[1]
-            for rank, counted in zip(ranks, found, strict=True)
-            if counted is not None and counted[0] == self._epoch
-        }
+        received = [
+            digest
+            for digest in found
+            if digest is not None and digest.epoch == self._epoch
+        ]
         if self._demand is not None:
-            self._demand.add_counts(counts, now)
+            self._demand.add_digests(received, self._now())
+        return True
+
+    async def _read_digest(self, endpoint: endpoints.Endpoint) -> digests.Digest | None:
+        after = self._digest_numbers.get(endpoint.instance, digests.NO_BASE)
+        digest = await self._client.read_digest(endpoint, after)
+        if digest is not None:
+            self._digest_numbers[endpoint.instance] = digest.sequence
+        return digest
 
     async def _propose_change(
         self,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
@@ -5,7 +5,9 @@
 import collections.abc
 import dataclasses
 import typing
+import zlib
 
+from chicoryweir_daemon.forwarder import digestformat
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fetching
 from chicoryweir_daemon.forwarder import interfaces
@@ -13,6 +15,7 @@
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.rankmaps import digests
 from chicoryweir_policy.rankmaps import orders
 
 # A rank answers within a few ms. It may still execute an order after the timeout.
@@ -26,6 +29,10 @@
 # to it, or the call could not be sent.
 NO_ANSWER_STATUS = 502
 NOT_SENT_STATUS = 503
+# Size above which the body of an order is compressed for the agent. The link of an
+# agent's machine is slow, and the map of a large group is sent to each rank.
+MIN_COMPRESSED_BYTES = 1024
+COMPRESSION_HEADER = (b"Content-Encoding", b"deflate")
 
 
 _Decoded = typing.TypeVar("_Decoded")
@@ -38,7 +45,7 @@
     Attributes:
         method: HTTP method.
         agent_target: Path on the agent.
-        rank_target: Path and query on the rank.
+        rank_target: Path and query on the rank; empty if only an agent answers it.
     """
 
     method: bytes
@@ -53,10 +60,6 @@
     def report_call(self) -> Call:
         """Call that reads a rank's report."""
 
-    @property
-    def counts_call(self) -> Call:
-        """Call that reads the selection count of each expert."""
-
     @property
     def experts_call(self) -> Call:
         """Call that reads the current expert map."""
@@ -76,13 +79,6 @@
             ValueError: The body is not a valid report.
         """
 
-    def decode_counts(self, body: bytes) -> tuple[int, tuple[int, ...]]:
-        """Decodes the epoch and the selection count of each expert.
-
-        Raises:
-            ValueError: The body is not valid.
-        """
-
     def decode_experts(self, body: bytes) -> tuple[int, tuple[tuple[int, ...], ...]]:
         """Decodes the map version and the rank's experts in each layer set.
 
@@ -121,6 +117,7 @@
         self._clock = clock
         self._event_log = event_log
         self._agent_retry_at: dict[str, float] = {}
+        self._compressed: tuple[bytes, bytes] = (b"", b"")
 
     async def read_report(self, endpoint: endpoints.Endpoint) -> orders.Report | None:
         """Reads a rank's report; returns None if the call fails."""
@@ -131,17 +128,18 @@
             lambda body: self._codec.decode_report(body, lag_s),
         )
 
-    async def read_counts(
-        self, endpoint: endpoints.Endpoint
-    ) -> tuple[int, tuple[int, ...]] | None:
-        """Reads a rank's epoch and its selection count of each expert.
+    async def read_digest(
+        self, endpoint: endpoints.Endpoint, after: int
+    ) -> digests.Digest | None:
+        """Reads the selections at a rank since an earlier digest of its agent.
 
         Returns None if the call fails or no agent is available.
         """
         if not self._uses_agent(endpoint):
             return None
+        target = digestformat.encode_target(after)
         return await self._query(
-            endpoint, self._codec.counts_call, self._codec.decode_counts
+            endpoint, Call(b"GET", target, b""), digestformat.decode
         )
 
     async def read_experts(
@@ -202,17 +200,26 @@
         if not self._uses_agent(endpoint):
             return await self._call_rank(endpoint, call, body, headers)
         agent = connections.Address(endpoint.host, self._agent_port)
+        sent, sent_headers = body, headers
+        if len(body) >= MIN_COMPRESSED_BYTES:
+            sent, sent_headers = self._compress(body), (*headers, COMPRESSION_HEADER)
         try:
             return await self._fetch(
-                agent, call.method, call.agent_target, body, headers
+                agent, call.method, call.agent_target, sent, sent_headers
             )
         except fetching.FetchError as error:
             self._agent_retry_at[endpoint.host] = self._clock.read() + AGENT_RETRY_S
-            if error.sent:
+            if error.sent or not call.rank_target:
                 raise
             self._log_silent(endpoint, f"its agent: {error}")
         return await self._call_rank(endpoint, call, body, headers)
 
+    def _compress(self, body: bytes) -> bytes:
+        """Compresses a body; all ranks of a group get the same one after another."""
+        if self._compressed[0] != body:
+            self._compressed = body, zlib.compress(body, 1)
+        return self._compressed[1]
+
     def _log_silent(self, endpoint: endpoints.Endpoint, detail: str) -> None:
         self._event_log.record(
             catalogue.RANK_SILENT, peer=endpoint.instance, detail=detail
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -2,7 +2,7 @@
 
 A rank answers calls from its own machine immediately with current values, and calls
 from other machines after a delay. The agent makes no decisions: it forwards the few
-calls that are needed to balance the group's expert map.
+calls that are needed to balance the group's expert map, and sums up the rank's counts.
 """
 
 from __future__ import annotations
@@ -10,8 +10,11 @@
 import asyncio
 import collections.abc
 import dataclasses
+import secrets
 import signal
+import zlib
 
+from chicoryweir_daemon.forwarder import digestformat
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fetching
 from chicoryweir_daemon.forwarder import process
@@ -20,12 +23,19 @@
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_daemon.http1 import requestparser
 from chicoryweir_policy import catalogue
+from chicoryweir_policy.rankmaps import digests
 
 # A rank answers calls from its own machine within a few ms. The timeout is short
 # because the group may be held at a step until a lost order is sent again.
 CALL_TIMEOUT_S = 0.12
 # Status code for a call that was sent to the rank but got no answer.
 NO_ANSWER_STATUS = 502
+# Status code for a call that was not sent to the rank.
+NOT_SENT_STATUS = 503
+# Status code for a body that can't be decompressed.
+BAD_BODY_STATUS = 400
+# Number of bits of the first digest's number.
+SEQUENCE_BITS = 31
 # The body of an order with the map of the largest group has several hundred KB.
 LIMITS = callers.ServerLimits(
     max_head_bytes=16_384,
@@ -44,6 +54,9 @@
         listener: Address at which entries call the agent.
         rank: Address of the rank.
         targets: Path on the rank, by method and path on the agent.
+        counts_target: Path on the rank of its selection counts.
+        decode_counts: Returns a rank's epoch and its selections of each expert from
+            the body of its answer; raises ValueError if it is not valid.
         forwarded_headers: Names of headers forwarded with a call, in lower case.
     """
 
@@ -52,6 +65,8 @@
     rank: process.Listener
     targets: collections.abc.Mapping[tuple[bytes, bytes], bytes]
     forwarded_headers: frozenset[bytes]
+    counts_target: bytes
+    decode_counts: collections.abc.Callable[[bytes], tuple[int, tuple[int, ...]]]
 
 
 class Agent:
@@ -62,6 +77,7 @@
         self._event_log = event_log
         self._pool = connections.Pool()
         self._address = connections.Address(settings.rank.host, settings.rank.port)
+        self._digests = digests.DigestSource(secrets.randbits(SEQUENCE_BITS))
 
     def reject(self, rejected: requestparser.Rejected) -> list[heads.Header]:
         """Returns the headers of the answer to an invalid request."""
@@ -70,30 +86,91 @@
     async def handle(self, request: heads.Request, answer: callers.Answer) -> None:
         """Forwards one call to the rank and sends its answer."""
         head = request.head
+        after = digestformat.decode_target(head.target)
+        if head.method == b"GET" and after is not None:
+            await self._send_digest(after, answer)
+            return
         target = self._settings.targets.get((head.method, head.target))
         if target is None:
             answer.send(404, [])
             return
+        try:
+            body = _decode_body(request)
+        except ValueError as error:
+            self._event_log.record(catalogue.RANK_CALL_BAD, detail=str(error))
+            answer.send(BAD_BODY_STATUS, [])
+            return
         forwarded = tuple(
             header
             for header in head.headers
             if header[0].lower() in self._settings.forwarded_headers
         )
+        reply = await self._call_rank(head.method, target, body, forwarded, answer)
+        if reply is not None:
+            answer.send(reply.status, [], reply.body)
+
+    async def _send_digest(self, after: int, answer: callers.Answer) -> None:
+        """Reads the rank's counts and sends what was added since a digest."""
+        target = self._settings.counts_target
+        reply = await self._call_rank(b"GET", target, b"", (), answer)
+        if reply is None:
+            return
+        try:
+            if reply.status != 200:
+                raise ValueError(f"status {reply.status}")
+            epoch, counts = self._settings.decode_counts(reply.body)
+        except ValueError as error:
+            self._event_log.record(catalogue.RANK_SILENT, detail=str(error))
+            answer.send(NO_ANSWER_STATUS, [])
+            return
+        now = asyncio.get_running_loop().time()
+        digest = self._digests.create_digest(epoch, counts, after, now)
+        answer.send(200, [], digestformat.encode(digest))
+
+    async def _call_rank(
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        headers: tuple[heads.Header, ...],
+        answer: callers.Answer,
+    ) -> fetching.Reply | None:
+        """Calls the rank; answers the caller and returns None if the call fails."""
         try:
-            reply = await fetching.fetch(
+            return await fetching.fetch(
                 self._pool,
                 self._address,
-                head.method,
+                method,
                 target,
-                request.body,
+                body,
                 CALL_TIMEOUT_S,
-                forwarded,
+                headers,
             )
         except fetching.FetchError as error:
             self._event_log.record(catalogue.RANK_SILENT, detail=str(error))
-            answer.send(NO_ANSWER_STATUS if error.sent else 503, [])
-            return
-        answer.send(reply.status, [], reply.body)
+            answer.send(NO_ANSWER_STATUS if error.sent else NOT_SENT_STATUS, [])
+            return None
+
+
+def _decode_body(request: heads.Request) -> bytes:
+    """Returns the body of a call without its compression.
+
+    Raises:
+        ValueError: The body is not valid or too long.
+    """
+    if not any(
+        name.lower() == b"content-encoding" and value.lower() == b"deflate"
+        for name, value in request.head.headers
+    ):
+        return request.body
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(request.body, LIMITS.max_body_bytes)
+    except zlib.error as error:
+        raise ValueError(f"decompress the body: {error}") from error
+    if not decompressor.eof:
+        raise ValueError("decompress the body: incomplete or too long")
+    return body
 
 
 async def run(settings: Settings) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -66,6 +66,7 @@
 RANK_SILENT = 233
 RANK_PACE_CHANGED = 234
 GROUP_LOAD = 235
+RANK_CALL_BAD = 236
 LEASE_HELD = 240
 LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
@@ -298,7 +299,7 @@
     EventKind(
         MAP_PROPOSED,
         "map_proposed",
-        "A better expert map was computed from the expert load of some ranks.",
+        "A better expert map was computed from the expert load of the ranks.",
         "None.",
     ),
     EventKind(
@@ -326,6 +327,12 @@
         "Running and waiting requests at the ranks of a group, from their reports.",
         "Compare `running` with that of `request_ended` if streams are late.",
     ),
+    EventKind(
+        RANK_CALL_BAD,
+        "rank_call_bad",
+        "The body of an entry's call is not valid; the rank was not called.",
+        "Check the releases of the entry and the agent.",
+    ),
     EventKind(
         LEASE_HELD,
         "lease_held",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -9,12 +9,12 @@
 import collections.abc
 import dataclasses
 import math
-import operator
 
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.maps import placement
 from chicoryweir_policy.maps import popularity
 from chicoryweir_policy.maps import repair
+from chicoryweir_policy.rankmaps import digests
 from chicoryweir_policy.rankmaps import orders
 
 # Half-life of expert selection counts while the demand does not shift.
@@ -32,15 +32,15 @@
 # detected makes samples more distant, so these have less weight.
 NEARER_WEIGHT = 0.3
 FARTHER_WEIGHT = 0.1
-# Maximum time between two counts of a rank whose difference is used, unless they are
-# from consecutive samples. Selections from before a shift would hide it.
+# Maximum time that the selections of a digest may cover, unless they are from
+# consecutive samples. Selections from before a shift would hide it.
 MAX_INTERVAL_S = 1.0
-# Number of selection counts read in each sample. A group with more is sampled by some
-# ranks at a time.
-COUNTS_PER_SAMPLE = 130_000
-# Minimum number of ranks in a sample. Each rank's requests select different experts; a
-# map computed from fewer ranks would suit only those.
-MIN_SAMPLED_RANKS = 3
+# Maximum time within which the digests of one sample are made.
+SAMPLE_SPREAD_S = 0.3
+# Number of selection counts that agents read and send in a second, over all ranks of a
+# group. The requests of each rank select different experts; a map computed from some of
+# the ranks would suit only those.
+COUNTS_PER_S = 2_500_000
 # Minimum relative reduction of the step time by a change of the maps.
 MIN_GAIN = 0.12
 # Skew (greatest rank load over the mean) at which a set's map is not improved further.
@@ -73,16 +73,14 @@
         copies: Experts copied by all ranks together.
     """
 
-    maps: tuple[placement.ExpertMap, ...]
+    maps: Maps
     before: float
     after: float
     max_copies_per_rank: int
     copies: int
 
 
-def create_initial_maps(
-    layout: configuration.ExpertLayout, ranks: int
-) -> tuple[placement.ExpertMap, ...]:
+def create_initial_maps(layout: configuration.ExpertLayout, ranks: int) -> Maps:
     """Returns each set's map at a group's start: experts assigned round-robin."""
     initial = placement.create_map(
         ranks, [(expert % ranks,) for expert in range(layout.experts)]
@@ -90,7 +88,7 @@
     return (initial,) * layout.sets
 
 
-def encode_maps(maps: tuple[placement.ExpertMap, ...]) -> orders.RankMap:
+def encode_maps(maps: Maps) -> orders.RankMap:
     """Returns the experts held, indexed by set and rank."""
     return tuple(
         tuple(tuple(experts) for experts in expert_map.list_experts())
@@ -101,7 +99,7 @@
 def decode_maps(
     experts: collections.abc.Sequence[collections.abc.Sequence[tuple[int, ...]]],
     layout: configuration.ExpertLayout,
-) -> tuple[placement.ExpertMap, ...]:
+) -> Maps:
     """Returns the map of each set from the experts held, indexed by set and rank."""
     maps = []
     for by_rank in experts:
@@ -113,12 +111,17 @@
     return tuple(maps)
 
 
+# Maps of a group, one for each set.
+Maps = tuple[placement.ExpertMap, ...]
+
+
 class DemandTracker:
-    """Estimates the popularity of each set's experts from counts of sampled ranks.
+    """Estimates the popularity of each set's experts from digests of the ranks.
 
     Attributes:
         distance: Distance of the latest sample from the estimate before it, 0 to 1.
         selections: Selections in the latest sample, averaged over the sets.
+        sampled: Number of ranks whose selections are in the latest sample.
     """
 
     def __init__(self, layout: configuration.ExpertLayout, now: float) -> None:
@@ -127,32 +130,31 @@
             popularity.create_popularity(layout.experts, now)
             for _ in range(layout.sets)
         ]
-        self._latest: dict[int, tuple[float, tuple[int, ...]]] = {}
         self._usual_distance = INITIAL_DISTANCE
         self._sampled_at = -math.inf
         self.distance = 0.0
         self.selections = 0.0
+        self.sampled = 0
 
-    def add_counts(self, counts: dict[int, tuple[int, ...]], now: float) -> None:
-        """Adds selection counts.
+    def add_digests(
+        self, received: collections.abc.Sequence[digests.Digest], now: float
+    ) -> None:
+        """Adds a sample: the latest digest of each rank that sent one.
 
         Args:
-            counts: Selections of each expert since the rank's start, by rank. The first
-                counts of a rank are only the baseline of later ones.
+            received: Digests of different ranks.
             now: Present time, in seconds.
         """
         size = self._layout.experts
-        total = [0] * (size * self._layout.sets)
-        oldest_at = min(self._sampled_at, now - MAX_INTERVAL_S)
+        longest_s = max(MAX_INTERVAL_S, now - self._sampled_at + SAMPLE_SPREAD_S)
         self._sampled_at = now
-        for rank, latest in counts.items():
-            before_at, before = self._latest.get(rank, (-math.inf, ()))
-            self._latest[rank] = now, latest
-            if before_at < oldest_at or not len(before) == len(latest) == len(total):
-                continue
-            added = list(map(operator.sub, latest, before))
-            if min(added) >= 0:
-                total = list(map(operator.add, total, added))
+        used = [
+            digest
+            for digest in received
+            if digest.interval_s is not None and digest.interval_s <= longest_s
+        ]
+        self.sampled = len(used)
+        total = digests.add_digests(used, size * self._layout.sets)
         counts_by_set = [
             total[index * size : (index + 1) * size]
             for index in range(self._layout.sets)
@@ -194,25 +196,9 @@
         return [estimate.compute_shares() for estimate in self._sets]
 
 
-def select_sampled_ranks(
-    sample: int, ranks: int, layout: configuration.ExpertLayout
-) -> list[int]:
-    """Returns the ranks whose counts are read for a sample.
-
-    If not all can be read, half of the ranks are those of the sample before: only their
-    selections since then are known.
-
-    Args:
-        sample: Number of the sample, from 0.
-        ranks: Number of ranks in the group.
-        layout: Expert layout of the group.
-    """
-    count = COUNTS_PER_SAMPLE // (layout.sets * layout.experts)
-    count = min(ranks, max(2 * MIN_SAMPLED_RANKS, count))
-    if count == ranks:
-        return list(range(ranks))
-    first = sample * (count // 2)
-    return [(first + offset) % ranks for offset in range(count)]
+def compute_sample_interval_s(ranks: int, layout: configuration.ExpertLayout) -> float:
+    """Returns the minimum time between two samples of all ranks, in seconds."""
+    return ranks * layout.sets * layout.experts / COUNTS_PER_S
 
 
 def compute_copy_s(
@@ -228,7 +214,7 @@
 
 
 def compute_relative_step_time(
-    maps: tuple[placement.ExpertMap, ...],
+    maps: Maps,
     shares: list[tuple[float, ...]],
     expert_share: float,
     slowdowns: collections.abc.Sequence[float],
@@ -243,7 +229,7 @@
 
 
 def propose_maps(
-    maps: tuple[placement.ExpertMap, ...],
+    maps: Maps,
     shares: list[tuple[float, ...]],
     layout: configuration.ExpertLayout,
     slowdowns: collections.abc.Sequence[float],
@@ -270,29 +256,60 @@
         limits.insert(0, min(max(MIN_COPIES_PER_RANK, short), max_copies))
     for limit in limits:
         found, copies = _repair_maps(maps, shares, layout, slowdowns, limit)
-        after = compute_relative_step_time(found, shares, layout.share, slowdowns)
-        if (before - after) / before >= MIN_GAIN:
-            return Proposal(found, before, after, max(copies), sum(copies))
+        proposal = _create_proposal(found, before, copies, shares, layout, slowdowns)
+        if proposal is not None:
+            return proposal
     return None
 
 
+def _create_proposal(
+    maps: Maps,
+    before: float,
+    copies: list[int],
+    shares: list[tuple[float, ...]],
+    layout: configuration.ExpertLayout,
+    slowdowns: collections.abc.Sequence[float],
+) -> Proposal | None:
+    """Returns a proposal of maps, or None if the gain is less than `MIN_GAIN`."""
+    after = compute_relative_step_time(maps, shares, layout.share, slowdowns)
+    if (before - after) / before < MIN_GAIN:
+        return None
+    return Proposal(maps, before, after, max(copies), sum(copies))
+
+
+def _weight_slowdowns(slowdowns: collections.abc.Sequence[float]) -> list[float]:
+    return [
+        slowdown * SLOW_RANK_PENALTY if slowdown > 1.0 else slowdown
+        for slowdown in slowdowns
+    ]
+
+
+def _add_copies(
+    copies: list[int], before: placement.ExpertMap, after: placement.ExpertMap
+) -> list[int]:
+    """Adds the experts that each rank copies for one set's map."""
+    return [
+        copied + len(set(wanted) - set(held))
+        for copied, held, wanted in zip(
+            copies, before.list_experts(), after.list_experts(), strict=True
+        )
+    ]
+
+
 def _repair_maps(
-    maps: tuple[placement.ExpertMap, ...],
+    maps: Maps,
     shares: list[tuple[float, ...]],
     layout: configuration.ExpertLayout,
     slowdowns: collections.abc.Sequence[float],
     max_copies: int,
-) -> tuple[tuple[placement.ExpertMap, ...], list[int]]:
+) -> tuple[Maps, list[int]]:
     """Repairs maps so that no rank copies more than `max_copies` experts.
 
     Returns:
         The maps, and the number of experts that each rank copies.
     """
     ranks = maps[0].rank_count
-    weighted = [
-        slowdown * SLOW_RANK_PENALTY if slowdown > 1.0 else slowdown
-        for slowdown in slowdowns
-    ]
+    weighted = _weight_slowdowns(slowdowns)
     copies = [0] * ranks
     found = []
     for expert_map, set_shares in zip(maps, shares, strict=True):
@@ -305,13 +322,5 @@
             expert_map, set_shares, budget, TARGET_SKEW, bounds, weighted
         )
         found.append(repaired)
-        copies = [
-            copied + len(set(wanted) - set(held))
-            for copied, held, wanted in zip(
-                copies,
-                expert_map.list_experts(),
-                repaired.list_experts(),
-                strict=True,
-            )
-        ]
+        copies = _add_copies(copies, expert_map, repaired)
     return tuple(found), copies
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -7,6 +7,7 @@
 
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.maps import popularity
+from chicoryweir_policy.rankmaps import digests
 from chicoryweir_policy.rankmaps import planning
 
 LAYOUT = configuration.ExpertLayout(4, 64, 5, 2, 2.5e9, 0.85)
@@ -146,8 +147,38 @@
     assert planning.decode_maps(encoded, LAYOUT) == first.maps
 
 
+class Ranks:
+    """Agents of a group's ranks; turns their counts into digests."""
+
+    def __init__(self):
+        self._sources = {}
+        self._numbers = {}
+
+    def create_digests(self, counts, now):
+        """Returns a digest of each rank in `counts` since its digest before."""
+        created = []
+        for rank, rank_counts in counts.items():
+            source = self._sources.setdefault(rank, digests.DigestSource(1))
+            after = self._numbers.get(rank, digests.NO_BASE)
+            digest = source.create_digest(1, rank_counts, after, now)
+            self._numbers[rank] = digest.sequence
+            created.append(digest)
+        return created
+
+
+class Tracker(planning.DemandTracker):
+    """Tracker that reads the counts of ranks through their digests."""
+
+    def __init__(self, layout, now):
+        super().__init__(layout, now)
+        self._ranks = Ranks()
+
+    def add_counts(self, counts, now):
+        self.add_digests(self._ranks.create_digests(counts, now), now)
+
+
 def test_popularity_follows_a_shift_within_two_seconds():
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
     now = 0.0
     for hot in (3, 40):
@@ -180,7 +211,7 @@
 @pytest.mark.parametrize("seed", range(10))
 def test_shift_is_detected_after_one_sample(seed):
     rng = random.Random(seed)
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     decayed = [popularity.create_popularity(64, 0.0)] * 4
     total = [0] * 256
     now = 0.0
@@ -224,7 +255,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_shift_among_evenly_used_experts_is_followed(seed):
     rng = random.Random(seed)
-    tracker = planning.DemandTracker(LARGE_LAYOUT, 0.0)
+    tracker = Tracker(LARGE_LAYOUT, 0.0)
     shares = _draw_shares(LARGE_LAYOUT, rng, exponent=0.53)
     total = [0] * (LARGE_LAYOUT.sets * LARGE_LAYOUT.experts)
     now = 0.0
@@ -241,7 +272,7 @@
 def test_demand_is_estimated_from_samples_that_are_far_apart():
     rng = random.Random(3)
     shares = _draw_shares(LAYOUT, rng)
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
     for sample in range(3):
         _add_sample(tracker, shares, total, 4.0 * sample, rng)
@@ -251,7 +282,7 @@
 def test_rank_that_was_not_in_the_last_sample_shows_no_old_selections():
     rng = random.Random(4)
     before, after = (_draw_shares(LAYOUT, rng) for _ in range(2))
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
     tracker.add_counts({1: (0,) * 256}, 0.0)
     old = _count(before, 1_000_000, rng)
@@ -272,7 +303,7 @@
 def test_noise_within_one_demand_is_averaged():
     rng = random.Random(5)
     shares = _draw_shares(LAYOUT, rng)
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
     for sample in range(30):
         _add_sample(tracker, shares, total, 0.12 * sample, rng)
@@ -282,7 +313,7 @@
 def test_few_selections_are_not_a_shift():
     rng = random.Random(6)
     shares = _draw_shares(LAYOUT, rng)
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
     for sample in range(10):
         _add_sample(tracker, shares, total, 0.12 * sample, rng)
@@ -295,7 +326,7 @@
 def test_counts_of_another_length_are_ignored(wrong):
     rng = random.Random(7)
     shares = _draw_shares(LAYOUT, rng)
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
     for sample in range(4):
         now = 0.1 * sample
@@ -306,7 +337,7 @@
 
 
 def test_too_few_selections_give_no_shares():
-    tracker = planning.DemandTracker(LAYOUT, 0.0)
+    tracker = Tracker(LAYOUT, 0.0)
     tracker.add_counts({0: (0,) * 256}, 0.0)
     tracker.add_counts({0: (1,) * 256}, 0.1)
     assert tracker.compute_shares() is None
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+import zlib
 
 import fleetstandins
 import pytest
@@ -13,6 +14,7 @@
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.rankagent import service as rankagent
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.rankmaps import digests
 from chicoryweir_policy.rankmaps import orders
 from chicoryweir_standins.launch import ports
 from fleet_platform import ranks
@@ -38,7 +40,7 @@
     line = endpoint.requests[-1][0]
     bodies = {
         "/chicoryweir/report": REPORT,
-        "/chicoryweir/picked": {"step": 7, "epoch": 2, "counts": [1, 2]},
+        "/chicoryweir/picked": {"step": 7, "epoch": 2, "counts": endpoint.counts},
         "/chicoryweir/order": {},
     }
     data = json.dumps(bodies[line.split(" ")[1]]).encode()
@@ -52,6 +54,7 @@
 async def rank_setup():
     rank = fleetstandins.EndpointStandIn("i-1", _serve_rank)
     rank.order_status = 202
+    rank.counts = [1, 2]
     server = await rank.start()
     (port,) = ports.pick_ports(1)
     settings = rankagent.Settings(
@@ -60,6 +63,8 @@
         process.Listener("127.0.0.1", rank.port),
         ranks.map_agent_targets(),
         ranks.FORWARDED_HEADERS,
+        ranks.RankCodec.counts_target,
+        ranks.RankCodec().decode_counts,
     )
     client = rank_client.HttpRankClient(
         connections.Pool(), ranks.RankCodec(), port, Clock(), eventlog.EventLog("a")
@@ -80,19 +85,24 @@
     server.close()
 
 
-async def test_agent_returns_fresh_reports_and_counts(rank_setup):
-    _, client, endpoint, start_agent = rank_setup
+async def test_agent_returns_fresh_reports_and_digests_of_counts(rank_setup):
+    rank, client, endpoint, start_agent = rank_setup
     await start_agent()
     report = await client.read_report(endpoint)
     assert (report.epoch, report.step, report.prepared) == (2, 7, 4)
     assert report.lag_s == 0.0
-    assert await client.read_counts(endpoint) == (2, (1, 2))
+    first = await client.read_digest(endpoint, digests.NO_BASE)
+    assert (first.epoch, first.interval_s) == (2, None)
+    rank.counts = [5, 2]
+    second = await client.read_digest(endpoint, first.sequence)
+    assert digests.add_digests([second], 2) == [4, 0]
+    assert 0.0 < second.interval_s < 5.0
 
 
 async def test_rank_without_an_agent_is_called_directly_except_for_counts(rank_setup):
     _, client, endpoint, _ = rank_setup
     assert await client.read_report(endpoint) is not None
-    assert await client.read_counts(endpoint) is None
+    assert await client.read_digest(endpoint, digests.NO_BASE) is None
     report = await client.read_report(endpoint)
     assert report.lag_s == rank_client.REMOTE_LAG_S
 
@@ -124,6 +134,35 @@
     }
 
 
+async def test_large_order_is_compressed_for_the_agent_and_forwarded_whole(rank_setup):
+    rank, client, endpoint, start_agent = rank_setup
+    await start_agent()
+    experts = tuple(tuple((n, n + 1, n + 2) for n in range(192)) for _ in range(10))
+    order = orders.Order(orders.Operation.PREPARE, 9, 2, version=5, experts=experts)
+    assert await client.send_order(endpoint, order) is orders.Result.ACCEPTED
+    _, headers, body = rank.requests[-1]
+    assert "content-encoding" not in headers
+    assert len(body) > 8 * len(client._compress(body))
+    assert json.loads(body)["map"] == [[list(held) for held in s] for s in experts]
+
+
+@pytest.mark.parametrize(
+    "body", [b"{}", zlib.compress(b"x" * 5_000_000), zlib.compress(b"x" * 99)[:-9]]
+)
+async def test_bad_compressed_body_is_not_forwarded(rank_setup, body):
+    rank, client, _, start_agent = rank_setup
+    await start_agent()
+    reader, writer = await asyncio.open_connection("127.0.0.1", client._agent_port)
+    writer.write(
+        b"POST /order HTTP/1.1\r\nHost: h\r\nContent-Encoding: deflate\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(body)
+    )
+    writer.write(body)
+    assert (await reader.readline()).split()[1] == b"400"
+    writer.close()
+    assert not rank.requests
+
+
 async def test_unanswered_order_is_lost_and_not_sent_twice(rank_setup):
     rank, client, endpoint, start_agent = rank_setup
     await start_agent()
