Name few other entries in an announcement, in turn

Cause: each announcement listed the hosts of all entries alive, and is sent to all of them, so that an entry's bytes grew with the square of the fleet. At more than 200 entries one was also forgotten before it counted as ended.

Change: an announcement names 8 hosts, others each time. An entry is forgotten after 20 s or once it no longer counts as alive, whichever is later.

Tests: all hosts are named in turn; a new entry that knows one host learns of 99 within four rounds with losses; an entry of 380 is kept until it counts as ended.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -143,7 +143,7 @@
             ready=self._fleet.is_ready,
             version=self._fleet.version,
             endpoint_loads=endpoint_loads,
-            peers=tuple(sorted(peer.host for peer in alive)),
+            peers=self._fleet.peers.select_announced_hosts(now),
             duties=self._fleet.duties,
             on_time=on_time,
             released_fence=self._fleet.released_fence,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -24,8 +24,12 @@
 # likely than the end of an entry.
 ALIVE_S = 1.0
 ALIVE_IDLE_PERIODS = 2.5
-# Time without an announcement after which an entry or address is removed.
+# Time without an announcement after which an entry or address is removed, unless the
+# entry still counts as alive.
 FORGET_S = 20.0
+# Number of other entries' hosts in an announcement. It is sent to all entries, and each
+# of them names others.
+ANNOUNCED_HOSTS = 8
 # Number of ended processes remembered of each entry.
 MAX_ENDED_PROCESSES = 8
 
@@ -45,7 +49,7 @@
         ready: Whether it accepts callers.
         version: Version of its configuration; 0 if it has none.
         endpoint_loads: Load that it put on the endpoints, by instance.
-        peers: Hosts of entries that it considers alive.
+        peers: Hosts of some of the entries that it considers alive.
         duties: Fleet-wide duties that it performs.
         on_time: Number of queued requests that can still be on time, by service.
         released_fence: Highest fencing token under which it will never act again.
@@ -107,6 +111,7 @@
         self._host = host
         self._peers: dict[str, Peer] = {}
         self._hosts: dict[str, float] = {}
+        self._next_announced = 0
 
     def add_hosts(self, hosts: collections.abc.Iterable[str], now: float) -> None:
         """Adds hosts on which an entry may run."""
@@ -146,13 +151,14 @@
 
     def expire(self, now: float) -> list[str]:
         """Removes silent hosts and entries; returns the names of removed entries."""
+        forget_s = max(FORGET_S, self.alive_timeout_s)
         self._hosts = {
-            host: at for host, at in self._hosts.items() if now - at <= FORGET_S
+            host: at for host, at in self._hosts.items() if now - at <= forget_s
         }
         removed = [
             name
             for name, peer in self._peers.items()
-            if now - peer.received_at > FORGET_S
+            if now - peer.received_at > forget_s
         ]
         for name in removed:
             del self._peers[name]
@@ -162,6 +168,14 @@
         """Returns the hosts to send announcements to."""
         return sorted(self._hosts)
 
+    def select_announced_hosts(self, now: float) -> tuple[str, ...]:
+        """Returns the hosts of some entries that are alive, others in each call."""
+        hosts = sorted(peer.host for peer in self.list_alive(now))
+        count = min(len(hosts), ANNOUNCED_HOSTS)
+        first = self._next_announced
+        self._next_announced = first + count
+        return tuple(sorted(hosts[(first + n) % len(hosts)] for n in range(count)))
+
     @property
     def announce_period_s(self) -> float:
         """Period of announcements while there are updates, in seconds."""
--- a/packages/chicoryweir-policy/tests/forwarding/test_peers.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of the table of other entries and of the addresses for callers."""
 
 import dataclasses
+import random
 
 import pytest
 
@@ -81,6 +82,66 @@
     assert datagrams_per_s <= peers.FULL_RATE_ENTRIES / small_fleet_period_s
 
 
+def _create_table(count, now=0.0):
+    table = peers.PeerTable("a", "10.0.0.1")
+    for number in range(count):
+        name, host = f"p{number}", f"10.0.1.{number}"
+        table.record(dataclasses.replace(ANNOUNCEMENT, name=name, host=host), now)
+    return table
+
+
+# Guards against announcements whose size grows with the fleet: each is sent to all.
+@pytest.mark.parametrize("count", [3, 99, 380])
+def test_announced_hosts_are_few_and_cover_all_in_turn(count):
+    table = _create_table(count)
+    hosts = set()
+    for _ in range(count // peers.ANNOUNCED_HOSTS + 1):
+        announced = table.select_announced_hosts(0.1)
+        assert len(announced) == len(set(announced)) <= peers.ANNOUNCED_HOSTS
+        hosts.update(announced)
+    assert hosts == {f"10.0.1.{number}" for number in range(count)}
+
+
+def test_silent_entries_are_not_announced():
+    table = _create_table(3)
+    assert table.select_announced_hosts(60.0) == ()
+
+
+# Guards against an entry that is forgotten before it counts as ended.
+def test_entry_of_a_large_fleet_is_kept_until_it_counts_as_ended():
+    table = _create_table(380)
+    later = table.alive_timeout_s - 0.1
+    assert later > peers.FORGET_S
+    assert table.expire(later) == []
+    assert len(table.list_alive(later)) == 380
+
+
+# A new entry that knows one other learns of all from the hosts that they announce.
+@pytest.mark.parametrize("seed", range(3))
+def test_new_entry_learns_of_a_large_fleet_within_seconds(seed):
+    rng = random.Random(seed)
+    running = [f"10.0.1.{number}" for number in range(99)]
+    table = peers.PeerTable("a", "10.0.0.1")
+    table.add_hosts(running[:1], 0.0)
+    fleet = _create_table(99)
+    rounds = 0
+    while len(table.list_hosts()) < 99:
+        rounds += 1
+        assert rounds <= 4
+        for host in table.list_hosts():
+            if rng.random() < 0.05:
+                continue
+            for _ in range(rng.randrange(20)):
+                announced = fleet.select_announced_hosts(0.1)
+            name = f"p{host.rpartition('.')[2]}"
+            table.record(
+                dataclasses.replace(
+                    ANNOUNCEMENT, name=name, host=host, sequence=rounds, peers=announced
+                ),
+                float(rounds),
+            )
+
+
 def test_hosts_of_announced_peers_are_added():
     table = peers.PeerTable("a", "10.0.0.1")
     table.record(ANNOUNCEMENT, 0.0)
