Believe no refusal that may belong to an earlier request

Cause: an answer without an attempt's id counted as the answer to the current request, and one with its id as that of the current attempt, on any connection. An endpoint that wrote an earlier refusal (503 with its word that nothing ran, or 421) once more on a kept connection made the entry run a payment at a second endpoint, or tell its caller that it had not run while it was running.

Change: an answer without an id is believed only as the first on its connection. An attempt at an endpoint that refused the same request before opens a new connection.

Tests: with a real entry and endpoints that repeat refusals, five cases failed before (503 for requests that ran, two runs of one payment), none now.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -100,6 +100,7 @@
         target: relay.Relay,
         answer: callers.Answer,
         fresh: bool,
+        refused_before: bool,
     ) -> Outcome:
         """Sends the request and relays its answer.
 
@@ -111,12 +112,19 @@
             answer: Answer to the caller, for flow control.
             fresh: Whether to avoid an idle connection, which the endpoint may be
                 closing.
+            refused_before: Whether this endpoint answered an earlier attempt of the
+                request that it did not run. It might repeat that answer on an earlier
+                connection, so that a new one is opened.
         """
         address = connections.Address(
             self._endpoint.host, self._endpoint.port, self._endpoint.instance
         )
         try:
-            connection = await self._pool.acquire(address, fresh, self._clock.read())
+            if refused_before:
+                connection = await self._pool.open(address)
+            else:
+                now = self._clock.read()
+                connection = await self._pool.acquire(address, fresh, now)
         except connections.ConnectError as error:
             return Failed(retries.Failure.NOT_SENT, str(error))
         is_complete = False
@@ -162,6 +170,10 @@
             match event:
                 case heads.AnswerHead():
                     answer_facts = self._header_codec.read_answer(event)
+                    if answer_facts.attempt_id is None and connection.has_answered:
+                        # It may repeat what was sent to an earlier request.
+                        detail = f"status {event.status} without the attempt's id"
+                        return None, Failed(retries.Failure.GARBLED, detail)
                     if answer_facts.attempt_id in (None, facts.attempt_id):
                         return await self._process_answer(
                             connection, event, answer_facts, target, answer
@@ -199,7 +211,10 @@
             return None, Failed(retries.Failure.GARBLED, detail)
         if head.status >= 500 or head.status in NOT_RUN_STATUSES:
             return await self._read_error_answer(connection, head, facts)
-        target.start(head)
+        try:
+            target.start(head)
+        except relay.RelayError as error:
+            return None, Failed(retries.Failure.GARBLED, str(error))
         return await self._relay_answer(connection, head, target, answer)
 
     async def _relay_answer(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -61,7 +61,14 @@
 
 
 class Connection(asyncio.Protocol):
-    """A client connection that carries one request at a time."""
+    """A client connection that carries one request at a time.
+
+    Attributes:
+        has_answered: Whether it carried an answer to an earlier request.
+        idle_since: Since when it is idle, monotonic seconds.
+        idle_timeout_s: Time after which the peer closes it while it is idle.
+        on_idle_closed: Called if it is closed while it is idle.
+    """
 
     def __init__(self) -> None:
         self._parser = answerparser.AnswerParser()
@@ -72,6 +79,7 @@
         self._received_eof = False
         self._closed = False
         self._in_use = False
+        self.has_answered = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.on_idle_closed: typing.Callable[[Connection], None] | None = None
@@ -157,6 +165,7 @@
             self.abort()
             return False
         self._in_use = False
+        self.has_answered = True
         self.idle_since = now
         self.idle_timeout_s = _parse_idle_timeout(head)
         return True
@@ -228,7 +237,7 @@
                 continue
             idle.append(connection)
             break
-        return await self._open(address)
+        return await self.open(address)
 
     async def is_refused(self, address: Address, timeout_s: float) -> bool:
         """Returns whether the peer refuses a new connection, since nothing listens.
@@ -239,7 +248,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                connection = await self._open(address)
+                connection = await self.open(address)
         except (ConnectError, TimeoutError) as error:
             return isinstance(error.__cause__, ConnectionRefusedError)
         connection.abort()
@@ -265,7 +274,12 @@
         with contextlib.suppress(ValueError, KeyError):
             self._idle[address].remove(connection)
 
-    async def _open(self, address: Address) -> Connection:
+    async def open(self, address: Address) -> Connection:
+        """Opens a new connection.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
