Write no failure of a later attempt into an answer that has begun

Cause: once a stream had begun and broken off, an answer of the next endpoint with status 2xx, 3xx or 4xx was relayed as its continuation: its text came into the caller's stream, and one without a body ended the stream as if it were complete. A large body of an idempotent request that broke off was run again, and the second answer was written after the first part of the other.

Change: a stream that has begun goes on only with answers of its status and media type; others count as failed attempts, and the next endpoint is tried. Bodies that have begun are broken off without a further run.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -39,7 +39,11 @@
     begun: bool
 
     def start(self, head: heads.AnswerHead) -> None:
-        """Starts to relay the answer of an attempt."""
+        """Starts to relay the answer of an attempt.
+
+        Raises:
+            RelayError: The answer doesn't go on with the one that has begun.
+        """
 
     def feed(self, data: bytes) -> bool:
         """Processes part of the body; returns whether data was sent to the caller.
@@ -71,7 +75,13 @@
         return None
 
     def start(self, head: heads.AnswerHead) -> None:
-        """Starts to relay the answer of an attempt."""
+        """Starts to relay the answer of an attempt.
+
+        Raises:
+            RelayError: Part of another answer was sent to the caller.
+        """
+        if self.begun:
+            raise RelayError("a second answer after the body had begun")
         self._head = head
         self._buffer = bytearray()
 
@@ -119,7 +129,14 @@
         return self._last_id
 
     def start(self, head: heads.AnswerHead) -> None:
-        """Starts to relay the answer of an attempt; the caller gets the first head."""
+        """Starts to relay the answer of an attempt; the caller gets the first head.
+
+        Raises:
+            RelayError: The stream has begun, and the answer is not part of it.
+        """
+        if self.begun:
+            assert self._head is not None
+            _check_resumes(self._head, head)
         self._splitter = eventstream.EventSplitter()
         self._unsent_bytes = 0
         # Without a length or chunks, the end of a process before its first event looks
@@ -172,6 +189,20 @@
         return int(event.event_id) <= int(self._last_id)
 
 
+def _check_resumes(first: heads.AnswerHead, head: heads.AnswerHead) -> None:
+    """Raises `RelayError` unless an answer can go on with a stream that has begun."""
+    if head.status != first.status:
+        raise RelayError(f"status {head.status} after the stream had begun")
+    media_type, expected = _read_media_type(head), _read_media_type(first)
+    if media_type != expected:
+        raise RelayError(f"{media_type!r} after a stream of {expected!r} had begun")
+
+
+def _read_media_type(head: heads.AnswerHead) -> bytes:
+    value = head.find(b"content-type") or b""
+    return value.partition(b";")[0].strip().lower()
+
+
 def write_head(
     answer: callers.Answer, head: heads.AnswerHead, length: int | None
 ) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/retries.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/retries.py
@@ -125,6 +125,8 @@
     may_retry = failure.proves_not_run or route.retryable
     if not may_retry:
         return _end(failure, history, "the request may not be repeated")
+    if history.answer_begun and route.kind is not configuration.RouteKind.STREAM:
+        return Abort("an answer that has begun can't be resumed")
     if remaining_s < MIN_USEFUL_S:
         return _end(failure, history, "no time is left")
     if history.attempts >= route.max_attempts:
