Check the numbers of a digest, and compress orders only for agents that send digests

Cause, found in reading the change: a digest with a negative scale would have ended the task that balances the groups, and a huge one taken all memory; an agent of an earlier release would have passed a compressed order on to its rank.

Change: digests out of bounds are rejected with an error. Orders are compressed for an agent once it has sent a digest, which a holder reads before each change.

Tests: bounds, and the first order to an agent that has sent no digest.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/digestformat.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/digestformat.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 import zlib
 
@@ -16,6 +17,8 @@
 _PART_COUNT = 6
 # Maximum number of sets multiplied by that of experts.
 MAX_VALUES = 1 << 20
+# Maximum power of two by which values are multiplied.
+MAX_SCALE = 40
 # The values are small already; a higher level saves few bytes.
 _COMPRESSION_LEVEL = 1
 _DECODING_ERRORS = (TypeError, ValueError, LookupError, OverflowError, zlib.error)
@@ -58,13 +61,25 @@
         parts: typing.Any = cbor2.loads(data)
         if len(parts) != _PART_COUNT or parts[0] != FORMAT_VERSION:
             raise ValueError(f"format {parts[0]!r} with {len(parts)} parts")
-        values = zlib.decompressobj()
-        return digests.Digest(
+        digest = digests.Digest(
             sequence=int(parts[1]),
             epoch=int(parts[2]),
             interval_s=None if parts[3] is None else float(parts[3]),
             scale=int(parts[4]),
-            values=values.decompress(parts[5], MAX_VALUES),
+            values=zlib.decompressobj().decompress(parts[5], MAX_VALUES),
         )
+        _check_bounds(digest)
+        return digest
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         raise ValueError(f"not a digest: {error!r}") from error
+
+
+def _check_bounds(digest: digests.Digest) -> None:
+    """Raises `ValueError` if a number of a digest is out of its bounds."""
+    interval_s = 0.0 if digest.interval_s is None else digest.interval_s
+    is_valid = digest.sequence >= 0 and 0 <= digest.scale <= MAX_SCALE
+    if not (is_valid and 0.0 <= interval_s < math.inf):
+        raise ValueError(
+            f"out of bounds: sequence {digest.sequence}, scale {digest.scale}, "
+            f"interval_s {digest.interval_s}"
+        )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
@@ -118,6 +118,8 @@
         self._event_log = event_log
         self._agent_retry_at: dict[str, float] = {}
         self._compressed: tuple[bytes, bytes] = (b"", b"")
+        # Agents of earlier releases send no digests and can't decompress orders.
+        self._hosts_with_digests: set[str] = set()
 
     async def read_report(self, endpoint: endpoints.Endpoint) -> orders.Report | None:
         """Reads a rank's report; returns None if the call fails."""
@@ -138,9 +140,12 @@
         if not self._uses_agent(endpoint):
             return None
         target = digestformat.encode_target(after)
-        return await self._query(
+        digest = await self._query(
             endpoint, Call(b"GET", target, b""), digestformat.decode
         )
+        if digest is not None:
+            self._hosts_with_digests.add(endpoint.host)
+        return digest
 
     async def read_experts(
         self, endpoint: endpoints.Endpoint
@@ -201,7 +206,8 @@
             return await self._call_rank(endpoint, call, body, headers)
         agent = connections.Address(endpoint.host, self._agent_port)
         sent, sent_headers = body, headers
-        if len(body) >= MIN_COMPRESSED_BYTES:
+        is_large = len(body) >= MIN_COMPRESSED_BYTES
+        if is_large and endpoint.host in self._hosts_with_digests:
             sent, sent_headers = self._compress(body), (*headers, COMPRESSION_HEADER)
         try:
             return await self._fetch(
--- a/packages/chicoryweir-daemon/tests/forwarder/test_digestformat.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_digestformat.py
@@ -1,5 +1,6 @@
 """Tests of the encoding of digests."""
 
+import dataclasses
 import random
 
 import cbor2
@@ -35,6 +36,24 @@
             continue
 
 
+# A value that can't be used would end the task that balances the groups.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"scale": -1},
+        {"scale": digestformat.MAX_SCALE + 1},
+        {"sequence": -1},
+        {"interval_s": -0.1},
+        {"interval_s": float("nan")},
+        {"interval_s": float("inf")},
+    ],
+)
+def test_digest_out_of_bounds_is_rejected(changes):
+    data = digestformat.encode(dataclasses.replace(DIGEST, **changes))
+    with pytest.raises(ValueError, match="out of bounds"):
+        digestformat.decode(data)
+
+
 @pytest.mark.parametrize(
     "parts", [(2, 9, 2, 0.2, 3, b""), (1, 9), (1, "x", 2, 0.2, 3, b""), 5]
 )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -66,6 +66,10 @@
 MIN_SELECTIONS_PER_EXPERT = 20.0
 
 
+# Maps of a group, one for each set.
+Maps = tuple[placement.ExpertMap, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Proposal:
     """Proposed maps with shorter steps.
@@ -116,10 +120,6 @@
     return tuple(maps)
 
 
-# Maps of a group, one for each set.
-Maps = tuple[placement.ExpertMap, ...]
-
-
 class DemandTracker:
     """Estimates the popularity of each set's experts from digests of the ranks.
 
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -139,10 +139,22 @@
     await start_agent()
     experts = tuple(tuple((n, n + 1, n + 2) for n in range(192)) for _ in range(10))
     order = orders.Order(orders.Operation.PREPARE, 9, 2, version=5, experts=experts)
-    assert await client.send_order(endpoint, order) is orders.Result.ACCEPTED
-    _, headers, body = rank.requests[-1]
-    assert "content-encoding" not in headers
-    assert len(body) > 8 * len(client._compress(body))
+    sent = []
+    fetch = client._fetch
+
+    async def record(address, method, target, body, headers):
+        sent.append(len(body))
+        return await fetch(address, method, target, body, headers)
+
+    client._fetch = record
+    for _ in range(2):
+        assert await client.send_order(endpoint, order) is orders.Result.ACCEPTED
+        _, headers, body = rank.requests[-1]
+        assert "content-encoding" not in headers
+        # An agent of an earlier release can't decompress orders.
+        assert await client.read_digest(endpoint, digests.NO_BASE) is not None
+    assert sent[0] == len(body)
+    assert sent[2] < len(body) / 8
     assert json.loads(body)["map"] == [[list(held) for held in s] for s in experts]
 
 
