Trim the audit trail in the order of its rows

Cause: the oldest records were those with the lowest keys, which begin with the time of day. A change that was made while it was set back could be the first to be deleted.

Change: records are trimmed by the versions of their rows, as they are listed. The notes of `explain` are sorted by their ages, before the time of day is added for display.

Tests: a record with an earlier time and a later version was deleted before, and is kept now. Nothing else orders by the time of day on the product's own path: logs, drain rows and heads only show it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/explanations.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/explanations.py
@@ -32,18 +32,18 @@
         self._core_task.post(events.NotesRequested(number, request_id))
         await asyncio.sleep(GATHER_TIME_S)
         reports = self._reports_by_query.pop(number)
+        dated = [(report.instance, note) for report in reports for note in report.notes]
+        dated.sort(key=lambda pair: -pair[1].age_s)
         now = time.time()
-        records = [
+        return [
             {
-                "instance": report.instance,
+                "instance": instance,
                 "at": now - note.age_s,
                 "step": note.step,
                 "detail": {"text": note.detail},
             }
-            for report in reports
-            for note in report.notes
+            for instance, note in dated
         ]
-        return sorted(records, key=lambda record: typing.cast(float, record["at"]))
 
     def _add_report(self, report: commands.ReportNotes) -> None:
         reports = self._reports_by_query.get(report.number)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/audit.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/audit.py
@@ -25,7 +25,8 @@
 
     Attributes:
         record_id: Unique identifier of the action.
-        at: Wall-clock time in seconds; orders the trail and is shown to operators.
+        at: Unix time in seconds, shown to operators. The versions of the rows order the
+            trail.
         who: Operator or instance that acted.
         kind: Kind of the action, such as `settings` or `drain`.
         reason: Reason that the operator gave.
@@ -139,11 +140,12 @@
 
     Writers that trim concurrently delete the same rows, which is harmless.
     """
-    keys = sorted(row.key for row in rows if row.key.startswith(PREFIX))
-    expired = keys[: max(0, len(keys) - max_records)][:MAX_TRIM_ROWS]
+    records = [row for row in rows if row.key.startswith(PREFIX)]
+    records.sort(key=lambda row: row.version)
+    expired = records[: max(0, len(records) - max_records)][:MAX_TRIM_ROWS]
     if not expired:
         return None
-    return store.Transact((), tuple(store.Write(key, None) for key in expired))
+    return store.Transact((), tuple(store.Write(row.key, None) for row in expired))
 
 
 def _render_change(change: difference.Change) -> store.Json:
--- a/packages/chicoryweir-policy/tests/settings/test_audit.py
+++ b/packages/chicoryweir-policy/tests/settings/test_audit.py
@@ -47,6 +47,17 @@
     assert audit.plan_trim(rows, max_records=5) is None
 
 
+# Guards against the loss of the newest record if the time of day was set back.
+def test_trim_keeps_the_latest_rows_whatever_their_time_of_day() -> None:
+    rows = make_rows(4)
+    record = audit.Record("late", 0.0, "dato", "settings", "")
+    write = audit.make_write(record)
+    latest = store.Row(write.key, 99, write.value)
+    plan = audit.plan_trim([latest, *rows], max_records=3)
+    assert plan is not None
+    assert [write.key for write in plan.writes] == [row.key for row in rows[:2]]
+
+
 def test_long_changes_are_truncated() -> None:
     change = difference.Change("/x", "v" * 10_000, None)
     record = audit.Record("id", 1.0, "dato", "settings", "", (change,) * 150)
