Name what attempts, relays and the table of entries do in plainer terms

Cause: found in reading the change as a newcomer: `refused_before` is also true after other failures, and "brings the answer on" is no term of the field. No behaviour changes; tests as before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -101,7 +101,7 @@
         target: relay.Relay,
         answer: callers.Answer,
         fresh: bool,
-        refused_before: bool,
+        tried_before: bool,
     ) -> Outcome:
         """Sends the request and relays its answer.
 
@@ -113,15 +113,15 @@
             answer: Answer to the caller, for flow control.
             fresh: Whether to avoid an idle connection, which the endpoint may be
                 closing.
-            refused_before: Whether this endpoint answered an earlier attempt of the
-                request that it did not run. It might repeat that answer on an earlier
-                connection, so that a new one is opened.
+            tried_before: Whether an earlier attempt was sent to this endpoint. It might
+                repeat its answer to that one on an earlier connection, so that a new
+                connection is opened.
         """
         address = connections.Address(
             self._endpoint.host, self._endpoint.port, self._endpoint.instance
         )
         try:
-            if refused_before:
+            if tried_before:
                 connection = await self._pool.open(address)
             else:
                 now = self._clock.read()
@@ -311,7 +311,7 @@
         return event
 
     def _note_progress(self) -> None:
-        """Records that the part received last brought the answer on."""
+        """Records that the answer made progress with the part received last."""
         now = self.last_received_at
         if self.first_part_at is None:
             self.first_part_at = now
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -192,7 +192,7 @@
                 self._relay,
                 self._answer,
                 fresh=not self._route.retryable,
-                refused_before=endpoint.instance in self._excluded,
+                tried_before=endpoint.instance in self._excluded,
             )
             may_have_crashed = attempts.may_have_crashed(outcome)
         except asyncio.CancelledError:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -46,7 +46,7 @@
         """
 
     def feed(self, data: bytes) -> bool:
-        """Processes part of the body; returns whether it brings the answer on.
+        """Processes part of the body; returns whether the answer made progress.
 
         Raises:
             RelayError: The body is not one that can be relayed.
@@ -147,8 +147,8 @@
     def feed(self, data: bytes) -> bool:
         """Sends the complete events that the caller hasn't received yet.
 
-        Returns whether any of them has data: bytes of an incomplete event and comments
-        don't bring a stream on.
+        Returns whether any of them has data: comments and bytes of an incomplete event
+        are no progress.
 
         Raises:
             RelayError: There was no such event in `MAX_UNSENT_BYTES`.
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -122,8 +122,8 @@
     def record(self, announcement: Announcement, now: float) -> bool:
         """Records an announcement; returns False if it is outdated or this entry's.
 
-        Two processes of an entry are told apart by their incarnations, and ordered by
-        which of them was heard first.
+        Of two processes of an entry, the one whose first announcement was received
+        later is taken for the one that runs.
         """
         if announcement.name == self._name:
             return False
