--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,15 +10,19 @@
 
 # Share of the orders that get no answer; the site's largest dose is 0.35.
 LATE_SHARE = 0.35
+# The longest time for which orders are lost at the site, in seconds.
+LATE_S = 5.5
+# They begin to be lost this long after the callers have asked.
+LATE_AFTER_S = 1.0
 GRACE_S = 8.0
 # Groups of the deployment, and their ranks.
 GROUPS, RANKS = 4, 12
 CALLERS = 14
 ANSWER_TOKENS = (40, 60)
 # After these callers nobody asks for a while; then single ones do, at random.
-QUIET_S = 2.5
+QUIET_S = 1.5
 SINGLE_CALLS_PER_S, SINGLE_S = 2.0, 3.0
-LENGTH_S = 102.0
+LENGTH_S = 88.0
 
 
 async def restart(entry, ports):
@@ -33,9 +37,6 @@
     found = await groupsystem.start(
         record, system, entries=3, require_fencing=True, count=GROUPS, size=RANKS
     )
-    if harness.has_trouble():
-        for group in found.groups:
-            group.late_share = LATE_SHARE
     running = set()
     stopping = None
 
@@ -51,7 +52,12 @@
         for group in found.groups:
             group.shift_demand()
         record.write(f"{CALLERS} callers ask")
-        await asyncio.gather(*(ask() for _ in range(CALLERS)))
+        first = [asyncio.create_task(ask()) for _ in range(CALLERS)]
+        await asyncio.sleep(LATE_AFTER_S)
+        if harness.has_trouble():
+            for group in found.groups:
+                group.lose_orders(LATE_SHARE, LATE_S)
+        await asyncio.gather(*first)
         await asyncio.sleep(QUIET_S)
         for group in found.groups:
             armed = [rank.armed for rank in group.ranks if rank.armed]
--- a/review/standins/group.py
+++ b/review/standins/group.py
@@ -291,7 +291,9 @@
         self.require_fencing = require_fencing
         self.epoch = 1
         self.step = 0
-        self.late_share = 0.0
+        self._late_share = 0.0
+        self._late_until = 0.0
+        self._late_window = [0, 0]
         self.orders = 0
         self.late_orders = 0
         self.passes = 0
@@ -326,10 +328,22 @@
             total = sum(weights)
             self._weights.append([weight / total for weight in weights])
 
+    def lose_orders(self, share, for_s):
+        """Leaves a share of the orders unanswered from now on for some seconds."""
+        self._late_share = share
+        self._late_until = self.record.now() + for_s
+        self._late_window = [0, 0]
+
     def loses_next_order(self):
         """Draws whether an order gets no answer; never more than the share of them."""
-        allowed = self.late_share * self.orders
-        return random.random() < self.late_share and self.late_orders + 1 <= allowed
+        if self.record.now() >= self._late_until:
+            return False
+        self._late_window[0] += 1
+        orders, late = self._late_window
+        if late + 1 > self._late_share * orders or random.random() >= self._late_share:
+            return False
+        self._late_window[1] += 1
+        return True
 
     @property
     def is_idle(self):
