--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -19,6 +19,12 @@
 # Variables that the platform passes on to a role.
 PASSED_VARIABLES = ("PATH", "HOME", "LANG")
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+# Addresses on which a case may listen: entries, workers with their agents, the store.
+HOSTS = (
+    *(f"127.0.2.{number}" for number in range(1, 4)),
+    *(f"127.0.3.{number}" for number in range(1, 49)),
+    "127.0.4.1",
+)
 
 
 class CannotRun(Exception):
@@ -31,13 +37,14 @@
 
 
 def pick_port():
-    """Returns a port that is free on all loopback addresses now."""
+    """Returns a port that is free on all addresses of a case now."""
     while True:
         port = random.randrange(20000, 32000)
         try:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    probe.bind(("0.0.0.0", port))
+            for host in HOSTS:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind((host, port))
         except OSError:
             continue
         return port
