Install the build requirements of hdrhistogram in make setup

hdrhistogram has no wheel for arm64 and is built from its source there, without build isolation, which needs wheel and pbr beside hatchling. make setup passed on a fresh arm64 machine with both.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --constraint constraints.txt hatchling editables
+	$(BIN)/pip install --quiet --constraint constraints.txt hatchling editables wheel pbr
 	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation \
 	  $(foreach p,$(PACKAGES),--editable $(p)) --requirement requirements-dev.txt
 	touch $@
