Take no odd registration for an endpoint, and end on none

Callers saw: nothing was served any more.

Cause: decode_registration caught decoding errors, but msgspec raises RecursionError for nested JSON, also in fields that it skips. The exception ended the endpoint watch, and the process with it. Other values got past the decoder and broke later steps: a port in superscript digits, ports of 5,000 digits, a group of 10^12 ranks, a name that adds a header to requests.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/heads.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/heads.py
@@ -22,6 +22,8 @@
     }
 )
 _BODILESS_STATUSES = frozenset({204, 304})
+# Maximum number of digits of a number in a header.
+MAX_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +96,12 @@
     return None
 
 
+def parse_whole_number(value: bytes) -> int | None:
+    """Returns a whole number from a header; None if the value is none or too long."""
+    digits = value.strip()
+    return int(digits) if digits.isdigit() and len(digits) <= MAX_DIGITS else None
+
+
 def strip_connection_headers(headers: tuple[Header, ...]) -> list[Header]:
     """Returns the headers to forward: all but the hop-by-hop ones.
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -10,8 +10,17 @@
 
 import collections.abc
 import dataclasses
+import ipaddress
 import math
 
+# Bounds of a registration, far above what endpoints register. A value beyond them is
+# another writer's, and would break what is computed from it.
+MAX_NAME_LENGTH = 200
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 86_400.0
+MAX_BORN_MS = 1 << 53
+MAX_EPOCH = 1 << 53
+MAX_GROUP_SIZE = 1 << 16
 # Time after a store outage until missing endpoints are removed. A live endpoint
 # registers again within about 2 s of the store's return.
 LAPSE_GRACE_S = 2.2
@@ -75,6 +84,49 @@
     member: GroupMember | None = None
 
 
+def find_fault(endpoint: Endpoint) -> str:
+    """Returns what makes a registration unusable; empty if it is usable."""
+    member = endpoint.member
+    checks = {
+        "instance": _is_name(endpoint.instance),
+        "service": _is_name(endpoint.service),
+        "host": _is_unicast_address(endpoint.host),
+        "port": 0 < endpoint.port < 1 << 16,
+        "slots": 0 < endpoint.slots <= MAX_SLOTS,
+        "cold_s": 0.0 <= endpoint.cold_s <= MAX_COLD_S,
+        "born_ms": 0 <= endpoint.born_ms <= MAX_BORN_MS,
+        "member": member is None or _is_valid_member(member),
+    }
+    for name, is_valid in checks.items():
+        if not is_valid:
+            value = str(getattr(endpoint, name))[:MAX_NAME_LENGTH]
+            return f"{value} {name}"
+    return ""
+
+
+def _is_valid_member(member: GroupMember) -> bool:
+    return (
+        _is_name(member.group)
+        and 0 <= member.epoch <= MAX_EPOCH
+        and 0 <= member.rank < member.size <= MAX_GROUP_SIZE
+    )
+
+
+def _is_name(text: str) -> bool:
+    """Returns whether a text can stand in a header of a request."""
+    is_plain = text.isprintable() and not any(character.isspace() for character in text)
+    return is_plain and 0 < len(text) <= MAX_NAME_LENGTH
+
+
+def _is_unicast_address(host: str) -> bool:
+    try:
+        address = ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    is_scoped = "%" in host
+    return not (is_scoped or address.is_multicast or address.is_unspecified)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Registered:
     """An instance was registered or its registration changed."""
