Check the bounds of what other entries announce

Cause: an announcement was checked for its types only. A host name in one, or a host with a null, made the datagram socket raise; asyncio then closes the socket, and the entry is not heard any more. Negative or infinite loads, fences and slowdowns went into sums.

Change: texts, numbers and hosts have bounds; what a bound misses is logged and ends nothing.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import typing
 
 import cbor2
@@ -18,7 +19,22 @@
 # First element of each datagram; incremented when the layout changes.
 FORMAT_VERSION = 7
 _PART_COUNT = 22
-_DECODING_ERRORS = (TypeError, ValueError, LookupError, AttributeError, OverflowError)
+_DECODING_ERRORS = (
+    TypeError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+_MAX_DETAIL_LENGTH = 200
+# Bounds of what is computed with. Texts are names, fingerprints have 64 bits, times
+# are in seconds and loads in tokens.
+MAX_TEXT_LENGTH = 256
+MAX_COUNT = (1 << 64) - 1
+MAX_NUMBER = 1e15
+MIN_SLOWDOWN = 0.01
+MAX_SLOWDOWN = 1e6
 
 
 def encode(announcement: peers.Announcement) -> bytes:
@@ -69,44 +85,88 @@
         if len(parts) != _PART_COUNT or parts[0] != FORMAT_VERSION:
             raise ValueError(f"format {parts[0]!r} with {len(parts)} parts")
         endpoint_loads = {
-            str(instance): loads.Load(int(load[0]), float(load[1]))
+            _read_text(instance): loads.Load(
+                _read_count(load[0]), _read_number(load[1])
+            )
             for instance, load in parts[9].items()
         }
         return peers.Announcement(
-            name=str(parts[1]),
-            incarnation=int(parts[2]),
-            sequence=int(parts[3]),
-            host=str(parts[4]),
-            data_centre=str(parts[5]),
-            address=str(parts[6]),
+            name=_read_text(parts[1]),
+            incarnation=_read_count(parts[2]),
+            sequence=_read_count(parts[3]),
+            host=_read_host(parts[4]),
+            data_centre=_read_text(parts[5]),
+            address=_read_text(parts[6]),
             ready=bool(parts[7]),
-            version=int(parts[8]),
+            version=_read_count(parts[8]),
             endpoint_loads=endpoint_loads,
-            peers=tuple(str(host) for host in parts[10]),
-            duties=frozenset(str(duty) for duty in parts[11]),
+            peers=tuple(_read_host(host) for host in parts[10]),
+            duties=frozenset(_read_text(duty) for duty in parts[11]),
             reaches_store=bool(parts[12]),
-            released_fence=int(parts[14]),
-            on_time={str(name): int(count) for name, count in parts[13].items()},
+            released_fence=_read_count(parts[14]),
+            on_time={
+                _read_text(name): _read_count(count)
+                for name, count in parts[13].items()
+            },
             crash_update=_decode_crash_update(parts[15]),
             slowdowns={
-                str(name): float(slowdown) for name, slowdown in parts[16].items()
+                _read_text(name): _read_slowdown(slowdown)
+                for name, slowdown in parts[16].items()
             },
-            capacity=float(parts[17]),
+            capacity=_read_number(parts[17]),
             part_update=_decode_part_update(parts[18]),
             rates=_decode_rates(parts[19]),
             leaving=tuple(
-                endpoints.Leaving(str(instance), int(born_ms))
+                endpoints.Leaving(_read_text(instance), _read_count(born_ms))
                 for instance, born_ms in parts[20]
             ),
             rests=tuple(
                 rests.Announced(
-                    records.LossId(str(instance), str(incarnation)), float(left_s)
+                    _read_loss_id(instance, incarnation), _read_number(left_s)
                 )
                 for instance, incarnation, left_s in parts[21]
             ),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
-        raise ValueError(f"not an announcement: {error!r}") from error
+        detail = repr(error)[:_MAX_DETAIL_LENGTH]
+        raise ValueError(f"not an announcement: {detail}") from error
+
+
+def _read_text(value: typing.Any) -> str:
+    if not isinstance(value, str) or len(value) > MAX_TEXT_LENGTH:
+        raise ValueError(f"not a text of up to {MAX_TEXT_LENGTH} characters")
+    return value
+
+
+def _read_count(value: typing.Any) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"not a whole number from 0 to {MAX_COUNT}")
+    return value
+
+
+def _read_number(value: typing.Any) -> float:
+    if type(value) not in (int, float) or not 0.0 <= value <= MAX_NUMBER:
+        raise ValueError(f"not a number from 0 to {MAX_NUMBER}")
+    return float(value)
+
+
+def _read_slowdown(value: typing.Any) -> float:
+    slowdown = _read_number(value)
+    if not MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN:
+        raise ValueError(f"not a slowdown from {MIN_SLOWDOWN} to {MAX_SLOWDOWN}")
+    return slowdown
+
+
+def _read_host(value: typing.Any) -> str:
+    """Returns the host of an entry, to which datagrams are sent over IPv4."""
+    address = ipaddress.IPv4Address(_read_text(value))
+    if address.is_multicast or address.is_unspecified:
+        raise ValueError("not the address of a host")
+    return str(address)
+
+
+def _read_loss_id(instance: typing.Any, incarnation: typing.Any) -> records.LossId:
+    return records.LossId(_read_text(instance), _read_text(incarnation))
 
 
 def _encode_crash_update(update: records.News) -> tuple[typing.Any, ...]:
@@ -135,20 +195,20 @@
 def _decode_crash_update(parts: typing.Any) -> records.News:
     cursor, losses, clearances = parts
     return records.News(
-        int(cursor),
+        _read_count(cursor),
         tuple(
             records.Loss(
-                records.LossId(str(instance), str(incarnation)),
-                frozenset(int(value) for value in fingerprints),
-                float(age_s),
+                _read_loss_id(instance, incarnation),
+                frozenset(_read_count(value) for value in fingerprints),
+                _read_number(age_s),
             )
             for instance, incarnation, fingerprints, age_s in losses
         ),
         tuple(
             records.Clearance(
-                int(fingerprint),
+                _read_count(fingerprint),
                 frozenset(
-                    records.LossId(str(lost_instance), str(lost_incarnation))
+                    _read_loss_id(lost_instance, lost_incarnation)
                     for lost_instance, lost_incarnation in loss_ids
                 ),
             )
@@ -178,18 +238,22 @@
     return promptparts.Update(
         tuple(
             promptparts.Crash(
-                records.LossId(str(instance), str(incarnation)),
+                _read_loss_id(instance, incarnation),
                 frozenset(
                     partattribution.Suspect(
-                        int(fingerprint), tuple(str(part) for part in shared_parts)
+                        _read_count(fingerprint),
+                        tuple(_read_text(part) for part in shared_parts),
                     )
                     for fingerprint, shared_parts in suspects
                 ),
-                float(age_s),
+                _read_number(age_s),
             )
             for instance, incarnation, suspects, age_s in crashes
         ),
-        tuple(promptparts.Proof(str(part), float(age_s)) for part, age_s in proofs),
+        tuple(
+            promptparts.Proof(_read_text(part), _read_number(age_s))
+            for part, age_s in proofs
+        ),
     )
 
 
@@ -210,9 +274,9 @@
 def _decode_rates(parts: typing.Any) -> tuple[ratelimits.Statement, ...]:
     return tuple(
         ratelimits.Statement(
-            records.LossId(str(instance), str(incarnation)),
-            None if max_rate is None else float(max_rate),
-            float(age_s),
+            _read_loss_id(instance, incarnation),
+            None if max_rate is None else _read_number(max_rate),
+            _read_number(age_s),
         )
         for instance, incarnation, max_rate, age_s in parts
     )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -64,6 +64,15 @@
                 catalogue.ANNOUNCEMENT_UNREADABLE, peer=addr[0], detail=str(error)
             )
             return
+        try:
+            self._apply(announcement)
+        except Exception as error:
+            # Another release of an entry may state what no bound here rules out.
+            self._event_log.record(
+                catalogue.ANNOUNCEMENT_UNREADABLE, peer=addr[0], detail=repr(error)
+            )
+
+    def _apply(self, announcement: peers.Announcement) -> None:
         now = self._fleet.clock.read()
         if not self._fleet.peers.record(announcement, now):
             return
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -76,3 +76,48 @@
 def test_datagram_that_is_no_announcement_is_rejected(data):
     with pytest.raises(ValueError, match="announcement"):
         announcements.decode(data)
+
+
+PROCESS = ("i-2", "17")
+# Parts that decode, and what they are replaced by.
+ODD_PARTS = {
+    "a name that is none": (1, 7),
+    "an endless name": (1, "a" * 5000),
+    "a negative sequence": (3, -1),
+    "a sequence that is none": (3, True),
+    "a host name": (4, "front.example"),
+    "a host with a null": (4, "10.0.0.1\x00"),
+    "a host of many addresses": (4, "224.0.0.1"),
+    "a host over IPv6": (4, "::1"),
+    "an endless version": (8, 10**30),
+    "a negative load": (9, {"i-1": (-3, 0)}),
+    "a load that is none": (9, {"i-1": (1, float("nan"))}),
+    "an infinite load": (9, {"i-1": (1, float("inf"))}),
+    "another host's name": (10, ["10.0.0.2", "a" * 300 + ".example"]),
+    "a negative queue": (13, {"model": -5}),
+    "a negative fence": (14, -1),
+    "a fingerprint past 64 bits": (15, (2, [(*PROCESS, [2**64], 1.5)], [])),
+    "an age that is none": (15, (2, [(*PROCESS, [5], float("nan"))], [])),
+    "no slowdown": (16, {"i-3": 0.0}),
+    "an infinite slowdown": (16, {"i-3": float("inf")}),
+    "a capacity that is none": (17, float("nan")),
+    "a proof from the future": (18, ([], [("model/5c", -9.0)])),
+    "a rate that is none": (19, [("i-5", "19", float("nan"), 0.5)]),
+    "a negative rate": (19, [("i-5", "19", -1.0, 0.5)]),
+    "a negative start": (20, [("i-7", -1)]),
+    "an endless rest": (21, [("i-8", "22", float("inf"))]),
+}
+
+
+# Guards against a datagram that breaks a later step, such as the socket that sends.
+@pytest.mark.parametrize(("position", "value"), ODD_PARTS.values(), ids=ODD_PARTS)
+def test_datagram_with_a_value_out_of_bounds_is_rejected(position, value):
+    parts = list(cbor2.loads(announcements.encode(ANNOUNCEMENT)))
+    parts[position] = value
+    with pytest.raises(ValueError, match="not an announcement"):
+        announcements.decode(cbor2.dumps(parts))
+
+
+def test_deeply_nested_datagram_is_rejected():
+    with pytest.raises(ValueError, match="not an announcement"):
+        announcements.decode(b"\x81" * 20_000 + b"\x01")
