Bound the numbers that headers hold

Callers saw: a remaining time or token count of more than 4,300 digits cut the connection without an answer; a stream ended at an event whose id had as many.

Cause: int() raises ValueError past 4,300 digits, and digits in superscript pass str.isdigit. A rest or rate of 1e300 that an endpoint stated was announced, and no entry would have accepted the announcement.

Change: one function reads whole numbers of up to 18 digits; sizes, rests and rates are capped.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -187,9 +187,11 @@
     def _is_duplicate(self, event: eventstream.StreamEvent) -> bool:
         if self._last_id is None or event.event_id is None:
             return False
-        if not (self._last_id.isdigit() and event.event_id.isdigit()):
+        last_number = heads.parse_whole_number(self._last_id)
+        number = heads.parse_whole_number(event.event_id)
+        if last_number is None or number is None:
             return event.event_id == self._last_id
-        return int(event.event_id) <= int(self._last_id)
+        return number <= last_number
 
 
 def _check_resumes(first: heads.AnswerHead, head: heads.AnswerHead) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -301,6 +301,7 @@
     """Parses the peer's idle timeout, in seconds, from the `Keep-Alive` header."""
     for part in (head.find(b"keep-alive") or b"").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
-            return float(value)
+        seconds = heads.parse_whole_number(value)
+        if name.lower() == b"timeout" and seconds is not None:
+            return float(seconds)
     return DEFAULT_IDLE_TIMEOUT_S
