Check the bounds of what ranks and configurations hold

Cause: the reports, counts and experts of a rank were checked for their types only. An expert that the layout doesn't have raised IndexError in the task of all expert maps and ended the process; counts past 64 bits broke the agent's digests; nesting raised RecursionError. An engine without a speed divided by zero in each request.

Change: bounds for each number; ranks' experts that are not those of the layout are logged (rank_map_bad) and the map is left as it is.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -291,8 +291,17 @@
             report.version
         }:
             return False
-        by_set = list(zip(*(experts for _, experts in known), strict=True))
-        self._maps = planning.decode_maps(by_set, layout)
+        try:
+            by_set = list(zip(*(experts for _, experts in known), strict=True))
+            self._maps = planning.decode_maps(by_set, layout)
+        except ValueError as error:
+            self._event_log.record(
+                catalogue.RANK_MAP_BAD,
+                group=self._name,
+                version=report.version,
+                detail=str(error),
+            )
+            return False
         return True
 
     async def _sample_demand(self, layout: configuration.ExpertLayout) -> bool:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -67,6 +67,7 @@
 RANK_PACE_CHANGED = 234
 GROUP_LOAD = 235
 RANK_CALL_BAD = 236
+RANK_MAP_BAD = 237
 LEASE_HELD = 240
 LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
@@ -77,6 +78,7 @@
 STORE_BACK = 311
 STORE_RESTORED = 312
 INVARIANT_VIOLATED = 900
+TASK_FAILED = 901
 
 KINDS: tuple[EventKind, ...] = (
     EventKind(DAEMON_STARTED, "daemon_started", "A daemon started.", "None."),
@@ -333,6 +335,13 @@
         "The body of an entry's call is not valid; the rank was not called.",
         "Check the releases of the entry and the agent.",
     ),
+    EventKind(
+        RANK_MAP_BAD,
+        "rank_map_bad",
+        "The experts that the ranks of a group report are not those of its layout; the "
+        "map is not changed.",
+        "Check the configuration of the service and the log of the engine.",
+    ),
     EventKind(
         LEASE_HELD,
         "lease_held",
@@ -388,6 +397,13 @@
         "An action was prevented because it would have violated an invariant.",
         "Report it with the surrounding log lines.",
     ),
+    EventKind(
+        TASK_FAILED,
+        "task_failed",
+        "An unexpected error ended a request or a round of a task; the process goes "
+        "on.",
+        "Report it with the surrounding log lines.",
+    ),
 )
 
 NAMES = {kind.number: kind.name for kind in KINDS}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/planning.py
@@ -109,13 +109,23 @@
     experts: collections.abc.Sequence[collections.abc.Sequence[tuple[int, ...]]],
     layout: configuration.ExpertLayout,
 ) -> Maps:
-    """Returns the map of each set from the experts held, indexed by set and rank."""
+    """Returns the map of each set from the experts held, indexed by set and rank.
+
+    Raises:
+        ValueError: The experts held are not those of the layout.
+    """
+    if len(experts) != layout.sets:
+        raise ValueError(f"{len(experts)} sets of experts instead of {layout.sets}")
     maps = []
     for by_rank in experts:
         replicas: list[list[int]] = [[] for _ in range(layout.experts)]
         for rank, held in enumerate(by_rank):
-            for expert in held:
+            for expert in set(held):
+                if not 0 <= expert < layout.experts:
+                    raise ValueError(f"expert {expert} of {layout.experts}")
                 replicas[expert].append(rank)
+        if not all(replicas):
+            raise ValueError("an expert is on no rank")
         maps.append(placement.create_map(len(by_rank), replicas))
     return tuple(maps)
 
--- a/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_planning.py
@@ -177,6 +177,27 @@
         self.add_digests(self._ranks.create_digests(counts, now), now)
 
 
+# Guards against the reported experts of one rank ending the control of all maps.
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda experts: experts[:-1],
+        lambda experts: [*experts, experts[0]],
+        lambda experts: [[(*experts[0][0], 10_000), *experts[0][1:]], *experts[1:]],
+        lambda experts: [[(), *experts[0][1:]], *experts[1:]],
+        lambda experts: [[(-1,), *experts[0][1:]], *experts[1:]],
+    ],
+    ids=["a set less", "a set more", "unknown expert", "expert missing", "negative"],
+)
+def test_experts_of_another_layout_are_refused(change):
+    layout = LAYOUT
+    maps = planning.create_initial_maps(layout, 16)
+    experts = [list(by_rank) for by_rank in planning.encode_maps(maps)]
+    assert planning.decode_maps(experts, layout) == maps
+    with pytest.raises(ValueError, match="expert"):
+        planning.decode_maps(change(experts), layout)
+
+
 def test_popularity_follows_a_shift_within_two_seconds():
     tracker = Tracker(LAYOUT, 0.0)
     total = [0] * 256
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -201,3 +201,44 @@
     assert (await reader.readline()).split()[1] == b"404"
     writer.close()
     assert not rank.requests
+
+
+ODD_REPORTS = {
+    "a negative step": {"step": -1},
+    "an endless step": {"step": 10**30},
+    "a negative epoch": {"group": REPORT["group"] | {"epoch": -1}},
+    "a slowdown of zero": {"pace": 0.0},
+    "an endless slowdown": {"pace": 1e300},
+    "a negative version": {"armed": -4},
+    "an odd armed version": {"armed": {"version": -4}},
+    "a negative load": {"running": -1},
+}
+
+
+# Guards against a rank whose numbers end the control of the maps.
+@pytest.mark.parametrize("changes", ODD_REPORTS.values(), ids=ODD_REPORTS)
+def test_report_with_a_number_out_of_bounds_is_refused(changes):
+    with pytest.raises(ValueError, match="."):
+        ranks.RankCodec().decode_report(json.dumps(REPORT | changes).encode(), 0.0)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"epoch":1,"counts":[-1]}',
+        b'{"epoch":1,"counts":[' + b"9" * 25 + b"]}",
+        b'{"epoch":1,"counts":' + b"[" * 5000,
+        b'{"epoch":-1,"counts":[1]}',
+    ],
+)
+def test_counts_out_of_bounds_are_refused(body):
+    with pytest.raises(ValueError, match="."):
+        ranks.RankCodec().decode_counts(body)
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"map":{"version":1,"experts":[[-1]]}}', b'{"x":' + b"[" * 5000]
+)
+def test_experts_out_of_bounds_are_refused(body):
+    with pytest.raises(ValueError, match="."):
+        ranks.RankCodec().decode_experts(body)
