Keep tasks running past unexpected errors

Cause: an exception in any task ended the process, which read what caused it again after its start. One in a request cut the connection without an answer or a line in the log.

Change: tasks are supervised and start again, with a task_failed line; changes of endpoints and groups are isolated from one another; a request is answered 500.

Evidence: test_supervision.py brings each about; none of its paths existed before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/map_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/map_controller.py
@@ -6,6 +6,7 @@
 
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.forwarder.mapcontrol import group_controller
 from chicoryweir_daemon.forwarder.mapcontrol import lease_holder
 from chicoryweir_policy.forwarding import endpoints
@@ -40,7 +41,13 @@
                 self._fleet.set_slowdowns({}, self._fleet.clock.read())
                 continue
             for name, members in self._find_groups().items():
-                await self._update_group(name, members)
+                try:
+                    await self._update_group(name, members)
+                except Exception as error:
+                    supervision.record_error(
+                        self._event_log, f"expert map of {name}", error
+                    )
+                    self._groups.pop(name, None)
             slowdowns: dict[str, float] = {}
             for controller in self._groups.values():
                 slowdowns |= controller.get_slowdowns()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
@@ -8,11 +8,10 @@
 
 import asyncio
 
-import msgspec
-
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fetching
 from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder import jsonformat
 from chicoryweir_daemon.forwarder import operations
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_daemon.http1 import connections
@@ -74,8 +73,8 @@
         if data is None or self._fleet.endpoints_listed:
             return
         try:
-            fetched = msgspec.json.decode(data, type=list[endpoints.Endpoint])
-        except msgspec.DecodeError as error:
+            fetched = _decode_endpoints(data)
+        except ValueError as error:
             self._event_log.record(
                 catalogue.SETTINGS_NOT_FETCHED, peer=host, detail=str(error)
             )
@@ -112,3 +111,17 @@
             version=version,
         )
         return None
+
+
+def _decode_endpoints(data: bytes) -> list[endpoints.Endpoint]:
+    """Decodes another entry's endpoints.
+
+    Raises:
+        ValueError: The data is not valid, or an endpoint is out of bounds.
+    """
+    fetched = jsonformat.decode(data, list[endpoints.Endpoint])
+    for endpoint in fetched:
+        fault = endpoints.find_fault(endpoint)
+        if fault:
+            raise ValueError(f"endpoint {endpoint.instance!r}: {fault}")
+    return fetched
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -22,6 +22,7 @@
 from chicoryweir_daemon.forwarder import peerfetch
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import storehealth
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_daemon.forwarder.mapcontrol import lease_holder
 from chicoryweir_daemon.forwarder.mapcontrol import map_controller
@@ -159,30 +160,32 @@
             True after a signal, False if a task failed.
         """
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            supervision.create_exception_handler(self._event_log)
+        )
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
         await self._listen()
         self._fleet.peers.add_hosts(self._settings.seeds, self._fleet.clock.read())
+        endpoint_watch = watches.EndpointWatch(
+            self._fleet, self._adapters.registry, self._event_log, self._store_health
+        )
+        runs = {
+            "configuration": self._configuration_watch.run,
+            "endpoints": endpoint_watch.run,
+            "announcements": self._gossip.run,
+            "allocation": self._allocator.run,
+            "outliers": self._eject_outliers,
+            "registration": self._register,
+            "settings": self._watch_settings,
+            "fetches": self._peer_fetcher.run,
+            "lease": self._lease_holder.run,
+            "expert maps": self._map_controller.run,
+        }
         tasks = [
-            asyncio.create_task(coroutine)
-            for coroutine in (
-                self._configuration_watch.run(),
-                watches.EndpointWatch(
-                    self._fleet,
-                    self._adapters.registry,
-                    self._event_log,
-                    self._store_health,
-                ).run(),
-                self._gossip.run(),
-                self._allocator.run(),
-                self._eject_outliers(),
-                self._register(),
-                self._watch_settings(),
-                self._peer_fetcher.run(),
-                self._lease_holder.run(),
-                self._map_controller.run(),
-            )
+            asyncio.create_task(supervision.supervise(run, name, self._event_log))
+            for name, run in runs.items()
         ]
         for task in tasks:
             task.add_done_callback(self._handle_task_end)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -11,6 +11,7 @@
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import storehealth
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import endpoints
 
@@ -221,10 +222,15 @@
     def _apply_changes(self, changes: tuple[endpoints.Change, ...]) -> None:
         self._log_unusable(changes)
         now = self._fleet.clock.read()
-        applied = [self._fleet.endpoints.apply(change, now) for change in changes]
-        self._log_transitions(
-            [transition for transition in applied if transition is not None]
-        )
+        for change in changes:
+            try:
+                transition = self._fleet.endpoints.apply(change, now)
+            except Exception as error:
+                # The other changes must not be lost with this one.
+                supervision.record_error(self._event_log, f"apply {change!r}", error)
+                continue
+            if transition is not None:
+                self._log_transitions([transition])
 
     def _log_unusable(self, changes: tuple[endpoints.Change, ...]) -> None:
         for change in changes:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -13,6 +13,9 @@
 
 # Reading pauses while this many parsed requests wait on a connection.
 MAX_PIPELINED_REQUESTS = 8
+# Status code of the answer to a request that ended with an unexpected error. It says
+# nothing about whether the request ran.
+FAILURE_STATUS = 500
 # Maximum time between two parts of a request's body.
 BODY_STALL_TIMEOUT_S = 10.0
 # Added to the configured idle timeout. Callers stop reusing a connection after 4/5 of
@@ -235,6 +238,11 @@
     async def _run(self, request: heads.Request, answer: Answer) -> None:
         try:
             await self._handler.handle(request, answer)
+        except Exception as error:
+            context = {"message": "answer a request", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(context)
+            if not answer.begun:
+                answer.send(FAILURE_STATUS, [])
         finally:
             self._task = None
             if not answer.ended:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -18,6 +18,7 @@
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fetching
 from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
@@ -181,6 +182,7 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     event_log = eventlog.EventLog(settings.name)
+    loop.set_exception_handler(supervision.create_exception_handler(event_log))
     agent = Agent(settings, event_log)
     open_connections: set[callers.CallerConnection] = set()
     await loop.create_server(
