Hold a group before a takeover changes what its ranks run

Cause: a new lease holder that found ranks armed and none held took the change for unfinished, and disarmed one rank after the other without a hold. The change was complete and waited for its step in an idle group; a request began the step meanwhile, and the ranks that were still armed switched alone. The rollback's fence against late orders was the token, which some groups don't check, and the version that it disarmed was the one of its first reports, so that a rank that was armed later kept the group held for good.

Change: is_settled tells a complete change by the reports of all ranks, and it is left alone. Otherwise one rank holds the group first; each other rank is brought to execute an order of the rollback, so that none of before can take effect, and is disarmed by what it reports now. Each order names the number of orders that the rank has executed (expected_rev), so that of several with one number at most one takes effect.

A 200 to an order is UNCHANGED instead of ACCEPTED, since only a 202 counts as executed; test_ranks.py asks for that.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import collections.abc
 import contextlib
 import math
 import typing
@@ -33,10 +35,9 @@
 # Step time assumed before the first measurement. Measurements are capped at four times
 # this value.
 USUAL_STEP_S = 0.06
-
-
 # Period of the log line with the group's load.
 LOAD_LOG_PERIOD_S = 1.0
+_SUCCESSES = frozenset({orders.Result.ACCEPTED, orders.Result.UNCHANGED})
 
 
 class RankClient(typing.Protocol):
@@ -138,7 +139,7 @@
             return
         shares = self._demand.compute_shares()
         if shares is not None:
-            await self._propose_change(shares, engine, layout, report)
+            await self._propose_change(shares, engine, layout)
 
     def _begin_epoch(
         self, epoch: int, layout: configuration.ExpertLayout, now: float
@@ -176,6 +177,9 @@
             if report is None:
                 continue
             self._loads[rank] = report.running, report.waiting
+            if report.held is not None:
+                # An order to hold that was lost may be executed at any rank later.
+                self._recovered = False
             slowdown = report.slowdown if report.slowdown >= SLOW_FACTOR else 1.0
             before = self._slowdowns.get(rank, 1.0)
             self._slowdowns[rank] = slowdown
@@ -246,24 +250,32 @@
                 for rank in sorted(self._members)
             )
         )
-        if any(report is None for report in reports):
-            return
         received = [report for report in reports if report is not None]
-        held = next((r.held for r in received if r.held is not None), None)
-        armed = next((r.armed for r in received if r.armed is not None), None)
-        if held is None and armed is None:
+        if len(received) < len(reports) or any(
+            report.epoch != first_report.epoch or not report.is_open
+            for report in received
+        ):
+            return
+        if changes.is_settled(received):
             self._recovered = True
             return
+        self._event_log.record(
+            catalogue.MAP_UNFINISHED,
+            group=self._name,
+            epoch=first_report.epoch,
+            step=first_report.step,
+            armed=_count_values(report.armed for report in received),
+            held=_count_values(report.held for report in received),
+            versions=_count_values(report.version for report in received),
+        )
         plan = changes.ChangePlan(
-            version=armed or 0,
+            version=0,
             experts=(),
             ranks=len(self._members),
             epoch=first_report.epoch,
             copy_s=0.0,
             step_s=self._step_s,
-            step=held or first_report.step + 1,
-            step_observed_at=self._now(),
-            orders_lost=self._order_lost_at > self._now() - ORDER_LOSS_WINDOW_S,
+            orders_lost=False,
         )
         change = changes.create_recovery(plan, self._holder, self._now())
         await self._run_change(change, "recovery")
@@ -337,7 +349,6 @@
         shares: list[tuple[float, ...]],
         engine: configuration.Engine,
         layout: configuration.ExpertLayout,
-        report: orders.Report,
     ) -> None:
         assert self._maps is not None
         slowdowns = [self._slowdowns.get(rank, 1.0) for rank in sorted(self._members)]
@@ -356,8 +367,6 @@
             epoch=self._epoch,
             copy_s=copy_s,
             step_s=self._step_s,
-            step=report.step,
-            step_observed_at=self._now(),
             orders_lost=self._order_lost_at > self._now() - ORDER_LOSS_WINDOW_S,
         )
         self._event_log.record(
@@ -375,7 +384,7 @@
         await self._run_change(change, "change")
         if change.state == "done":
             self._maps = proposal.maps
-        elif change.state != "abandoned":
+        else:
             self._recovered = False
             self._maps = None
 
@@ -411,7 +420,7 @@
             case orders.SendOrder(rank, order):
                 result = await self._client.send_order(endpoint, order)
                 change.handle_result(rank, order, result, self._now())
-                if result is not orders.Result.ACCEPTED:
+                if result not in _SUCCESSES:
                     self._event_log.record(
                         catalogue.ORDER_FAILED,
                         peer=endpoint.instance,
@@ -419,6 +428,7 @@
                         token=order.token,
                         step=order.step,
                         version=order.version,
+                        sequence=order.sequence,
                         result=result.value,
                     )
             case orders.RequestReport(rank):
@@ -443,3 +453,8 @@
 
     def _now(self) -> float:
         return self._fleet.clock.read()
+
+
+def _count_values(values: collections.abc.Iterable[int | None]) -> dict[str, int]:
+    """Returns how many ranks report each value, for the log."""
+    return {str(value): n for value, n in collections.Counter(values).items()}
--- /dev/null
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
@@ -0,0 +1,220 @@
+"""Tests of how a new lease holder takes a group over, with the real controller."""
+
+import pytest
+import rankgroup
+
+from chicoryweir_daemon.forwarder import eventlog
+from chicoryweir_daemon.forwarder import fleet as fleets
+from chicoryweir_daemon.forwarder.mapcontrol import group_controller
+from chicoryweir_policy.forwarding import configuration
+from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.rankmaps import orders
+
+RANKS = 4
+VERSION = 1_000_003
+STEP = 7
+ENGINE = configuration.Engine(
+    slots=6,
+    memory_tokens=140_000,
+    step_s=0.005,
+    sequence_s=0.001,
+    context_s=0.0,
+    read_tokens_per_s=60_000.0,
+    steps_per_event=4,
+    usual_prompt_tokens=800.0,
+    usual_answer_tokens=100.0,
+    link_bytes_per_s=22.5e9,
+    experts=configuration.ExpertLayout(2, 8, 3, 2, 2.5e9, 0.85),
+)
+
+
+class Clock:
+    """Advances by one tick at each read, so that no time limit needs real time."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def read(self):
+        self.now += rankgroup.TICK_S
+        return self.now
+
+
+class Holder:
+    """Holds the lease, under a token higher than those of the entry before."""
+
+    holds = True
+
+    def __init__(self):
+        self._tokens = rankgroup.Tokens(9)
+
+    def raise_token(self):
+        return self._tokens.raise_token()
+
+    def stop_acting(self):
+        self.holds = False
+
+
+class Client:
+    """Calls the ranks of a simulated group.
+
+    Args:
+        group: The group.
+        starts_after: Number of orders after which a request starts the idle group.
+    """
+
+    def __init__(self, group, starts_after):
+        self._group = group
+        self._starts_after = starts_after
+        self.orders = []
+
+    async def read_report(self, endpoint):
+        return self._group.report(endpoint.member.rank)
+
+    async def read_digest(self, endpoint, after):
+        return None
+
+    async def read_experts(self, endpoint):
+        return None
+
+    async def send_order(self, endpoint, order):
+        rank = endpoint.member.rank
+        result = self._group.receive(rank, order)
+        self.orders.append((rank, order.operation))
+        if len(self.orders) >= self._starts_after:
+            self._group.idle = False
+            self._group.next_at = 0.0
+            self._group.run(rankgroup.STEP_S * 20)
+            self._group.idle = True
+        return result
+
+
+def _create_group(armed, held=None, checks_fences=True):
+    """Returns an idle group, some of whose ranks are armed."""
+    group = rankgroup.Group(RANKS, idle=True, checks_fences=checks_fences)
+    group.step = STEP - 4
+    for rank in group.ranks:
+        rank.prepared = VERSION
+        rank.versions.add(VERSION)
+        rank.sequence = 3
+    for number in armed:
+        group.ranks[number].armed = VERSION, STEP
+    if held is not None:
+        group.ranks[held].held = STEP
+    return group
+
+
+async def _take_over(settings, group, starts_after=10**6, before_update=None):
+    """Lets a new holder control the group; returns the orders that it sent."""
+    client = Client(group, starts_after)
+    controller = group_controller.GroupController(
+        "g",
+        fleets.Fleet(settings, Clock()),
+        Holder(),
+        client,
+        eventlog.EventLog("front-1"),
+    )
+    members = {
+        rank: endpoints.Endpoint(
+            instance=f"i-{rank}",
+            service="model",
+            host="10.0.0.1",
+            port=80 + rank,
+            data_centre="dc",
+            slots=6,
+            leaving=False,
+            cold_s=0.0,
+            born_ms=1,
+            member=endpoints.GroupMember("g", 1, rank, RANKS, True),
+        )
+        for rank in range(RANKS)
+    }
+    for updates in range(8):
+        if before_update is not None:
+            before_update(updates)
+        await controller.update(members, ENGINE, ENGINE.experts)
+    group.idle = False
+    group.next_at = 0.0
+    group.run(rankgroup.STEP_S * 20)
+    return client.orders
+
+
+# Guards against a new holder that disarms some ranks of a complete change while others
+# switch: it sent its orders without a hold, and a request started the step meanwhile.
+@pytest.mark.parametrize("starts_after", range(1, RANKS + 2))
+@pytest.mark.parametrize("checks_fences", [True, False])
+async def test_new_holder_leaves_a_complete_change_alone(
+    settings, starts_after, checks_fences
+):
+    group = _create_group(range(RANKS), checks_fences=checks_fences)
+    sent = await _take_over(settings, group, starts_after)
+    assert not group.diverged
+    assert {rank.version for rank in group.ranks} == {VERSION}
+    assert not sent
+
+
+# Guards against the same where some ranks have switched when the others are asked.
+async def test_new_holder_leaves_a_change_alone_that_takes_effect(settings):
+    group = _create_group(range(RANKS))
+    for rank in group.ranks[:2]:
+        rank.version, rank.armed = VERSION, None
+    assert not await _take_over(settings, group)
+
+
+# Guards against a rollback without a hold: the group runs on while it is rolled back.
+@pytest.mark.parametrize("starts_after", range(1, 12))
+@pytest.mark.parametrize("armed", [[0], [2], [0, 1, 2], [1, 2, 3]])
+async def test_unfinished_change_without_a_hold_is_held_before_it_is_rolled_back(
+    settings, armed, starts_after
+):
+    group = _create_group(armed, checks_fences=False)
+    sent = await _take_over(settings, group, starts_after)
+    assert sent[0] == (0, orders.Operation.HOLD)
+    assert not group.diverged
+    assert {rank.version for rank in group.ranks} == {0}
+    assert group.held_at is None
+
+
+# Guards against a group that stays held: its ranks are armed for another version than
+# the reports that were read first showed, or by an order that was late.
+@pytest.mark.parametrize("held", range(RANKS))
+@pytest.mark.parametrize("armed", [[], [1], [0, 1, 2, 3]])
+async def test_held_group_is_released(settings, held, armed):
+    group = _create_group(armed, held)
+    await _take_over(settings, group)
+    assert not group.diverged
+    assert group.held_at is None
+    assert group.step >= STEP
+
+
+# Guards against orders of the holder before that take effect after the rollback.
+@pytest.mark.parametrize("checks_fences", [True, False])
+async def test_orders_of_the_earlier_holder_have_no_effect_after_a_rollback(
+    settings, checks_fences
+):
+    group = _create_group([1], held=0, checks_fences=checks_fences)
+    late = [
+        (
+            rank,
+            orders.Order(operation, 5, 1, VERSION, STEP + 20, (), state.sequence),
+        )
+        for rank, state in enumerate(group.ranks)
+        for operation in (orders.Operation.ARM, orders.Operation.HOLD)
+    ]
+    await _take_over(settings, group)
+    group.next_at = 0.0
+    for rank, order in late:
+        result = group.receive(rank, order)
+        assert result in (orders.Result.CONFLICT, orders.Result.FENCED)
+    assert group.held_at is None
+
+
+# Guards against a group that a late order stops for good at a rank but the first.
+async def test_late_hold_of_any_rank_is_found_and_released(settings):
+    group = _create_group([])
+
+    def hold(updates):
+        if updates == 3:
+            group.ranks[RANKS - 1].held = group.step + 5
+
+    await _take_over(settings, group, before_update=hold)
+    assert group.held_at is None
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -68,6 +68,7 @@
 GROUP_LOAD = 235
 RANK_CALL_BAD = 236
 RANK_MAP_BAD = 237
+MAP_UNFINISHED = 238
 LEASE_HELD = 240
 LEASE_LOST = 241
 SETTINGS_ADOPTED = 300
@@ -342,6 +343,13 @@
         "map is not changed.",
         "Check the configuration of the service and the log of the engine.",
     ),
+    EventKind(
+        MAP_UNFINISHED,
+        "map_unfinished",
+        "A change of an expert map that another entry began, or a late order, left "
+        "some ranks armed or held; it is rolled back while the group is held.",
+        "None; the group waits until all ranks have reported.",
+    ),
     EventKind(
         LEASE_HELD,
         "lease_held",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
@@ -38,6 +38,8 @@
         version: Version of the map, for PREPARE, ARM and DISARM.
         step: Step of the group, for ARM, HOLD and GO.
         experts: Map, for PREPARE.
+        sequence: Number of orders that the rank must have executed; ranks refuse the
+            order if they have executed more.
     """
 
     operation: Operation
@@ -46,20 +48,25 @@
     version: int = 0
     step: int = 0
     experts: RankMap = ()
+    sequence: int = 0
 
 
 class Result(enum.Enum):
     """Result of an order.
 
     Attributes:
-        ACCEPTED: The order is being executed or was executed.
-        CONFLICT: The rank's state does not allow the order; not executed.
+        ACCEPTED: The order is being executed, and counts as executed.
+        UNCHANGED: The rank's state is already what the order asks for, or the order was
+            executed.
+        CONFLICT: The rank's state or the number of orders that it has executed does not
+            allow the order; not executed.
         FENCED: The rank has seen a higher token; another entry controls the group.
         REFUSED: Another instance answered, or sending failed; not executed.
         LOST: No answer; the order may have been executed, or may still be.
     """
 
     ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
     CONFLICT = "conflict"
     FENCED = "fenced"
     REFUSED = "refused"
@@ -82,6 +89,7 @@
         lag_s: Age of the report on arrival, in seconds.
         running: Requests in the rank's batch.
         waiting: Requests in the rank's own queue.
+        sequence: Number of orders that the rank has executed since its start.
     """
 
     epoch: int
@@ -95,6 +103,7 @@
     lag_s: float
     running: int = 0
     waiting: int = 0
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -27,8 +27,9 @@
     "armed": None,
     "held": None,
     "pace": 1.0,
+    "seq": 5,
 }
-ORDER = orders.Order(orders.Operation.HOLD, token=9, epoch=2, step=20)
+ORDER = orders.Order(orders.Operation.HOLD, token=9, epoch=2, step=20, sequence=5)
 
 
 class Clock:
@@ -110,7 +111,7 @@
 @pytest.mark.parametrize(
     ("status", "result"),
     [
-        (200, orders.Result.ACCEPTED),
+        (200, orders.Result.UNCHANGED),
         (202, orders.Result.ACCEPTED),
         (409, orders.Result.CONFLICT),
         (412, orders.Result.FENCED),
@@ -129,6 +130,7 @@
     assert json.loads(body) == {
         "operation": "hold",
         "fence_token": 9,
+        "expected_rev": 5,
         "epoch": 2,
         "step": 20,
     }
