Keep late orders harmless at ranks that compare nothing

Without fences and counts, a late order to arm, to disarm or to go on still took effect.

Change: nothing depends on either. A rollback holds the group at a rank of its own, one that differs for each lease and was not released at that step before; under it, all ranks are disarmed and prepare the current map under a new version, after which no earlier version can be armed. A change waits for the reports that all weights are copied before it holds the group. A group that has work but begins no step is checked for holds.

Three cases of test_late_release fail if each lease holds at rank 0; test_no_step_is_held_twice fails if a step is used again.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -35,6 +35,8 @@
 # Step time assumed before the first measurement. Measurements are capped at four times
 # this value.
 USUAL_STEP_S = 0.06
+# Time without a step after which a group that has work is checked for holds.
+STALL_CHECK_S = 1.0
 # Period of the log line with the group's load.
 LOAD_LOG_PERIOD_S = 1.0
 _SUCCESSES = frozenset({orders.Result.ACCEPTED, orders.Result.UNCHANGED})
@@ -98,6 +100,8 @@
         self._loads: dict[int, tuple[int, int]] = {}
         self._load_logged_at = -math.inf
         self._order_lost_at = -math.inf
+        self._step_begun_at = -math.inf
+        self._released: frozenset[changes.Hold] = frozenset()
         self._wake = asyncio.Event()
 
     async def update(
@@ -115,7 +119,7 @@
         if sorted(members) != list(range(size)):
             return
         report, _ = await asyncio.gather(
-            self._client.read_report(members[changes.HOLDING_RANK]),
+            self._client.read_report(members[self._holding_rank]),
             self._poll_slowdowns(),
         )
         if report is None or not report.is_open:
@@ -125,8 +129,8 @@
         self._update_step_time(report, now)
         if report.epoch != self._epoch:
             self._begin_epoch(report.epoch, layout, now)
-        if not self._recovered or report.held is not None:
-            await self._recover(report)
+        if not self._recovered or report.held is not None or self._is_stalled(now):
+            await self._recover(report, layout)
             return
         if report.armed is not None:
             # The ranks have not yet switched to the map of the last change.
@@ -141,6 +145,22 @@
         if shares is not None:
             await self._propose_change(shares, engine, layout)
 
+    @property
+    def _holding_rank(self) -> int:
+        """Rank that is ordered to hold the group first; another one for each lease."""
+        return self._holder.fence % len(self._members)
+
+    def _is_stalled(self, now: float) -> bool:
+        """Returns whether the group has work but has begun no step for a while.
+
+        An order to hold that was lost may be executed at any rank later.
+        """
+        has_work = any(running + waiting for running, waiting in self._loads.values())
+        if not has_work or now - self._step_begun_at < STALL_CHECK_S:
+            return False
+        self._step_begun_at = now
+        return True
+
     def _begin_epoch(
         self, epoch: int, layout: configuration.ExpertLayout, now: float
     ) -> None:
@@ -152,6 +172,7 @@
         self._digest_numbers = {}
         self._slowdowns = {}
         self._loads = {}
+        self._released = frozenset()
 
     def get_slowdowns(self) -> dict[str, float]:
         """Returns the slowdowns of the group's slow instances."""
@@ -178,7 +199,6 @@
                 continue
             self._loads[rank] = report.running, report.waiting
             if report.held is not None:
-                # An order to hold that was lost may be executed at any rank later.
                 self._recovered = False
             slowdown = report.slowdown if report.slowdown >= SLOW_FACTOR else 1.0
             before = self._slowdowns.get(rank, 1.0)
@@ -240,16 +260,15 @@
         if self._last_step is not None and report.step > self._last_step[0]:
             measured = (now - self._last_step[1]) / (report.step - self._last_step[0])
             self._step_s = 0.5 * self._step_s + 0.5 * min(measured, USUAL_STEP_S * 4)
+        if self._last_step is None or report.step != self._last_step[0]:
+            self._step_begun_at = now
         self._last_step = (report.step, now)
 
-    async def _recover(self, first_report: orders.Report) -> None:
+    async def _recover(
+        self, first_report: orders.Report, layout: configuration.ExpertLayout
+    ) -> None:
         """Rolls back a change that an earlier lease holder may have left unfinished."""
-        reports = await asyncio.gather(
-            *(
-                self._client.read_report(self._members[rank])
-                for rank in sorted(self._members)
-            )
-        )
+        reports = await self._read_all_reports()
         received = [report for report in reports if report is not None]
         if len(received) < len(reports) or any(
             report.epoch != first_report.epoch or not report.is_open
@@ -268,18 +287,54 @@
             held=_count_values(report.held for report in received),
             versions=_count_values(report.version for report in received),
         )
+        steps = [report.held for report in received if report.held is not None]
+        steps += [r.armed_step for r in received if r.armed_step is not None]
         plan = changes.ChangePlan(
             version=0,
             experts=(),
+            current=None,
             ranks=len(self._members),
             epoch=first_report.epoch,
             copy_s=0.0,
             step_s=self._step_s,
             orders_lost=False,
+            holding_rank=self._holding_rank,
+            released=self._released,
+            latest_step=min(steps, default=None),
         )
         change = changes.create_recovery(plan, self._holder, self._now())
-        await self._run_change(change, "recovery")
         self._maps = None
+        await self._run_change(change, "recovery", layout)
+        self._maps = None
+
+    async def _provide_current_map(
+        self, change: changes.MapChange, layout: configuration.ExpertLayout
+    ) -> None:
+        """Reads the current map for a rollback, while the group is held."""
+        reports = await self._read_all_reports()
+        for rank, report in enumerate(reports):
+            change.handle_report(rank, report, self._now())
+        received = [report for report in reports if report is not None]
+        if change.is_over or len(received) < len(reports):
+            return
+        versions = {report.version for report in received}
+        if len(versions) > 1:
+            self._event_log.record(
+                catalogue.INVARIANT_VIOLATED,
+                group=self._name,
+                detail=f"ranks run different maps while held: {sorted(versions)}",
+            )
+            change.set_current_map(None)
+        elif await self._load_maps(received[0], layout) and self._maps is not None:
+            change.set_current_map(planning.encode_maps(self._maps))
+
+    async def _read_all_reports(self) -> list[orders.Report | None]:
+        return await asyncio.gather(
+            *(
+                self._client.read_report(self._members[rank])
+                for rank in sorted(self._members)
+            )
+        )
 
     async def _load_maps(
         self, report: orders.Report, layout: configuration.ExpertLayout
@@ -363,11 +418,14 @@
         plan = changes.ChangePlan(
             version=self._holder.raise_token(),
             experts=planning.encode_maps(proposal.maps),
+            current=planning.encode_maps(self._maps),
             ranks=len(self._members),
             epoch=self._epoch,
             copy_s=copy_s,
             step_s=self._step_s,
             orders_lost=self._order_lost_at > self._now() - ORDER_LOSS_WINDOW_S,
+            holding_rank=self._holding_rank,
+            released=self._released,
         )
         self._event_log.record(
             catalogue.MAP_PROPOSED,
@@ -381,14 +439,19 @@
             pass_s=round(self._step_s, 4),
         )
         change = changes.create_change(plan, self._holder, self._now())
-        await self._run_change(change, "change")
+        await self._run_change(change, "change", layout)
         if change.state == "done":
             self._maps = proposal.maps
         else:
             self._recovered = False
             self._maps = None
 
-    async def _run_change(self, change: changes.MapChange, what: str) -> None:
+    async def _run_change(
+        self,
+        change: changes.MapChange,
+        what: str,
+        layout: configuration.ExpertLayout,
+    ) -> None:
         """Executes the commands of a change until it ends or the lease is lost."""
         began_at = self._now()
         running: set[asyncio.Task[None]] = set()
@@ -401,11 +464,14 @@
             if change.state != state:
                 state = change.state
                 self._log_change(change, what, began_at)
+            if change.needs_current_map:
+                await self._provide_current_map(change, layout)
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), COMMAND_POLL_S)
         if running:
             await asyncio.wait(running)
+        self._released = change.released
         if change.lost_order_count:
             self._order_lost_at = self._now()
         if change.fenced:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/lease_holder.py
@@ -69,6 +69,11 @@
             self._compute_outage_s(), self._list_peer_states()
         )
 
+    @property
+    def fence(self) -> int:
+        """Number of the lease; higher for each later one."""
+        return self._lease.fence
+
     def _is_heard(self) -> bool:
         """Returns whether this entry announced itself recently enough."""
         age_s = self._read_boot() - self._fleet.announced_at
--- a/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
@@ -11,7 +11,8 @@
 from chicoryweir_policy.rankmaps import orders
 
 RANKS = 4
-VERSION = 1_000_003
+FENCE = 9
+VERSION = (FENCE - 1) * 1000 + 3
 STEP = 7
 ENGINE = configuration.Engine(
     slots=6,
@@ -39,32 +40,19 @@
         return self.now
 
 
-class Holder:
-    """Holds the lease, under a token higher than those of the entry before."""
-
-    holds = True
-
-    def __init__(self):
-        self._tokens = rankgroup.Tokens(9)
-
-    def raise_token(self):
-        return self._tokens.raise_token()
-
-    def stop_acting(self):
-        self.holds = False
-
-
 class Client:
     """Calls the ranks of a simulated group.
 
     Args:
         group: The group.
         starts_after: Number of orders after which a request starts the idle group.
+        late: Orders of an earlier holder that the ranks execute before that, by rank.
     """
 
-    def __init__(self, group, starts_after):
+    def __init__(self, group, starts_after, late=()):
         self._group = group
         self._starts_after = starts_after
+        self._late = late
         self.orders = []
 
     async def read_report(self, endpoint):
@@ -81,6 +69,8 @@
         result = self._group.receive(rank, order)
         self.orders.append((rank, order.operation))
         if len(self.orders) >= self._starts_after:
+            for late_rank, late_order in self._late:
+                self._group.receive(late_rank, late_order)
             self._group.idle = False
             self._group.next_at = 0.0
             self._group.run(rankgroup.STEP_S * 20)
@@ -88,9 +78,11 @@
         return result
 
 
-def _create_group(armed, held=None, checks_fences=True):
+def _create_group(armed, held=None, checks_fences=True, counts_orders=True):
     """Returns an idle group, some of whose ranks are armed."""
-    group = rankgroup.Group(RANKS, idle=True, checks_fences=checks_fences)
+    group = rankgroup.Group(
+        RANKS, idle=True, checks_fences=checks_fences, counts_orders=counts_orders
+    )
     group.step = STEP - 4
     for rank in group.ranks:
         rank.prepared = VERSION
@@ -103,13 +95,13 @@
     return group
 
 
-async def _take_over(settings, group, starts_after=10**6, before_update=None):
+async def _take_over(settings, group, starts_after=10**6, before_update=None, late=()):
     """Lets a new holder control the group; returns the orders that it sent."""
-    client = Client(group, starts_after)
+    client = Client(group, starts_after, late)
     controller = group_controller.GroupController(
         "g",
         fleets.Fleet(settings, Clock()),
-        Holder(),
+        rankgroup.Holder(FENCE),
         client,
         eventlog.EventLog("front-1"),
     )
@@ -168,7 +160,7 @@
 ):
     group = _create_group(armed, checks_fences=False)
     sent = await _take_over(settings, group, starts_after)
-    assert sent[0] == (0, orders.Operation.HOLD)
+    assert sent[0] == (FENCE % RANKS, orders.Operation.HOLD)
     assert not group.diverged
     assert {rank.version for rank in group.ranks} == {0}
     assert group.held_at is None
@@ -186,25 +178,54 @@
     assert group.step >= STEP
 
 
-# Guards against orders of the holder before that take effect after the rollback.
-@pytest.mark.parametrize("checks_fences", [True, False])
-async def test_orders_of_the_earlier_holder_have_no_effect_after_a_rollback(
-    settings, checks_fences
-):
-    group = _create_group([1], held=0, checks_fences=checks_fences)
-    late = [
+def _create_late_orders(group, operations, steps):
+    """Returns orders of the holder before, to all ranks."""
+    return [
         (
             rank,
-            orders.Order(operation, 5, 1, VERSION, STEP + 20, (), state.sequence),
+            orders.Order(
+                operation, 5, 1, VERSION, step, (), group.ranks[rank].sequence
+            ),
         )
-        for rank, state in enumerate(group.ranks)
-        for operation in (orders.Operation.ARM, orders.Operation.HOLD)
+        for rank in range(RANKS)
+        for operation in operations
+        for step in steps
     ]
+
+
+# Guards against orders to arm of the holder before that take effect after the rollback,
+# also at ranks that compare neither fencing tokens nor numbers of orders.
+@pytest.mark.parametrize("checks_fences", [True, False])
+@pytest.mark.parametrize("counts_orders", [True, False])
+async def test_orders_to_arm_have_no_effect_after_a_rollback(
+    settings, checks_fences, counts_orders
+):
+    group = _create_group([1], 0, checks_fences, counts_orders)
+    late = _create_late_orders(group, [orders.Operation.ARM], [STEP + 20])
     await _take_over(settings, group)
-    group.next_at = 0.0
     for rank, order in late:
         result = group.receive(rank, order)
         assert result in (orders.Result.CONFLICT, orders.Result.FENCED)
+
+
+# Guards against a rollback whose hold is released by a late order of the holder before:
+# each holder holds the group at another rank.
+@pytest.mark.parametrize("starts_after", range(1, 16))
+@pytest.mark.parametrize("held", [None, (FENCE - 1) % RANKS])
+async def test_late_release_of_the_holder_before_does_not_end_the_hold(
+    settings, starts_after, held
+):
+    group = _create_group([0, 2], held, checks_fences=False, counts_orders=False)
+    earlier_rank = (FENCE - 1) % RANKS
+    late = [
+        (rank, order)
+        for rank, order in _create_late_orders(
+            group, [orders.Operation.GO], range(group.step + 1, STEP + 1)
+        )
+        if rank == earlier_rank
+    ]
+    await _take_over(settings, group, starts_after, late=late)
+    assert not group.diverged
     assert group.held_at is None
 
 
@@ -218,3 +239,13 @@
 
     await _take_over(settings, group, before_update=hold)
     assert group.held_at is None
+
+
+# Guards against a group that is held for good because its ranks refuse a version.
+async def test_ranks_that_refuse_every_version_are_released(settings):
+    group = _create_group([0, 1], held=0)
+    for rank in group.ranks:
+        rank.versions.add(10**9)
+    await _take_over(settings, group)
+    assert not group.diverged
+    assert group.held_at is None
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -5,18 +5,20 @@
 arrive in time, the hold ends before the group reaches the step, and no step is delayed.
 Otherwise the group waits at the step; ranks never run different maps.
 
-A rank may execute an unanswered order seconds later, and an answered one twice. Each
-order therefore names the number of orders that the rank has executed, from its latest
-report, and the rank refuses it if it has executed another one since. So at most one of
-the orders that name the same number takes effect: once a rank has executed an order
-with it, all others that name it or a lower one have no effect any more. Fencing tokens
-are sent as well, but the ranks of some groups don't check them.
-
-A rollback keeps the group held: it gets one rank to hold it first, then brings each
-other rank to execute an order of its own, so that nothing that an earlier lease holder
-sent can take effect there later, and cancels armed switches. The hold ends once every
-rank has reported that it is not armed. A change that all ranks are armed for needs no
-rollback, even if the step has not yet begun: see `is_settled`.
+A rank may execute an unanswered order seconds later, and an answered one twice. Fencing
+tokens and the number of executed orders, which each order names, keep such orders from
+taking effect only where ranks compare them. Nothing here depends on that:
+
+- A version is armed by one change only, for one step only, so a late order to arm or to
+  disarm concerns no other change. Once another version is prepared at a rank, earlier
+  ones can't be armed there any more.
+- A rank is never held twice at the same step by one lease holder, and each holder
+  begins with another rank, so a late order to go on releases no later hold.
+
+A rollback first gets a rank to hold the group for itself. Under that hold, it disarms
+all ranks and prepares the current map again under a new version, so that nothing that
+was sent before can arm them later; then the hold ends. A change that all ranks are
+armed for needs no rollback, even if its step has not yet begun: see `is_settled`.
 
 Releasing and rolling back take as many retries as needed; if a rank takes no orders
 meanwhile, the others are asked whether the group has a new epoch, in which nothing is
@@ -34,8 +36,6 @@
 from chicoryweir_policy.rankmaps import orders
 
 CHART = interpreter.load_chart("rank_map_change")
-# Rank that is ordered to hold the group; the choice of the rank makes no difference.
-HOLDING_RANK = 0
 # Time from choosing the held step to its start. It is enough for the hold order, the
 # arm orders and a round of reports, which take some 10 ms each. If the event loop is
 # slow, the group waits at the step.
@@ -58,16 +58,19 @@
 # plus the time of an order.
 COPY_TIME_FACTOR = 1.1
 COPY_SLACK_S = 0.05
+# Time after that until all ranks must have reported that they have copied the weights.
+COPY_TIMEOUT_S = 1.5
 
 # States in which orders are retried without limit, since ranks would otherwise stay
 # armed or the group held.
 _UNLIMITED_STATES = frozenset({"releasing", "fencing", "disarming", "withdrawing"})
-# States of a rollback.
-_ROLLBACK_STATES = frozenset({"fencing", "disarming", "verifying", "withdrawing"})
 # States in which only the holding rank gets orders.
 _HOLDING_RANK_STATES = frozenset({"holding", "releasing", "fencing", "withdrawing"})
 # States that check reports, which must have been requested in them.
-_REPORTING_STATES = frozenset({"checking", "verifying"})
+_REPORTING_STATES = frozenset({"copying", "checking", "verifying"})
+
+# A rank, and a step at which it was held.
+Hold = tuple[int, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,21 +80,31 @@
     Attributes:
         version: Version of the new map; higher than all earlier versions.
         experts: The new map.
+        current: The current map; None if it is not known yet.
         ranks: Number of ranks in the group.
         epoch: Epoch of the group.
         copy_s: Time that the slowest rank needs to copy weights, in seconds.
         step_s: Current time of a step, in seconds.
         orders_lost: Whether recent orders went unanswered; if so, the held step is
             chosen further ahead.
+        holding_rank: Rank that is ordered to hold the group first; another one for each
+            lease.
+        released: Holds that this holder has released before.
+        latest_step: Step that a rollback must hold the group at or before, since ranks
+            may be armed for it; None if not known.
     """
 
     version: int
     experts: orders.RankMap
+    current: orders.RankMap | None
     ranks: int
     epoch: int
     copy_s: float
     step_s: float
     orders_lost: bool
+    holding_rank: int = 0
+    released: frozenset[Hold] = frozenset()
+    latest_step: int | None = None
 
 
 class TokenSource(typing.Protocol):
@@ -111,11 +124,16 @@
     """
     if any(report.held is not None for report in reports):
         return False
-    armed = {report.armed for report in reports if report.armed is not None}
+    armed = {
+        (report.armed, report.armed_step)
+        for report in reports
+        if report.armed is not None
+    }
     if not armed:
         return True
+    versions = {version for version, _ in armed}
     return len(armed) == 1 and all(
-        report.armed in armed or report.version in armed for report in reports
+        report.armed in versions or report.version in versions for report in reports
     )
 
 
@@ -141,7 +159,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _RankProgress:
-    """Progress of one rank.
+    """Progress of one rank in the current state of the change.
 
     Attributes:
         done: Whether the rank has reached what the state requires.
@@ -152,10 +170,8 @@
         report: State of the rank; None if it must be read before the next order.
         observed_at: Time at which the rank had this state, in seconds.
         conflict: Order that the rank refused last in this state.
-        known_sequence: Number of orders that the rank is known to have executed.
-        sent_sequence: Highest number of executed orders that an order named.
-        floor: Orders that name a number up to this one were sent before the rollback;
-            None outside a rollback, and until the rollback has read a report.
+        refusals: Orders to prepare the current map that the rank refused. After some,
+            the group is released all the same, since it would be held for good.
     """
 
     done: bool = False
@@ -166,20 +182,13 @@
     report: orders.Report | None = None
     observed_at: float = 0.0
     conflict: orders.Order | None = None
-    known_sequence: int = -1
-    sent_sequence: int = -1
-    floor: int | None = None
+    refusals: int = 0
 
     @property
     def in_flight(self) -> bool:
         """Whether an order or report request to the rank is unanswered."""
         return self.is_asked or self.pending is not None
 
-    @property
-    def is_cleared(self) -> bool:
-        """Whether no order from before the rollback can take effect any more."""
-        return self.floor is not None and self.known_sequence > self.floor
-
 
 class MapChange:
     """Changes a group's map, or rolls back another entry's unfinished change."""
@@ -196,10 +205,17 @@
         self._token = tokens.raise_token()
         self._state = state
         self._entered_at = now
-        self._step = 0
-        self._lead_s = HOLD_LEAD_S if not plan.orders_lost else LOSSY_HOLD_LEAD_S
-        self._hold_steps: set[int] = set()
+        self._holding_rank = plan.holding_rank % plan.ranks
+        self._hold: Hold | None = None
+        self._ordered_holds: set[Hold] = set()
+        self._released = set(plan.released)
         self._hold_conflicts = 0
+        self._hold_moves = 0
+        self._latest_step = plan.latest_step
+        self._current = plan.current
+        self._ranks_differ = False
+        self._cancel_version = 0
+        self._lead_s = HOLD_LEAD_S if not plan.orders_lost else LOSSY_HOLD_LEAD_S
         self._epoch_check_at = -math.inf
         self._epoch_checks = 0
         self._ranks = [_RankProgress() for _ in range(plan.ranks)]
@@ -214,14 +230,35 @@
 
     @property
     def step(self) -> int:
-        """Step at which the group is held; 0 before it is."""
-        return self._step
+        """Step at which this change holds the group; 0 while it doesn't."""
+        return 0 if self._hold is None else self._hold[1]
 
     @property
     def is_over(self) -> bool:
         """Whether the change has ended or this entry has been fenced off."""
         return self.fenced or self._state in CHART.final
 
+    @property
+    def released(self) -> frozenset[Hold]:
+        """Holds that this holder has ordered to be released so far."""
+        return frozenset(self._released)
+
+    @property
+    def needs_current_map(self) -> bool:
+        """Whether a rollback waits for `set_current_map`."""
+        is_known = self._current is not None or self._ranks_differ
+        return self._state == "disarming" and not is_known
+
+    def set_current_map(self, experts: orders.RankMap | None) -> None:
+        """Sets the current map, read while the group is held.
+
+        Args:
+            experts: The map; None if the ranks run different ones, so that none can be
+                prepared.
+        """
+        self._current = experts
+        self._ranks_differ = experts is None
+
     def poll_commands(self, now: float) -> list[orders.Command]:
         """Returns the due orders and report requests and marks them as in flight."""
         found: list[orders.Command] = []
@@ -229,7 +266,7 @@
         while not self.is_over and self._state != state:
             state = self._state
             self._check_timeouts(now)
-            if self._state == state and state != "copying":
+            if self._state == state:
                 found += self._request_all(now)
                 self._advance_if_done(now)
         return [*found, *self._check_epoch(now)]
@@ -244,18 +281,11 @@
         progress.pending = None
         if self.is_over:
             return
-        before: orders.Report | None
-        before, progress.report = progress.report, None
+        # Whether the rank counts the order, and so its next number, is not known.
+        progress.report = None
         match result:
-            case orders.Result.ACCEPTED:
-                progress.known_sequence = max(
-                    progress.known_sequence, order.sequence + 1
-                )
-                if before is not None:
-                    progress.report = _apply_order(before, order)
-                progress.done = self._is_reached_by(order)
-            case orders.Result.UNCHANGED:
-                progress.done = self._is_reached_by(order)
+            case orders.Result.ACCEPTED | orders.Result.UNCHANGED:
+                self._handle_success(rank, order)
             case orders.Result.CONFLICT:
                 self._handle_conflict(rank, order, now)
             case orders.Result.FENCED:
@@ -283,22 +313,14 @@
                 "void", "the group's epoch changed or the group closed", now
             )
             return
-        if progress.pending is not None or report.sequence < progress.known_sequence:
-            # It may be older than an order that the rank has executed.
-            progress.next_send_at = now + POLL_INTERVAL_S
-            return
-        progress.report = report
-        progress.observed_at = now - report.lag_s
-        progress.known_sequence = report.sequence
-        if progress.floor is None and self._is_rolling_back:
-            progress.floor = max(progress.sent_sequence, report.sequence)
-
-    @property
-    def _is_rolling_back(self) -> bool:
-        return self._state in _ROLLBACK_STATES
+        if progress.pending is None:
+            progress.report = report
+            progress.observed_at = now - report.lag_s
 
     def _request_all(self, now: float) -> list[orders.Command]:
         """Returns what is due at the ranks that the state concerns."""
+        if self._is_copying(now) or self.needs_current_map:
+            return []
         found: list[orders.Command] = []
         state = self._state
         for rank in self._list_target_ranks():
@@ -308,17 +330,25 @@
                 found += self._request_next(rank, now)
         return found
 
+    def _is_copying(self, now: float) -> bool:
+        """Returns whether the ranks are expected to be still copying weights."""
+        copy_wait_s = self._plan.copy_s * COPY_TIME_FACTOR + COPY_SLACK_S
+        return self._state == "copying" and now - self._entered_at < copy_wait_s
+
     def _request_next(self, rank: int, now: float) -> list[orders.Command]:
         """Returns the next order to a rank, or the request for the report it needs."""
         progress = self._ranks[rank]
         if progress.report is None:
+            if self._state == "fencing" and progress.tries > MAX_RETRIES:
+                self._move_hold(rank, None)
+                return []
             progress.is_asked = True
             return [orders.RequestReport(rank)]
         match self._decide(rank, progress.report, now):
             case orders.Order() as order:
                 progress.pending = order
-                progress.sent_sequence = max(progress.sent_sequence, order.sequence)
                 progress.tries += 1
+                self._note_order(rank, order)
                 return [orders.SendOrder(rank, order)]
             case _Reached():
                 progress.done = True
@@ -329,19 +359,32 @@
                 self._apply_event("fail", reason, now)
         return []
 
+    def _note_order(self, rank: int, order: orders.Order) -> None:
+        """Records which holds may exist, and which may be released, from now on."""
+        match order.operation:
+            case orders.Operation.HOLD:
+                self._ordered_holds.add((rank, order.step))
+            case orders.Operation.GO:
+                self._released.add((rank, order.step))
+                if self._hold == (rank, order.step):
+                    self._hold = None
+
     def _decide(self, rank: int, report: orders.Report, now: float) -> _Decision:
         """Decides what a rank still needs in the current state, by its report."""
         match self._state:
             case "preparing":
                 return self._decide_preparation(rank, report)
+            case "copying":
+                is_prepared = report.prepared == self._plan.version
+                return _Reached() if is_prepared else _Wait()
             case "holding":
-                return self._decide_hold(report, now)
+                return self._decide_hold(rank, report, now)
             case "arming":
                 return self._decide_arming(rank, report)
             case "checking" | "verifying":
                 return self._decide_check(rank, report)
             case "fencing":
-                return self._decide_fencing(report, now)
+                return self._decide_fencing(rank, report, now)
             case "disarming":
                 return self._decide_disarming(rank, report)
             case _:
@@ -357,41 +400,50 @@
             return _Fail("a rank reported a conflict while preparing")
         return self._create_order(orders.Operation.PREPARE, report)
 
-    def _decide_hold(self, report: orders.Report, now: float) -> _Decision:
-        if report.held in self._hold_steps:
-            self._step = report.held
-            return _Reached()
+    def _decide_hold(self, rank: int, report: orders.Report, now: float) -> _Decision:
         if report.held is not None:
+            return self._adopt_hold(rank, report.held)
+        ahead_s = now - self._ranks[rank].observed_at + self._lead_s
+        step = report.step + math.ceil(ahead_s / self._plan.step_s)
+        while (rank, step) in self._released:
+            step += 1
+        return self._create_order(orders.Operation.HOLD, report, step)
+
+    def _adopt_hold(self, rank: int, step: int) -> _Decision:
+        """Decides whether a hold that a report shows is one of this change."""
+        if (rank, step) not in self._ordered_holds - self._released:
             return _Fail("another change holds the group")
-        observed_at = self._ranks[HOLDING_RANK].observed_at
-        ahead_s = now - observed_at + self._lead_s
-        self._step = report.step + math.ceil(ahead_s / self._plan.step_s)
-        self._hold_steps.add(self._step)
-        return self._create_order(orders.Operation.HOLD, report, self._step)
+        self._hold = rank, step
+        return _Reached()
 
     def _decide_arming(self, rank: int, report: orders.Report) -> _Decision:
-        if rank == HOLDING_RANK and report.held != self._step:
-            return _Fail("the group is no longer held")
+        assert self._hold is not None
         if report.armed == self._plan.version:
             return _Reached()
         if report.armed is not None:
             return _Fail("a rank is armed for another map")
-        if self._ranks[rank].tries and report.prepared != self._plan.version:
-            # The rank is still copying weights. The first order is sent without a
-            # report, since the copies usually take as long as estimated.
+        is_held = rank != self._holding_rank or report.held == self.step
+        if report.prepared != self._plan.version or not is_held:
             return _Wait()
-        return self._create_order(orders.Operation.ARM, report, self._step)
+        self._latest_step = self.step
+        return self._create_order(orders.Operation.ARM, report, self.step)
 
     def _decide_check(self, rank: int, report: orders.Report) -> _Decision:
-        """Decides whether a rank's report confirms what it was ordered."""
-        is_held = report.held is not None
-        if self._state == "verifying":
-            if report.armed is None and is_held == (rank == HOLDING_RANK):
-                return _Reached()
-            return _Fail("a rank is armed, or the wrong ones are held")
-        if rank == HOLDING_RANK and report.held != self._step:
-            return _Fail("the group is no longer held")
-        return _Reached() if report.armed == self._plan.version else _Wait()
+        """Decides whether a rank's report confirms what it was ordered.
+
+        It may be older than the orders, so that it is read again if it doesn't.
+        """
+        is_held_as_ordered = report.held == (
+            self.step if rank == self._holding_rank else None
+        )
+        if self._state == "checking":
+            is_armed = report.armed == self._plan.version
+            is_confirmed = is_armed and report.armed_step in (None, self.step)
+            if rank == self._holding_rank:
+                is_confirmed = is_confirmed and is_held_as_ordered
+        else:
+            is_confirmed = report.armed is None and is_held_as_ordered
+        return _Reached() if is_confirmed else _Wait()
 
     def _decide_release(self, report: orders.Report) -> _Decision:
         """Decides whether the group can go on; the holding rank must be as checked."""
@@ -402,65 +454,105 @@
             return _Fail(f"the holding rank is armed for {report.armed}")
         return self._create_order(orders.Operation.GO, report, report.held)
 
-    def _decide_fencing(self, report: orders.Report, now: float) -> _Decision:
-        """Decides how the group is held without a rank that may switch or release."""
-        if report.held is None:
-            observed_at = self._ranks[HOLDING_RANK].observed_at
-            begun = int((now - observed_at) / self._plan.step_s)
-            step = report.step + begun + 1 + self._hold_conflicts
-            return self._create_order(orders.Operation.HOLD, report, step)
-        if report.armed is not None:
-            return self._create_order(orders.Operation.DISARM, report)
-        self._step = report.held
-        return _Reached()
+    def _decide_fencing(
+        self, rank: int, report: orders.Report, now: float
+    ) -> _Decision:
+        """Decides how the group is held so that only this change releases it."""
+        if self._ranks[rank].tries > MAX_RETRIES:
+            return self._move_hold(rank, None)
+        if self._hold is not None:
+            if report.held == self.step:
+                return _Reached()
+            if now - self._entered_at < CHECK_TIMEOUT_S:
+                return _Wait()
+            self._released.add(self._hold)
+            self._hold = None
+        if report.held is not None:
+            if (rank, report.held) in self._ordered_holds - self._released:
+                return self._adopt_hold(rank, report.held)
+            return self._move_hold(rank, report.held)
+        begun = int((now - self._ranks[rank].observed_at) / self._plan.step_s)
+        step = report.step + begun + 1 + self._hold_conflicts
+        if self._latest_step is not None:
+            step = max(report.step + 1, min(step, self._latest_step))
+        if (rank, step) in self._released:
+            return self._move_hold(rank, report.held)
+        return self._create_order(orders.Operation.HOLD, report, step)
+
+    def _move_hold(self, rank: int, held: int | None) -> _Decision:
+        """Chooses the next rank to hold the group, or takes over a hold of the last."""
+        self._hold_conflicts = 0
+        self._hold_moves += 1
+        if held is not None and self._hold_moves >= self._plan.ranks:
+            # All ranks are held, so that no hold is left to choose.
+            self._hold = rank, held
+        else:
+            self._hold = None
+            self._holding_rank = (rank + 1) % self._plan.ranks
+            self._ranks[rank].tries = 0
+        return _Wait()
 
     def _decide_disarming(self, rank: int, report: orders.Report) -> _Decision:
         if report.armed is not None:
             return self._create_order(orders.Operation.DISARM, report)
-        if report.held is not None:
+        if not self._cancel_version:
+            self._cancel_version = self._tokens.raise_token()
+        is_refusing = self._ranks[rank].refusals > MAX_RETRIES
+        if report.prepared != self._cancel_version and not (
+            self._ranks_differ or is_refusing
+        ):
+            return self._create_order(orders.Operation.PREPARE, report)
+        if report.held is not None and rank != self._holding_rank:
             return self._create_order(orders.Operation.GO, report, report.held)
-        if self._ranks[rank].is_cleared:
-            return _Reached()
-        step = max(self._step, report.step + 1)
-        return self._create_order(orders.Operation.HOLD, report, step)
+        return _Reached()
 
     def _create_order(
         self, operation: orders.Operation, report: orders.Report, step: int = 0
     ) -> orders.Order:
-        is_preparing = operation is orders.Operation.PREPARE
         version = self._plan.version
+        experts: orders.RankMap = ()
         if operation is orders.Operation.DISARM:
             version = report.armed or 0
+        elif operation is orders.Operation.PREPARE:
+            experts = self._plan.experts
+            if self._state == "disarming":
+                version, experts = self._cancel_version, self._current or ()
         return orders.Order(
             operation,
             self._token,
             self._plan.epoch,
             version,
             step,
-            self._plan.experts if is_preparing else (),
+            experts,
             report.sequence,
         )
 
-    def _is_reached_by(self, order: orders.Order) -> bool:
-        """Returns whether a rank has reached the state's goal with an order's effect.
-
-        In a rollback, only reports tell.
-        """
+    def _handle_success(self, rank: int, order: orders.Order) -> None:
+        """Handles an order that was executed, or whose effect was there already."""
         operations = {
             "preparing": orders.Operation.PREPARE,
             "holding": orders.Operation.HOLD,
             "arming": orders.Operation.ARM,
+            "fencing": orders.Operation.HOLD,
             "releasing": orders.Operation.GO,
             "withdrawing": orders.Operation.GO,
         }
-        return operations.get(self._state) is order.operation
+        if operations.get(self._state) is not order.operation:
+            return
+        if order.operation is orders.Operation.HOLD:
+            if rank != self._holding_rank:
+                return
+            self._hold = rank, order.step
+        self._ranks[rank].done = True
 
     def _handle_conflict(self, rank: int, order: orders.Order, now: float) -> None:
-        """Handles an order that doesn't fit the rank's state, or its sequence."""
+        """Handles an order that doesn't fit the rank's state, or its number."""
         progress = self._ranks[rank]
         progress.conflict = order
         if order.operation is not orders.Operation.HOLD:
             progress.next_send_at = now + POLL_INTERVAL_S
+            is_preparing = order.operation is orders.Operation.PREPARE
+            progress.refusals += self._state == "disarming" and is_preparing
             return
         self._hold_conflicts += 1
         self._lead_s *= 2.0
@@ -487,18 +579,13 @@
 
     def _list_target_ranks(self) -> range:
         if self._state in _HOLDING_RANK_STATES:
-            return range(HOLDING_RANK, HOLDING_RANK + 1)
-        if self._state == "disarming":
-            return range(HOLDING_RANK + 1, self._plan.ranks)
+            return range(self._holding_rank, self._holding_rank + 1)
         return range(self._plan.ranks)
 
     def _check_timeouts(self, now: float) -> None:
-        copy_wait_s = self._plan.copy_s * COPY_TIME_FACTOR + COPY_SLACK_S
-        if self._state == "copying" and now - self._entered_at >= copy_wait_s:
-            self._apply_event("copied", "", now)
-            return
         timeouts_s = {
             "preparing": PREPARE_TIMEOUT_S,
+            "copying": self._plan.copy_s * COPY_TIME_FACTOR + COPY_TIMEOUT_S,
             "arming": ARM_TIMEOUT_S,
             "checking": CHECK_TIMEOUT_S,
             "verifying": CHECK_TIMEOUT_S,
@@ -517,13 +604,12 @@
             self._apply_event("fail", f"no answer while {self._state}", now)
 
     def _advance_if_done(self, now: float) -> None:
-        if self.is_over:
-            return
-        if self._state == "copying" or not all(
+        if self.is_over or not all(
             self._ranks[rank].done for rank in self._list_target_ranks()
         ):
             return
         events = {
+            "copying": "copied",
             "checking": "confirmed",
             "verifying": "confirmed",
         }
@@ -544,33 +630,14 @@
         if state in ("fencing", "withdrawing"):
             self._token = self._tokens.raise_token()
         if state == "fencing":
-            self._hold_conflicts = 0
-        for rank, progress in enumerate(self._ranks):
+            self._hold_conflicts = self._hold_moves = 0
+        for progress in self._ranks:
             progress.done, progress.tries, progress.next_send_at = False, 0, 0.0
             progress.conflict = None
-            is_first_rollback = state == "fencing" and progress.floor is None
-            is_step_needed = state == "holding" and rank == HOLDING_RANK
-            if is_first_rollback or is_step_needed or state in _REPORTING_STATES:
+            if state in _REPORTING_STATES or state == "fencing":
                 progress.report = None
 
 
-def _apply_order(report: orders.Report, order: orders.Order) -> orders.Report:
-    """Returns the report of a rank after it has accepted an order."""
-    changed = dataclasses.replace(report, sequence=order.sequence + 1)
-    match order.operation:
-        case orders.Operation.PREPARE:
-            # The report shows the version once its weights have been copied.
-            return changed
-        case orders.Operation.ARM:
-            return dataclasses.replace(changed, armed=order.version)
-        case orders.Operation.DISARM:
-            return dataclasses.replace(changed, armed=None)
-        case orders.Operation.HOLD:
-            return dataclasses.replace(changed, held=order.step)
-        case orders.Operation.GO:
-            return dataclasses.replace(changed, held=None)
-
-
 def create_change(plan: ChangePlan, tokens: TokenSource, now: float) -> MapChange:
     """Returns a change to a new map."""
     return MapChange(plan, tokens, now)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/orders.py
@@ -38,8 +38,8 @@
         version: Version of the map, for PREPARE, ARM and DISARM.
         step: Step of the group, for ARM, HOLD and GO.
         experts: Map, for PREPARE.
-        sequence: Number of orders that the rank must have executed; ranks refuse the
-            order if they have executed more.
+        sequence: Number of orders that the rank has executed, by its last report; it
+            refuses the order if it counts them and has executed more.
     """
 
     operation: Operation
@@ -89,7 +89,9 @@
         lag_s: Age of the report on arrival, in seconds.
         running: Requests in the rank's batch.
         waiting: Requests in the rank's own queue.
-        sequence: Number of orders that the rank has executed since its start.
+        sequence: Number of orders that the rank has executed since its start; some
+            ranks don't count those of map changes.
+        armed_step: Step at which it switches, or None if it isn't armed or doesn't say.
     """
 
     epoch: int
@@ -104,6 +106,7 @@
     running: int = 0
     waiting: int = 0
     sequence: int = 0
+    armed_step: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -1,5 +1,7 @@
 """Tests of map changes with late and lost orders and competing lease holders."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -12,7 +14,7 @@
 RANKS = 4
 STEP_S = rankgroup.STEP_S
 TICK_S = rankgroup.TICK_S
-Tokens = rankgroup.Tokens
+Holder = rankgroup.Holder
 
 
 def _simulate(delays_s=(), silent=None, lag_s=0.0, **group):
@@ -21,33 +23,44 @@
     )
 
 
-def _plan(simulation, version):
+def _plan(holder, version):
     return change.ChangePlan(
         version=version,
-        experts=(),
+        experts=((),),
+        current=((),),
         ranks=RANKS,
         epoch=1,
         copy_s=0.1,
         step_s=STEP_S,
         orders_lost=False,
+        holding_rank=holder.fence,
+        released=holder.released,
     )
 
 
-def _recover(simulation, fence):
+def _create_change(simulation, holder, version):
+    return change.create_change(_plan(holder, version), holder, simulation.now)
+
+
+def _recover(simulation, holder):
     """Takes the group over, as each new holder does."""
-    tokens = Tokens(fence)
     reports = [simulation.report(rank) for rank in range(RANKS)]
-    if not change.is_settled(reports):
-        plan = _plan(simulation, 0)
-        recovery = change.create_recovery(plan, tokens, simulation.now)
-        assert simulation.drive(recovery, 60.0)
-    return tokens
+    if change.is_settled(reports):
+        return
+    steps = [report.held for report in reports if report.held is not None]
+    steps += [r.armed_step for r in reports if r.armed_step is not None]
+    plan = dataclasses.replace(
+        _plan(holder, 0), current=None, latest_step=min(steps, default=None)
+    )
+    recovery = change.create_recovery(plan, holder, simulation.now)
+    assert simulation.drive(recovery, 60.0), recovery.state
+    holder.released = recovery.released
 
 
 def test_undisturbed_change_does_not_delay_steps():
     simulation = _simulate()
     simulation.run_until(0.5)
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    map_change = _create_change(simulation, Holder(1), 1)
     assert simulation.drive(map_change, 5.0)
     assert map_change.state == "done"
     began_at, step = simulation.now, simulation.group.step
@@ -59,7 +72,7 @@
 def test_conflict_while_preparing_abandons_the_change_without_a_hold():
     simulation = _simulate()
     simulation.group.ranks[2].versions.add(9)
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    map_change = _create_change(simulation, Holder(1), 1)
     assert simulation.drive(map_change, 5.0)
     assert map_change.state == "abandoned"
     assert simulation.group.held_at is None
@@ -67,7 +80,7 @@
 
 def test_conflict_while_arming_keeps_all_ranks_on_the_old_map():
     simulation = _simulate()
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    map_change = _create_change(simulation, Holder(1), 1)
     while map_change.state != "arming":
         assert not simulation.drive(map_change, TICK_S)
     simulation.group.ranks[3].prepared = None
@@ -80,7 +93,7 @@
 
 def test_superseded_holder_stops_at_the_first_fenced_order():
     simulation = _simulate()
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    map_change = _create_change(simulation, Holder(1), 1)
     for rank in simulation.group.ranks:
         rank.token = 5000
     assert simulation.drive(map_change, 5.0)
@@ -88,11 +101,12 @@
     assert map_change.poll_commands(simulation.now) == []
 
 
-def test_new_epoch_ends_the_change():
+@pytest.mark.parametrize("state", ["copying", "arming"])
+def test_new_epoch_ends_the_change(state):
     simulation = _simulate()
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
-    while map_change.state != "holding":
-        simulation.drive(map_change, TICK_S)
+    map_change = _create_change(simulation, Holder(1), 1)
+    while map_change.state != state:
+        assert not simulation.drive(map_change, TICK_S)
     simulation.group.epoch = 2
     assert simulation.drive(map_change, 5.0)
     assert map_change.state == "ended"
@@ -104,8 +118,8 @@
 @pytest.mark.parametrize("state", ["releasing", "fencing", "disarming", "withdrawing"])
 def test_new_epoch_ends_a_change_whose_rank_is_gone(state, gone):
     simulation = _simulate()
-    plan = _plan(simulation, 1)
-    map_change = change.MapChange(plan, Tokens(1), simulation.now, state)
+    holder = Holder(RANKS)
+    map_change = change.MapChange(_plan(holder, 1), holder, simulation.now, state)
     simulation.gone = {gone}
     simulation.drive(map_change, 3.0)
     simulation.group.epoch = 2
@@ -115,7 +129,8 @@
 
 def test_change_whose_rank_is_gone_goes_on_while_the_epoch_is_the_same():
     simulation = _simulate()
-    map_change = change.create_recovery(_plan(simulation, 1), Tokens(1), simulation.now)
+    holder = Holder(RANKS)
+    map_change = change.create_recovery(_plan(holder, 1), holder, simulation.now)
     simulation.gone = {2}
     assert not simulation.drive(map_change, 5.0)
     assert map_change.state == "disarming"
@@ -124,6 +139,21 @@
     assert map_change.state == "abandoned"
 
 
+# Guards against a hold that a late order to go on, for an earlier hold of the same
+# holder at the same step, releases before all ranks are armed.
+def test_no_step_is_held_twice_at_one_rank():
+    simulation = _simulate(idle=True)
+    holder = Holder(1)
+    holder.released = frozenset((holder.fence, step) for step in range(1, 40))
+    assert simulation.drive(_create_change(simulation, holder, 1), 5.0)
+    held = [
+        order.step
+        for rank, order in simulation.group.received
+        if order.operation is orders.Operation.HOLD
+    ]
+    assert held == [40]
+
+
 DELAYS_S = strategies.lists(
     strategies.one_of(
         strategies.just(0.0),
@@ -133,9 +163,17 @@
     ),
     max_size=80,
 )
-# Whether ranks check fencing tokens, and compare states or numbers of orders first.
+# Whether ranks check fencing tokens, count orders, and compare states before numbers.
 GROUPS = strategies.fixed_dictionaries(
-    {"checks_fences": strategies.booleans(), "compares_first": strategies.booleans()}
+    {
+        "checks_fences": strategies.booleans(),
+        "counts_orders": strategies.booleans(),
+        "compares_first": strategies.booleans(),
+    }
+)
+# A holder that goes on beside another is kept apart by tokens only.
+COMPARISONS = strategies.fixed_dictionaries(
+    {"counts_orders": strategies.booleans(), "compares_first": strategies.booleans()}
 )
 LAGS_S = strategies.sampled_from([0.0, 0.0, 0.25])
 
@@ -160,13 +198,13 @@
 ):
     simulation = _simulate(delays_s, silent, lag_s, idle=idle, **group)
     simulation.run_until(0.3)
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    map_change = _create_change(simulation, Holder(1), 1)
     simulation.drive(map_change, 40.0)
     assert map_change.is_over
     simulation.group.idle = False
     simulation.group.next_at = simulation.now
     simulation.run_until(simulation.now + 14.0)
-    _recover(simulation, 2)
+    _recover(simulation, Holder(2))
     step = simulation.group.step
     simulation.run_until(simulation.now + 1.0)
     assert not simulation.group.diverged
@@ -189,16 +227,17 @@
 ):
     simulation = _simulate(delays_s, silent, lag_s, idle=idle, **group)
     simulation.run_until(0.3)
-    map_change = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    map_change = _create_change(simulation, Holder(1), 1)
     simulation.drive(map_change, 20.0, stop_after=first)
     simulation.run_until(simulation.now + 3.0)
-    tokens = _recover(simulation, 2)
-    other = change.create_change(_plan(simulation, 2001), tokens, simulation.now)
+    holder = Holder(2)
+    _recover(simulation, holder)
+    other = _create_change(simulation, holder, 2500)
     simulation.drive(other, 20.0, stop_after=second)
     simulation.group.idle = False
     simulation.group.next_at = simulation.now
     simulation.run_until(simulation.now + 14.0)
-    _recover(simulation, 3)
+    _recover(simulation, Holder(3))
     step = simulation.group.step
     simulation.run_until(simulation.now + 1.0)
     assert not simulation.group.diverged
@@ -207,24 +246,25 @@
 
 
 @hypothesis.settings(max_examples=150)
-@hypothesis.given(DELAYS_S, strategies.integers(0, 40), SILENT_RANKS, GROUPS)
+@hypothesis.given(DELAYS_S, strategies.integers(0, 40), SILENT_RANKS, COMPARISONS)
 def test_paused_holder_resuming_beside_a_new_one_never_diverges_the_group(
     delays_s, paused_after, silent, group
 ):
     simulation = _simulate(delays_s, silent, **group)
     simulation.run_until(0.3)
-    old = change.create_change(_plan(simulation, 1), Tokens(1), simulation.now)
+    old = _create_change(simulation, Holder(1), 1)
     simulation.drive(old, 20.0, stop_after=paused_after)
     simulation.run_until(simulation.now + 3.0)
-    tokens = _recover(simulation, 2)
-    new = change.create_change(_plan(simulation, 2001), tokens, simulation.now)
+    holder = Holder(2)
+    _recover(simulation, holder)
+    new = _create_change(simulation, holder, 2500)
     for _ in range(400):
         for map_change in (old, new):
             simulation.drive(map_change, TICK_S)
         if new.is_over:
             break
     simulation.run_until(simulation.now + 14.0)
-    _recover(simulation, 3)
+    _recover(simulation, Holder(3))
     step = simulation.group.step
     simulation.run_until(simulation.now + 1.0)
     assert not simulation.group.diverged
@@ -248,8 +288,8 @@
 def test_release_and_rollback_are_retried_until_done(state):
     simulation = _simulate([1.0] * 30)
     simulation.group.ranks[0].held = simulation.group.step + 5
-    plan = _plan(simulation, 1)
-    map_change = change.MapChange(plan, Tokens(1), simulation.now, state)
+    holder = Holder(RANKS)
+    map_change = change.MapChange(_plan(holder, 1), holder, simulation.now, state)
     assert simulation.drive(map_change, 30.0)
     assert map_change.state in ("done", "abandoned")
     simulation.run_until(simulation.now + 2.0)
--- a/tests/support/rankgroup.py
+++ b/tests/support/rankgroup.py
@@ -8,16 +8,23 @@
 TICK_S = 0.01
 
 
-class Tokens:
-    """Source of fencing tokens of one lease."""
+class Holder:
+    """Holder of one lease: its fencing tokens, and the holds that it released."""
+
+    holds = True
 
     def __init__(self, fence):
+        self.fence = fence
+        self.released = frozenset()
         self._token = fence * 1000
 
     def raise_token(self):
         self._token += 1
         return self._token
 
+    def stop_acting(self):
+        self.holds = False
+
 
 @dataclasses.dataclass
 class Rank:
@@ -39,19 +46,29 @@
         ranks: Number of ranks.
         idle: Whether the group runs no steps.
         checks_fences: Whether ranks refuse lower tokens.
+        counts_orders: Whether ranks count the orders of map changes.
         compares_first: Whether an order whose state already holds is answered so even
             if it names another number of executed orders.
     """
 
-    def __init__(self, ranks, idle=False, checks_fences=True, compares_first=False):
+    def __init__(
+        self,
+        ranks,
+        idle=False,
+        checks_fences=True,
+        counts_orders=True,
+        compares_first=False,
+    ):
         self.ranks = [Rank() for _ in range(ranks)]
         self.epoch = 1
         self.step = 0
         self.next_at = 0.0
         self.idle = idle
         self.checks_fences = checks_fences
+        self.counts_orders = counts_orders
         self.compares_first = compares_first
         self.diverged = False
+        self.tells_steps = True
         self.received = []
 
     def run(self, now):
@@ -87,7 +104,7 @@
             return orders.Result.UNCHANGED
         result = self._execute(rank, order)
         if result is orders.Result.ACCEPTED:
-            rank.sequence += 1
+            rank.sequence += self.counts_orders
         return result
 
     def _holds_already(self, rank, order):
@@ -143,6 +160,7 @@
             version=rank.version,
             prepared=rank.prepared,
             armed=rank.armed[0] if rank.armed else None,
+            armed_step=rank.armed[1] if rank.armed and self.tells_steps else None,
             held=rank.held,
             slowdown=1.0,
             lag_s=lag_s,
@@ -231,6 +249,8 @@
         ends_at = self.now + limit_s
         done = 0
         while not map_change.is_over and self.now < ends_at:
+            if map_change.needs_current_map:
+                map_change.set_current_map(((),))
             for command in map_change.poll_commands(self.now):
                 if stop_after is not None and done >= stop_after:
                     return False
