Accept nothing in a planned stop that can't be finished

Cause: the listener of a stopping entry stays open for 4.8 s, since callers keep its address, and what came was accepted and passed on without a look at the time until the process ends. What ran or was queued then was cut.

Change: while it stops, an entry sends only what is over by its deadline before the stop, or fits by the longest answer to a request of its route in the last minute, half as much again and 0.3 s. The rest gets 503 with Retry-After at once, while it is certain that it does not run; what is queued gets it when it can't start in time any more. What is running 0.7 s before the end is answered 504, or broken off if its answer has begun.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import typing
 
 from chicoryweir_daemon.forwarder import allocation
@@ -31,10 +32,14 @@
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import stalls
 from chicoryweir_policy.forwarding import statements
+from chicoryweir_policy.forwarding import stopping
 from chicoryweir_policy.quarantine import records
 
 # Retry-After value for a rejected request without an estimate.
 DEFAULT_RETRY_AFTER_S = 0.3
+# Retry-After value of a stopping entry; the caller's next connection goes to another.
+STOPPING_RETRY_AFTER_S = 0.05
+STOPPING_DETAIL = "the entry stops before its answer would end"
 # An answer proves the parts of its prompt when a piece of it arrives at least this much
 # later than the one before; closer ones may be pieces of one event. An engine's step
 # takes some milliseconds.
@@ -103,6 +108,7 @@
         self._attempt_log: list[str] = []
         self._admission_log: dict[str, int | float] = {}
         self._attempt: attempts.Attempt | None = None
+        self._timeout: asyncio.Timeout | None = None
         self._relay = self._create_relay()
 
     async def run(self) -> None:
@@ -111,7 +117,8 @@
             self._arrived_at
         )
         try:
-            async with asyncio.timeout_at(self._deadline_at) as timeout:
+            async with asyncio.timeout_at(self._compute_end_at()) as timeout:
+                self._timeout = timeout
                 await self._serve()
         except TimeoutError:
             if not timeout.expired():
@@ -121,8 +128,39 @@
             self._log_end("caller left", 0, "")
             raise
 
+    def update_end(self) -> None:
+        """Sets the time until which the request may go on as it does now.
+
+        In an entry that stops, it must be sent in time to be over before the stop, and
+        ends with an answer just before it.
+        """
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(self._compute_end_at())
+
+    def _compute_end_at(self) -> float:
+        stop_at = self._fleet.stop_at
+        if self._attempt is not None or self._relay.begun:
+            return min(self._deadline_at, stop_at)
+        if stop_at == math.inf:
+            return self._deadline_at
+        longest_s = self._durations.predict_longest_s(self._answer_tokens, self._now())
+        latest_at = stopping.compute_latest_start(stop_at, self._deadline_at, longest_s)
+        return min(self._deadline_at, latest_at)
+
+    @property
+    def _durations(self) -> stopping.AnswerDurations:
+        return self._fleet.get_durations(self._route.name)
+
+    @property
+    def _answer_tokens(self) -> int:
+        return 0 if self._facts.size is None else self._facts.size.max_answer_tokens
+
     async def _serve(self) -> None:
         while not self._answer.ended:
+            if self._now() >= self._compute_end_at():
+                self._end_at_deadline()
+                continue
+            self.update_end()
             if self._reject_quarantined():
                 continue
             queued_at = self._now()
@@ -171,6 +209,7 @@
             self._record_statement,
         )
         self._attempt = attempt
+        self.update_end()
         forwarding = interfaces.ForwardingFacts(
             self._deadline_at - self._now(),
             endpoint.instance,
@@ -183,7 +222,8 @@
         crash_tracker.record_sent(endpoint, self._fingerprint)
         crash_tracker.parts.record_sent(self._prompt_parts, started_at)
         self._is_proven = False
-        may_have_crashed = False
+        may_have_crashed = is_complete = False
+        self._durations.record_start(id(self), started_at)
         try:
             outcome = await attempt.run(
                 self._request,
@@ -195,6 +235,7 @@
                 tried_before=endpoint.instance in self._excluded,
             )
             may_have_crashed = attempts.may_have_crashed(outcome)
+            is_complete = isinstance(outcome, attempts.Finished)
         except asyncio.CancelledError:
             may_have_crashed = self._has_been_silent(attempt)
             raise
@@ -207,6 +248,9 @@
                 self._now(),
                 unproven_parts,
             )
+            self._durations.record_end(
+                id(self), self._answer_tokens, is_complete, self._now()
+            )
             self._context.allocator.release(dispatched, self._service)
         self._attempt = None
         if may_have_crashed and crash_tracker.parts.has_unproven(unproven_parts):
@@ -389,12 +433,15 @@
 
     def _end_at_deadline(self) -> None:
         is_sent = self._attempt is not None and self._attempt.sent
+        detail, retry_after_s = "its time is over", None
+        if self._now() < self._deadline_at:
+            detail, retry_after_s = STOPPING_DETAIL, STOPPING_RETRY_AFTER_S
         if self._relay.begun:
-            self._abort("its time is over")
+            self._abort(detail)
         elif is_sent or self._attempt_history.runs:
-            self._fail(504, "its time is over")
+            self._fail(504, detail)
         else:
-            self._reject("its time is over", None)
+            self._reject(detail, retry_after_s)
 
     def _reject(self, reason: str, retry_after_s: float | None) -> None:
         if self._relay.begun:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -20,6 +20,7 @@
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import selection
 from chicoryweir_policy.forwarding import statements
+from chicoryweir_policy.forwarding import stopping
 from chicoryweir_policy.routing import outliers
 
 # Maximum number of headers without a known meaning that are remembered and logged.
@@ -39,6 +40,8 @@
         duties: Fleet-wide duties for which this entry holds a lease.
         released_fence: Highest fencing token that this entry released and won't act
             under again.
+        stop_at: Time at which a stopping entry ends unfinished requests, monotonic
+            seconds.
         announced_at: Boot time of the last announcement, in seconds.
         endpoints_listed: Whether a complete list of the endpoints was read once.
     """
@@ -63,11 +66,13 @@
         self.duties: frozenset[str] = frozenset()
         self.released_fence = 0
         self.stopping = False
+        self.stop_at = math.inf
         self.announced_at = -math.inf
         self.endpoints_listed = False
         self._selector = selection.create_selector(settings.data_centre)
         self._dispatchers: dict[str, dispatching.Dispatcher] = {}
         self._budgets: dict[str, budget.RetryBudget] = {}
+        self._durations: dict[str, stopping.AnswerDurations] = {}
         self._unknown_statements: set[tuple[str, str]] = set()
 
     @property
@@ -175,6 +180,10 @@
             self._budgets[service] = retry_budget
         return retry_budget
 
+    def get_durations(self, route: str) -> stopping.AnswerDurations:
+        """Returns how long the answers to the requests of a route take."""
+        return self._durations.setdefault(route, stopping.AnswerDurations())
+
     def count_entries(self, now: float) -> int:
         """Returns the number of serving entries, including this one."""
         return self.peers.count_entries(now)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
@@ -22,6 +22,12 @@
 
     def __init__(self, context: exchange.ExchangeContext) -> None:
         self._context = context
+        self._exchanges: set[exchange.Exchange] = set()
+
+    def begin_stop(self) -> None:
+        """Limits the requests in progress to the time until the stop."""
+        for caller_exchange in self._exchanges:
+            caller_exchange.update_end()
 
     def get_limits(self) -> callers.ServerLimits:
         """Returns the limits for callers' requests."""
@@ -90,7 +96,11 @@
         caller_exchange = exchange.Exchange(
             self._context, request, answer, facts, routed, service, now
         )
-        await caller_exchange.run()
+        self._exchanges.add(caller_exchange)
+        try:
+            await caller_exchange.run()
+        finally:
+            self._exchanges.discard(caller_exchange)
 
     def _send_problem(
         self,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -39,8 +39,10 @@
 # Time for which a stopping entry still accepts connections, as a multiple of the
 # address TTL; some callers cache an address for three TTLs.
 LINGER_TTLS = 3.2
-# Part of the grace period that is reserved for aborting unfinished answers.
+# Part of the grace period that is reserved for ending the process, and part of it that
+# is reserved for ending unfinished requests before that.
 ABORT_MARGIN_S = 0.4
+ANSWER_MARGIN_S = 0.3
 # Interval at which a stopping entry checks for open connections.
 CONNECTION_CHECK_S = 0.05
 EJECTION_PERIOD_S = 1.0
@@ -264,6 +266,8 @@
         started_at = loop.time()
         deadline_at = started_at + self._settings.bounds.grace_s - ABORT_MARGIN_S
         self._fleet.stopping = True
+        self._fleet.stop_at = max(started_at, deadline_at - ANSWER_MARGIN_S)
+        self._ingress.begin_stop()
         self._event_log.record(
             catalogue.DRAIN_STARTED, connections=len(self._caller_connections)
         )
