Count a request as sent during the check of its endpoint

Cause: the attempt was forgotten before the entry checked, for up to 0.1 s, whether the endpoint that broke it off still listens, and its outcome was counted only after that. If the deadline passed in between, the request looked as if it had never been sent.

Change: the attempt is kept until its outcome is counted.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -252,9 +252,10 @@
                 id(self), self._answer_tokens, is_complete, self._now()
             )
             self._context.allocator.release(dispatched, self._service)
-        self._attempt = None
         if may_have_crashed and crash_tracker.parts.has_unproven(unproven_parts):
             await self._check_listener(endpoint)
+        # If the request's time ends before this, it has been sent and may have run.
+        self._attempt = None
         self._process_outcome(endpoint.instance, outcome, started_at, attempt)
 
     def _has_been_silent(self, attempt: attempts.Attempt) -> bool:
