Test answers whose head is cut, and bound the number in a digest's path

Another operator's report: a worker stopped in the middle of its answer's head, and callers got a 200 with an empty or short body, framed as whole.

The path of a digest with more than 4,300 digits raised an exception in the agent; it is an unknown path now.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/digestformat.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/digestformat.py
@@ -8,6 +8,7 @@
 
 import cbor2
 
+from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy.rankmaps import digests
 
 # Path on an agent, with the number of the earlier digest.
@@ -32,9 +33,7 @@
 def decode_target(target: bytes) -> int | None:
     """Returns the number of the earlier digest; None if the target is another one."""
     number = target.removeprefix(TARGET_PREFIX)
-    if number == target or not number.isdigit():
-        return None
-    return int(number)
+    return None if number == target else heads.parse_whole_number(number)
 
 
 def encode(digest: digests.Digest) -> bytes:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_digestformat.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_digestformat.py
@@ -60,3 +60,8 @@
 def test_other_layout_is_rejected(parts):
     with pytest.raises(ValueError, match="not a digest"):
         digestformat.decode(cbor2.dumps(parts))
+
+
+def test_target_with_too_many_digits_is_another_one():
+    assert digestformat.decode_target(digestformat.encode_target(7)) == 7
+    assert digestformat.decode_target(digestformat.TARGET_PREFIX + b"9" * 5000) is None
--- a/packages/chicoryweir-daemon/tests/http1/test_answerparser.py
+++ b/packages/chicoryweir-daemon/tests/http1/test_answerparser.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from chicoryweir_daemon.http1 import answerparser
 from chicoryweir_daemon.http1 import heads
@@ -78,3 +79,36 @@
     events = parser.feed(b"HTTP/1.1 204 No Content\r\n\r\n")
     assert _count_ends(events) == 1
     assert not events[0].ends_at_close
+
+
+CUT_ANSWERS = {
+    "with a length": b"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello",
+    "in chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0"
+    b"\r\n\r\n",
+    "after an interim one": b"HTTP/1.1 100 Continue\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+}
+
+
+# Guards against an answer whose endpoint stopped in the middle of its head, and which
+# counts as a whole one with an empty or short body.
+@pytest.mark.parametrize("data", CUT_ANSWERS.values(), ids=CUT_ANSWERS)
+@pytest.mark.parametrize("clean", [True, False])
+@pytest.mark.parametrize("is_reused", [True, False])
+def test_answer_that_is_cut_anywhere_is_not_complete(data, clean, is_reused):
+    for end in range(len(data)):
+        parser = answerparser.AnswerParser()
+        if is_reused:
+            assert isinstance(parser.feed(data)[-1], answerparser.End)
+        events = [*parser.feed(data[:end]), *parser.feed_eof(clean)]
+        assert answerparser.End() not in events
+        is_within = end > 0 and not data[:end].endswith(b"Continue\r\n\r\n")
+        assert isinstance((events or [None])[-1], answerparser.Broken) == is_within
+
+
+def test_head_without_a_length_that_is_cut_is_not_complete():
+    data = b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
+    for end in range(1, len(data)):
+        parser = answerparser.AnswerParser()
+        events = [*parser.feed(data[:end]), *parser.feed_eof(True)]
+        assert [type(event) for event in events] == [answerparser.Broken]
