Forget holds at steps that have begun

The set of released holds had one entry more for each change of a map until the group's epoch changed. No rank can be held at a step that has begun, so these are dropped at each update. test_holds_at_steps_that_have_begun_are_forgotten failed before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -263,6 +263,10 @@
         if self._last_step is None or report.step != self._last_step[0]:
             self._step_begun_at = now
         self._last_step = (report.step, now)
+        # No rank can be held at a step that has begun.
+        self._released = frozenset(
+            (rank, step) for rank, step in self._released if step > report.step
+        )
 
     async def _recover(
         self, first_report: orders.Report, layout: configuration.ExpertLayout
--- a/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
@@ -95,7 +95,14 @@
     return group
 
 
-async def _take_over(settings, group, starts_after=10**6, before_update=None, late=()):
+async def _take_over(
+    settings,
+    group,
+    starts_after=10**6,
+    before_update=None,
+    late=(),
+    controllers=None,
+):
     """Lets a new holder control the group; returns the orders that it sent."""
     client = Client(group, starts_after, late)
     controller = group_controller.GroupController(
@@ -120,6 +127,8 @@
         )
         for rank in range(RANKS)
     }
+    if controllers is not None:
+        controllers.append((controller, members))
     for updates in range(8):
         if before_update is not None:
             before_update(updates)
@@ -249,3 +258,14 @@
     await _take_over(settings, group)
     assert not group.diverged
     assert group.held_at is None
+
+
+# Guards against a set that grows with each change of a group that runs for days.
+async def test_holds_at_steps_that_have_begun_are_forgotten(settings):
+    group = _create_group([0, 1], held=0)
+    controllers = []
+    await _take_over(settings, group, controllers=controllers)
+    controller, members = controllers[0]
+    assert controller._released
+    await controller.update(members, ENGINE, ENGINE.experts)
+    assert not controller._released
