--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -265,7 +265,7 @@
         self._last_step = (report.step, now)
         # No rank can be held at a step that has begun.
         self._released = frozenset(
-            (rank, step) for rank, step in self._released if step > report.step
+            hold for hold in self._released if hold.step > report.step
         )
 
     async def _recover(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -69,8 +69,13 @@
 # States that check reports, which must have been requested in them.
 _REPORTING_STATES = frozenset({"copying", "checking", "verifying"})
 
-# A rank, and a step at which it was held.
-Hold = tuple[int, int]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """A rank, and the step at which it is ordered to hold the group."""
+
+    rank: int
+    step: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -231,7 +236,7 @@
     @property
     def step(self) -> int:
         """Step at which this change holds the group; 0 while it doesn't."""
-        return 0 if self._hold is None else self._hold[1]
+        return 0 if self._hold is None else self._hold.step
 
     @property
     def is_over(self) -> bool:
@@ -363,10 +368,10 @@
         """Records which holds may exist, and which may be released, from now on."""
         match order.operation:
             case orders.Operation.HOLD:
-                self._ordered_holds.add((rank, order.step))
+                self._ordered_holds.add(Hold(rank, order.step))
             case orders.Operation.GO:
-                self._released.add((rank, order.step))
-                if self._hold == (rank, order.step):
+                self._released.add(Hold(rank, order.step))
+                if self._hold == Hold(rank, order.step):
                     self._hold = None
 
     def _decide(self, rank: int, report: orders.Report, now: float) -> _Decision:
@@ -405,17 +410,22 @@
             return self._adopt_hold(rank, report.held)
         ahead_s = now - self._ranks[rank].observed_at + self._lead_s
         step = report.step + math.ceil(ahead_s / self._plan.step_s)
-        while (rank, step) in self._released:
+        while Hold(rank, step) in self._released:
             step += 1
         return self._create_order(orders.Operation.HOLD, report, step)
 
     def _adopt_hold(self, rank: int, step: int) -> _Decision:
         """Decides whether a hold that a report shows is one of this change."""
-        if (rank, step) not in self._ordered_holds - self._released:
+        if not self._is_own_hold(rank, step):
             return _Fail("another change holds the group")
-        self._hold = rank, step
+        self._hold = Hold(rank, step)
         return _Reached()
 
+    def _is_own_hold(self, rank: int, step: int) -> bool:
+        """Returns whether this change ordered a hold and has not released it."""
+        hold = Hold(rank, step)
+        return hold in self._ordered_holds and hold not in self._released
+
     def _decide_arming(self, rank: int, report: orders.Report) -> _Decision:
         assert self._hold is not None
         if report.armed == self._plan.version:
@@ -468,14 +478,14 @@
             self._released.add(self._hold)
             self._hold = None
         if report.held is not None:
-            if (rank, report.held) in self._ordered_holds - self._released:
+            if self._is_own_hold(rank, report.held):
                 return self._adopt_hold(rank, report.held)
             return self._move_hold(rank, report.held)
         begun = int((now - self._ranks[rank].observed_at) / self._plan.step_s)
         step = report.step + begun + 1 + self._hold_conflicts
         if self._latest_step is not None:
             step = max(report.step + 1, min(step, self._latest_step))
-        if (rank, step) in self._released:
+        if Hold(rank, step) in self._released:
             return self._move_hold(rank, report.held)
         return self._create_order(orders.Operation.HOLD, report, step)
 
@@ -485,7 +495,7 @@
         self._hold_moves += 1
         if held is not None and self._hold_moves >= self._plan.ranks:
             # All ranks are held, so that no hold is left to choose.
-            self._hold = rank, held
+            self._hold = Hold(rank, held)
         else:
             self._hold = None
             self._holding_rank = (rank + 1) % self._plan.ranks
@@ -542,7 +552,7 @@
         if order.operation is orders.Operation.HOLD:
             if rank != self._holding_rank:
                 return
-            self._hold = rank, order.step
+            self._hold = Hold(rank, order.step)
         self._ranks[rank].done = True
 
     def _handle_conflict(self, rank: int, order: orders.Order, now: float) -> None:
@@ -551,8 +561,8 @@
         progress.conflict = order
         if order.operation is not orders.Operation.HOLD:
             progress.next_send_at = now + POLL_INTERVAL_S
-            is_preparing = order.operation is orders.Operation.PREPARE
-            progress.refusals += self._state == "disarming" and is_preparing
+            if order.version == self._cancel_version:
+                progress.refusals += 1
             return
         self._hold_conflicts += 1
         self._lead_s *= 2.0
--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -144,7 +144,9 @@
 def test_no_step_is_held_twice_at_one_rank():
     simulation = _simulate(idle=True)
     holder = Holder(1)
-    holder.released = frozenset((holder.fence, step) for step in range(1, 40))
+    holder.released = frozenset(
+        change.Hold(holder.fence, step) for step in range(1, 40)
+    )
     assert simulation.drive(_create_change(simulation, holder, 1), 5.0)
     held = [
         order.step
