Ask sooner whether ranks have copied their weights

Change: the reports after the copies confirm them, so that the wait for these needs hardly any margin.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -54,10 +54,10 @@
 PREPARE_TIMEOUT_S = 4.0
 ARM_TIMEOUT_S = 1.5
 CHECK_TIMEOUT_S = 1.5
-# The change waits for the estimated copy time, multiplied by a factor for a slow link,
-# plus the time of an order.
-COPY_TIME_FACTOR = 1.1
-COPY_SLACK_S = 0.05
+# Reports are requested after the estimated copy time, multiplied by a factor, plus the
+# time of an order; they tell whether the weights have been copied.
+COPY_TIME_FACTOR = 1.02
+COPY_SLACK_S = 0.015
 # Time after that until all ranks must have reported that they have copied the weights.
 COPY_TIMEOUT_S = 1.5
 
