--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/ports.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/ports.py
@@ -14,8 +14,8 @@
 _EPHEMERAL_RANGE_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
 
-def pick_ports(count: int) -> list[int]:
-    """Returns `count` distinct ports that were free when they were checked.
+def pick_ports(count: int, host: str = LOOPBACK) -> list[int]:
+    """Returns `count` distinct ports that were free at `host` when they were checked.
 
     They lie below the kernel's ephemeral range; otherwise an outgoing connection could
     take a port before the process that it was picked for.
@@ -29,7 +29,7 @@
                 break
             probe = socket.socket()
             try:
-                probe.bind((LOOPBACK, port))
+                probe.bind((host, port))
             except OSError:
                 # Another process uses the port; the next one may be free.
                 probe.close()
--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -33,7 +33,7 @@
             await endpoint.start()
             servers.append(endpoint)
             store.put("servers", endpoint.name, endpoint.build_registration())
-        free_ports = iter(ports.pick_ports(5))
+        free_ports = iter(ports.pick_ports(5, host))
         settings = process.Settings(
             name=name or f"front-{host}",
             host=host,
@@ -58,7 +58,10 @@
         started.append((system, servers))
         fleet = entry._fleet
         if config is not False:
-            await fleetstandins.wait_until(lambda: fleet.is_ready)
+            await fleetstandins.wait_until(lambda: fleet.is_ready or task.done())
+            if task.done():
+                task.result()
+                raise AssertionError("the entry ended before it was ready")
         return system
 
     yield start
