Restore two checks of the map change's walks

A recovery had 30 s in the walks; the rewrite gave it 60.

test_new_epoch_ends_the_change waited for the state holding, which a change now passes within one tick of the test, since it reads the step before. It ran for ever, and was replaced by copying and arming. It has holding back, with a lost order to hold, beside the other two.

--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -53,7 +53,7 @@
         _plan(holder, 0), current=None, latest_step=min(steps, default=None)
     )
     recovery = change.create_recovery(plan, holder, simulation.now)
-    assert simulation.drive(recovery, 60.0), recovery.state
+    assert simulation.drive(recovery, 30.0), recovery.state
     holder.released = recovery.released
 
 
@@ -101,9 +101,11 @@
     assert map_change.poll_commands(simulation.now) == []
 
 
-@pytest.mark.parametrize("state", ["copying", "arming"])
+# A lost order to hold makes the change stay in `holding` for more than a tick.
+@pytest.mark.parametrize("state", ["copying", "holding", "arming"])
 def test_new_epoch_ends_the_change(state):
-    simulation = _simulate()
+    lost = (1, orders.Operation.HOLD, 5.0) if state == "holding" else None
+    simulation = _simulate(silent=lost)
     map_change = _create_change(simulation, Holder(1), 1)
     while map_change.state != state:
         assert not simulation.drive(map_change, TICK_S)
