Write the outputs of a daemon without blocking, failing or losing the end

With standard output closed at the start, configure_logs raised AttributeError and the process ended with code 1; sockets got the numbers of closed descriptors. O_NONBLOCK was set on the open file description of standard output, which standard error may share: with both on one unread pipe a program that prints to standard error ended with code 120, with standard error on a closed pipe or /dev/full with code 1, and with standard error on an unread pipe it hung (10 s limit), each 1 of 1 on. Lines that a slow reader hadn't accepted were lost at the end.

outputs.open_standard_descriptors opens the null device on closed standard descriptors; it has to be called before anything else is opened. Outputs are opened anew through /proc, so that the shared description stays as it is; a socket, or a pipe of another user, still gets O_NONBLOCK. sys.stdout and sys.stderr write to bounded sinks as well. logs.flush_remaining(timeout_s) writes what is left, within its limit.

BoundedSink moves to outputs, its two tests to test_outputs.py, unchanged but for the module's name. structlog is imported as it is needed: importing logs takes the standard library only. test_outputs, test_logs and test_eventdocs pass.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
@@ -1,21 +1,24 @@
-"""Structured logging of numbered events as JSON lines."""
+"""Structured logging of numbered events as JSON lines.
+
+Importing this module needs the standard library only, so that a failure to import
+anything else can be logged.
+"""
 
 from __future__ import annotations
 
 import collections
 import dataclasses
-import os
-import sys
+import functools
+import time
 import typing
 
-import structlog
-
+from chicoryweir_daemon import outputs
 from chicoryweir_policy import catalogue
-from chicoryweir_policy.cores import commands
+
+if typing.TYPE_CHECKING:
+    from chicoryweir_policy.cores import commands
 
 MAX_KEPT_EVENTS = 2000
-# Holds a few seconds of one entry's log lines at peak traffic.
-MAX_BUFFERED_BYTES = 262_144
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +48,8 @@
     """Logs numbered events and keeps the `MAX_KEPT_EVENTS` most recent."""
 
     def __init__(self, instance: str) -> None:
+        import structlog
+
         self._logger = structlog.get_logger().bind(instance=instance)
         self._kept: collections.deque[LoggedEvent] = collections.deque(
             maxlen=MAX_KEPT_EVENTS
@@ -84,69 +89,44 @@
         return [event for event in self._kept if event.sequence > sequence]
 
 
-class BoundedSink:
-    """Writes lines to a non-blocking file descriptor through a bounded buffer.
+def configure_logs() -> None:
+    """Configures structlog to write JSON lines to standard output.
 
-    Data that the reader doesn't accept yet is buffered, up to `MAX_BUFFERED_BYTES`.
-    Further lines are dropped; their count is logged once half of the buffer is free.
+    What is printed to standard output and standard error is written without blocking,
+    too.
     """
+    import structlog
 
-    def __init__(self, descriptor: int) -> None:
-        self._descriptor = descriptor
-        self._buffer = bytearray()
-        self._dropped = 0
-
-    def write(self, text: str) -> None:
-        """Buffers and writes `text`, which consists of whole lines."""
-        data = text.encode()
-        if len(self._buffer) + len(data) > MAX_BUFFERED_BYTES:
-            self._dropped += 1
-        else:
-            self._buffer += data
-        self.flush()
-
-    def flush(self) -> None:
-        """Writes buffered data until the descriptor would block."""
-        if self._dropped and len(self._buffer) < MAX_BUFFERED_BYTES // 2:
-            self._buffer += self._encode_dropped_event()
-            self._dropped = 0
-        while self._buffer:
-            try:
-                written = os.write(self._descriptor, self._buffer)
-            except BlockingIOError:
-                return
-            except OSError:
-                # The reader has closed the pipe, so the error can't be logged either.
-                self._buffer.clear()
-                return
-            del self._buffer[:written]
-
-    def _encode_dropped_event(self) -> bytes:
-        number = catalogue.LINES_DROPPED
-        line = f'{{"event":"{catalogue.NAMES[number]}","event_id":{number},'
-        return f'{line}"count":{self._dropped}}}\n'.encode()
-
-
-def create_output() -> BoundedSink:
-    """Sets standard output to non-blocking and returns a sink on it."""
-    descriptor = sys.stdout.fileno()
-    os.set_blocking(descriptor, False)
-    return BoundedSink(descriptor)
-
-
-def configure_logs() -> None:
-    """Configures structlog to write JSON lines to standard output, non-blocking."""
-    file = typing.cast(typing.TextIO, create_output())
+    standard_outputs = _open_outputs()
+    standard_outputs.replace_streams()
     structlog.configure(
         processors=[
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(sort_keys=True),
         ],
-        logger_factory=structlog.WriteLoggerFactory(file),
+        logger_factory=structlog.WriteLoggerFactory(
+            typing.cast(typing.TextIO, standard_outputs.output)
+        ),
         cache_logger_on_first_use=True,
     )
 
 
+def flush_remaining(timeout_s: float) -> None:
+    """Writes the lines that a slow reader hasn't accepted yet.
+
+    To be called at the end of a process, which would lose them.
+
+    Args:
+        timeout_s: Greatest time that this takes, in seconds.
+    """
+    _open_outputs().flush_until(time.monotonic() + timeout_s)
+
+
+@functools.cache
+def _open_outputs() -> outputs.StandardOutputs:
+    return outputs.StandardOutputs()
+
+
 def make_event_log(instance: str) -> EventLog:
     """Creates the event log of a daemon."""
     return EventLog(instance)
