Log the error that ends a daemon in one line

logs.record_failure(error, instance) writes the event 107 daemon_failed as one JSON line with the bounded error and its innermost frames, also before structlog is configured or if it can't be imported, and waits up to 0.2 s for the reader.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/logs.py
@@ -8,8 +8,11 @@
 
 import collections
 import dataclasses
+import datetime
 import functools
+import json
 import time
+import traceback
 import typing
 
 from chicoryweir_daemon import outputs
@@ -19,6 +22,11 @@
     from chicoryweir_policy.cores import commands
 
 MAX_KEPT_EVENTS = 2000
+# Number of stack frames and of characters of an error in the log.
+MAX_FRAMES = 3
+MAX_DETAIL_LENGTH = 500
+# Greatest time for which the end of a failed process waits for the reader of its log.
+FAILURE_FLUSH_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,11 +130,52 @@
     _open_outputs().flush_until(time.monotonic() + timeout_s)
 
 
+def record_failure(error: BaseException, instance: str) -> None:
+    """Logs the error that ends the process, also before `configure_logs`.
+
+    Args:
+        error: The error.
+        instance: Instance that ends, or an empty string if it isn't known yet.
+    """
+    number = catalogue.DAEMON_FAILED
+    line = {
+        "detail": _describe(error),
+        "event": catalogue.NAMES[number],
+        "event_id": number,
+        "frames": _list_frames(error),
+        "instance": instance,
+        "timestamp": _format_now(),
+    }
+    _open_outputs().output.write_last(json.dumps(line) + "\n")
+    flush_remaining(FAILURE_FLUSH_S)
+
+
 @functools.cache
 def _open_outputs() -> outputs.StandardOutputs:
     return outputs.StandardOutputs()
 
 
+def _describe(error: BaseException) -> str:
+    try:
+        return repr(error)[:MAX_DETAIL_LENGTH]
+    except Exception:
+        return type(error).__name__
+
+
+def _list_frames(error: BaseException) -> list[str]:
+    # `traceback.extract_tb` would read source files.
+    frames = [
+        f"{frame.f_code.co_name}:{line}"
+        for frame, line in traceback.walk_tb(error.__traceback__)
+    ]
+    return frames[-MAX_FRAMES:]
+
+
+def _format_now() -> str:
+    now = datetime.datetime.now(datetime.UTC).replace(tzinfo=None)
+    return f"{now.isoformat()}Z"
+
+
 def make_event_log(instance: str) -> EventLog:
     """Creates the event log of a daemon."""
     return EventLog(instance)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -32,6 +32,7 @@
 DRAIN_TIMED_OUT = 104
 DAEMON_RELOADED = 105
 SETTINGS_FILE_BAD = 106
+DAEMON_FAILED = 107
 LINK_OPENED = 110
 LINK_CLOSED = 111
 LINK_REFUSED = 112
@@ -115,6 +116,12 @@
         "The settings file is invalid; the previous settings stay in force.",
         "Correct the key named in the log line.",
     ),
+    EventKind(
+        DAEMON_FAILED,
+        "daemon_failed",
+        "A daemon ended by an error.",
+        "See `detail`; if it names nothing to correct, report it with the log.",
+    ),
     EventKind(
         LINK_OPENED, "link_opened", "A link to a daemon was established.", "None."
     ),
