Bound the close of a link whose peer reads nothing

A stop of the product's daemons awaits the close of their links. With a peer that is connected but reads nothing, as a frozen one, websockets waits without a limit until its send buffer drains, so the stop doesn't end. test_close_ends_if_the_peer_reads_nothing failed before (TimeoutError at twice the new limit) and passes; the close now aborts the connection after 1 s.

--- a/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
@@ -22,6 +22,7 @@
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 4.0
 FLUSH_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 1.0
 MAX_QUEUED_MESSAGES = 10_000
 MAX_MESSAGES_PER_FRAME = 64
 
@@ -115,8 +116,12 @@
         return received
 
     async def close(self) -> None:
-        """Closes the link."""
-        await self._socket.close()
+        """Closes the link; aborts it if the peer doesn't reply in `CLOSE_TIMEOUT_S`."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._socket.close()
+        except TimeoutError:
+            self._socket.transport.abort()
 
 
 async def _perform_handshake(
--- a/packages/chicoryweir-wire/tests/test_links.py
+++ b/packages/chicoryweir-wire/tests/test_links.py
@@ -47,3 +47,37 @@
     with pytest.raises(links.LinkError):
         await links.dial_link("127.0.0.1", port, b"other", _make_hello("dialer"))
     server.close()
+
+
+# Guards against a stop that doesn't end: it waited for a peer that reads nothing.
+async def test_close_ends_if_the_peer_reads_nothing() -> None:
+    forever = asyncio.Event()
+
+    async def handle(
+        link: links.Link, hello: messages.Hello, own: messages.Hello
+    ) -> None:
+        await forever.wait()
+
+    server = await links.listen_links(
+        "127.0.0.1", 0, b"secret", lambda: _make_hello("listener"), handle
+    )
+    port = server.sockets[0].getsockname()[1]
+    link, _ = await links.dial_link("127.0.0.1", port, b"secret", _make_hello("dialer"))
+    long_message = _make_hello("x" * 100_000)
+
+    async def send() -> None:
+        while True:
+            await link.send_frame(long_message)
+
+    sending = asyncio.create_task(send())
+    sent = -1
+    while sent != link.sent_bytes:
+        sent = link.sent_bytes
+        await asyncio.sleep(0.1)
+    try:
+        async with asyncio.timeout(2 * links.CLOSE_TIMEOUT_S):
+            await link.close()
+    finally:
+        sending.cancel()
+        forever.set()
+        server.close()
