Keep a cancellation that arrives as an order of a map change ends

On Python 3.11, asyncio.wait_for returns the result of what it awaits and drops a cancellation that arrives as this completes. The task of the expert maps then ran on, and the stop, which cancels it once, waited for the end of the change. asyncio.timeout keeps the cancellation. test_cancellation_as_an_order_ends_is_not_lost failed before for 0, 1 and 2 iterations after an order, and passes for 0 to 7.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -472,7 +472,8 @@
                 await self._provide_current_map(change, layout)
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), COMMAND_POLL_S)
+                async with asyncio.timeout(COMMAND_POLL_S):
+                    await self._wake.wait()
         if running:
             await asyncio.wait(running)
         self._released = change.released
--- a/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_group_controller.py
@@ -1,5 +1,7 @@
 """Tests of how a new lease holder takes a group over, with the real controller."""
 
+import asyncio
+
 import pytest
 import rankgroup
 
@@ -95,24 +97,18 @@
     return group
 
 
-async def _take_over(
-    settings,
-    group,
-    starts_after=10**6,
-    before_update=None,
-    late=(),
-    controllers=None,
-):
-    """Lets a new holder control the group; returns the orders that it sent."""
-    client = Client(group, starts_after, late)
-    controller = group_controller.GroupController(
+def _create_controller(settings, client):
+    return group_controller.GroupController(
         "g",
         fleets.Fleet(settings, Clock()),
         rankgroup.Holder(FENCE),
         client,
         eventlog.EventLog("front-1"),
     )
-    members = {
+
+
+def _create_members():
+    return {
         rank: endpoints.Endpoint(
             instance=f"i-{rank}",
             service="model",
@@ -127,6 +123,20 @@
         )
         for rank in range(RANKS)
     }
+
+
+async def _take_over(
+    settings,
+    group,
+    starts_after=10**6,
+    before_update=None,
+    late=(),
+    controllers=None,
+):
+    """Lets a new holder control the group; returns the orders that it sent."""
+    client = Client(group, starts_after, late)
+    controller = _create_controller(settings, client)
+    members = _create_members()
     if controllers is not None:
         controllers.append((controller, members))
     for updates in range(8):
@@ -269,3 +279,42 @@
     assert controller._released
     await controller.update(members, ENGINE, ENGINE.experts)
     assert not controller._released
+
+
+class CancellingClient(Client):
+    """Cancels the task that runs the controller some iterations after an order.
+
+    Args:
+        group: The group.
+        iterations: Number of iterations of the event loop.
+    """
+
+    def __init__(self, group, iterations):
+        super().__init__(group, 10**6)
+        self._iterations = iterations
+        self.task = None
+
+    async def send_order(self, endpoint, order):
+        result = await super().send_order(endpoint, order)
+        if len(self.orders) == 1:
+            self._cancel_after(self._iterations)
+        return result
+
+    def _cancel_after(self, iterations):
+        if iterations == 0:
+            self.task.cancel()
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._cancel_after, iterations - 1)
+
+
+# Guards against a stop that doesn't end: `asyncio.wait_for` lost a cancellation.
+@pytest.mark.parametrize("iterations", range(8))
+async def test_cancellation_as_an_order_ends_is_not_lost(settings, iterations):
+    client = CancellingClient(_create_group([1], 0), iterations)
+    controller = _create_controller(settings, client)
+    client.task = asyncio.create_task(
+        controller.update(_create_members(), ENGINE, ENGINE.experts)
+    )
+    with pytest.raises(asyncio.CancelledError):
+        await client.task
