Keep cancellations of the stand-ins' waits

The coordinator of a group waited by asyncio.wait_for, which on Python 3.11 drops a cancellation that arrives as a rank wakes it; the stand-in's stop, which cancels once, then waited for ever. test_cancellation_as_a_rank_wakes_the_coordinator_is_not_lost failed before for 0 to 2 iterations after the wake-up, and passes for 0 to 5.

The launcher's waits for a child, and the close of an evicted rank, use asyncio.timeout for the same reason; they have no test of their own, since their work ends soon after.

--- a/packages/chicoryweir-standins/src/chicoryweir_standins/group/barrier_routes.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/group/barrier_routes.py
@@ -88,7 +88,8 @@
         self._remove(rank)
         if socket is not None:
             with contextlib.suppress(Exception):
-                await asyncio.wait_for(socket.close(), timeout=0.1)
+                async with asyncio.timeout(0.1):
+                    await socket.close()
 
     def _remove(self, rank: int) -> None:
         self._sockets.pop(rank, None)
@@ -99,7 +100,8 @@
         self._wake.clear()
         timeout = None if until is None else max(0.0, until - time.monotonic())
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wake.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self._wake.wait()
 
 
 async def _send(socket: Socket, message: Json) -> None:
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/launch/processes.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/launch/processes.py
@@ -80,10 +80,12 @@
             return 0
         self.send_signal(signal.SIGTERM)
         try:
-            return await asyncio.wait_for(self._subprocess.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self._subprocess.wait()
         except TimeoutError:
             self.send_signal(signal.SIGKILL)
-            await asyncio.wait_for(self._subprocess.wait(), _KILL_TIMEOUT_S)
+            async with asyncio.timeout(_KILL_TIMEOUT_S):
+                await self._subprocess.wait()
             return None
 
     def read_log_tail(self, lines: int = 20) -> str:
