Handle signals from the first line of a process to its end

On a SIGHUP 0.02 to 0.5 s after the start of an entry ended it by signal 1 (7 of 7), a SIGTERM by signal 15 with no line (7 of 7): handlers were installed after the imports, and taken away when the loop was closed, with the default action in between. A SIGTERM that was followed by SIGHUPs left an entry in its stop for ever (1 of 1, killed after 9 minutes): asyncio.wait_for loses a cancellation that arrives as its inner future completes, and the stop gathered the tasks without a bound.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -7,7 +7,6 @@
 import contextlib
 import dataclasses
 import secrets
-import signal
 import time
 
 from chicoryweir_daemon.forwarder import allocation
@@ -29,6 +28,7 @@
 from chicoryweir_daemon.forwarder.mapcontrol import rank_client
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import resolving
@@ -87,11 +87,13 @@
         settings: process.Settings,
         create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
         source: interfaces.SettingsSource,
+        requests: eventloop.Requests,
     ) -> None:
         clock = SystemClock()
         self._settings = settings
         self._settings_source = source
-        self._reload = asyncio.Event()
+        self._stop = requests.stop
+        self._reload = requests.reload
         self._task_failed = False
         self._fleet = fleets.Fleet(settings, clock)
         self._event_log = eventlog.EventLog(settings.name)
@@ -152,22 +154,18 @@
             ),
             self._event_log,
         )
-        self._stop = asyncio.Event()
         self._add_gauges()
 
     async def run(self) -> bool:
-        """Serves until SIGTERM or SIGINT, then stops within the grace period.
+        """Serves until a stop request, then stops within the grace period.
 
         Returns:
-            True after a signal, False if a task failed.
+            True after a stop request, False if a task failed.
         """
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(
             supervision.create_exception_handler(self._event_log)
         )
-        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._stop.set)
         await self._listen()
         self._fleet.peers.add_hosts(self._settings.seeds, self._fleet.clock.read())
         endpoint_watch = watches.EndpointWatch(
@@ -193,9 +191,11 @@
             task.add_done_callback(self._handle_task_end)
         await self._stop.wait()
         await self._drain()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for task in await eventloop.cancel_tasks(tasks):
+            self._event_log.record(
+                catalogue.INVARIANT_VIOLATED,
+                detail=f"{task.get_coro()!r} did not end when cancelled",
+            )
         detail = "a task failed" if self._task_failed else "planned stop"
         self._event_log.record(catalogue.DAEMON_STOPPED, detail=detail)
         return not self._task_failed
@@ -323,7 +323,8 @@
         """Reloads settings on SIGHUP or a file change; ignores invalid ones."""
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._reload.wait(), SETTINGS_CHECK_S)
+                async with asyncio.timeout(SETTINGS_CHECK_S):
+                    await self._reload.wait()
             signalled = self._reload.is_set()
             self._reload.clear()
             if not self._settings_source.has_changed() and not signalled:
@@ -407,6 +408,7 @@
     settings: process.Settings,
     create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
     source: interfaces.SettingsSource,
+    requests: eventloop.Requests,
 ) -> bool:
     """Runs a forwarding process; returns False if a task of it failed."""
-    return await Service(settings, create_adapters, source).run()
+    return await Service(settings, create_adapters, source, requests).run()
--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start, signals and end of a process."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -11,7 +11,6 @@
 import collections.abc
 import dataclasses
 import secrets
-import signal
 import zlib
 
 from chicoryweir_daemon.forwarder import digestformat
@@ -23,6 +22,7 @@
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_daemon.http1 import requestparser
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.rankmaps import digests
 
@@ -174,20 +174,16 @@
     return body
 
 
-async def run(settings: Settings) -> None:
-    """Runs an agent until SIGTERM or SIGINT."""
+async def run(settings: Settings, requests: eventloop.Requests) -> None:
+    """Runs an agent until a stop request."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     event_log = eventlog.EventLog(settings.name)
     loop.set_exception_handler(supervision.create_exception_handler(event_log))
     agent = Agent(settings, event_log)
     open_connections: set[callers.CallerConnection] = set()
     await loop.create_server(
         lambda: callers.CallerConnection(
-            agent, lambda: LIMITS, open_connections, stop.is_set
+            agent, lambda: LIMITS, open_connections, requests.stop.is_set
         ),
         settings.listener.host,
         settings.listener.port,
@@ -197,5 +193,5 @@
         listener=str(settings.listener),
         rank=str(settings.rank),
     )
-    await stop.wait()
+    await requests.stop.wait()
     event_log.record(catalogue.DAEMON_STOPPED, detail="planned stop")
--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -8,6 +8,7 @@
 
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder import service
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_standins.launch import ports
 from fleet_platform import adapters
 
@@ -52,6 +53,7 @@
             settings,
             adapters.bind_adapters(settings),
             source or fleetstandins.UnchangedSettings(),
+            eventloop.Requests(),
         )
         task = asyncio.create_task(entry.run())
         system = fleetstandins.System(store, entry, settings, task)
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -12,6 +12,7 @@
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.forwarder.mapcontrol import rank_client
 from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_daemon.rankagent import service as rankagent
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.rankmaps import digests
@@ -76,7 +77,7 @@
     tasks = []
 
     async def start_agent():
-        tasks.append(asyncio.create_task(rankagent.run(settings)))
+        tasks.append(asyncio.create_task(rankagent.run(settings, eventloop.Requests())))
         await asyncio.sleep(0.1)
 
     yield rank, client, endpoint, start_agent
