--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -9,7 +9,6 @@
 import dataclasses
 import typing
 
-from chicoryweir_daemon.forwarder import process
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
@@ -218,20 +217,6 @@
         """Returns the hosts of the registered entries."""
 
 
-class SettingsSource(typing.Protocol):
-    """Source of the settings of the process."""
-
-    def has_changed(self) -> bool:
-        """Returns whether the settings changed since the last call."""
-
-    def load(self) -> process.Settings:
-        """Loads the settings.
-
-        Raises:
-            ValueError: The settings are invalid; the message names the key.
-        """
-
-
 class ConfigurationDecoder(typing.Protocol):
     """Decodes configurations."""
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -29,6 +29,7 @@
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.lifecycle import eventloop
+from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import resolving
@@ -86,7 +87,7 @@
         self,
         settings: process.Settings,
         create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
-        source: interfaces.SettingsSource,
+        source: startup.SettingsSource[process.Settings],
         requests: eventloop.Requests,
     ) -> None:
         clock = SystemClock()
@@ -166,7 +167,12 @@
         loop.set_exception_handler(
             supervision.create_exception_handler(self._event_log)
         )
-        await self._listen()
+        if not await self._listen():
+            self._event_log.record(
+                catalogue.DAEMON_STOPPED,
+                detail="planned stop before all ports were free",
+            )
+            return True
         self._fleet.peers.add_hosts(self._settings.seeds, self._fleet.clock.read())
         endpoint_watch = watches.EndpointWatch(
             self._fleet, self._adapters.registry, self._event_log, self._store_health
@@ -200,9 +206,9 @@
         self._event_log.record(catalogue.DAEMON_STOPPED, detail=detail)
         return not self._task_failed
 
-    async def _listen(self) -> None:
+    async def _listen(self) -> bool:
+        """Opens all listeners; returns False if a stop is requested before that."""
         settings = self._settings
-        await self._gossip.open()
         peer_listener = process.Listener(settings.host, settings.peer_port)
         metrics_listener = process.Listener(settings.host, settings.metrics_port)
         candidates = (
@@ -211,22 +217,27 @@
             peer_listener,
             metrics_listener,
         )
+        opened = await self._open(self._gossip.open, peer_listener)
         for listener in {
             candidate for candidate in candidates if candidate is not None
         }:
-            await self._serve(
+            opened = opened and await self._serve(
                 listener,
                 self._operations,
                 lambda: operations.LIMITS,
                 self._operations_connections,
             )
-        await self._serve(
+        opened = opened and await self._serve(
             settings.callers,
             self._ingress,
             self._ingress.get_limits,
             self._caller_connections,
         )
-        self._event_log.record(catalogue.DAEMON_STARTED, callers=str(settings.callers))
+        if opened:
+            self._event_log.record(
+                catalogue.DAEMON_STARTED, callers=str(settings.callers)
+            )
+        return opened
 
     async def _serve(
         self,
@@ -234,17 +245,30 @@
         handler: callers.Handler,
         get_limits: collections.abc.Callable[[], callers.ServerLimits],
         open_connections: set[callers.CallerConnection],
-    ) -> None:
+    ) -> bool:
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: callers.CallerConnection(
-                handler, get_limits, open_connections, lambda: self._fleet.stopping
-            ),
-            listener.host,
-            listener.port,
-            backlog=BACKLOG,
+
+        async def open_server() -> None:
+            server = await loop.create_server(
+                lambda: callers.CallerConnection(
+                    handler, get_limits, open_connections, lambda: self._fleet.stopping
+                ),
+                listener.host,
+                listener.port,
+                backlog=BACKLOG,
+            )
+            self._servers.append(server)
+
+        return await self._open(open_server, listener)
+
+    async def _open(
+        self,
+        open_socket: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+        listener: process.Listener,
+    ) -> bool:
+        return await startup.open_listener(
+            open_socket, str(listener), self._stop, self._event_log
         )
-        self._servers.append(server)
 
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
         """Stops the process if a task that runs until the stop has ended early."""
@@ -405,10 +429,20 @@
 
 
 async def run(
-    settings: process.Settings,
-    create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
-    source: interfaces.SettingsSource,
+    source: startup.SettingsSource[process.Settings],
+    bind_adapters: collections.abc.Callable[
+        [process.Settings],
+        collections.abc.Callable[[connections.Pool], PlatformAdapters],
+    ],
     requests: eventloop.Requests,
 ) -> bool:
     """Runs a forwarding process; returns False if a task of it failed."""
-    return await Service(settings, create_adapters, source, requests).run()
+    event_log = eventlog.EventLog("")
+    settings = await startup.load_settings(source, requests.stop, event_log)
+    if settings is None:
+        event_log.record(
+            catalogue.DAEMON_STOPPED, detail="planned stop without valid settings"
+        )
+        return True
+    service = Service(settings, bind_adapters(settings), source, requests)
+    return await service.run()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -23,6 +23,7 @@
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_daemon.http1 import requestparser
 from chicoryweir_daemon.lifecycle import eventloop
+from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.rankmaps import digests
 
@@ -174,24 +175,38 @@
     return body
 
 
-async def run(settings: Settings, requests: eventloop.Requests) -> None:
+async def run(
+    source: startup.SettingsSource[Settings], requests: eventloop.Requests
+) -> None:
     """Runs an agent until a stop request."""
-    loop = asyncio.get_running_loop()
+    event_log = eventlog.EventLog("")
+    settings = await startup.load_settings(source, requests.stop, event_log)
+    if settings is None:
+        event_log.record(
+            catalogue.DAEMON_STOPPED, detail="planned stop without valid settings"
+        )
+        return
     event_log = eventlog.EventLog(settings.name)
+    loop = asyncio.get_running_loop()
     loop.set_exception_handler(supervision.create_exception_handler(event_log))
     agent = Agent(settings, event_log)
     open_connections: set[callers.CallerConnection] = set()
-    await loop.create_server(
-        lambda: callers.CallerConnection(
-            agent, lambda: LIMITS, open_connections, requests.stop.is_set
-        ),
-        settings.listener.host,
-        settings.listener.port,
-    )
-    event_log.record(
-        catalogue.DAEMON_STARTED,
-        listener=str(settings.listener),
-        rank=str(settings.rank),
-    )
+    listener = settings.listener
+
+    async def open_server() -> None:
+        await loop.create_server(
+            lambda: callers.CallerConnection(
+                agent, lambda: LIMITS, open_connections, requests.stop.is_set
+            ),
+            listener.host,
+            listener.port,
+        )
+
+    if await startup.open_listener(
+        open_server, str(listener), requests.stop, event_log
+    ):
+        event_log.record(
+            catalogue.DAEMON_STARTED, listener=str(listener), rank=str(settings.rank)
+        )
     await requests.stop.wait()
     event_log.record(catalogue.DAEMON_STOPPED, detail="planned stop")
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -33,6 +33,7 @@
 DAEMON_RELOADED = 105
 SETTINGS_FILE_BAD = 106
 DAEMON_FAILED = 107
+LISTENER_UNAVAILABLE = 108
 LINK_OPENED = 110
 LINK_CLOSED = 111
 LINK_REFUSED = 112
@@ -113,7 +114,8 @@
     EventKind(
         SETTINGS_FILE_BAD,
         "settings_file_bad",
-        "The settings file is invalid; the previous settings stay in force.",
+        "The settings file is invalid or can't be read; the previous settings stay in "
+        "force, and a daemon that starts waits for a valid file.",
         "Correct the key named in the log line.",
     ),
     EventKind(
@@ -122,6 +124,12 @@
         "A daemon ended by an error.",
         "See `detail`; if it names nothing to correct, report it with the log.",
     ),
+    EventKind(
+        LISTENER_UNAVAILABLE,
+        "listener_unavailable",
+        "A daemon that starts can't open a listener yet, and tries again.",
+        "If it lasts, end the program that uses the address, or correct the address.",
+    ),
     EventKind(
         LINK_OPENED, "link_opened", "A link to a daemon was established.", "None."
     ),
--- a/tests/fleet_platform/test_formats.py
+++ b/tests/fleet_platform/test_formats.py
@@ -40,7 +40,7 @@
 
 
 def test_settings_are_decoded_and_unknown_keys_ignored(tmp_path):
-    loaded = settings.load_settings(_write(tmp_path, SETTINGS))
+    loaded = settings.decode_settings(settings.load_fields(_write(tmp_path, SETTINGS)))
     assert str(loaded.callers) == "10.1.0.40:8227"
     assert loaded.seeds == ("10.1.0.40", "10.2.0.29")
     assert loaded.bounds.stall_s == 1.5
@@ -65,14 +65,14 @@
         for line in SETTINGS.splitlines()
     ]
     with pytest.raises(settings.SettingsError) as error:
-        settings.load_settings(_write(tmp_path, "\n".join(lines)))
+        settings.decode_settings(settings.parse_fields("\n".join(lines)))
     assert key in str(error.value)
     assert allowed in str(error.value)
 
 
 def test_file_change_is_reported_once(tmp_path):
     path = _write(tmp_path, SETTINGS)
-    watched = settings.SettingsFile(path)
+    watched = settings.SettingsFile(path, settings.decode_settings)
     assert not watched.has_changed()
     path.write_text(SETTINGS.replace("grace_s=8", "grace_s=11"))
     assert watched.has_changed()
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -77,8 +77,10 @@
     tasks = []
 
     async def start_agent():
-        tasks.append(asyncio.create_task(rankagent.run(settings, eventloop.Requests())))
-        await asyncio.sleep(0.1)
+        source = fleetstandins.FixedSettings(settings)
+        requests = eventloop.Requests()
+        tasks.append(asyncio.create_task(rankagent.run(source, requests)))
+        await fleetstandins.wait_until_listening(settings.listener)
 
     yield rank, client, endpoint, start_agent
     for task in tasks:
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -352,6 +352,19 @@
     raise AssertionError("the condition did not hold within the timeout")
 
 
+async def wait_until_listening(listener, timeout_s=5.0):
+    """Waits until a listener accepts connections."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(listener.host, listener.port)
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.01)
+            else:
+                writer.close()
+                return
+
+
 class UnchangedSettings:
     """Settings source that never changes."""
 
@@ -362,6 +375,19 @@
         raise ValueError("no file")
 
 
+class FixedSettings:
+    """Settings source that always has the same settings."""
+
+    def __init__(self, settings):
+        self._settings = settings
+
+    def has_changed(self):
+        return False
+
+    def load(self):
+        return self._settings
+
+
 class SettingsStandIn:
     """Settings source that a test changes; None stands for an invalid file."""
 
