--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -4,21 +4,21 @@
 
 import asyncio
 import secrets
-import signal
 import time
 
 from chicoryweir_daemon import configuration
 from chicoryweir_daemon import logs
 from chicoryweir_daemon.agent import endpoints
 from chicoryweir_daemon.agent import group_orders
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platform_tasks
+from chicoryweir_daemon.runtime import stopping
 from chicoryweir_platform import http_store
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.admission import fair_queue
 from chicoryweir_policy.cores import commands
-from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores.agent import core as agent_core
 from chicoryweir_policy.membership import instances
 
@@ -27,8 +27,14 @@
 INITIAL_TOKENS_PER_S = 500.0
 
 
-async def run_agent(config: configuration.Configuration) -> None:
-    """Runs an agent until SIGTERM or SIGINT and the graceful stop that follows.
+async def run_agent(
+    config: configuration.Configuration, requests: eventloop.Requests
+) -> None:
+    """Runs an agent until a stop request and the graceful stop that follows.
+
+    Args:
+        config: Configuration.
+        requests: Requests to this process.
 
     Raises:
         ValueError: The configuration has no endpoint.
@@ -70,11 +76,9 @@
     )
     endpoint_task = endpoints.EndpointTask(config.endpoint, core_task)
     group_order_task = group_orders.GroupOrderTask(config.endpoint.url, core_task)
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, core_task.post, events.DrainRequested())
+    core_run = asyncio.ensure_future(core_task.run())
     background = [
-        asyncio.ensure_future(core_task.run()),
+        core_run,
         asyncio.ensure_future(core_task.run_ticker()),
         asyncio.ensure_future(endpoint_task.run_probes()),
     ]
@@ -82,7 +86,7 @@
         background.append(asyncio.ensure_future(endpoint_task.run_cache_polls()))
     await link_task.listen(config.link.ip, config.link.port)
     write_record(commands.LogEvent(catalogue.DAEMON_STARTED, "", "", "agent"))
-    await core_task.wait_for_stop()
+    await stopping.await_stop(core_task, requests.stop, [core_run])
     for background_task in background:
         background_task.cancel()
     await link_task.close()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -7,7 +7,6 @@
 import contextlib
 import pathlib
 import secrets
-import signal
 import ssl
 import time
 
@@ -24,14 +23,15 @@
 from chicoryweir_daemon.entry.operators import contexts
 from chicoryweir_daemon.entry.operators import explanations
 from chicoryweir_daemon.entry.operators import routes
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platform_tasks
+from chicoryweir_daemon.runtime import stopping
 from chicoryweir_platform import http_instances
 from chicoryweir_platform import http_store
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.cores import commands
-from chicoryweir_policy.cores import events
 from chicoryweir_policy.cores.entry import core as entry_core
 from chicoryweir_policy.cores.entry import state as entry_state
 from chicoryweir_policy.membership import instances
@@ -52,8 +52,14 @@
         yield
 
 
-async def run_entry(config: configuration.Configuration) -> None:
-    """Runs an entry until SIGTERM or SIGINT and the graceful stop that follows.
+async def run_entry(
+    config: configuration.Configuration, requests: eventloop.Requests
+) -> None:
+    """Runs an entry until a stop request and the graceful stop that follows.
+
+    Args:
+        config: Configuration.
+        requests: Requests to this process.
 
     Raises:
         ValueError: The configuration has no address for callers.
@@ -99,11 +105,9 @@
         config, core, core_task, metrics_collector, operator_context, send_timers
     )
     instance_list = http_instances.create_instance_list(config.platform_url)
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, core_task.post, events.DrainRequested())
+    core_run = asyncio.ensure_future(core_task.run())
     background = [
-        asyncio.ensure_future(core_task.run()),
+        core_run,
         asyncio.ensure_future(core_task.run_ticker()),
         asyncio.ensure_future(platform_tasks.poll_instances(instance_list, core_task)),
         asyncio.ensure_future(send_timers.run()),
@@ -113,7 +117,7 @@
     await link_task.listen(config.link.ip, config.link.port)
     serving = asyncio.ensure_future(server.serve())
     write_record(commands.LogEvent(catalogue.DAEMON_STARTED, "", "", "entry"))
-    await core_task.wait_for_stop()
+    await stopping.await_stop(core_task, requests.stop, [core_run, serving])
     server.should_exit = True
     await serving
     for background_task in background:
