Wait for taken ports in the product's daemons

The process before may still hold it.

Both listeners are opened by lifecycle.startup, which tries again until the address is free or a stop is requested; uvicorn gets the open socket. The certificate is loaded with the listener for callers, so that a missing one is waited for, too; no test covers this.

test_daemon_waits_for_a_port_that_is_taken (entry and agent, either port) and test_daemon_that_waits_for_a_port_can_be_stopped failed before and pass; the tests of the daemon and wire packages and the black-box tests: 417 passed.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -10,7 +10,9 @@
 from chicoryweir_daemon import logs
 from chicoryweir_daemon.agent import endpoints
 from chicoryweir_daemon.agent import group_orders
+from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.lifecycle import eventloop
+from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platform_tasks
@@ -84,9 +86,14 @@
     ]
     if config.endpoint.kind is configuration.EndpointKind.MODEL:
         background.append(asyncio.ensure_future(endpoint_task.run_cache_polls()))
-    await link_task.listen(config.link.ip, config.link.port)
-    write_record(commands.LogEvent(catalogue.DAEMON_STARTED, "", "", "agent"))
-    await stopping.await_stop(core_task, requests.stop, [core_run])
+    if await startup.open_listener(
+        lambda: link_task.listen(config.link.ip, config.link.port),
+        f"{config.link.ip}:{config.link.port}",
+        requests.stop,
+        eventlog.EventLog(config.instance),
+    ):
+        write_record(commands.LogEvent(catalogue.DAEMON_STARTED, "", "", "agent"))
+        await stopping.await_stop(core_task, requests.stop, [core_run])
     for background_task in background:
         background_task.cancel()
     await link_task.close()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -7,6 +7,7 @@
 import contextlib
 import pathlib
 import secrets
+import socket
 import ssl
 import time
 
@@ -23,7 +24,9 @@
 from chicoryweir_daemon.entry.operators import contexts
 from chicoryweir_daemon.entry.operators import explanations
 from chicoryweir_daemon.entry.operators import routes
+from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.lifecycle import eventloop
+from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_daemon.runtime import cores
 from chicoryweir_daemon.runtime import links
 from chicoryweir_daemon.runtime import platform_tasks
@@ -112,20 +115,60 @@
         asyncio.ensure_future(platform_tasks.poll_instances(instance_list, core_task)),
         asyncio.ensure_future(send_timers.run()),
     ]
-    if config.tls is not None:
-        background.append(asyncio.ensure_future(_reload_tls(server, config.tls)))
-    await link_task.listen(config.link.ip, config.link.port)
-    serving = asyncio.ensure_future(server.serve())
-    write_record(commands.LogEvent(catalogue.DAEMON_STARTED, "", "", "entry"))
-    await stopping.await_stop(core_task, requests.stop, [core_run, serving])
-    server.should_exit = True
-    await serving
+    listener = await _open_listeners(config, link_task, server, requests.stop)
+    if listener is not None:
+        if config.tls is not None:
+            background.append(asyncio.ensure_future(_reload_tls(server, config.tls)))
+        serving = asyncio.ensure_future(server.serve(sockets=[listener]))
+        write_record(commands.LogEvent(catalogue.DAEMON_STARTED, "", "", "entry"))
+        await stopping.await_stop(core_task, requests.stop, [core_run, serving])
+        server.should_exit = True
+        await serving
     for background_task in background:
         background_task.cancel()
     await link_task.close()
     write_record(commands.LogEvent(catalogue.DAEMON_STOPPED, "", "", "entry"))
 
 
+async def _open_listeners(
+    config: configuration.Configuration,
+    link_task: links.LinkTask,
+    server: uvicorn.Server,
+    stop: asyncio.Event,
+) -> socket.socket | None:
+    """Opens the listeners once they can be; returns that for callers.
+
+    Returns None if a stop is requested before that.
+    """
+    link, listen = config.link, config.listen
+    assert listen is not None
+    event_log = eventlog.EventLog(config.instance)
+    opened: list[socket.socket] = []
+
+    async def open_for_callers() -> None:
+        # Loads the certificate, which may be missing as well.
+        if not server.config.loaded:
+            server.config.load()
+        opened.append(_create_listener(listen))
+
+    if await startup.open_listener(
+        lambda: link_task.listen(link.ip, link.port),
+        f"{link.ip}:{link.port}",
+        stop,
+        event_log,
+    ):
+        address = f"{listen.ip}:{listen.port}"
+        await startup.open_listener(open_for_callers, address, stop, event_log)
+    return opened[0] if opened else None
+
+
+def _create_listener(address: configuration.Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    return socket.create_server(
+        (address.ip, address.port), family=family, backlog=LISTEN_BACKLOG
+    )
+
+
 async def _reload_tls(server: uvicorn.Server, tls: configuration.Tls) -> None:
     """Reloads the certificate and its key when the files change."""
     paths = (pathlib.Path(tls.certificate_file), pathlib.Path(tls.key_file))
@@ -172,15 +215,12 @@
         address_ttl_ms=int(entry_core.ADDRESS_TTL_S * 1000),
         metrics_collector=metrics_collector,
     )
-    assert config.listen is not None
     tls = config.tls
     return _Server(
         uvicorn.Config(
             application.make_application(
                 caller_handler, queries, [routes.make_router(operator_context)]
             ),
-            host=config.listen.ip,
-            port=config.listen.port,
             backlog=LISTEN_BACKLOG,
             lifespan="off",
             log_config=None,
--- a/packages/chicoryweir-daemon/tests/test_main.py
+++ b/packages/chicoryweir-daemon/tests/test_main.py
@@ -145,6 +145,32 @@
         assert daemon.lines[-1]["event"] == "daemon_stopped"
 
 
+# Guards against daemons that end since a port is held by the process before.
+@pytest.mark.parametrize("held", [0, 1], ids=["links", "callers"])
+async def test_daemon_waits_for_a_port_that_is_taken(held, role, ports, configuration):
+    if role == "agent":
+        held = 0
+    ports[1 - held].close()
+    arguments = [role, "--config", configuration]
+    async with _start("-m", "chicoryweir_daemon", *arguments) as daemon:
+        line = await daemon.await_event("listener_unavailable")
+        assert line["peer"] == f"127.0.0.1:{ports[held].getsockname()[1]}"
+        ports[held].close()
+        await daemon.await_event("daemon_started")
+        daemon.send(signal.SIGTERM)
+        assert await daemon.await_end() == 0
+
+
+# Guards against a stop that waits until a port is free.
+async def test_daemon_that_waits_for_a_port_can_be_stopped(role, ports, configuration):
+    arguments = [role, "--config", configuration]
+    async with _start("-m", "chicoryweir_daemon", *arguments) as daemon:
+        await daemon.await_event("listener_unavailable")
+        daemon.send(signal.SIGTERM)
+        assert await daemon.await_end() == 0
+        assert daemon.lines[-1]["event"] == "daemon_stopped"
+
+
 # Guards against daemons that end without a line in the log that tells why.
 async def test_error_that_ends_a_daemon_is_logged(role, ports, configuration):
     _release(ports)
