--- a/Makefile
+++ b/Makefile
@@ -17,21 +17,21 @@
 setup: $(VENV)/.ready
 
 test: setup
-	$(BIN)/ruff format --check packages platform tests
-	$(BIN)/ruff check packages platform tests
+	$(BIN)/ruff format --check deploy packages platform tests
+	$(BIN)/ruff check deploy packages platform tests
 	PYTHONPATH=platform $(BIN)/lint-imports
-	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform
+	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform deploy/build.py
 	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6 --dist loadgroup
 
 docs: setup
 	$(BIN)/python -m chicoryweir_daemon.eventdocs
 
 types: setup
-	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform
+	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform deploy/build.py
 
 fix: setup
-	$(BIN)/ruff check --fix packages platform tests
-	$(BIN)/ruff format packages platform tests
+	$(BIN)/ruff check --fix deploy packages platform tests
+	$(BIN)/ruff format deploy packages platform tests
 
 demo: setup
 	$(BIN)/python -m chicoryweir_standins demo
