Start an interrupted make setup from an empty environment

A setup that was broken off while pip copied a package was continued by the next one in the same environment; pip may take such a package for installed (not tried). A change of requirements-dev.txt did not start a setup.

Cause: python -m venv keeps what lies in the folder, and requirements-dev.txt was no prerequisite of .venv/.ready.

Evidence: 2 of the 4 tests of test_setup.py fail on the Makefile before; with the change 4 pass, in each of 2 runs. They use stand-ins of Python and pip; no real setup was run. An environment that was copied from another machine is not told apart.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 
 .PHONY: setup test fix types docs demo up soak bench capacity explore
 
-$(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
-	$(PYTHON) -m venv $(VENV)
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt hatchling editables wheel pbr
 	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation \
 	  $(foreach p,$(PACKAGES),--editable $(p)) --requirement requirements-dev.txt
