Answer the calls that a stopping agent has read

A planned stop of an agent ended at once and cut off calls that it was forwarding; the holder of the maps then had to find out whether an order had arrived.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -30,6 +30,8 @@
 # A rank answers calls from its own machine within a few ms. The timeout is short
 # because the group may be held at a step until a lost order is sent again.
 CALL_TIMEOUT_S = 0.12
+# Interval at which a stopping agent checks for open calls.
+CALL_CHECK_S = 0.01
 # Status code for a call that was sent to the rank but got no answer.
 NO_ANSWER_STATUS = 502
 # Status code for a call that was not sent to the rank.
@@ -193,14 +195,17 @@
     open_connections: set[callers.CallerConnection] = set()
     listener = settings.listener
 
+    servers: list[asyncio.Server] = []
+
     async def open_server() -> None:
-        await loop.create_server(
+        server = await loop.create_server(
             lambda: callers.CallerConnection(
                 agent, lambda: LIMITS, open_connections, requests.stop.is_set
             ),
             listener.host,
             listener.port,
         )
+        servers.append(server)
 
     if await startup.open_listener(
         open_server, str(listener), requests.stop, event_log
@@ -209,4 +214,17 @@
             catalogue.DAEMON_STARTED, listener=str(listener), rank=str(settings.rank)
         )
     await requests.stop.wait()
+    for server in servers:
+        server.close()
+    await _await_calls(open_connections)
     event_log.record(catalogue.DAEMON_STOPPED, detail="planned stop")
+
+
+async def _await_calls(
+    open_connections: collections.abc.Collection[callers.CallerConnection],
+) -> None:
+    """Waits for the answers to calls that were read, as long as calls may take."""
+    for _ in range(int(CALL_TIMEOUT_S / CALL_CHECK_S) + 1):
+        if all(connection.is_idle for connection in open_connections):
+            return
+        await asyncio.sleep(CALL_CHECK_S)
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -47,8 +47,11 @@
     }
     data = json.dumps(bodies[line.split(" ")[1]]).encode()
     status = endpoint.order_status if "order" in line else 200
+    if "order" in line:
+        await asyncio.sleep(endpoint.order_time_s)
     writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)))
     writer.write(data)
+    endpoint.answered += 1
     await writer.drain()
 
 
@@ -56,6 +59,8 @@
 async def rank_setup():
     rank = fleetstandins.EndpointStandIn("i-1", _serve_rank)
     rank.order_status = 202
+    rank.order_time_s = 0.0
+    rank.answered = 0
     rank.counts = [1, 2]
     server = await rank.start()
     (port,) = ports.pick_ports(1)
@@ -81,6 +86,7 @@
         requests = eventloop.Requests()
         tasks.append(asyncio.create_task(rankagent.run(source, requests)))
         await fleetstandins.wait_until_listening(settings.listener)
+        return requests, tasks[-1]
 
     yield rank, client, endpoint, start_agent
     for task in tasks:
@@ -139,6 +145,20 @@
     }
 
 
+# Guards against orders that were cut off by the agent's planned stop.
+async def test_stopping_agent_answers_the_order_that_it_has_read(rank_setup):
+    rank, client, endpoint, start_agent = rank_setup
+    requests, agent = await start_agent()
+    rank.order_time_s = 0.06
+    call = asyncio.create_task(client.send_order(endpoint, ORDER))
+    await fleetstandins.wait_until(lambda: rank.requests)
+    requests.stop.set()
+    await asyncio.wait_for(agent, 1.0)
+    # The end of the agent would cancel what still runs.
+    assert rank.answered == 1
+    assert await call is orders.Result.ACCEPTED
+
+
 async def test_large_order_is_compressed_for_the_agent_and_forwarded_whole(rank_setup):
     rank, client, endpoint, start_agent = rank_setup
     await start_agent()
