Read settings only once their last line is ended

A settings file that is cut off within a line can be valid, with a port of fewer digits: a process that read it at its start kept the wrong address for ever, and never served. The first of two new tests of test_startup.py fails without the change.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/lifecycle/startup.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/lifecycle/startup.py
@@ -15,6 +15,8 @@
 REPORT_PERIOD_S = 5.0
 # Time for which a settings file must stay unchanged; it may be read during a write.
 SETTLE_S = 0.05
+# The same for a file whose last line isn't ended: its value may be cut off.
+UNENDED_SETTLE_S = 3.0
 MAX_DETAIL_LENGTH = 500
 
 _Result = typing.TypeVar("_Result")
@@ -27,6 +29,9 @@
     def has_changed(self) -> bool:
         """Returns whether the settings changed since the last call."""
 
+    def ends_within_line(self) -> bool:
+        """Returns whether what was loaded last may lack the end of its last line."""
+
     def load(self) -> _SettingsT:
         """Loads the settings.
 
@@ -39,13 +44,21 @@
     source: SettingsSource[_Result], stop: asyncio.Event, event_log: eventlog.EventLog
 ) -> _Result | None:
     """Loads the settings once they are valid; returns None after a stop request."""
+    loop = asyncio.get_running_loop()
+    unchanged_since = loop.time()
 
     async def load() -> _Result:
-        source.has_changed()
+        nonlocal unchanged_since
+        if source.has_changed():
+            unchanged_since = loop.time()
         settings = source.load()
         await asyncio.sleep(SETTLE_S)
         if source.has_changed():
+            unchanged_since = loop.time()
             raise ValueError("the settings file was changed while it was read")
+        unchanged_s = loop.time() - unchanged_since
+        if source.ends_within_line() and unchanged_s < UNENDED_SETTLE_S:
+            raise ValueError("the settings file doesn't end with a line break yet")
         return settings
 
     return await _retry(
--- a/packages/chicoryweir-daemon/tests/lifecycle/test_startup.py
+++ b/packages/chicoryweir-daemon/tests/lifecycle/test_startup.py
@@ -19,10 +19,14 @@
 class _Source:
     """Settings source with one result for each load; the last one stays."""
 
-    def __init__(self, *results, changes=0):
+    def __init__(self, *results, changes=0, unended=False):
         self._results = list(results)
         self._changes = changes
         self._loaded = False
+        self.unended = unended
+
+    def ends_within_line(self):
+        return self.unended
 
     def has_changed(self):
         changed = self._loaded and self._changes > 0
@@ -63,6 +67,25 @@
     assert len(log.events) == 1
 
 
+# Guards against a value that was cut off within a line of a half written file.
+async def test_settings_that_end_within_a_line_are_used_once_the_line_is_ended(log):
+    source = _Source("s", unended=True)
+    load = startup.load_settings(source, asyncio.Event(), log)
+    task = asyncio.create_task(load)
+    await asyncio.sleep(0.2)
+    assert not task.done()
+    source.unended = False
+    assert await task == "s"
+
+
+async def test_settings_without_a_final_line_break_are_used_in_the_end(
+    log, monkeypatch
+):
+    monkeypatch.setattr(startup, "UNENDED_SETTLE_S", 0.2)
+    source = _Source("s", unended=True)
+    assert await startup.load_settings(source, asyncio.Event(), log) == "s"
+
+
 async def test_stop_request_ends_the_wait_for_settings(log):
     stop = asyncio.Event()
     asyncio.get_running_loop().call_later(0.02, stop.set)
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -384,6 +384,9 @@
     def has_changed(self):
         return False
 
+    def ends_within_line(self):
+        return False
+
     def load(self):
         return self._settings
 
