Add a seeded soak of real processes

Users saw processes that ended by themselves; nothing ran start.py as a real process under signals, restarts, and a surrounding that isn't ready yet.

`make process-soak SEED=n RUNS=m [LARGE=1]` plays a schedule drawn from the seed on entries and agents: signals single and in storms at any moment, freezes, restarts beside the process before, settings files that are missing, cut or invalid, taken ports, closed and full outputs, few descriptors and outages of the store. Clients keep connections open. Judged: each end follows a signal of the run, with code 0, within the grace period and with the line that tells its cause; each process is ready within 5 s once nothing disturbs it; no answer is cut by a planned stop. Ends by a signal that arrives before the first line of start.py (default action, and no extension module loaded) are counted apart, since no program can handle them.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 PACKAGES := $(wildcard packages/*)
 SEED ?= 1
 SECONDS ?= 60
+RUNS ?= 1
 
-.PHONY: setup test fix types docs demo up soak bench capacity explore
+.PHONY: setup test fix types docs demo up soak bench capacity explore process-soak
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -42,6 +43,10 @@
 soak: setup
 	$(BIN)/python -m chicoryweir_standins soak --seed $(SEED) --seconds $(SECONDS)
 
+process-soak: setup
+	PYTHONPATH=tests/support:platform $(BIN)/python -m processsoak \
+	  --seed $(SEED) --runs $(RUNS) $(if $(LARGE),--large)
+
 explore: setup
 	$(BIN)/python -m chicoryweir_standins explore --seed $(SEED) --seconds $(SECONDS)
 
