--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -7,7 +7,6 @@
 import contextlib
 import dataclasses
 import secrets
-import signal
 import time
 
 from chicoryweir_daemon.forwarder import allocation
@@ -29,6 +28,8 @@
 from chicoryweir_daemon.forwarder.mapcontrol import rank_client
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.lifecycle import eventloop
+from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_platform import protocols
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import resolving
@@ -86,12 +87,14 @@
         self,
         settings: process.Settings,
         create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
-        source: interfaces.SettingsSource,
+        source: startup.SettingsSource[process.Settings],
+        requests: eventloop.Requests,
     ) -> None:
         clock = SystemClock()
         self._settings = settings
         self._settings_source = source
-        self._reload = asyncio.Event()
+        self._stop = requests.stop
+        self._reload = requests.reload
         self._task_failed = False
         self._fleet = fleets.Fleet(settings, clock)
         self._event_log = eventlog.EventLog(settings.name)
@@ -152,23 +155,24 @@
             ),
             self._event_log,
         )
-        self._stop = asyncio.Event()
         self._add_gauges()
 
     async def run(self) -> bool:
-        """Serves until SIGTERM or SIGINT, then stops within the grace period.
+        """Serves until a stop request, then stops within the grace period.
 
         Returns:
-            True after a signal, False if a task failed.
+            True after a stop request, False if a task failed.
         """
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(
             supervision.create_exception_handler(self._event_log)
         )
-        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._stop.set)
-        await self._listen()
+        if not await self._listen():
+            self._event_log.record(
+                catalogue.DAEMON_STOPPED,
+                detail="planned stop before all ports were free",
+            )
+            return True
         self._fleet.peers.add_hosts(self._settings.seeds, self._fleet.clock.read())
         endpoint_watch = watches.EndpointWatch(
             self._fleet, self._adapters.registry, self._event_log, self._store_health
@@ -193,16 +197,18 @@
             task.add_done_callback(self._handle_task_end)
         await self._stop.wait()
         await self._drain()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for task in await eventloop.cancel_tasks(tasks):
+            self._event_log.record(
+                catalogue.INVARIANT_VIOLATED,
+                detail=f"{task.get_coro()!r} did not end when cancelled",
+            )
         detail = "a task failed" if self._task_failed else "planned stop"
         self._event_log.record(catalogue.DAEMON_STOPPED, detail=detail)
         return not self._task_failed
 
-    async def _listen(self) -> None:
+    async def _listen(self) -> bool:
+        """Opens all listeners; returns False if a stop is requested before that."""
         settings = self._settings
-        await self._gossip.open()
         peer_listener = process.Listener(settings.host, settings.peer_port)
         metrics_listener = process.Listener(settings.host, settings.metrics_port)
         candidates = (
@@ -211,22 +217,27 @@
             peer_listener,
             metrics_listener,
         )
+        opened = await self._open(self._gossip.open, peer_listener)
         for listener in {
             candidate for candidate in candidates if candidate is not None
         }:
-            await self._serve(
+            opened = opened and await self._serve(
                 listener,
                 self._operations,
                 lambda: operations.LIMITS,
                 self._operations_connections,
             )
-        await self._serve(
+        opened = opened and await self._serve(
             settings.callers,
             self._ingress,
             self._ingress.get_limits,
             self._caller_connections,
         )
-        self._event_log.record(catalogue.DAEMON_STARTED, callers=str(settings.callers))
+        if opened:
+            self._event_log.record(
+                catalogue.DAEMON_STARTED, callers=str(settings.callers)
+            )
+        return opened
 
     async def _serve(
         self,
@@ -234,17 +245,30 @@
         handler: callers.Handler,
         get_limits: collections.abc.Callable[[], callers.ServerLimits],
         open_connections: set[callers.CallerConnection],
-    ) -> None:
+    ) -> bool:
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: callers.CallerConnection(
-                handler, get_limits, open_connections, lambda: self._fleet.stopping
-            ),
-            listener.host,
-            listener.port,
-            backlog=BACKLOG,
+
+        async def open_server() -> None:
+            server = await loop.create_server(
+                lambda: callers.CallerConnection(
+                    handler, get_limits, open_connections, lambda: self._fleet.stopping
+                ),
+                listener.host,
+                listener.port,
+                backlog=BACKLOG,
+            )
+            self._servers.append(server)
+
+        return await self._open(open_server, listener)
+
+    async def _open(
+        self,
+        open_socket: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+        listener: process.Listener,
+    ) -> bool:
+        return await startup.open_listener(
+            open_socket, str(listener), self._stop, self._event_log
         )
-        self._servers.append(server)
 
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
         """Stops the process if a task that runs until the stop has ended early."""
@@ -323,7 +347,8 @@
         """Reloads settings on SIGHUP or a file change; ignores invalid ones."""
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._reload.wait(), SETTINGS_CHECK_S)
+                async with asyncio.timeout(SETTINGS_CHECK_S):
+                    await self._reload.wait()
             signalled = self._reload.is_set()
             self._reload.clear()
             if not self._settings_source.has_changed() and not signalled:
@@ -404,9 +429,20 @@
 
 
 async def run(
-    settings: process.Settings,
-    create_adapters: collections.abc.Callable[[connections.Pool], PlatformAdapters],
-    source: interfaces.SettingsSource,
+    source: startup.SettingsSource[process.Settings],
+    bind_adapters: collections.abc.Callable[
+        [process.Settings],
+        collections.abc.Callable[[connections.Pool], PlatformAdapters],
+    ],
+    requests: eventloop.Requests,
 ) -> bool:
     """Runs a forwarding process; returns False if a task of it failed."""
-    return await Service(settings, create_adapters, source).run()
+    event_log = eventlog.EventLog("")
+    settings = await startup.load_settings(source, requests.stop, event_log)
+    if settings is None:
+        event_log.record(
+            catalogue.DAEMON_STOPPED, detail="planned stop without valid settings"
+        )
+        return True
+    service = Service(settings, bind_adapters(settings), source, requests)
+    return await service.run()
