--- a/packages/chicoryweir-daemon/tests/test_main.py
+++ b/packages/chicoryweir-daemon/tests/test_main.py
@@ -171,6 +171,25 @@
         assert daemon.lines[-1]["event"] == "daemon_stopped"
 
 
+# Guards against entries that end since their certificate isn't there yet.
+@pytest.mark.parametrize("role", ["entry"], indirect=True)
+async def test_entry_waits_for_its_certificate(role, ports, configuration, tmp_path):
+    _release(ports)
+    document = json.loads(configuration.read_text())
+    certificate = str(tmp_path / "certificate.pem")
+    document["tls"] = {"certificate_file": certificate, "key_file": certificate}
+    configuration.write_text(json.dumps(document))
+    arguments = [role, "--config", configuration]
+    async with _start("-m", "chicoryweir_daemon", *arguments) as daemon:
+        line = await daemon.await_event("listener_unavailable")
+        assert "No such file" in line["detail"]
+        (tmp_path / "certificate.pem").write_text("half")
+        line = await daemon.await_event("listener_unavailable")
+        assert "No such file" not in line["detail"]
+        daemon.send(signal.SIGTERM)
+        assert await daemon.await_end() == 0
+
+
 # Guards against daemons that end without a line in the log that tells why.
 async def test_error_that_ends_a_daemon_is_logged(role, ports, configuration):
     _release(ports)
