End the waits of a stop by the clock

The waits of the entry and the agent now end at a time of the loop's clock, and the deregistration is cancelled until it ends.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -306,21 +306,34 @@
                 connection.close_after_answer()
         for server in self._servers:
             server.close()
-        await self._await_callers(deadline_at - loop.time())
-        deregistration.cancel()
-        (result,) = await asyncio.gather(deregistration, return_exceptions=True)
-        if not isinstance(result, interfaces.Written):
-            self._event_log.record(
-                catalogue.STORE_UNREACHABLE, detail=f"not deregistered: {result!r}"
-            )
+        await self._await_callers(deadline_at)
+        await eventloop.cancel_tasks([deregistration])
+        self._record_deregistration(deregistration)
         if self._caller_connections:
             self._event_log.record(
                 catalogue.DRAIN_TIMED_OUT, connections=len(self._caller_connections)
             )
 
-    async def _await_callers(self, timeout_s: float) -> None:
-        """Waits until no caller is connected, for at most `timeout_s` seconds."""
-        for _ in range(int(timeout_s / CONNECTION_CHECK_S)):
+    def _record_deregistration(
+        self, deregistration: asyncio.Task[interfaces.Written | interfaces.Unreachable]
+    ) -> None:
+        """Logs a deregistration that failed or didn't end in time."""
+        if not deregistration.done() or deregistration.cancelled():
+            detail = "no answer in time"
+        elif (error := deregistration.exception()) is not None:
+            detail = repr(error)
+        elif isinstance(result := deregistration.result(), interfaces.Unreachable):
+            detail = result.detail
+        else:
+            return
+        self._event_log.record(
+            catalogue.STORE_UNREACHABLE, detail=f"not deregistered: {detail}"
+        )
+
+    async def _await_callers(self, deadline_at: float) -> None:
+        """Waits until no caller is connected, or until a time of the loop's clock."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < deadline_at:
             if not self._caller_connections:
                 return
             await asyncio.sleep(CONNECTION_CHECK_S)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -224,7 +224,9 @@
     open_connections: collections.abc.Collection[callers.CallerConnection],
 ) -> None:
     """Waits for the answers to calls that were read, as long as calls may take."""
-    for _ in range(int(CALL_TIMEOUT_S / CALL_CHECK_S) + 1):
+    loop = asyncio.get_running_loop()
+    deadline_at = loop.time() + CALL_TIMEOUT_S + CALL_CHECK_S
+    while loop.time() < deadline_at:
         if all(connection.is_idle for connection in open_connections):
             return
         await asyncio.sleep(CALL_CHECK_S)
