--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/lifecycle/signals.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/lifecycle/signals.py
@@ -34,6 +34,8 @@
         for number in STOP_SIGNALS:
             signal.signal(number, self._handle_stop)
         signal.signal(RELOAD_SIGNAL, self._handle_reload)
+        # A process inherits the blocked signals of the program that starts it.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (*STOP_SIGNALS, RELOAD_SIGNAL))
 
     def attach(
         self,
