Admit no more connections than the descriptors suffice for

Callers may use 0.6 of the descriptors, other connections 0.1; more are closed at once, with connection_refused at most once a second.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -28,6 +28,7 @@
 from chicoryweir_daemon.forwarder.mapcontrol import rank_client
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
+from chicoryweir_daemon.lifecycle import descriptors
 from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_platform import protocols
@@ -37,6 +38,10 @@
 # Maximum number of connections that wait to be accepted. If the queue is full, a caller
 # is delayed by 1 s.
 BACKLOG = 1024
+# Shares of the descriptors that connections of callers, and those for readiness,
+# addresses, metrics and other entries, may use. Endpoints get the rest.
+CALLER_DESCRIPTOR_SHARE = 0.6
+OPERATIONS_DESCRIPTOR_SHARE = 0.1
 # Time for which a stopping entry still accepts connections, as a multiple of the
 # address TTL; some callers cache an address for three TTLs.
 LINGER_TTLS = 3.2
@@ -226,12 +231,14 @@
                 self._operations,
                 lambda: operations.LIMITS,
                 self._operations_connections,
+                OPERATIONS_DESCRIPTOR_SHARE,
             )
         opened = opened and await self._serve(
             settings.callers,
             self._ingress,
             self._ingress.get_limits,
             self._caller_connections,
+            CALLER_DESCRIPTOR_SHARE,
         )
         if opened:
             self._event_log.record(
@@ -245,13 +252,19 @@
         handler: callers.Handler,
         get_limits: collections.abc.Callable[[], callers.ServerLimits],
         open_connections: set[callers.CallerConnection],
+        descriptor_share: float,
     ) -> bool:
+        gate = descriptors.create_gate(descriptor_share, self._event_log)
         loop = asyncio.get_running_loop()
 
         async def open_server() -> None:
             server = await loop.create_server(
                 lambda: callers.CallerConnection(
-                    handler, get_limits, open_connections, lambda: self._fleet.stopping
+                    handler,
+                    get_limits,
+                    open_connections,
+                    lambda: self._fleet.stopping,
+                    gate.admit,
                 ),
                 listener.host,
                 listener.port,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/supervision.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/supervision.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import collections.abc
 import traceback
 import typing
@@ -13,6 +14,10 @@
 # Delay before a task is started again, so that one that keeps failing doesn't use the
 # processor up.
 RESTART_DELAY_S = 0.5
+# Interval in which only the first of equal errors is logged.
+REPEAT_PERIOD_S = 1.0
+# Number of different errors whose last report is kept.
+MAX_REPORTED = 100
 # Number of stack frames and of characters of an error in the log.
 MAX_FRAMES = 3
 MAX_DETAIL_LENGTH = 500
@@ -44,23 +49,48 @@
 def create_exception_handler(
     event_log: eventlog.EventLog,
 ) -> collections.abc.Callable[[asyncio.AbstractEventLoop, dict[str, typing.Any]], None]:
-    """Returns a handler that logs the errors that nothing else catches."""
+    """Returns a handler that logs the errors that nothing else catches.
+
+    An error that repeats is logged once in `REPEAT_PERIOD_S`, with the number of those
+    that were left out.
+    """
+    reported_at: dict[str, float] = {}
+    omitted: collections.Counter[str] = collections.Counter()
 
     def handle(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
         error = context.get("exception")
-        record_error(event_log, context["message"], error)
+        message, now = context["message"], loop.time()
+        key = f"{message} {error!r}"[:MAX_DETAIL_LENGTH]
+        if now - reported_at.get(key, -REPEAT_PERIOD_S) < REPEAT_PERIOD_S:
+            omitted[key] += 1
+            return
+        if len(reported_at) >= MAX_REPORTED:
+            reported_at.clear()
+        reported_at[key] = now
+        record_error(event_log, message, error, omitted.pop(key, 0))
 
     return handle
 
 
 def record_error(
-    event_log: eventlog.EventLog, task: str, error: BaseException | None
+    event_log: eventlog.EventLog,
+    task: str,
+    error: BaseException | None,
+    omitted: int = 0,
 ) -> None:
-    """Logs an unexpected error with the innermost frames of its stack."""
+    """Logs an unexpected error with the innermost frames of its stack.
+
+    Args:
+        event_log: Event log.
+        task: Task that the error occurred in.
+        error: The error, if there is one.
+        omitted: Number of equal errors that were not logged before this one.
+    """
     frames = [] if error is None else traceback.extract_tb(error.__traceback__)
     event_log.record(
         catalogue.TASK_FAILED,
         task=task[:MAX_DETAIL_LENGTH],
+        omitted=omitted,
         detail=repr(error)[:MAX_DETAIL_LENGTH],
         frames=[f"{frame.name}:{frame.lineno}" for frame in frames[-MAX_FRAMES:]],
     )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -121,12 +121,14 @@
         get_limits: collections.abc.Callable[[], ServerLimits],
         open_connections: set[CallerConnection],
         is_stopping: collections.abc.Callable[[], bool],
+        is_admitted: collections.abc.Callable[[int], bool],
     ) -> None:
         limits = get_limits()
         self._is_stopping = is_stopping
         self._handler = handler
         self._limits = limits
         self._open_connections = open_connections
+        self._is_admitted = is_admitted
         self._parser = requestparser.RequestParser(
             limits.max_head_bytes, limits.max_body_bytes
         )
@@ -154,8 +156,14 @@
         return self._parser.in_body
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Registers the connection and starts its idle timer."""
+        """Registers the connection and starts its idle timer.
+
+        Closes the connection at once if there are as many as the process can serve.
+        """
         self._transport = typing.cast(asyncio.Transport, transport)
+        if not self._is_admitted(len(self._open_connections)):
+            self.abort()
+            return
         self._open_connections.add(self)
         self._start_timer(self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S)
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -22,6 +22,7 @@
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_daemon.http1 import requestparser
+from chicoryweir_daemon.lifecycle import descriptors
 from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_policy import catalogue
@@ -30,6 +31,8 @@
 # A rank answers calls from its own machine within a few ms. The timeout is short
 # because the group may be held at a step until a lost order is sent again.
 CALL_TIMEOUT_S = 0.12
+# Share of the descriptors that connections of entries may use.
+DESCRIPTOR_SHARE = 0.6
 # Interval at which a stopping agent checks for open calls.
 CALL_CHECK_S = 0.01
 # Status code for a call that was sent to the rank but got no answer.
@@ -196,11 +199,16 @@
     listener = settings.listener
 
     servers: list[asyncio.Server] = []
+    gate = descriptors.create_gate(DESCRIPTOR_SHARE, event_log)
 
     async def open_server() -> None:
         server = await loop.create_server(
             lambda: callers.CallerConnection(
-                agent, lambda: LIMITS, open_connections, requests.stop.is_set
+                agent,
+                lambda: LIMITS,
+                open_connections,
+                requests.stop.is_set,
+                gate.admit,
             ),
             listener.host,
             listener.port,
--- a/packages/chicoryweir-daemon/tests/forwarder/test_supervision.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_supervision.py
@@ -93,7 +93,11 @@
     limits = callers.ServerLimits(1000, 1000, 1.0, 1.0)
     server = await loop.create_server(
         lambda: callers.CallerConnection(
-            RaisingHandler(begins), lambda: limits, set(), lambda: False
+            RaisingHandler(begins),
+            lambda: limits,
+            set(),
+            lambda: False,
+            lambda count: True,
         ),
         "127.0.0.1",
         0,
@@ -204,3 +208,22 @@
 def test_deeply_nested_endpoints_of_another_entry_are_refused():
     with pytest.raises(ValueError, match="deeply"):
         peerfetch._decode_endpoints(b'[{"other":' + b"[" * 5000)
+
+
+# Guards against a log that an error fills which repeats thousands of times a second.
+async def test_error_that_repeats_is_logged_once_in_a_period(monkeypatch):
+    monkeypatch.setattr(supervision, "REPEAT_PERIOD_S", 0.1)
+    handle = supervision.create_exception_handler(eventlog.EventLog("a"))
+    loop = asyncio.get_running_loop()
+    context = {"message": "accept", "exception": OSError(24, "too many files")}
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(50):
+            handle(loop, context)
+        handle(loop, {"message": "another"})
+        await asyncio.sleep(0.12)
+        handle(loop, context)
+    assert [(line["task"], line["omitted"]) for line in lines] == [
+        ("accept", 0),
+        ("another", 0),
+        ("accept", 49),
+    ]
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -34,6 +34,7 @@
 SETTINGS_FILE_BAD = 106
 DAEMON_FAILED = 107
 LISTENER_UNAVAILABLE = 108
+CONNECTION_REFUSED = 109
 LINK_OPENED = 110
 LINK_CLOSED = 111
 LINK_REFUSED = 112
@@ -130,6 +131,12 @@
         "A daemon that starts can't open a listener yet, and tries again.",
         "If it lasts, end the program that uses the address, or correct the address.",
     ),
+    EventKind(
+        CONNECTION_REFUSED,
+        "connection_refused",
+        "Connections were closed at once, as many as the descriptors allow are open.",
+        "Raise the limit of descriptors, or add entries.",
+    ),
     EventKind(
         LINK_OPENED, "link_opened", "A link to a daemon was established.", "None."
     ),
