--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -4,6 +4,12 @@
 
 import dataclasses
 
+# Memory of a process whose settings state none.
+DEFAULT_MEMORY_BYTES = 256 << 20
+# Share of the memory for requests that are being read or wait. What is sent on is held
+# a second time while its endpoint reads it.
+REQUEST_MEMORY_SHARE = 0.2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listener:
@@ -61,6 +67,7 @@
         capacity: Size of the machine: its share of a processor, multiplied by that
             processor's speed and by the bandwidth of its link. Compared between
             entries only.
+        memory_bytes: Memory that the process may use, in bytes.
     """
 
     name: str
@@ -76,3 +83,4 @@
     heartbeat_s: float
     bounds: Bounds
     capacity: float = 0.0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -122,6 +122,9 @@
         )
         self._caller_connections: set[callers.CallerConnection] = set()
         self._operations_connections: set[callers.CallerConnection] = set()
+        self._request_buffer = callers.RequestBuffer(
+            int(settings.memory_bytes * process.REQUEST_MEMORY_SHARE)
+        )
         self._servers: list[asyncio.Server] = []
         self._store_health = storehealth.StoreHealth(self._fleet, self._event_log)
         self._configuration_watch = watches.ConfigurationWatch(
@@ -265,6 +268,7 @@
                     open_connections,
                     lambda: self._fleet.stopping,
                     gate.admit,
+                    self._request_buffer,
                 ),
                 listener.host,
                 listener.port,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -16,6 +16,9 @@
 # Status code of the answer to a request that ended with an unexpected error. It says
 # nothing about whether the request ran.
 FAILURE_STATUS = 500
+# Status code of the answer to a request that there is no memory for; it has not run.
+NO_MEMORY_STATUS = 503
+NO_MEMORY_RETRY_S = b"1"
 # Maximum time between two parts of a request's body.
 BODY_STALL_TIMEOUT_S = 10.0
 # Added to the configured idle timeout. Callers stop reusing a connection after 4/5 of
@@ -33,6 +36,25 @@
     idle_timeout_s: float
 
 
+class RequestBuffer:
+    """Memory for requests that are being read or wait for their answer.
+
+    All connections of a process share it.
+
+    Attributes:
+        used_bytes: Bytes that are held.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self.used_bytes = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether more is held than the process has memory for."""
+        return self.used_bytes > self._max_bytes
+
+
 class Handler(typing.Protocol):
     """Answers requests."""
 
@@ -122,6 +144,7 @@
         open_connections: set[CallerConnection],
         is_stopping: collections.abc.Callable[[], bool],
         is_admitted: collections.abc.Callable[[int], bool],
+        buffer: RequestBuffer,
     ) -> None:
         limits = get_limits()
         self._is_stopping = is_stopping
@@ -129,6 +152,8 @@
         self._limits = limits
         self._open_connections = open_connections
         self._is_admitted = is_admitted
+        self._buffer = buffer
+        self._held_bytes = 0
         self._parser = requestparser.RequestParser(
             limits.max_head_bytes, limits.max_body_bytes
         )
@@ -168,7 +193,12 @@
         self._start_timer(self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and starts answering complete requests."""
+        """Parses received bytes and starts answering complete requests.
+
+        Rejects what was not begun yet if there is no memory for it.
+        """
+        self._held_bytes += len(data)
+        self._buffer.used_bytes += len(data)
         for event in self._parser.feed(data):
             match event:
                 case heads.Request():
@@ -177,6 +207,10 @@
                     self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 case requestparser.Rejected():
                     self._rejection = event
+        if self._buffer.is_full and self._task is None:
+            self._pending.clear()
+            detail = "no memory for more requests"
+            self._rejection = requestparser.Rejected(NO_MEMORY_STATUS, detail)
         self._process_next()
 
     def eof_received(self) -> bool:
@@ -186,6 +220,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Deregisters the connection and cancels the request in progress."""
         self._open_connections.discard(self)
+        self._release_buffer()
         self._stop_timer()
         self._pending.clear()
         if self._task is not None:
@@ -255,11 +290,19 @@
             self._task = None
             if not answer.ended:
                 self.abort()
+        if self.is_idle and not self._pending:
+            self._release_buffer()
         self._process_next()
 
+    def _release_buffer(self) -> None:
+        self._buffer.used_bytes -= self._held_bytes
+        self._held_bytes = 0
+
     def _answer_rejection(self, rejected: requestparser.Rejected) -> None:
         headers = self._handler.reject(rejected)
         headers += [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if rejected.status == NO_MEMORY_STATUS:
+            headers.append((b"Retry-After", NO_MEMORY_RETRY_S))
         phrase = heads.get_reason_phrase(rejected.status)
         self.write(heads.encode_answer(rejected.status, phrase, headers))
         self.close_after_answer()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -65,6 +65,7 @@
         decode_counts: Returns a rank's epoch and its selections of each expert from
             the body of its answer; raises ValueError if it is not valid.
         forwarded_headers: Names of headers forwarded with a call, in lower case.
+        memory_bytes: Memory that the process may use, in bytes.
     """
 
     name: str
@@ -74,6 +75,7 @@
     forwarded_headers: frozenset[bytes]
     counts_target: bytes
     decode_counts: collections.abc.Callable[[bytes], tuple[int, tuple[int, ...]]]
+    memory_bytes: int = process.DEFAULT_MEMORY_BYTES
 
 
 class Agent:
@@ -199,6 +201,9 @@
     listener = settings.listener
 
     servers: list[asyncio.Server] = []
+    buffer = callers.RequestBuffer(
+        int(settings.memory_bytes * process.REQUEST_MEMORY_SHARE)
+    )
     gate = descriptors.create_gate(DESCRIPTOR_SHARE, event_log)
 
     async def open_server() -> None:
@@ -209,6 +214,7 @@
                 open_connections,
                 requests.stop.is_set,
                 gate.admit,
+                buffer,
             ),
             listener.host,
             listener.port,
--- a/packages/chicoryweir-daemon/tests/forwarder/test_supervision.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_supervision.py
@@ -98,6 +98,7 @@
             set(),
             lambda: False,
             lambda count: True,
+            callers.RequestBuffer(1 << 20),
         ),
         "127.0.0.1",
         0,
