Count a frozen process's early signal as early

The soak bounded the time between an early signal and the end, which is noticed late. It now goes by the signal that ended the process; an exit with code 1 after an early SIGINT also needs the interpreter's own report of the interrupt.

--- a/tests/support/processsoak/verdict.py
+++ b/tests/support/processsoak/verdict.py
@@ -14,8 +14,6 @@
 LOSS_SLACK_S = 0.2
 # Time after a disturbance for which requests may be cut, in seconds.
 CONTACT_S = 3.0
-# Time within which a signal before the first line has ended the process, in seconds.
-EARLY_END_S = 1.0
 PIPE_BYTES = 65_536
 STOPPED_EVENT = "daemon_stopped"
 
@@ -135,16 +133,19 @@
 
 def ended_early(process):
     """Returns whether a signal ended the process before its first line ran."""
-    for sent in process.sent:
-        if not sent.is_early or sent.number == signal.SIGKILL:
-            continue
-        codes = [-sent.number]
-        if sent.number == signal.SIGINT:
-            # The interpreter's own handler raises KeyboardInterrupt.
-            codes.append(1)
-        if process.exit_code in codes and process.ended_at - sent.at < EARLY_END_S:
-            return True
-    return False
+    early = {sent.number for sent in process.sent if sent.is_early}
+    code = process.exit_code
+    if code in {-signal.SIGHUP, -signal.SIGTERM, -signal.SIGINT}:
+        return -code in early
+    # The interpreter's own handler raises KeyboardInterrupt.
+    return code == 1 and signal.SIGINT in early and was_interrupted(process)
+
+
+def was_interrupted(process):
+    """Returns whether the interpreter reported an interrupt, if it could."""
+    if process.output is processes.Output.ALL_CLOSED:
+        return True
+    return "KeyboardInterrupt" in process.log_path.read_text(errors="replace")
 
 
 def was_killed(process):
