Test signals just after the first line of start.py

The test waits until the process is past its first line (a signal handled, blocked, or an extension module loaded) and sends a signal at once.

--- a/tests/fleet_platform/test_process_lifecycle.py
+++ b/tests/fleet_platform/test_process_lifecycle.py
@@ -6,6 +6,7 @@
 from processsoak import runs
 from processsoak import schedule
 from processsoak import settingsfiles
+from processsoak import verdict as verdicts
 import pytest
 
 # Times since the start of a process, in seconds: while it imports, while it opens its
@@ -60,6 +61,28 @@
     assert verdict.early_ends < verdict.ends / 2
 
 
+# Guards against a signal that ends the process while the first lines of start.py import
+# what handles it.
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("role", ["entry", "agent"])
+async def test_signal_is_handled_once_the_first_line_has_run(tmp_path, role, number):
+    for attempt in range(5):
+        log_path = tmp_path / f"{attempt}.log"
+        process = processes.Process(
+            role, "127.0.0.1", tmp_path / "none", log_path, processes.Output.FILE
+        )
+        try:
+            await process.wait_for_first_line(timeout_s=5.0)
+            process.send(number)
+            if number == signal.SIGHUP:
+                assert await process.wait(0.5) is None
+                process.send(signal.SIGTERM)
+            assert await process.wait(settingsfiles.GRACE_S) == 0
+            assert verdicts.has_cause_line(process)
+        finally:
+            process.end()
+
+
 # Guards against a process that ends or never serves since a port is still in use.
 @pytest.mark.parametrize(("name", "is_udp"), ENTRY_PORTS)
 async def test_entry_waits_until_each_of_its_ports_is_free(name, is_udp):
--- a/tests/support/processsoak/processes.py
+++ b/tests/support/processsoak/processes.py
@@ -16,6 +16,7 @@
 
 START = pathlib.Path(__file__).resolve().parents[3] / "platform" / "start.py"
 POLL_S = 0.01
+FINE_POLL_S = 0.0005
 END_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGKILL)
 # Bits of the signals that start.py installs handlers for.
 HANDLED_BITS = 1 << (signal.SIGHUP - 1) | 1 << (signal.SIGTERM - 1)
@@ -123,7 +124,7 @@
     def send(self, number):
         """Sends a signal unless the process has ended."""
         if self.exit_code is None:
-            is_early = self._is_before_first_line()
+            is_early = self.is_before_first_line()
             self.sent.append(SentSignal(time.monotonic(), number, is_early))
             os.kill(self.pid, number)
 
@@ -159,6 +160,34 @@
             await asyncio.sleep(POLL_S)
         return self.exit_code
 
+    def is_before_first_line(self):
+        """Returns whether no program could handle a signal yet.
+
+        The signals must have their default action, and the interpreter must not have
+        imported what start.py imports.
+        """
+        try:
+            status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+            maps = pathlib.Path(f"/proc/{self.pid}/maps").read_text()
+        except OSError:
+            return False
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        masks = [int(fields[name], 16) for name in ("SigCgt", "SigIgn", "SigBlk")]
+        is_handled = any(mask & HANDLED_BITS for mask in masks)
+        return not is_handled and EXTENSION_SUFFIX not in maps
+
+    async def wait_for_first_line(self, timeout_s):
+        """Waits until the first line of start.py has run.
+
+        Raises:
+            TimeoutError: It has not run within `timeout_s`.
+        """
+        for _ in range(int(timeout_s / FINE_POLL_S)):
+            if not self.is_before_first_line():
+                return
+            await asyncio.sleep(FINE_POLL_S)
+        raise TimeoutError("the first line of start.py has not run")
+
     def end(self):
         """Kills the process if it still runs, and closes its files."""
         if self._popen.poll() is None:
@@ -185,22 +214,6 @@
                     lines.append(value)
         return lines
 
-    def _is_before_first_line(self):
-        """Returns whether no program could handle a signal yet.
-
-        The signals must have their default action, and the interpreter must not have
-        imported what start.py imports.
-        """
-        try:
-            status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
-            maps = pathlib.Path(f"/proc/{self.pid}/maps").read_text()
-        except OSError:
-            return False
-        fields = dict(line.split(":", 1) for line in status.splitlines())
-        masks = [int(fields[name], 16) for name in ("SigCgt", "SigIgn", "SigBlk")]
-        is_handled = any(mask & HANDLED_BITS for mask in masks)
-        return not is_handled and EXTENSION_SUFFIX not in maps
-
 
 class PortHolder:
     """Takes a port of a machine, as a program of somebody else would."""
