Allow an entry to break off a stream at its deadline

The entry's log has its cause, "its time is over" after 3.0 s: clients state a deadline of 3 s, at which an entry ends a request. A stream that is cut earlier, or any other request, is still a fault.

--- a/tests/support/processsoak/verdict.py
+++ b/tests/support/processsoak/verdict.py
@@ -12,6 +12,8 @@
 # Time after the last byte of a request within which a planned stop may close its
 # connection, in seconds.
 LOSS_SLACK_S = 0.2
+# Deadline that the clients' requests state, in seconds.
+DEADLINE_S = 3.0
 # Time after a disturbance for which requests may be cut, in seconds.
 CONTACT_S = 3.0
 PIPE_BYTES = 65_536
@@ -118,6 +120,8 @@
             )
             took_s = call.ended_at - call.sent_at
             may_be_cut = took_s <= LOSS_SLACK_S and not spans_stop
+            # An entry breaks off a stream whose deadline has passed.
+            may_be_cut |= call.status == 200 and took_s >= DEADLINE_S
             if call.is_complete or may_be_cut or _is_excused(call, disturbances):
                 continue
             self.faults.append(
