--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
@@ -78,8 +78,7 @@
             task.cancel()
         if self._server is not None:
             self._server.close()
-        for link in open_links:
-            await link.close()
+        await asyncio.gather(*(link.close() for link in open_links))
 
     def get_traffic(self) -> Traffic:
         """Returns the total traffic of all links, including closed ones."""
