Read changed settings as carefully as the first ones

A reload now waits like a start until the file is valid, unchanged and ended. test_reload_waits_until_the_last_line_is_ended failed before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -374,7 +374,7 @@
                     )
 
     async def _watch_settings(self) -> None:
-        """Reloads settings on SIGHUP or a file change; ignores invalid ones."""
+        """Reloads settings on SIGHUP or a file change, once they are valid."""
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTINGS_CHECK_S):
@@ -383,12 +383,11 @@
             self._reload.clear()
             if not self._settings_source.has_changed() and not signalled:
                 continue
-            try:
-                settings = self._settings_source.load()
-            except ValueError as error:
-                self._event_log.record(catalogue.SETTINGS_FILE_BAD, detail=str(error))
-                continue
-            self._apply_settings(settings, signalled)
+            settings = await startup.load_settings(
+                self._settings_source, self._stop, self._event_log
+            )
+            if settings is not None:
+                self._apply_settings(settings, signalled)
 
     def _apply_settings(self, settings: process.Settings, signalled: bool) -> None:
         """Applies the settings that can change without a restart: bounds and seeds."""
--- a/tests/fleet_platform/test_store_and_settings.py
+++ b/tests/fleet_platform/test_store_and_settings.py
@@ -110,6 +110,23 @@
     await fleetstandins.wait_until(lambda: fleet.settings.bounds.budget_slack == 8)
 
 
+# Guards against a bound that is applied while its last digits aren't written yet.
+async def test_reload_waits_until_the_last_line_is_ended(start_system):
+    source = fleetstandins.SettingsStandIn()
+    system = await start_system(source=source)
+    fleet = system.entry._fleet
+    bounds = dataclasses.replace(fleet.settings.bounds, grace_s=1.0)
+    source.settings = dataclasses.replace(fleet.settings, bounds=bounds)
+    source.unended = True
+    system.entry._reload.set()
+    await asyncio.sleep(0.3)
+    assert fleet.settings.bounds.grace_s == 8
+    bounds = dataclasses.replace(bounds, grace_s=12.0)
+    source.settings = dataclasses.replace(fleet.settings, bounds=bounds)
+    source.unended = False
+    await fleetstandins.wait_until(lambda: fleet.settings.bounds.grace_s == 12)
+
+
 async def test_unreadable_lease_is_logged_and_requests_are_forwarded(
     start_system,
 ):
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -368,6 +368,9 @@
 class UnchangedSettings:
     """Settings source that never changes."""
 
+    def ends_within_line(self):
+        return False
+
     def has_changed(self):
         return False
 
@@ -397,6 +400,10 @@
     def __init__(self):
         self.settings = None
         self.changed = False
+        self.unended = False
+
+    def ends_within_line(self):
+        return self.unended
 
     def has_changed(self):
         changed, self.changed = self.changed, False
