Answer resolve only once callers can connect

An entry that waited for its port for callers handed out its own address (200 with it on all four ports; found by review): the listener for callers was opened last, and a wait has no limit now. It is opened first. test_address_is_resolved_only_once_callers_can_connect failed before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -226,6 +226,14 @@
             metrics_listener,
         )
         opened = await self._open(self._gossip.open, peer_listener)
+        # The address is handed out as soon as the others are open.
+        opened = opened and await self._serve(
+            settings.callers,
+            self._ingress,
+            self._ingress.get_limits,
+            self._caller_connections,
+            CALLER_DESCRIPTOR_SHARE,
+        )
         for listener in {
             candidate for candidate in candidates if candidate is not None
         }:
@@ -236,13 +244,6 @@
                 self._operations_connections,
                 OPERATIONS_DESCRIPTOR_SHARE,
             )
-        opened = opened and await self._serve(
-            settings.callers,
-            self._ingress,
-            self._ingress.get_limits,
-            self._caller_connections,
-            CALLER_DESCRIPTOR_SHARE,
-        )
         if opened:
             self._event_log.record(
                 catalogue.DAEMON_STARTED, callers=str(settings.callers)
--- a/tests/fleet_platform/test_store_and_settings.py
+++ b/tests/fleet_platform/test_store_and_settings.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import dataclasses
+import socket
 
 import fleetstandins
 import pytest
 import structlog
 
 from chicoryweir_daemon.forwarder import interfaces
+from chicoryweir_daemon.forwarder import service
+from chicoryweir_daemon.lifecycle import eventloop
+from fleet_platform import adapters
 
 
 async def _answer(endpoint, headers, writer):
@@ -127,6 +131,34 @@
     await fleetstandins.wait_until(lambda: fleet.settings.bounds.grace_s == 12)
 
 
+# Guards against an address that is handed out before connections are accepted there.
+async def test_address_is_resolved_only_once_callers_can_connect(start_system):
+    entry = (await start_system()).entry
+    settings = dataclasses.replace(
+        entry._settings,
+        host="127.0.0.9",
+        callers=dataclasses.replace(entry._settings.callers, host="127.0.0.9"),
+        resolution=dataclasses.replace(entry._settings.resolution, host="127.0.0.9"),
+        readiness=None,
+    )
+    with socket.create_server((settings.callers.host, settings.callers.port)):
+        waiting = service.Service(
+            settings,
+            adapters.bind_adapters(settings),
+            fleetstandins.UnchangedSettings(),
+            eventloop.Requests(),
+        )
+        task = asyncio.create_task(waiting.run())
+        await asyncio.sleep(0.3)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(
+                settings.resolution.host, settings.resolution.port
+            )
+    await fleetstandins.wait_until_listening(settings.resolution)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def test_unreadable_lease_is_logged_and_requests_are_forwarded(
     start_system,
 ):
