--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -197,15 +197,15 @@
             "lease": self._lease_holder.run,
             "expert maps": self._map_controller.run,
         }
-        tasks = [
-            asyncio.create_task(supervision.supervise(run, name, self._event_log))
+        tasks = {
+            name: asyncio.create_task(supervision.supervise(run, name, self._event_log))
             for name, run in runs.items()
-        ]
-        for task in tasks:
+        }
+        for task in tasks.values():
             task.add_done_callback(self._handle_task_end)
         await self._stop.wait()
-        await self._drain()
-        for task in await eventloop.cancel_tasks(tasks):
+        await self._drain(tasks["registration"])
+        for task in await eventloop.cancel_tasks(tasks.values()):
             self._event_log.record(
                 catalogue.INVARIANT_VIOLATED,
                 detail=f"{task.get_coro()!r} did not end when cancelled",
@@ -299,10 +299,13 @@
         self._task_failed = True
         self._stop.set()
 
-    async def _drain(self) -> None:
+    async def _drain(self, registration: asyncio.Task[None]) -> None:
         """Announces the stop, then closes listeners and waits for open answers.
 
         The listeners stay open until the addresses that callers cache have expired.
+
+        Args:
+            registration: Task that registers this entry.
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -314,9 +317,7 @@
             catalogue.DRAIN_STARTED, connections=len(self._caller_connections)
         )
         self._gossip.announce(force=True)
-        deregistration = asyncio.create_task(
-            self._adapters.registry.deregister_entry(self._settings.name)
-        )
+        deregistration = asyncio.create_task(self._deregister(registration))
         linger_s = resolving.ANSWER_TTL_S * LINGER_TTLS
         await asyncio.sleep(min(linger_s, deadline_at - started_at))
         for connection in list(self._caller_connections):
@@ -332,6 +333,13 @@
                 catalogue.DRAIN_TIMED_OUT, connections=len(self._caller_connections)
             )
 
+    async def _deregister(
+        self, registration: asyncio.Task[None]
+    ) -> interfaces.Written | interfaces.Unreachable:
+        """Deregisters this entry, which is not registered again afterwards."""
+        await eventloop.cancel_tasks([registration])
+        return await self._adapters.registry.deregister_entry(self._settings.name)
+
     def _record_deregistration(
         self, deregistration: asyncio.Task[interfaces.Written | interfaces.Unreachable]
     ) -> None:
--- a/tests/fleet_platform/test_store_and_settings.py
+++ b/tests/fleet_platform/test_store_and_settings.py
@@ -159,6 +159,19 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
+# Guards against a stopped entry that stays registered.
+async def test_stopping_entry_is_not_registered_again_after_a_restore(start_system):
+    system = await start_system(name="stopping")
+    key = ("entries", "stopping")
+    await fleetstandins.wait_until(lambda: key in system.store.rows)
+    system.entry._stop.set()
+    await fleetstandins.wait_until(lambda: key not in system.store.rows)
+    system.store.restore(system.store.copy())
+    system.store.put("unread", "row", {})
+    await asyncio.wait_for(system.task, 10.0)
+    assert key not in system.store.rows
+
+
 async def test_unreadable_lease_is_logged_and_requests_are_forwarded(
     start_system,
 ):
