--- a/tests/fleet_platform/test_build.py
+++ b/tests/fleet_platform/test_build.py
@@ -88,6 +88,8 @@
             text=True,
             umask=umask,
             start_new_session=True,
+            # A test run in the background has SIGINT ignored.
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
         )
 
     def build(self, plan="pass", **options):
