Run the tests of processes one after the other

They pass without other work. Each file of process tests is now played by one worker; checks, bounds and moments are the same.

--- a/tests/fleet_platform/test_process_soak.py
+++ b/tests/fleet_platform/test_process_soak.py
@@ -3,6 +3,9 @@
 from processsoak import runs
 import pytest
 
+# Many starts at once would delay each other.
+pytestmark = pytest.mark.xdist_group("process soak")
+
 
 # Guards against processes that end by themselves or don't start on a user's machine.
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
