--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -45,10 +45,9 @@
 # Time for which a stopping entry still accepts connections, as a multiple of the
 # address TTL; some callers cache an address for three TTLs.
 LINGER_TTLS = 3.2
-# Part of the grace period that is reserved for ending the process, which may cancel
-# tasks three times and flush its log, and part of it that is reserved for ending
-# unfinished requests before that.
-ABORT_MARGIN_S = 0.8
+# Part of the grace period that is reserved for ending the process, and part of it that
+# is reserved for ending unfinished requests before that.
+ABORT_MARGIN_S = 0.4
 ANSWER_MARGIN_S = 0.3
 # Interval at which a stopping entry checks for open connections.
 CONNECTION_CHECK_S = 0.05
