Relay announcements within data centres and pace the reads of endpoints

One entry of each other data centre now relays an announcement there, another one each time; every eighth and every urgent one goes to all directly. The pause between reads follows the time after which a leaving endpoint may get no more requests, and entries announce which endpoints they found to be leaving.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import math
 import socket
 import typing
 
@@ -13,12 +14,16 @@
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import statementreports
 from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import dissemination
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 
 # Timers may fire early by this much. An announcement with unchanged content is sent now
 # if it is due within this time.
 TIMER_TOLERANCE_S = 0.02
+# First byte of a datagram whose receiver relays the rest. An announcement is a CBOR
+# array, which never begins with it.
+RELAY_MARK = b"\x00"
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -39,6 +44,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._last_content: tuple[typing.Any, ...] = ()
         self._last_sent_at = 0.0
+        self._ran_at = -math.inf
         self._alive_names: frozenset[str] = frozenset()
 
     async def open(self) -> None:
@@ -56,7 +62,9 @@
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Decodes and applies an announcement."""
+        """Decodes and applies an announcement, and relays it if it is marked so."""
+        is_relayed = data.startswith(RELAY_MARK)
+        data = data.removeprefix(RELAY_MARK)
         try:
             announcement = announcements.decode(data)
         except ValueError as error:
@@ -65,17 +73,36 @@
             )
             return
         try:
-            self._apply(announcement)
+            is_new = self._apply(announcement)
         except Exception as error:
             # Another release of an entry may state what no bound here rules out.
             self._event_log.record(
                 catalogue.ANNOUNCEMENT_UNREADABLE, peer=addr[0], detail=repr(error)
             )
+            return
+        if is_new and is_relayed:
+            self._relay(announcement, data)
+
+    def _relay(self, announcement: peers.Announcement, data: bytes) -> None:
+        """Sends another entry's announcement to the entries of this data centre."""
+        receivers = dissemination.select_relay_receivers(
+            announcement,
+            self._fleet.peers.list_alive(self._fleet.clock.read()),
+            self._fleet.settings.data_centre,
+            self._fleet.clock.read_boot() - self._ran_at,
+        )
+        self._send(data, receivers)
 
-    def _apply(self, announcement: peers.Announcement) -> None:
+    def _send(self, data: bytes, hosts: collections.abc.Iterable[str]) -> None:
+        if self._transport is not None:
+            for host in hosts:
+                self._transport.sendto(data, (host, self._fleet.settings.peer_port))
+
+    def _apply(self, announcement: peers.Announcement) -> bool:
+        """Applies an announcement; returns False if it is outdated."""
         now = self._fleet.clock.read()
         if not self._fleet.peers.record(announcement, now):
-            return
+            return False
         self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
         self._fleet.apply_peer_announcements(now)
         self._fleet.crashes.merge(announcement.crash_update, now)
@@ -83,6 +110,7 @@
         statementreports.record_announced(self._fleet, self._event_log, announcement)
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
+        return True
 
     def error_received(self, exc: Exception) -> None:
         """Logs a send error, unless the connection was refused by a stopped peer."""
@@ -92,14 +120,23 @@
     async def run(self) -> None:
         """Announces this entry until cancelled."""
         while True:
-            self.announce()
-            self._update_alive()
-            crashreports.record_part_transitions(self._fleet, self._event_log)
-            self._log_rate_limits()
+            self.announce_periodically()
             await asyncio.sleep(self._fleet.peers.announce_period_s)
 
+    def announce_periodically(self) -> None:
+        """Announces this entry and logs what it has learned of others."""
+        self._ran_at = self._fleet.clock.read_boot()
+        self.announce()
+        self._update_alive()
+        crashreports.record_part_transitions(self._fleet, self._event_log)
+        self._log_rate_limits()
+
     def announce(self, force: bool = False) -> None:
-        """Sends an announcement if its content changed, it is due or `force` is set."""
+        """Sends an announcement if its content changed, it is due or `force` is set.
+
+        Args:
+            force: Whether to send it now, and to every host directly.
+        """
         now = self._fleet.clock.read()
         endpoint_loads = self._fleet.loads.copy_own()
         on_time = self._fleet.count_on_time()
@@ -127,10 +164,15 @@
         data = announcements.encode(
             self._make_announcement(endpoint_loads, on_time, now)
         )
-        if self._transport is not None:
-            port = self._fleet.settings.peer_port
-            for host in self._fleet.peers.list_hosts():
-                self._transport.sendto(data, (host, port))
+        receivers = dissemination.select_receivers(
+            self._fleet.peers.list_hosts(),
+            self._fleet.peers.list_alive(now),
+            self._fleet.settings.data_centre,
+            self._incarnation + self._sequence,
+            force,
+        )
+        self._send(data, receivers.direct)
+        self._send(RELAY_MARK + data, receivers.relays)
 
     def _make_announcement(
         self,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -37,6 +37,8 @@
         stall_s: Time for which endpoints stall after the loss of one that they depend
             on, in seconds.
         max_ttl_s: Maximum time for which callers cache a resolved address, in seconds.
+        drain_s: Time after which an endpoint that has registered that it is leaving
+            gets no more requests, in seconds.
     """
 
     grace_s: float
@@ -45,6 +47,7 @@
     budget_window_s: float
     stall_s: float
     max_ttl_s: float
+    drain_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -17,10 +17,14 @@
 
 # Time for which the store may wait for a newer configuration before it answers.
 CONFIGURATION_WAIT_S = 10.0
-# Pause between two calls for changes of endpoints. Endpoints register continually, so
-# without it, calls would follow each other closely. A leaving endpoint must not get
-# requests after 2 s; the pause uses less than half of that.
+# Pause between two calls for changes of endpoints, in an entry that controls expert
+# maps and where a leaving endpoint may get no requests after `SHORT_DRAIN_S`. Endpoints
+# register continually, so without it, calls would follow each other closely.
 ENDPOINT_PAUSE_S = 0.8
+SHORT_DRAIN_S = 2.0
+# Elsewhere the pause is this share of that time, less the time that a call takes.
+DRAIN_PAUSE_SHARE = 0.5
+ENDPOINT_CALL_S = 0.2
 # Time for which the store may wait for changes of endpoints before it answers.
 ENDPOINT_WAIT_S = 0.5
 # Random variation of the pause, as a share of it, so that entries don't call the store
@@ -184,7 +188,14 @@
                 self._fleet.endpoints.expire(self._fleet.clock.read())
             )
             factor = 1.0 + JITTER_SHARE * (2.0 * random.random() - 1.0)
-            await asyncio.sleep(ENDPOINT_PAUSE_S * factor)
+            await asyncio.sleep(self._compute_pause_s() * factor)
+
+    def _compute_pause_s(self) -> float:
+        """Returns the pause until the next call, without its variation, in seconds."""
+        drain_s = self._fleet.settings.bounds.drain_s
+        if self._fleet.duties or drain_s <= SHORT_DRAIN_S:
+            return ENDPOINT_PAUSE_S
+        return DRAIN_PAUSE_SHARE * drain_s - ENDPOINT_CALL_S
 
     def _apply_listing(
         self, listed: tuple[endpoints.Endpoint, ...], now: float
@@ -243,9 +254,13 @@
                 )
 
     def _log_transitions(self, transitions: list[endpoints.Transition]) -> None:
+        now = self._fleet.clock.read()
         for transition in transitions:
             if transition.meaning == "restarted":
                 self._fleet.outliers.discard(transition.instance)
+            if transition.meaning == "leaving":
+                # Entries read at different times; the first one tells the others.
+                self._fleet.endpoints.announce_leaving(transition.instance, now)
             crashreports.record_transition(
                 self._fleet, self._event_log, transition, **_describe(self._position)
             )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -289,8 +289,15 @@
             self._stated_leaving[leaving] = now
         return transition
 
+    def announce_leaving(self, instance: str, now: float) -> None:
+        """Adds a process that registered that it is leaving to those to announce."""
+        endpoint = self._endpoints.get(instance)
+        if endpoint is not None and endpoint.leaving:
+            leaving = Leaving(endpoint.instance, endpoint.born_ms)
+            self._stated_leaving.setdefault(leaving, now)
+
     def list_stated_leaving(self, now: float) -> tuple[Leaving, ...]:
-        """Returns the processes that told this entry lately that they are leaving."""
+        """Returns the processes that this entry found lately to be leaving."""
         self._stated_leaving = {
             leaving: at
             for leaving, at in self._stated_leaving.items()
