--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
@@ -1,7 +1,7 @@
 """Fetches the configuration and the endpoints from other entries.
 
 The endpoints are fetched while the store is unreachable, the configuration when another
-entry announces a newer one.
+entry announces a newer one that the store doesn't deliver at the same time.
 """
 
 from __future__ import annotations
@@ -16,11 +16,15 @@
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import dissemination
 from chicoryweir_policy.forwarding import endpoints
 
 # Interval at which the endpoints are fetched from the other entries.
 ENDPOINT_FETCH_PERIOD_S = 0.3
 PEER_FETCH_TIMEOUT_S = 1.5
+# Time that the store has to deliver a configuration that another entry announces. A
+# large configuration takes some tenths of a second, and both would send it otherwise.
+STORE_LEAD_S = 0.5
 
 
 class PeerFetcher:
@@ -40,9 +44,13 @@
         self._fetch_task: asyncio.Task[None] | None = None
 
     def fetch_newer_configuration(self, host: str, version: int) -> None:
-        """Starts to fetch a configuration from the entry that announced it.
+        """Starts to fetch a configuration that another entry announced.
 
         Does nothing while an earlier fetch is running.
+
+        Args:
+            host: Host of that entry.
+            version: Version of the configuration.
         """
         if self._fetch_task is None or self._fetch_task.done():
             self._fetch_task = asyncio.create_task(
@@ -50,6 +58,20 @@
             )
 
     async def _fetch_configuration(self, host: str, version: int) -> None:
+        if not self._fleet.endpoints.is_store_unreachable and self._fleet.version:
+            await asyncio.sleep(STORE_LEAD_S)
+        if self._fleet.version >= version:
+            return
+        alive = self._fleet.peers.list_alive(self._fleet.clock.read())
+        host = (
+            dissemination.select_source(
+                alive,
+                version,
+                self._fleet.settings.data_centre,
+                self._fleet.settings.name,
+            )
+            or host
+        )
         path = operations.CONFIGURATION_PATH
         data = await self._fetch_from_peer(host, path, version)
         if data is not None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dissemination.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dissemination.py
@@ -12,6 +12,7 @@
 import collections.abc
 import dataclasses
 
+from chicoryweir_policy import hashing
 from chicoryweir_policy.forwarding import peers
 
 # Announcements from one that goes to every host directly to the next. An entry counts
@@ -93,3 +94,30 @@
             if peer.data_centre == data_centre and peer.name != announcement.name
         )
     )
+
+
+def select_source(
+    alive: collections.abc.Iterable[peers.Announcement],
+    version: int,
+    data_centre: str,
+    name: str,
+) -> str | None:
+    """Selects the host to fetch a configuration from, in the own data centre if it can.
+
+    Args:
+        alive: Latest announcements of the other entries that are alive.
+        version: Version that is needed at least.
+        data_centre: Data centre of this entry.
+        name: Name of this entry; spreads the fetches over the others.
+
+    Returns:
+        The host; None if no entry announces the version.
+    """
+    sources = [peer for peer in alive if peer.version >= version]
+    near = [peer for peer in sources if peer.data_centre == data_centre]
+    chosen = min(
+        near or sources,
+        key=lambda peer: hashing.hash_to_unit(f"{name}/{peer.name}/{version}"),
+        default=None,
+    )
+    return None if chosen is None else chosen.host
--- a/packages/chicoryweir-policy/tests/forwarding/test_dissemination.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dissemination.py
@@ -101,3 +101,17 @@
     hosts = [entry.host for entry in heard] + [silent.host]
     receivers = dissemination.select_receivers(hosts, heard, "a", 1, False)
     assert silent.host in receivers.direct
+
+
+def test_configuration_comes_from_an_entry_that_has_it_in_the_own_data_centre():
+    newer = {"e3", "e6", "e7"}
+    alive = [
+        dataclasses.replace(entry, version=2) if entry.name in newer else entry
+        for entry in ENTRIES.values()
+    ]
+    near = {ENTRIES["e3"].host, ENTRIES["e6"].host}
+    names = [f"x{n}" for n in range(20)]
+    found = {dissemination.select_source(alive, 2, "a", name) for name in names}
+    assert found == near
+    assert dissemination.select_source(alive, 2, "c", "x") in near | {"10.0.0.7"}
+    assert dissemination.select_source(alive, 3, "a", "x") is None
