Change the expert maps of several groups at the same time

Groups were updated one after the other, and a change takes some 0.4 s of which ranks copy weights most of the time. With three groups whose demand shifts every 2.3 s the last one waited for two changes. Each group is now updated in a task of its own; deployments with one group are updated as before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/map_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/map_controller.py
@@ -9,6 +9,7 @@
 from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.forwarder.mapcontrol import group_controller
 from chicoryweir_daemon.forwarder.mapcontrol import lease_holder
+from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_policy.forwarding import endpoints
 
 # Pause between two rounds of updates. A step takes at most about this time; the counts
@@ -17,7 +18,12 @@
 
 
 class MapController:
-    """Updates the maps of all groups, one group after the other."""
+    """Updates the maps of all groups, each in a task of its own.
+
+    A change takes some tenths of a second, most of which ranks need to copy weights.
+    One group must not wait for another meanwhile, as demand often shifts in all of them
+    at the same time.
+    """
 
     def __init__(
         self,
@@ -31,27 +37,45 @@
         self._client = client
         self._event_log = event_log
         self._groups: dict[str, group_controller.GroupController] = {}
+        self._updates: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Updates the groups until cancelled."""
-        while True:
-            await asyncio.sleep(UPDATE_PERIOD_S)
-            if not self._holder.holds:
-                self._groups.clear()
-                self._fleet.set_slowdowns({}, self._fleet.clock.read())
-                continue
-            for name, members in self._find_groups().items():
-                try:
-                    await self._update_group(name, members)
-                except Exception as error:
-                    supervision.record_error(
-                        self._event_log, f"expert map of {name}", error
-                    )
-                    self._groups.pop(name, None)
-            slowdowns: dict[str, float] = {}
-            for controller in self._groups.values():
-                slowdowns |= controller.get_slowdowns()
-            self._fleet.set_slowdowns(slowdowns, self._fleet.clock.read())
+        try:
+            while True:
+                await asyncio.sleep(UPDATE_PERIOD_S)
+                if not self._holder.holds:
+                    self._groups.clear()
+                    self._fleet.set_slowdowns({}, self._fleet.clock.read())
+                    continue
+                self._start_updates()
+                slowdowns: dict[str, float] = {}
+                for controller in self._groups.values():
+                    slowdowns |= controller.get_slowdowns()
+                self._fleet.set_slowdowns(slowdowns, self._fleet.clock.read())
+        finally:
+            await eventloop.cancel_tasks(self._updates.values())
+
+    def _start_updates(self) -> None:
+        """Starts an update of each group whose last update has ended."""
+        self._updates = {
+            name: task for name, task in self._updates.items() if not task.done()
+        }
+        for name, members in self._find_groups().items():
+            if name not in self._updates:
+                self._updates[name] = asyncio.create_task(
+                    self._update_guarded(name, members)
+                )
+
+    async def _update_guarded(
+        self, name: str, members: dict[int, endpoints.Endpoint]
+    ) -> None:
+        """Updates a group; logs an error and starts over with the group after it."""
+        try:
+            await self._update_group(name, members)
+        except Exception as error:
+            supervision.record_error(self._event_log, f"expert map of {name}", error)
+            self._groups.pop(name, None)
 
     def _find_groups(self) -> dict[str, dict[int, endpoints.Endpoint]]:
         found: dict[str, dict[int, endpoints.Endpoint]] = {}
