--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
@@ -22,9 +22,10 @@
 # Interval at which the endpoints are fetched from the other entries.
 ENDPOINT_FETCH_PERIOD_S = 0.3
 PEER_FETCH_TIMEOUT_S = 1.5
-# Time that the store has to deliver a configuration that another entry announces. A
-# large configuration takes some tenths of a second, and both would send it otherwise.
-STORE_LEAD_S = 0.5
+# Time that the store has to deliver a configuration that another entry announces. It
+# includes the pause after the one before and the transfer of a large configuration,
+# which both would send otherwise.
+STORE_LEAD_S = 0.8
 
 
 class PeerFetcher:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -17,6 +17,11 @@
 
 # Time for which the store may wait for a newer configuration before it answers.
 CONFIGURATION_WAIT_S = 10.0
+# Rate at which configurations are read in a quick succession, in bytes per second, and
+# the longest pause that follows from it. Reads of 400 KB every 0.2 s took half of the
+# bandwidth of a machine's link, and events of streams were late.
+CONFIGURATION_BYTES_PER_S = 1_000_000
+MAX_CONFIGURATION_PAUSE_S = 0.6
 # Pause between two calls for changes of endpoints, in an entry that controls expert
 # maps and where a leaving endpoint may get no requests after `SHORT_DRAIN_S`. Endpoints
 # register continually, so without it, calls would follow each other closely.
@@ -58,6 +63,12 @@
                     self.apply(data, "store", position)
                     self._position = position
                     await self._store_health.record_call(None)
+                    await asyncio.sleep(
+                        min(
+                            MAX_CONFIGURATION_PAUSE_S,
+                            len(data) / CONFIGURATION_BYTES_PER_S,
+                        )
+                    )
                 case interfaces.NoNewerConfiguration(position):
                     self._position = position
                     await self._store_health.record_call(None)
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -84,3 +84,30 @@
     assert fleet.endpoints.is_store_unreachable
     assert health.era == 3
     assert registry.positions == [None, position, position]
+
+
+# Guards against a storm of large configurations that uses up the link of a machine.
+async def test_next_read_waits_after_a_large_configuration(settings, monkeypatch):
+    pauses = []
+
+    async def sleep(delay_s):
+        pauses.append(delay_s)
+
+    monkeypatch.setattr(watches.asyncio, "sleep", sleep)
+
+    class Decoder:
+        def decode(self, data):
+            raise ValueError("unreadable")
+
+    fleet = fleets.Fleet(settings, Clock())
+    event_log = eventlog.EventLog("front-1")
+    health = storehealth.StoreHealth(fleet, event_log)
+    large = interfaces.StoredConfiguration(b"x" * 300_000, interfaces.Position(1))
+    huge = interfaces.StoredConfiguration(b"x" * 9_000_000, interfaces.Position(2))
+    registry = ScriptedRegistry(large, huge)
+    watch = watches.ConfigurationWatch(fleet, registry, Decoder(), event_log, health)
+    task = asyncio.create_task(watch.run())
+    async with asyncio.timeout(5.0):
+        await registry.exhausted.wait()
+    task.cancel()
+    assert pauses == [0.3, watches.MAX_CONFIGURATION_PAUSE_S]
