Send no requests to evacuated data centres

list_usable omits their endpoints, so that capacity, queues and rates follow from the others. A service whose endpoints are all evacuated rejects its requests at once, also queued ones; they waited for their deadline before.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -25,6 +25,10 @@
 # Expected wait of a request whose endpoints only other entries send to; callers come
 # back to any entry.
 OTHER_ENTRY_WAIT_S = 0.2
+# Expected wait of a request whose endpoints are all in evacuated data centres. Nobody
+# knows when an evacuation ends; with the spread, the longest time is
+# `queueing.MAX_RETRY_S`.
+EVACUATED_WAIT_S = 1.8
 # Mean time from the end of a rest to the return of requests that were rejected in it.
 REST_SPREAD_S = 0.3
 # Slow or failing endpoints are avoided only if at least this share of the endpoints
@@ -86,6 +90,7 @@
         slots: Number of running requests that the candidates have slots for.
         free: Number of requests that could start now.
         rest_s: Time until an endpoint wants a request, in seconds; 0 if one does now.
+        is_evacuated: Whether all endpoints are in evacuated data centres.
     """
 
     candidates: list[selection.Candidate]
@@ -94,6 +99,7 @@
     slots: int
     free: int
     rest_s: float = 0.0
+    is_evacuated: bool = False
 
 
 class Dispatcher:
@@ -242,6 +248,8 @@
             self._head = None
         while len(self):
             capacity = self._measure_capacity(service, now)
+            if capacity.is_evacuated:
+                outcomes += self._reject_all_evacuated()
             if capacity.rest_s:
                 outcomes += self._reject_in_rest(capacity.rest_s, now)
             if not capacity.free:
@@ -346,6 +354,8 @@
         self, service: configuration.Service, now: float
     ) -> _Capacity:
         usable = self._endpoints.list_usable(service.name, now)
+        if not usable and self._endpoints.is_evacuated(service.name):
+            return _Capacity([], 0, 0, 0, 0, is_evacuated=True)
         accepting = [e for e in usable if not self._rests.is_resting(e, now)]
         trusted = [
             endpoint
@@ -391,6 +401,8 @@
         self, request: queueing.PendingRequest, capacity: _Capacity, now: float
     ) -> queueing.Rejection | None:
         """Rejects a request if no endpoint accepts one from this entry in its time."""
+        if capacity.is_evacuated:
+            return _reject_evacuated(request)
         if capacity.rest_s:
             if now + capacity.rest_s <= request.latest_start_at:
                 return None
@@ -412,6 +424,12 @@
             self._head = None
         return [_reject_in_rest(request, rest_s) for request in rejected]
 
+    def _reject_all_evacuated(self) -> list[queueing.Rejection]:
+        """Rejects all queued requests, whose endpoints' data centres are evacuated."""
+        queued = [] if self._head is None else [self._head]
+        self._head = None
+        return [_reject_evacuated(r) for r in (*queued, *self._queue.clear())]
+
     def _make_candidate(
         self, endpoint: endpoints.Endpoint, memory_tokens: int, now: float
     ) -> selection.Candidate:
@@ -430,6 +448,12 @@
     return queueing.Rejection(request, "its time ran out waiting", EXPIRED_RETRY_S)
 
 
+def _reject_evacuated(request: queueing.PendingRequest) -> queueing.Rejection:
+    retry_after_ms = delay.compute_retry_after_ms(request.request_id, EVACUATED_WAIT_S)
+    reason = "the data centres of its endpoints are evacuated"
+    return queueing.Rejection(request, reason, retry_after_ms / 1000)
+
+
 def _reject_in_rest(
     request: queueing.PendingRequest, rest_s: float
 ) -> queueing.Rejection:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -13,6 +13,8 @@
 import ipaddress
 import math
 
+from chicoryweir_policy.forwarding import evacuations
+
 # Bounds of a registration, far above what endpoints register. A value beyond them is
 # another writer's, and would break what is computed from it.
 MAX_NAME_LENGTH = 200
@@ -190,12 +192,19 @@
     over from processes that ended. A process that is leaving stays so.
     """
 
-    def __init__(self, heartbeat_s: float = 1.2) -> None:
+    def __init__(
+        self,
+        heartbeat_s: float = 1.2,
+        known_evacuations: evacuations.Evacuations | None = None,
+    ) -> None:
         """Initializes an empty table.
 
         Args:
             heartbeat_s: Period at which endpoints renew their registrations.
+            known_evacuations: Evacuated data centres, whose endpoints accept no new
+                requests; None if there are none.
         """
+        self._evacuations = known_evacuations or evacuations.Evacuations()
         self._confirmation_s = HEARTBEATS_UNTIL_REMOVED * heartbeat_s + REMOVAL_DELAY_S
         self._endpoints: dict[str, Endpoint] = {}
         self._addresses: dict[tuple[str, int], set[str]] = {}
@@ -233,6 +242,26 @@
             and not endpoint.leaving
             and endpoint.instance not in self._outdated
             and not self._has_lapsed(endpoint.instance, now)
+            and not self._evacuations.is_evacuated(endpoint.data_centre)
+        ]
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether a service has endpoints, all in evacuated data centres."""
+        data_centres = {
+            endpoint.data_centre
+            for endpoint in self._endpoints.values()
+            if endpoint.service == service
+        }
+        return bool(data_centres) and all(
+            self._evacuations.is_evacuated(name) for name in data_centres
+        )
+
+    def list_evacuated(self) -> list[Endpoint]:
+        """Returns the endpoints in evacuated data centres."""
+        return [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if self._evacuations.is_evacuated(endpoint.data_centre)
         ]
 
     def list_all(self) -> list[Endpoint]:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
@@ -152,6 +152,9 @@
     def expire(self, now: float) -> tuple[Rejection, ...]:
         """Removes and rejects requests whose callers would leave before the start."""
 
+    def clear(self) -> tuple[PendingRequest, ...]:
+        """Removes and returns all requests."""
+
     def predict_wait(self, now: float) -> float:
         """Predicts the time until all queued requests have started, in seconds."""
 
@@ -230,6 +233,13 @@
             rejections.append(self._reject(request, "its time ran out waiting", now))
         return tuple(rejections)
 
+    def clear(self) -> tuple[PendingRequest, ...]:
+        """Removes and returns all requests."""
+        cleared = tuple(self._requests.values())
+        for request in cleared:
+            self.remove(request.request_id)
+        return cleared
+
     def predict_wait(self, now: float) -> float:
         """Predicts the time until all queued requests have started, in seconds."""
         measures = [
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/retries.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/retries.py
@@ -16,6 +16,7 @@
 
     Attributes:
         NOT_SENT: Nothing of the request reached the endpoint.
+        WITHDRAWN: The request wasn't sent, as the endpoint may get none any more.
         DECLINED: The endpoint answered that it did not run the request.
         MISDIRECTED: Another instance answered at the address and did not run the
             request.
@@ -25,6 +26,7 @@
     """
 
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
     DECLINED = "declined"
     MISDIRECTED = "misdirected"
     BROKEN = "broken"
@@ -34,17 +36,20 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether it is certain that the request did not run."""
-        return self in (Failure.NOT_SENT, Failure.DECLINED, Failure.MISDIRECTED)
+        return not self.was_delivered or self in (
+            Failure.DECLINED,
+            Failure.MISDIRECTED,
+        )
 
     @property
     def was_delivered(self) -> bool:
         """Whether the attempt reached any endpoint; its retry is then charged."""
-        return self is not Failure.NOT_SENT
+        return self not in (Failure.NOT_SENT, Failure.WITHDRAWN)
 
     @property
     def reached_intended_endpoint(self) -> bool:
         """Whether the attempt reached the endpoint that it was sent to."""
-        return self not in (Failure.NOT_SENT, Failure.MISDIRECTED)
+        return self.was_delivered and self is not Failure.MISDIRECTED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dispatching.py
@@ -5,6 +5,7 @@
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import dispatching
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import ratelimits
@@ -332,3 +333,52 @@
         assert isinstance(rejection, queueing.Rejection)
         assert 3.9 <= rejection.retry_after_s <= 5.0
     assert not len(dispatcher)
+
+
+def _build_evacuable(make_endpoint):
+    """Returns a dispatcher with one endpoint in each of two data centres."""
+    known = evacuations.Evacuations()
+    endpoint_table = endpoints.EndpointTable(known_evacuations=known)
+    registered = [make_endpoint(f"e-{name}", data_centre=name) for name in "ab"]
+    endpoint_table.replace_all(registered, 0.0)
+    dispatcher = dispatching.Dispatcher(
+        endpoint_table,
+        loads.LoadTable(),
+        selection.create_selector("a"),
+        queueing.create_request_queue(),
+    )
+    return known, dispatcher
+
+
+def _evacuate(known, *names):
+    rows = [evacuations.Record(name, 1, 5, True) for name in names]
+    known.apply_listing(rows, 1, 9, 0.0)
+
+
+def test_requests_of_an_evacuated_data_centre_go_elsewhere(
+    make_endpoint, make_request, service
+):
+    known, dispatcher = _build_evacuable(make_endpoint)
+    _evacuate(known, "a")
+    outcomes = [_submit(dispatcher, service, make_request(str(n))) for n in range(7)]
+    assert {o.endpoint.instance for o in outcomes[:6]} == {"e-b"}
+    assert isinstance(outcomes[6], dispatching.Enqueued)
+
+
+# Guards against requests that wait until their deadline for endpoints that get none.
+def test_requests_without_an_endpoint_outside_evacuations_are_rejected_at_once(
+    make_endpoint, make_request, service
+):
+    known, dispatcher = _build_evacuable(make_endpoint)
+    outcomes = [_submit(dispatcher, service, make_request(str(n))) for n in range(15)]
+    assert [isinstance(o, dispatching.Enqueued) for o in outcomes[12:]] == [True] * 3
+    _evacuate(known, "a", "b")
+    rejected = list(dispatcher.dispatch_queued(service, 0.1))
+    rejected.append(_submit(dispatcher, service, make_request("late"), 0.1))
+    assert [o.request.request_id for o in rejected] == ["12", "13", "14", "late"]
+    assert all(0.1 <= o.retry_after_s <= queueing.MAX_RETRY_S for o in rejected)
+    assert not len(dispatcher)
+    known.apply_listing([], 1, 12, 0.2)
+    assert isinstance(
+        _submit(dispatcher, service, make_request("after"), 0.2), dispatching.Enqueued
+    )
