Read evacuations with the configuration and announce them

Entries read the operator's rows in the same calls as the configuration and apply both in one step; announcements (format 8) repeat the records, which are merged before a newer configuration is fetched. An entry is ready only once it knows them. An attempt whose connection was opened meanwhile goes elsewhere.

The test stand-in of the lease holder now also knows a state, since is_ready needs it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/announcements.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
@@ -17,8 +18,8 @@
 from chicoryweir_policy.quarantine import records
 
 # First element of each datagram; incremented when the layout changes.
-FORMAT_VERSION = 7
-_PART_COUNT = 22
+FORMAT_VERSION = 8
+_PART_COUNT = 23
 _DECODING_ERRORS = (
     TypeError,
     ValueError,
@@ -70,6 +71,7 @@
                 (rest.process.instance, rest.process.incarnation, rest.left_s)
                 for rest in announcement.rests
             ],
+            _encode_evacuations(announcement.evacuations),
         )
     )
 
@@ -126,6 +128,7 @@
                 )
                 for instance, incarnation, left_s in parts[21]
             ),
+            evacuations=_decode_evacuations(parts[22]),
         )
     except (cbor2.CBORDecodeError, *_DECODING_ERRORS) as error:
         detail = repr(error)[:_MAX_DETAIL_LENGTH]
@@ -280,3 +283,35 @@
         )
         for instance, incarnation, max_rate, age_s in parts
     )
+
+
+def _encode_evacuations(
+    found: tuple[evacuations.Record, ...] | None,
+) -> list[tuple[typing.Any, ...]] | None:
+    if found is None:
+        return None
+    return [
+        (
+            record.data_centre,
+            record.era,
+            record.version,
+            record.evacuated,
+            record.since_era,
+        )
+        for record in found
+    ]
+
+
+def _decode_evacuations(parts: typing.Any) -> tuple[evacuations.Record, ...] | None:
+    if parts is None:
+        return None
+    return tuple(
+        evacuations.Record(
+            _read_text(data_centre),
+            _read_count(era),
+            _read_count(version),
+            bool(evacuated),
+            None if since_era is None else _read_count(since_era),
+        )
+        for data_centre, era, version, evacuated, since_era in parts
+    )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -207,6 +207,7 @@
             self._record_progress,
             self._get_stall_timeout,
             self._record_statement,
+            self._fleet.evacuations.is_evacuated,
         )
         self._attempt = attempt
         self.update_end()
@@ -328,7 +329,11 @@
                     instance, self._compute_time_per_cost(started_at, now), now
                 )
             case attempts.Failed(failure=failure, at_fault=at_fault):
-                if not at_fault and failure is not retries.Failure.MISDIRECTED:
+                shows_nothing = failure in (
+                    retries.Failure.MISDIRECTED,
+                    retries.Failure.WITHDRAWN,
+                )
+                if not at_fault and not shows_nothing:
                     outliers.record_outcome(instance, True, now)
 
     def _compute_time_per_cost(self, started_at: float, now: float) -> float:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -12,6 +12,7 @@
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import dispatching
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import queueing
@@ -51,7 +52,8 @@
         self.clock = clock
         self.table: routes.RouteTable | None = None
         self.configuration_data = b""
-        self.endpoints = endpoints.EndpointTable(settings.heartbeat_s)
+        self.evacuations = evacuations.Evacuations()
+        self.endpoints = endpoints.EndpointTable(settings.heartbeat_s, self.evacuations)
         self.loads = loads.LoadTable()
         self.peers = peers.PeerTable(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
@@ -78,7 +80,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the entry accepts callers."""
-        return self.table is not None and self.endpoints_listed and not self.stopping
+        return (
+            self.table is not None
+            and self.evacuations.is_known
+            and self.endpoints_listed
+            and not self.stopping
+        )
 
     @property
     def version(self) -> int:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -9,10 +9,12 @@
 
 from chicoryweir_daemon.forwarder import announcements
 from chicoryweir_daemon.forwarder import crashreports
+from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import statementreports
 from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 
@@ -76,6 +78,8 @@
         now = self._fleet.clock.read()
         if not self._fleet.peers.record(announcement, now):
             return
+        # Before a newer configuration, so that the entry isn't ready without them.
+        evacuationreports.merge_announced(self._fleet, self._event_log, announcement)
         self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
         self._fleet.apply_peer_announcements(now)
         self._fleet.crashes.merge(announcement.crash_update, now)
@@ -117,6 +121,7 @@
             ],
             self._fleet.endpoints.list_stated_leaving(now),
             [rest.process for rest in self._fleet.rests.list_own(now)],
+            self._list_evacuations(),
         )
         if not (force or is_due or content != self._last_content):
             return
@@ -164,8 +169,13 @@
             rates=self._fleet.rate_limits.list_own(now),
             leaving=self._fleet.endpoints.list_stated_leaving(now),
             rests=self._fleet.rests.list_own(now),
+            evacuations=self._list_evacuations(),
         )
 
+    def _list_evacuations(self) -> tuple[evacuations.Record, ...] | None:
+        known = self._fleet.evacuations
+        return known.list_records() if known.is_known else None
+
     def _log_rate_limits(self) -> None:
         """Logs the endpoints whose stated rate changed since the last call."""
         now = self._fleet.clock.read()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -13,6 +13,7 @@
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import statements
 
 
@@ -145,17 +146,26 @@
     Attributes:
         data: Encoded configuration, which entries also exchange.
         position: Position in the store's history as of the read.
+        evacuations: Evacuations that were read in the same call: all of them, or the
+            changes after the position that was waited for.
     """
 
     data: bytes
     position: Position
+    evacuations: tuple[evacuations.Record, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoNewerConfiguration:
-    """No configuration is stored or it is unchanged, as of `position`."""
+    """No configuration is stored or it is unchanged, as of `position`.
+
+    Attributes:
+        position: Position in the store's history as of the read.
+        evacuations: As in `StoredConfiguration`.
+    """
 
     position: Position
+    evacuations: tuple[evacuations.Record, ...] = ()
 
 
 # A registration in the store that doesn't describe an endpoint, with the reason.
@@ -192,12 +202,15 @@
     async def read_configuration(
         self,
     ) -> StoredConfiguration | NoNewerConfiguration | Unreachable:
-        """Reads the newest configuration."""
+        """Reads the newest configuration and all evacuations."""
 
     async def await_configuration(
         self, position: Position, wait_s: float
     ) -> StoredConfiguration | NoNewerConfiguration | HistoryLost | Unreachable:
-        """Waits up to `wait_s` seconds for a configuration stored after a position."""
+        """Waits up to `wait_s` seconds for changes after a position.
+
+        Returns the configuration if it changed, and the changes of evacuations.
+        """
 
     async def list_endpoints(self) -> Listing | Unreachable:
         """Reads all endpoints."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -10,6 +10,7 @@
 import time
 
 from chicoryweir_daemon.forwarder import allocation
+from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import exchange
 from chicoryweir_daemon.forwarder import fleet as fleets
@@ -196,6 +197,7 @@
             "fetches": self._peer_fetcher.run,
             "lease": self._lease_holder.run,
             "expert maps": self._map_controller.run,
+            "evacuations": evacuationreports.Reporter(self._fleet, self._event_log).run,
         }
         tasks = {
             name: asyncio.create_task(supervision.supervise(run, name, self._event_log))
@@ -455,6 +457,7 @@
         self._metrics.register_gauge(
             "held_prompt_parts", lambda: self._fleet.crashes.parts.count_held()
         )
+        evacuationreports.register_gauges(self._fleet, self._metrics)
         self._metrics.register_gauge(
             "waiting_requests",
             lambda: sum(len(d) for _, d in self._fleet.list_dispatchers()),
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -7,6 +7,7 @@
 import typing
 
 from chicoryweir_daemon.forwarder import crashreports
+from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
@@ -14,6 +15,7 @@
 from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 
 # Time for which the store may wait for a newer configuration before it answers.
 CONFIGURATION_WAIT_S = 10.0
@@ -29,7 +31,7 @@
 
 
 class ConfigurationWatch:
-    """Applies each newer configuration in the store."""
+    """Applies each newer configuration in the store, and the evacuations."""
 
     def __init__(
         self,
@@ -50,12 +52,13 @@
         """Watches the configuration until cancelled."""
         while True:
             match await self._read():
-                case interfaces.StoredConfiguration(data, position):
+                case interfaces.StoredConfiguration(data, position, rows):
+                    next_position = self._apply_evacuations(rows, position)
                     self.apply(data, "store", position)
-                    self._position = position
+                    self._position = next_position
                     await self._store_health.record_call(None)
-                case interfaces.NoNewerConfiguration(position):
-                    self._position = position
+                case interfaces.NoNewerConfiguration(position, rows):
+                    self._position = self._apply_evacuations(rows, position)
                     await self._store_health.record_call(None)
                 case interfaces.HistoryLost():
                     self._position = None
@@ -99,6 +102,17 @@
                 **_describe(position),
             )
 
+    def _apply_evacuations(
+        self, rows: tuple[evacuations.Record, ...], position: interfaces.Position
+    ) -> interfaces.Position:
+        """Applies evacuations; returns the position from which to go on reading."""
+        if self._position is not None:
+            evacuationreports.apply_changes(self._fleet, self._event_log, rows)
+            return position
+        return evacuationreports.apply_listing(
+            self._fleet, self._event_log, rows, position
+        )
+
     async def _read(
         self,
     ) -> (
--- a/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_announcements.py
@@ -5,6 +5,7 @@
 
 from chicoryweir_daemon.forwarder import announcements
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.forwarding import peers
@@ -53,6 +54,10 @@
     ),
     leaving=(endpoints.Leaving("i-7", 21),),
     rests=(rests.Announced(records.LossId("i-8", "22"), 2.5),),
+    evacuations=(
+        evacuations.Record("kutaisi", 2, 31, True, 1),
+        evacuations.Record("telavi", 2, 40, False),
+    ),
 )
 
 
@@ -61,7 +66,7 @@
 
 
 # Positions of the mappings, updates and lists of tuples in the datagram.
-STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19, 20, 21)
+STRUCTURED_PARTS = (9, 13, 15, 16, 18, 19, 20, 21, 22)
 
 
 @pytest.mark.parametrize("position", STRUCTURED_PARTS)
@@ -106,6 +111,8 @@
     "a negative rate": (19, [("i-5", "19", -1.0, 0.5)]),
     "a negative start": (20, [("i-7", -1)]),
     "an endless rest": (21, [("i-8", "22", float("inf"))]),
+    "an evacuation of an endless name": (22, [("a" * 5000, 1, 2, True, None)]),
+    "an evacuation of a negative era": (22, [("telavi", -1, 2, True, None)]),
 }
 
 
--- a/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_lease_holder.py
@@ -139,6 +139,7 @@
         config = configuration.Configuration(1, (), (), None, configuration.Limits())
         fleet.adopt(config, b"{}")
         fleet.endpoints_listed = True
+        fleet.evacuations.apply_listing([], 1, 1, 0.0)
         self.fleets[name] = fleet
         event_log = eventlog.EventLog(name)
         self.health[name] = storehealth.StoreHealth(fleet, event_log)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -81,6 +81,13 @@
 STORE_UNREACHABLE = 310
 STORE_BACK = 311
 STORE_RESTORED = 312
+EVACUATION_STARTED = 320
+EVACUATION_ENDED = 321
+EVACUATION_DRAINED = 322
+EVACUATION_KEPT = 323
+EVACUATION_IGNORED = 324
+EVACUATION_UNKNOWN = 325
+SERVICE_EVACUATED = 326
 INVARIANT_VIOLATED = 900
 TASK_FAILED = 901
 
@@ -421,6 +428,54 @@
         "The platform's store was restored from a copy and lost its latest changes.",
         "None; the entry reads everything again.",
     ),
+    EventKind(
+        EVACUATION_STARTED,
+        "evacuation_started",
+        "A data centre is evacuated: its endpoints get no new requests, and running "
+        "ones (`running`, of this entry) finish.",
+        "None; deleting the operator's row cancels it.",
+    ),
+    EventKind(
+        EVACUATION_ENDED,
+        "evacuation_ended",
+        "The evacuation of a data centre was cancelled; its endpoints get requests "
+        "again.",
+        "None.",
+    ),
+    EventKind(
+        EVACUATION_DRAINED,
+        "evacuation_drained",
+        "The last request of this entry in an evacuated data centre ended.",
+        "None; once all entries log it, the data centre is idle.",
+    ),
+    EventKind(
+        EVACUATION_KEPT,
+        "evacuation_kept",
+        "A restored store contradicts what the entries know of an evacuation, which "
+        "stays as `evacuated` says.",
+        "Write or delete the operator's row again; if it is missing and should be, "
+        "write it and delete it.",
+    ),
+    EventKind(
+        EVACUATION_IGNORED,
+        "evacuation_ignored",
+        "A row or record of an evacuation was ignored: its name is empty or too long, "
+        "or there are too many.",
+        "Correct or delete the operator's row.",
+    ),
+    EventKind(
+        EVACUATION_UNKNOWN,
+        "evacuation_unknown",
+        "A data centre is evacuated of which no endpoint and no entry is known.",
+        "Check the name in the operator's row.",
+    ),
+    EventKind(
+        SERVICE_EVACUATED,
+        "service_evacuated",
+        "All endpoints of a service are in evacuated data centres; its requests are "
+        "rejected.",
+        "Cancel an evacuation, or start endpoints elsewhere.",
+    ),
     EventKind(
         INVARIANT_VIOLATED,
         "invariant_violated",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/evacuations.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/evacuations.py
@@ -21,6 +21,7 @@
 # Bounds of what is stored and announced. Operators have a handful of data centres.
 MAX_RECORDS = 64
 MAX_NAME_LENGTH = 200
+MAX_NUMBER = (1 << 64) - 1
 # Earliest era of a row that may have been written in any era.
 ANY_ERA = 0
 
@@ -169,7 +170,7 @@
         """Applies a complete read of the rows.
 
         Args:
-            records: The rows. Their era is that of the read.
+            records: The rows. Their era is that of the read. Deletions are ignored.
             era: Era of the read.
             version: Version of the store as of the read.
             now: Present time, monotonic seconds.
@@ -185,7 +186,7 @@
         if before is not None and before.era != era:
             before = None
         self._known = True
-        listed = {record.data_centre: record.version for record in records}
+        listed = {r.data_centre: r.version for r in records if r.evacuated}
         first_version = version if before is None else before.first_version
         self._view = _View(era, first_version, version, listed)
         transitions: list[Transition] = []
@@ -221,7 +222,7 @@
     ) -> list[Transition]:
         """Stores the newest of a record, the known one and what the store showed."""
         name = record.data_centre
-        if not self._accepts(name):
+        if not (_is_valid(record) and self._has_place(name)):
             return self._ignore(record)
         known = self._records.get(name)
         found = [record, self._derive_from_view(record), known]
@@ -287,9 +288,7 @@
             if record.era < era and record.evacuated != (record.data_centre in rows)
         ]
 
-    def _accepts(self, name: str) -> bool:
-        if not 0 < len(name) <= MAX_NAME_LENGTH:
-            return False
+    def _has_place(self, name: str) -> bool:
         return name in self._records or len(self._records) < MAX_RECORDS
 
     def _ignore(self, record: Record) -> list[Transition]:
@@ -302,6 +301,17 @@
         return [Transition(shortened, Meaning.IGNORED)]
 
 
+def _is_valid(record: Record) -> bool:
+    """Returns whether a record can be announced."""
+    is_name = record.data_centre.isprintable() and record.data_centre
+    numbers = (record.earliest_era, record.era, record.version)
+    return (
+        bool(is_name)
+        and len(record.data_centre) <= MAX_NAME_LENGTH
+        and all(0 <= number <= MAX_NUMBER for number in numbers)
+    )
+
+
 def _date(record: Record, earliest_era: int) -> Record:
     """Returns a record whose change can have been made in an earlier era."""
     since_era = None if earliest_era == record.era else earliest_era
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import promptparts
 from chicoryweir_policy.forwarding import ratelimits
@@ -61,6 +62,8 @@
         rates: What endpoints stated to this entry that they accept.
         leaving: Processes that told this entry lately that they are leaving.
         rests: Rests that endpoints asked this entry for.
+        evacuations: All that it knows of evacuated data centres; None if it doesn't
+            know any state.
     """
 
     name: str
@@ -86,6 +89,7 @@
     rates: tuple[ratelimits.Statement, ...] = ()
     leaving: tuple[endpoints.Leaving, ...] = ()
     rests: tuple[rests.Announced, ...] = ()
+    evacuations: tuple[evacuations.Record, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
