--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/allocation.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/allocation.py
@@ -29,6 +29,7 @@
         self, request: queueing.PendingRequest, service: configuration.Service
     ) -> Allocation:
         """Waits for an endpoint; returns it or the rejection."""
+        await self._fleet.freezes.await_release()
         dispatcher = self._fleet.get_dispatcher(service.name)
         self._services[service.name] = service
         future: asyncio.Future[Allocation] = asyncio.get_running_loop().create_future()
@@ -59,7 +60,7 @@
         if service is None:
             return
         dispatcher = self._fleet.get_dispatcher(name)
-        if len(dispatcher):
+        if len(dispatcher) and not self._fleet.freezes.check():
             now = self._fleet.clock.read()
             self._complete(dispatcher, dispatcher.dispatch_queued(service, now))
 
@@ -67,6 +68,7 @@
         """Dispatches queued requests periodically until cancelled."""
         while True:
             await asyncio.sleep(DISPATCH_INTERVAL_S)
+            self._fleet.freezes.check()
             for name, _ in self._fleet.list_dispatchers():
                 self.dispatch_queued(name)
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -80,7 +80,9 @@
         record_progress: collections.abc.Callable[[float], None],
         get_stall_timeout: collections.abc.Callable[[Attempt], float],
         record_statement: collections.abc.Callable[[statements.Statement], None],
-        is_evacuated: collections.abc.Callable[[str], bool],
+        confirm_sending: collections.abc.Callable[
+            [str], collections.abc.Awaitable[bool]
+        ],
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
@@ -89,7 +91,7 @@
         self._record_progress = record_progress
         self._get_stall_timeout = get_stall_timeout
         self._record_statement = record_statement
-        self._is_evacuated = is_evacuated
+        self._confirm_sending = confirm_sending
         self.sent = False
         self.last_received_at = 0.0
         self.last_progress_at = 0.0
@@ -130,12 +132,11 @@
                 connection = await self._pool.acquire(address, fresh, now)
         except connections.ConnectError as error:
             return Failed(retries.Failure.NOT_SENT, str(error))
-        # The evacuation may have begun while the connection was opened.
-        if self._is_evacuated(self._endpoint.data_centre):
-            connection.abort()
-            return Failed(retries.Failure.WITHDRAWN, "its data centre is evacuated")
         is_complete = False
         try:
+            # An evacuation may have begun while the connection was opened.
+            if not await self._confirm_sending(self._endpoint.data_centre):
+                return Failed(retries.Failure.WITHDRAWN, "its data centre is evacuated")
             connection.send_request(self._encode(request, forwarding))
             self.sent = True
             self.last_received_at = self.last_progress_at = self._clock.read()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/evacuationreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/evacuationreports.py
@@ -148,6 +148,11 @@
 
     def check(self, now: float) -> None:
         """Logs what changed since the last call."""
+        frozen_s = self._fleet.freezes.take_freeze()
+        if frozen_s:
+            self._event_log.record(
+                catalogue.PROCESS_FROZEN, frozen_s=round(frozen_s, 1)
+            )
         evacuated = self._fleet.evacuations.list_evacuated()
         self._started_at = {name: self._started_at.get(name, now) for name in evacuated}
         self._drained.intersection_update(evacuated)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -207,7 +207,7 @@
             self._record_progress,
             self._get_stall_timeout,
             self._record_statement,
-            self._fleet.evacuations.is_evacuated,
+            self._fleet.confirm_sending,
         )
         self._attempt = attempt
         self.update_end()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -5,6 +5,7 @@
 import collections
 import math
 
+from chicoryweir_daemon.forwarder import freezes
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_policy.forwarding import budget
@@ -53,6 +54,7 @@
         self.table: routes.RouteTable | None = None
         self.configuration_data = b""
         self.evacuations = evacuations.Evacuations()
+        self.freezes = freezes.FreezeGuard(clock)
         self.endpoints = endpoints.EndpointTable(settings.heartbeat_s, self.evacuations)
         self.loads = loads.LoadTable()
         self.peers = peers.PeerTable(settings.name, settings.host)
@@ -195,6 +197,11 @@
         """Returns the number of serving entries, including this one."""
         return self.peers.count_entries(now)
 
+    async def confirm_sending(self, data_centre: str) -> bool:
+        """Returns whether a request may be sent to a data centre now."""
+        await self.freezes.await_release()
+        return not self.evacuations.is_evacuated(data_centre)
+
     def set_slowdowns(self, slowdowns: dict[str, float], now: float) -> None:
         """Sets the slowdowns in the groups that this entry coordinates."""
         self.slowdowns = slowdowns
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -19,6 +19,8 @@
 
 # Time for which the store may wait for a newer configuration before it answers.
 CONFIGURATION_WAIT_S = 10.0
+# The same after the process was frozen, when requests wait for the answer.
+WAKE_WAIT_S = 0.01
 # Pause between two calls for changes of endpoints. Endpoints register continually, so
 # without it, calls would follow each other closely. A leaving endpoint must not get
 # requests after 2 s; the pause uses less than half of that.
@@ -47,6 +49,7 @@
         self._event_log = event_log
         self._store_health = store_health
         self._position: interfaces.Position | None = None
+        self._asked_at = 0.0
 
     async def run(self) -> None:
         """Watches the configuration until cancelled."""
@@ -106,12 +109,14 @@
         self, rows: tuple[evacuations.Record, ...], position: interfaces.Position
     ) -> interfaces.Position:
         """Applies evacuations; returns the position from which to go on reading."""
-        if self._position is not None:
+        if self._position is None:
+            position = evacuationreports.apply_listing(
+                self._fleet, self._event_log, rows, position
+            )
+        else:
             evacuationreports.apply_changes(self._fleet, self._event_log, rows)
-            return position
-        return evacuationreports.apply_listing(
-            self._fleet, self._event_log, rows, position
-        )
+        self._fleet.freezes.confirm(self._asked_at)
+        return position
 
     async def _read(
         self,
@@ -127,6 +132,7 @@
             | interfaces.HistoryLost
             | interfaces.Unreachable
         )
+        self._asked_at = self._fleet.clock.read_boot()
         if self._position is None:
             answer = await self._registry.read_configuration()
         else:
@@ -141,21 +147,28 @@
         | interfaces.HistoryLost
         | interfaces.Unreachable
     ):
-        """Waits for a change after a position; ends early if the store is restored."""
+        """Waits for a change after a position; ends early if the store is restored.
+
+        After a freeze, the call that was made before it may not be answered for long,
+        so that it is replaced by one that is answered at once.
+        """
         change = asyncio.ensure_future(
             self._registry.await_configuration(position, CONFIGURATION_WAIT_S)
         )
         restore = asyncio.ensure_future(self._store_health.await_restore(position.era))
+        wake = asyncio.ensure_future(self._fleet.freezes.await_wake())
+        waits = {change, restore, wake}
         try:
-            await asyncio.wait({change, restore}, return_when=asyncio.FIRST_COMPLETED)
-            return (
-                change.result()
-                if change.done()
-                else interfaces.HistoryLost(self._store_health.era)
-            )
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if change.done():
+                return change.result()
+            if restore.done():
+                return interfaces.HistoryLost(self._store_health.era)
         finally:
-            change.cancel()
-            restore.cancel()
+            for wait in waits:
+                wait.cancel()
+        self._asked_at = self._fleet.clock.read_boot()
+        return await self._registry.await_configuration(position, WAKE_WAIT_S)
 
 
 class EndpointWatch:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -13,6 +13,9 @@
     def read(self):
         return 0.0
 
+    def read_boot(self):
+        return 0.0
+
 
 class ScriptedRegistry:
     """Answers reads of the configuration in order, and blocks after the last."""
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -88,6 +88,7 @@
 EVACUATION_IGNORED = 324
 EVACUATION_UNKNOWN = 325
 SERVICE_EVACUATED = 326
+PROCESS_FROZEN = 327
 INVARIANT_VIOLATED = 900
 TASK_FAILED = 901
 
@@ -476,6 +477,13 @@
         "rejected.",
         "Cancel an evacuation, or start endpoints elsewhere.",
     ),
+    EventKind(
+        PROCESS_FROZEN,
+        "process_frozen",
+        "The process didn't run for `frozen_s`. Its requests wait until the store has "
+        "confirmed what it knows of evacuations, for 1.2 s at most.",
+        "Check the machine.",
+    ),
     EventKind(
         INVARIANT_VIOLATED,
         "invariant_violated",
