Merge the evacuation of data centres

The pause after a large configuration stays behind the evacuations that came with it, and announcements carry both the relays and the records.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -5,6 +5,7 @@
 import collections
 import math
 
+from chicoryweir_daemon.forwarder import freezes
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_policy.forwarding import budget
@@ -12,6 +13,7 @@
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import dispatching
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import queueing
@@ -51,7 +53,9 @@
         self.clock = clock
         self.table: routes.RouteTable | None = None
         self.configuration_data = b""
-        self.endpoints = endpoints.EndpointTable(settings.heartbeat_s)
+        self.evacuations = evacuations.Evacuations()
+        self.freezes = freezes.FreezeGuard(clock)
+        self.endpoints = endpoints.EndpointTable(settings.heartbeat_s, self.evacuations)
         self.loads = loads.LoadTable()
         self.peers = peers.PeerTable(settings.name, settings.host)
         self.outliers = outliers.OutlierDetector()
@@ -78,7 +82,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the entry accepts callers."""
-        return self.table is not None and self.endpoints_listed and not self.stopping
+        return (
+            self.table is not None
+            and self.evacuations.is_known
+            and self.endpoints_listed
+            and not self.stopping
+        )
 
     @property
     def version(self) -> int:
@@ -188,6 +197,11 @@
         """Returns the number of serving entries, including this one."""
         return self.peers.count_entries(now)
 
+    async def confirm_sending(self, data_centre: str) -> bool:
+        """Returns whether a request may be sent to a data centre now."""
+        await self.freezes.await_release()
+        return not self.evacuations.is_evacuated(data_centre)
+
     def set_slowdowns(self, slowdowns: dict[str, float], now: float) -> None:
         """Sets the slowdowns in the groups that this entry coordinates."""
         self.slowdowns = slowdowns
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -7,6 +7,7 @@
 import typing
 
 from chicoryweir_daemon.forwarder import crashreports
+from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
@@ -14,9 +15,12 @@
 from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import evacuations
 
 # Time for which the store may wait for a newer configuration before it answers.
 CONFIGURATION_WAIT_S = 10.0
+# The same after the process was frozen, when requests wait for the answer.
+WAKE_WAIT_S = 0.01
 # Rate at which configurations are read in a quick succession, in bytes per second, and
 # the longest pause that follows from it. Reads of 400 KB every 0.2 s took half of the
 # bandwidth of a machine's link, and events of streams were late.
@@ -38,7 +42,7 @@
 
 
 class ConfigurationWatch:
-    """Applies each newer configuration in the store."""
+    """Applies each newer configuration in the store, and the evacuations."""
 
     def __init__(
         self,
@@ -54,14 +58,16 @@
         self._event_log = event_log
         self._store_health = store_health
         self._position: interfaces.Position | None = None
+        self._asked_at = 0.0
 
     async def run(self) -> None:
         """Watches the configuration until cancelled."""
         while True:
             match await self._read():
-                case interfaces.StoredConfiguration(data, position):
+                case interfaces.StoredConfiguration(data, position, rows):
+                    next_position = self._apply_evacuations(rows, position)
                     self.apply(data, "store", position)
-                    self._position = position
+                    self._position = next_position
                     await self._store_health.record_call(None)
                     await asyncio.sleep(
                         min(
@@ -69,8 +75,8 @@
                             len(data) / CONFIGURATION_BYTES_PER_S,
                         )
                     )
-                case interfaces.NoNewerConfiguration(position):
-                    self._position = position
+                case interfaces.NoNewerConfiguration(position, rows):
+                    self._position = self._apply_evacuations(rows, position)
                     await self._store_health.record_call(None)
                 case interfaces.HistoryLost():
                     self._position = None
@@ -114,6 +120,19 @@
                 **_describe(position),
             )
 
+    def _apply_evacuations(
+        self, rows: tuple[evacuations.Record, ...], position: interfaces.Position
+    ) -> interfaces.Position:
+        """Applies evacuations; returns the position from which to go on reading."""
+        if self._position is None:
+            position = evacuationreports.apply_listing(
+                self._fleet, self._event_log, rows, position
+            )
+        else:
+            evacuationreports.apply_changes(self._fleet, self._event_log, rows)
+        self._fleet.freezes.confirm(self._asked_at)
+        return position
+
     async def _read(
         self,
     ) -> (
@@ -128,6 +147,7 @@
             | interfaces.HistoryLost
             | interfaces.Unreachable
         )
+        self._asked_at = self._fleet.clock.read_boot()
         if self._position is None:
             answer = await self._registry.read_configuration()
         else:
@@ -142,21 +162,28 @@
         | interfaces.HistoryLost
         | interfaces.Unreachable
     ):
-        """Waits for a change after a position; ends early if the store is restored."""
+        """Waits for a change after a position; ends early if the store is restored.
+
+        After a freeze, the call that was made before it may not be answered for long,
+        so that it is replaced by one that is answered at once.
+        """
         change = asyncio.ensure_future(
             self._registry.await_configuration(position, CONFIGURATION_WAIT_S)
         )
         restore = asyncio.ensure_future(self._store_health.await_restore(position.era))
+        wake = asyncio.ensure_future(self._fleet.freezes.await_wake())
+        waits = {change, restore, wake}
         try:
-            await asyncio.wait({change, restore}, return_when=asyncio.FIRST_COMPLETED)
-            return (
-                change.result()
-                if change.done()
-                else interfaces.HistoryLost(self._store_health.era)
-            )
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if change.done():
+                return change.result()
+            if restore.done():
+                return interfaces.HistoryLost(self._store_health.era)
         finally:
-            change.cancel()
-            restore.cancel()
+            for wait in waits:
+                wait.cancel()
+        self._asked_at = self._fleet.clock.read_boot()
+        return await self._registry.await_configuration(position, WAKE_WAIT_S)
 
 
 class EndpointWatch:
