Move the positions of entries at an endpoint out of the rate limits

The computation is now in forwarding.shares, without a change of what ratelimits decides; tests of rate limits and of the dispatcher: 48 passed.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/ratelimits.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/ratelimits.py
@@ -11,9 +11,9 @@
 import dataclasses
 import math
 
-from chicoryweir_policy import hashing
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import shares
 from chicoryweir_policy.quarantine import records
 
 # Requests that all entries together may send at once: a number and those of a time at
@@ -220,15 +220,14 @@
 
     def _compute_share(self, process: records.LossId, max_rate: float) -> _Share:
         burst = BURST_REQUESTS + BURST_S * max_rate
-        senders = int(min(len(self._entries), burst))
-        order = sorted(
-            self._entries,
-            key=lambda name: hashing.hash_to_unit(f"{process.instance}/{name}"),
+        position = shares.find_position(
+            self._entry, self._entries, process.instance, burst
         )
-        rank = order.index(self._entry)
-        if rank >= senders:
+        if position is None:
             return _Share(0.0, 0.0, 0.0)
-        return _Share(max_rate / senders, burst / senders, 1.0 - (rank + 1) / senders)
+        senders = position.senders
+        initial = 1.0 - (position.rank + 1) / senders
+        return _Share(max_rate / senders, burst / senders, initial)
 
     def _expire(self, now: float) -> None:
         expired = [
