Limit what all entries together send to a cold endpoint

Cause: an endpoint is slow for some seconds after it starts. Entries that see it idle send it more than it can run, most of all when a data centre returns at once. Change: a service with cold_per_s has a limit for each second, over all entries. A few entries, chosen by hashing, have a part of it in a sliding window of 1.2 s; entries that have just started, were frozen or hear a minority have none. Registrations, starts, crashes, ended evacuations and answers show which endpoints are cold. Other services are served as before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/crashreports.py
@@ -102,7 +102,11 @@
     evidence: str,
     request_id: str,
 ) -> None:
-    losses = fleet.crashes.record_crash(instance, successor, fleet.clock.read())
+    now = fleet.clock.read()
+    endpoint = successor or fleet.endpoints.get(instance)
+    if endpoint is not None:
+        fleet.cold_endpoints.record_restart(endpoint, now)
+    losses = fleet.crashes.record_crash(instance, successor, now)
     for loss in losses:
         event_log.record(
             catalogue.ENDPOINT_LOST,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -22,6 +22,7 @@
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import abandonment
+from chicoryweir_policy.forwarding import coldness
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import demand
@@ -287,6 +288,11 @@
             self._attempt_log.append(
                 f"{instance} {outcome.failure.value}: {outcome.detail}"
             )
+            if outcome.failure is retries.Failure.NOT_SENT and self._endpoint:
+                # A process that doesn't listen may be about to start again.
+                self._fleet.cold_endpoints.record_restart(
+                    self._endpoint, now, coldness.Reason.UNREACHABLE
+                )
             if outcome.failure is not retries.Failure.MISDIRECTED:
                 crashreports.record_endpoint_at_fault(
                     self._fleet,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import math
 
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import process
 from chicoryweir_policy.forwarding import budget
+from chicoryweir_policy.forwarding import coldstarts
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import crashes
 from chicoryweir_policy.forwarding import dispatching
@@ -58,6 +60,7 @@
         self.crashes = crashes.CrashTracker(settings.name)
         self.rate_limits = ratelimits.RateLimits(settings.name)
         self.rests = rests.Rests(settings.data_centre)
+        self.cold_endpoints = coldstarts.ColdEndpoints(settings.host)
         self.slowdowns: dict[str, float] = {}
         self._merged_slowdowns: dict[str, float] = {}
         self.ejected_until: dict[str, float] = {}
@@ -90,6 +93,7 @@
         if config.version <= self.version:
             return False
         self.table = routes.RouteTable(config)
+        self.cold_endpoints.set_services(config.services)
         self.configuration_data = data
         return True
 
@@ -108,6 +112,7 @@
             dispatcher.set_slowdowns(self._merged_slowdowns)
             dispatcher.set_rate_limits(self.rate_limits)
             dispatcher.set_rests(self.rests)
+            dispatcher.set_cold_endpoints(self.cold_endpoints)
             self._dispatchers[service] = dispatcher
         return dispatcher
 
@@ -120,6 +125,19 @@
         counts = {name: d.count_on_time() for name, d in self._dispatchers.items()}
         return {name: count for name, count in counts.items() if count}
 
+    def apply_settings(self, settings: process.Settings) -> None:
+        """Applies the settings that can change without a restart."""
+        self.settings = settings
+        bounds = settings.bounds
+        self.cold_endpoints.set_bounds(bounds.cold_over, bounds.cold_slack)
+        self.add_entry_hosts(settings.seeds)
+
+    def add_entry_hosts(self, hosts: collections.abc.Collection[str]) -> None:
+        """Adds hosts on which an entry may run."""
+        now = self.clock.read()
+        self.peers.add_hosts(hosts, now)
+        self.cold_endpoints.participants.add_hosts(hosts, now)
+
     def apply_peer_announcements(self, now: float) -> None:
         """Passes the other entries' announcements to the dispatchers."""
         alive = self.peers.list_alive(now)
@@ -151,6 +169,7 @@
         """
         self.rate_limits.record(endpoint, statement.max_rate, now)
         self.rests.record(endpoint, statement.rest_s, sent_at, now)
+        self.cold_endpoints.record_statement(endpoint, statement.cold_s, now)
         if not statement.leaving:
             return None
         leaving = endpoints.Leaving(endpoint.instance, endpoint.born_ms)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -8,6 +8,7 @@
 import typing
 
 from chicoryweir_daemon.forwarder import announcements
+from chicoryweir_daemon.forwarder import coldreports
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
@@ -78,6 +79,9 @@
             return
         self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
         self._fleet.apply_peer_announcements(now)
+        self._fleet.cold_endpoints.participants.record_heard(
+            announcement.host, announcement.ready, announcement.peers, now
+        )
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
         statementreports.record_announced(self._fleet, self._event_log, announcement)
@@ -96,6 +100,7 @@
             self._update_alive()
             crashreports.record_part_transitions(self._fleet, self._event_log)
             self._log_rate_limits()
+            coldreports.record_transitions(self._fleet, self._event_log)
             await asyncio.sleep(self._fleet.peers.announce_period_s)
 
     def announce(self, force: bool = False) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -37,6 +37,9 @@
         stall_s: Time for which endpoints stall after the loss of one that they depend
             on, in seconds.
         max_ttl_s: Maximum time for which callers cache a resolved address, in seconds.
+        cold_over: Factor by which the requests to a cold endpoint may exceed the rate
+            of its service in any second.
+        cold_slack: Number of requests by which they may exceed it in addition.
     """
 
     grace_s: float
@@ -45,6 +48,8 @@
     budget_window_s: float
     stall_s: float
     max_ttl_s: float
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -181,7 +181,7 @@
                 detail="planned stop before all ports were free",
             )
             return True
-        self._fleet.peers.add_hosts(self._settings.seeds, self._fleet.clock.read())
+        self._fleet.apply_settings(self._settings)
         endpoint_watch = watches.EndpointWatch(
             self._fleet, self._adapters.registry, self._event_log, self._store_health
         )
@@ -409,8 +409,7 @@
             needs_restart=applied != settings,
         )
         self._settings = applied
-        self._fleet.settings = applied
-        self._fleet.peers.add_hosts(applied.seeds, self._fleet.clock.read())
+        self._fleet.apply_settings(applied)
 
     async def _register(self) -> None:
         """Registers this entry in the store and adds the other entries' hosts.
@@ -433,7 +432,7 @@
                     )
             hosts = await registry.list_entries()
             if not isinstance(hosts, interfaces.Unreachable):
-                self._fleet.peers.add_hosts(hosts, self._fleet.clock.read())
+                self._fleet.add_entry_hosts(hosts)
                 self._gossip.announce(force=True)
                 if written is not None:
                     await self._store_health.await_restore(written.era)
@@ -442,6 +441,16 @@
             await asyncio.sleep(REGISTRATION_RETRY_S)
 
     def _add_gauges(self) -> None:
+        cold_endpoints = self._fleet.cold_endpoints
+        self._metrics.register_gauge(
+            "cold_endpoints",
+            lambda: cold_endpoints.count_cold(
+                self._fleet.endpoints.list_current(), self._fleet.clock.read()
+            ),
+        )
+        self._metrics.register_gauge(
+            "cold_held_back_requests", lambda: cold_endpoints.held_back
+        )
         self._metrics.register_gauge(
             "caller_connections", lambda: len(self._caller_connections)
         )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from chicoryweir_daemon.forwarder import coldreports
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
@@ -190,6 +191,7 @@
         self, listed: tuple[endpoints.Endpoint, ...], now: float
     ) -> None:
         """Applies a complete list of endpoints; logs the first as a single event."""
+        coldreports.record_registrations(self._fleet, listed)
         transitions = self._fleet.endpoints.replace_all(listed, now)
         if self._fleet.endpoints_listed:
             self._log_transitions(transitions)
@@ -222,6 +224,10 @@
     def _apply_changes(self, changes: tuple[endpoints.Change, ...]) -> None:
         self._log_unusable(changes)
         now = self._fleet.clock.read()
+        coldreports.record_registrations(
+            self._fleet,
+            [c.endpoint for c in changes if isinstance(c, endpoints.Registered)],
+        )
         for change in changes:
             try:
                 transition = self._fleet.endpoints.apply(change, now)
@@ -244,6 +250,7 @@
 
     def _log_transitions(self, transitions: list[endpoints.Transition]) -> None:
         for transition in transitions:
+            coldreports.record_start(self._fleet, transition)
             if transition.meaning == "restarted":
                 self._fleet.outliers.discard(transition.instance)
             crashreports.record_transition(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -52,6 +52,8 @@
 ANNOUNCEMENT_UNREADABLE = 132
 ANNOUNCEMENT_NOT_SENT = 133
 LINES_DROPPED = 140
+ENDPOINT_COLD = 150
+ENDPOINT_WARM = 151
 REQUEST_REFUSED = 200
 REQUEST_RETRIED = 201
 REQUEST_RESUMED = 202
@@ -241,6 +243,20 @@
         "Log lines were dropped because the reader of the log did not keep up.",
         "Check the process that reads standard output.",
     ),
+    EventKind(
+        ENDPOINT_COLD,
+        "endpoint_cold",
+        "An endpoint of a service with `cold_per_s` is cold, for another `left_s`, as "
+        "shown by `reason` `age_s` ago; this entry sends it up to `max_requests` in "
+        "1.2 s, 0 if other entries send them.",
+        "None, unless it happens often without a restart or an evacuation.",
+    ),
+    EventKind(
+        ENDPOINT_WARM,
+        "endpoint_warm",
+        "An endpoint is no longer cold, and gets any number of requests.",
+        "None.",
+    ),
     EventKind(
         REQUEST_REFUSED,
         "request_refused",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/configuration.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/configuration.py
@@ -132,11 +132,16 @@
         name: Name of the service.
         max_connections: Maximum number of connections to one endpoint from all callers.
         engine: Model engine of its endpoints; None for a plain service.
+        cold_start_s: Time for which an endpoint is slow after its start, in seconds.
+        cold_rate: Requests per second that a cold endpoint accepts from all entries
+            together; 0 for any number.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -9,6 +9,7 @@
 
 from chicoryweir_policy import requests
 from chicoryweir_policy.admission import delay
+from chicoryweir_policy.forwarding import coldstarts
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
 from chicoryweir_policy.forwarding import endpoints
@@ -95,6 +96,15 @@
     free: int
     rest_s: float = 0.0
 
+    @property
+    def is_held_back(self) -> bool:
+        """Whether a cold endpoint with a free slot gets no request from this entry."""
+        return any(
+            candidate.is_cold
+            and candidate.limit <= candidate.load.requests < candidate.endpoint.slots
+            for candidate in self.candidates
+        )
+
 
 class Dispatcher:
     """Queues and dispatches the requests of one service."""
@@ -129,6 +139,7 @@
         self._slowdowns: collections.abc.Mapping[str, float] = {}
         self._rate_limits = ratelimits.RateLimits(entry)
         self._rests = rests.Rests("")
+        self._cold_endpoints = coldstarts.ColdEndpoints(entry)
         self._reservation = reservation.Reservation(entry)
         self._average_running = 0.0
         self._averaged_at = -math.inf
@@ -162,6 +173,10 @@
         """Sets the rests that endpoints asked for."""
         self._rests = known_rests
 
+    def set_cold_endpoints(self, cold_endpoints: coldstarts.ColdEndpoints) -> None:
+        """Sets the limits of what cold endpoints are sent."""
+        self._cold_endpoints = cold_endpoints
+
     def set_slowdowns(self, slowdowns: collections.abc.Mapping[str, float]) -> None:
         """Sets the slowdowns of slow instances, which get no new requests."""
         self._slowdowns = slowdowns
@@ -224,7 +239,9 @@
             dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
                 return (dispatched,)
-        rejection = self._check_acceptance(request, capacity, now)
+        if capacity.is_held_back:
+            self._cold_endpoints.record_held_back()
+        rejection = self._check_acceptance(request, capacity, service, now)
         if rejection is not None:
             return (rejection,)
         rejections = self._queue.push(request, now)
@@ -316,6 +333,7 @@
         )
         self._rate_limits.record_sent(chosen.endpoint)
         self._rests.record_sent(chosen.endpoint, now)
+        self._cold_endpoints.record_sent(chosen.endpoint, now)
         priority = queueing.convert_priority(request.priority)
         self._reservation.record_start(priority, now)
         return Dispatched(request, chosen.endpoint)
@@ -355,9 +373,8 @@
             and not self._rests.is_avoided(endpoint, now)
         ]
         enough = len(trusted) >= MIN_TRUSTED_SHARE * len(accepting)
-        memory = 0 if service.engine is None else service.engine.memory_tokens
         candidates = [
-            self._make_candidate(endpoint, memory, now)
+            self._make_candidate(endpoint, service, now)
             for endpoint in (trusted if enough else accepting)
         ]
         if not accepting:
@@ -388,15 +405,18 @@
         return _Capacity(limited, running, total_limit, slots, free)
 
     def _check_acceptance(
-        self, request: queueing.PendingRequest, capacity: _Capacity, now: float
+        self,
+        request: queueing.PendingRequest,
+        capacity: _Capacity,
+        service: configuration.Service,
+        now: float,
     ) -> queueing.Rejection | None:
         """Rejects a request if no endpoint accepts one from this entry in its time."""
         if capacity.rest_s:
             if now + capacity.rest_s <= request.latest_start_at:
                 return None
             return _reject_in_rest(request, capacity.rest_s)
-        candidates = [candidate.endpoint for candidate in capacity.candidates]
-        wait_s = self._rate_limits.predict_wait_s(candidates, len(self), now)
+        wait_s = self._predict_wait_s(capacity, service, now)
         if wait_s is None or now + wait_s <= request.latest_start_at:
             return None
         expected_s = OTHER_ENTRY_WAIT_S if math.isinf(wait_s) else wait_s
@@ -404,6 +424,20 @@
         reason = "its endpoints accept no more requests"
         return queueing.Rejection(request, reason, retry_after_ms / 1000, wait_s)
 
+    def _predict_wait_s(
+        self, capacity: _Capacity, service: configuration.Service, now: float
+    ) -> float | None:
+        """Predicts how long limits keep this entry from sending a further request."""
+        cold = [c.endpoint for c in capacity.candidates if c.is_cold]
+        warm = [c.endpoint for c in capacity.candidates if not c.is_cold]
+        wait_s = self._rate_limits.predict_wait_s(warm, len(self), now)
+        if not cold or (warm and wait_s is None):
+            return wait_s
+        cold_wait_s = self._cold_endpoints.predict_wait_s(cold, service, len(self), now)
+        if wait_s is None or cold_wait_s is None:
+            return cold_wait_s
+        return min(wait_s, cold_wait_s)
+
     def _reject_in_rest(self, rest_s: float, now: float) -> list[queueing.Rejection]:
         """Rejects the queued requests that can't wait until an endpoint's rest ends."""
         rejected = [r.request for r in self._queue.expire(now + rest_s)]
@@ -413,17 +447,21 @@
         return [_reject_in_rest(request, rest_s) for request in rejected]
 
     def _make_candidate(
-        self, endpoint: endpoints.Endpoint, memory_tokens: int, now: float
+        self, endpoint: endpoints.Endpoint, service: configuration.Service, now: float
     ) -> selection.Candidate:
+        memory = 0 if service.engine is None else service.engine.memory_tokens
+        cold_available = self._cold_endpoints.count_available(endpoint, service, now)
         load = self._loads.get_load(endpoint.instance, now)
         limit = endpoint.slots
         for available in (
             self._rate_limits.count_available(endpoint, now),
             self._rests.count_available(endpoint, now),
+            cold_available,
         ):
             if available is not None:
                 limit = min(limit, load.requests + max(0, available))
-        return selection.Candidate(endpoint, load, limit, memory_tokens)
+        is_cold = cold_available is not None
+        return selection.Candidate(endpoint, load, limit, memory, is_cold)
 
 
 def _reject_expired(request: queueing.PendingRequest) -> queueing.Rejection:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -247,6 +247,14 @@
             if endpoint.instance not in self._outdated
         ]
 
+    def has_current_registrations(self, now: float) -> bool:
+        """Returns whether registrations that arrive now were written lately.
+
+        After a store outage or a restore, the first ones may be older.
+        """
+        is_settled = now >= self._store_reachable_since + LAPSE_GRACE_S
+        return is_settled and not self._store_unreachable
+
     def record_store_call(self, reachable: bool, now: float) -> None:
         """Records whether the last call to the store succeeded."""
         if reachable and self._store_unreachable:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/selection.py
@@ -38,12 +38,14 @@
         load: Load of the endpoint from all entries.
         limit: Maximum number of running requests.
         memory_tokens: Capacity of its memory, in tokens; 0 for no limit.
+        is_cold: Whether it is taken for cold although its registration may not say so.
     """
 
     endpoint: endpoints.Endpoint
     load: loads.Load
     limit: int
     memory_tokens: int
+    is_cold: bool = False
 
     def has_capacity(self, estimate: demand.Demand) -> bool:
         """Returns whether the request would start immediately."""
@@ -102,7 +104,7 @@
         slots = float(candidate.load.requests)
         if candidate.endpoint.data_centre != self._data_centre:
             slots += OTHER_DATA_CENTRE_SLOTS
-        if candidate.endpoint.cold_s > 0.0:
+        if candidate.is_cold or candidate.endpoint.cold_s > 0.0:
             slots += COLD_SLOTS
         return slots
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/statements.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/statements.py
@@ -17,10 +17,13 @@
         rest_s: Time for which it wants no request from this entry, in seconds; 0 if it
             doesn't ask for a rest.
         leaving: Whether it is about to stop.
+        cold_s: Time for which it is still slow after its start, in seconds; 0 if it is
+            warm or states nothing.
         unknown: Names of header fields about the endpoint without a known meaning.
     """
 
     max_rate: float | None = None
     rest_s: float = 0.0
     leaving: bool = False
+    cold_s: float = 0.0
     unknown: tuple[str, ...] = ()
