Merge the limits of cold endpoints

The end of an evacuation makes the endpoints of its data centre count as cold: they may have been restarted meanwhile.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/evacuationreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/evacuationreports.py
@@ -112,6 +112,10 @@
 ) -> None:
     for transition in transitions:
         record = transition.record
+        if transition.meaning is evacuations.Meaning.ENDED:
+            fleet.cold_endpoints.record_evacuation_end(
+                record.data_centre, fleet.clock.read()
+            )
         registered = [
             endpoint
             for endpoint in fleet.endpoints.list_all()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -9,6 +9,7 @@
 import typing
 
 from chicoryweir_daemon.forwarder import announcements
+from chicoryweir_daemon.forwarder import coldreports
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
@@ -109,6 +110,9 @@
         evacuationreports.merge_announced(self._fleet, self._event_log, announcement)
         self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
         self._fleet.apply_peer_announcements(now)
+        self._fleet.cold_endpoints.participants.record_heard(
+            announcement.host, announcement.ready, announcement.peers, now
+        )
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
         statementreports.record_announced(self._fleet, self._event_log, announcement)
@@ -134,6 +138,7 @@
         self._update_alive()
         crashreports.record_part_transitions(self._fleet, self._event_log)
         self._log_rate_limits()
+        coldreports.record_transitions(self._fleet, self._event_log)
 
     def announce(self, force: bool = False) -> None:
         """Sends an announcement if its content changed, it is due or `force` is set.
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -41,6 +41,9 @@
             gets no more requests, in seconds.
         evacuation_s: Time after which endpoints of an evacuated data centre get no more
             requests, in seconds; None if the deployment has no evacuations.
+        cold_over: Factor by which the requests to a cold endpoint may exceed the rate
+            of its service in any second.
+        cold_slack: Number of requests by which they may exceed it in addition.
     """
 
     grace_s: float
@@ -51,6 +54,8 @@
     max_ttl_s: float
     drain_s: float = 2.0
     evacuation_s: float | None = None
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from chicoryweir_daemon.forwarder import coldreports
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
@@ -239,6 +240,7 @@
         self, listed: tuple[endpoints.Endpoint, ...], now: float
     ) -> None:
         """Applies a complete list of endpoints; logs the first as a single event."""
+        coldreports.record_registrations(self._fleet, listed)
         transitions = self._fleet.endpoints.replace_all(listed, now)
         if self._fleet.endpoints_listed:
             self._log_transitions(transitions)
@@ -271,6 +273,10 @@
     def _apply_changes(self, changes: tuple[endpoints.Change, ...]) -> None:
         self._log_unusable(changes)
         now = self._fleet.clock.read()
+        coldreports.record_registrations(
+            self._fleet,
+            [c.endpoint for c in changes if isinstance(c, endpoints.Registered)],
+        )
         for change in changes:
             try:
                 transition = self._fleet.endpoints.apply(change, now)
@@ -294,6 +300,7 @@
     def _log_transitions(self, transitions: list[endpoints.Transition]) -> None:
         now = self._fleet.clock.read()
         for transition in transitions:
+            coldreports.record_start(self._fleet, transition)
             if transition.meaning == "restarted":
                 self._fleet.outliers.discard(transition.instance)
             if transition.meaning == "leaving":
