Keep new requests away from the endpoints of evacuated places

Operators had no way to empty a place short of draining each agent, which ends the process. The settings tree gets `evacuated`, at places only. Entries leave such endpoints out of every selection and select again if the place was evacuated while a claim was written; agents give back what waits. A request that only evacuated endpoints could run is rejected at once with its own title and 5 s.

Tested with requests in all phases and 20 random walks with faults, in which the simulation checks each submitted attempt and each start against the version in force.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
@@ -47,6 +47,16 @@
             "doing": "" if is_store_up else "at-most-once work is refused as not run",
         },
         "groups": _describe_groups(core, now),
+        "places": [
+            {
+                "place": place.place,
+                "evacuated": place.evacuated,
+                "has_endpoints": place.has_endpoints,
+                "linked_endpoints": place.linked_endpoints,
+                "running_requests": place.running_requests,
+            }
+            for place in core.evacuations.list_places()
+        ],
     }
 
 
@@ -103,6 +113,7 @@
         "leaving": view.leaving,
         "serving": view.serving,
         "ejected": now < view.ejected_until,
+        "evacuated": view.evacuated,
         "unfinished_tokens": round(view.estimate_unfinished_tokens(now), 1),
     }
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempt_messages.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempt_messages.py
@@ -124,7 +124,7 @@
             return messages.RejectReason.STALE_SESSION
         if submit.attempt_id in session.tombstones:
             return messages.RejectReason.TOMBSTONED
-        if self._state.draining:
+        if self._state.draining or self._state.is_evacuated:
             return messages.RejectReason.LEAVING
         if not self._state.load.serving or not self._state.settings.is_ready:
             return messages.RejectReason.ENDPOINT_DOWN
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/core.py
@@ -64,6 +64,8 @@
         """Handles one event and returns the resulting commands, in order."""
         out: Commands = []
         self._handle_event(event, now, out)
+        if len(self._state.queue) and self._state.is_evacuated:
+            self._state.reject_queued(messages.RejectReason.LEAVING, out)
         self._runner.start_queued(now, out)
         self._finish_drain(now, out)
         return out
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/state.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/state.py
@@ -6,6 +6,7 @@
 
 from chicoryweir_policy import catalogue
 from chicoryweir_policy import messages
+from chicoryweir_policy import requests
 from chicoryweir_policy.admission import queued
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import operations
@@ -70,6 +71,13 @@
         self.isolation = isolation.Isolation(self.suspicions.tracker, config.instance)
         self.draining = False
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the settings in force evacuate this agent's data centre."""
+        return self.settings.resolve(
+            self.config.data_centre, "", "", requests.PriorityClass.STANDARD
+        ).evacuated
+
     def get_retry_after_ms(self, reason: messages.RejectReason) -> int:
         """Returns the delay before a retry, in milliseconds; 0 if none is set."""
         delays_ms = {
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/core.py
@@ -23,6 +23,7 @@
 from chicoryweir_policy.cores.entry import delivery
 from chicoryweir_policy.cores.entry import dispatch
 from chicoryweir_policy.cores.entry import ejection
+from chicoryweir_policy.cores.entry import evacuations
 from chicoryweir_policy.cores.entry import hedges
 from chicoryweir_policy.cores.entry import peers
 from chicoryweir_policy.cores.entry import presumed_losses
@@ -54,13 +55,14 @@
         self._claim_writer = claims.ClaimWriter(state)
         self._claim_verifier = claim_verification.ClaimVerifier(state)
         self._dispatcher = dispatch.Dispatcher(state, self._claim_writer)
-        self._claim_writer.set_submit(self._dispatcher.submit)
+        self._claim_writer.set_submit(self._dispatcher.submit_claimed)
         self._deadlines = deadlines.Deadlines(state, self._dispatcher)
         self._hedger = hedges.Hedger(state, self._dispatcher)
         self._deliverer = delivery.Deliverer(
             state, self._dispatcher, self._claim_writer
         )
         self.groups = coordinators.Coordinators(state)
+        self.evacuations = evacuations.Evacuations(state, self.peers)
         self._ejector = ejection.OutlierEjector(state)
         self._relay_window = relay_window.RelayWindow(state)
         self._presumed_losses = presumed_losses.PresumedLosses(state.suspicions.tracker)
@@ -113,6 +115,7 @@
                 pass
             case _:
                 typing.assert_never(event)
+        self.evacuations.apply_settings()
         self._finish_drain(now, out)
         return out
 
@@ -338,6 +341,7 @@
 
     def _tick(self, now: float, out: entry_state.Commands) -> None:
         self.state.settings.tick(now, out)
+        self.evacuations.apply_settings()
         self._dispatcher.run_retries(now, out)
         self._hedger.run_hedges(now, out)
         self._deadlines.run(now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatch.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/dispatch.py
@@ -116,21 +116,30 @@
         now: float,
         out: entry_state.Commands,
     ) -> None:
+        is_evacuated = unavailable.reason is selection.Reason.EVACUATED
         may_wait = active.suspect and unavailable.retry_after_ms is not None
-        if unavailable.reason is selection.Reason.EXCLUDED:
+        if is_evacuated:
+            # An evacuation lasts longer than a deadline.
+            may_wait = False
+        elif unavailable.reason is selection.Reason.EXCLUDED:
             may_wait = active.attempt_count < active.effective.max_attempts
             active.excluded.clear()
         retry_at = now + suspicion_check.RECHECK_DELAY_S
         if may_wait and retry_at < active.request.deadline_at:
             self._state.requests.set_retry(active.request.request_id, retry_at)
             return
-        problem = problems.make_no_endpoint(
-            self._state.config.instance,
-            f"no endpoint of {active.request.service} can take it:"
-            f" {unavailable.reason.value}",
-            active.outcome,
-            unavailable.retry_after_ms or problems.DEFAULT_RETRY_AFTER_MS,
-        )
+        peer = self._state.config.instance
+        service = active.request.service
+        retry_after_ms = unavailable.retry_after_ms or problems.DEFAULT_RETRY_AFTER_MS
+        if is_evacuated:
+            problem = problems.make_evacuated(
+                peer, service, active.outcome, retry_after_ms
+            )
+        else:
+            reason = f"no endpoint of {service} can take it: {unavailable.reason.value}"
+            problem = problems.make_no_endpoint(
+                peer, reason, active.outcome, retry_after_ms
+            )
         self._claim_writer.release(active, out)
         self._state.end_with_problem(active, problem, now, out)
 
@@ -155,6 +164,25 @@
             return
         self.submit(active, attempt, now, out)
 
+    def submit_claimed(
+        self,
+        active: active_requests.ActiveRequest,
+        attempt: active_requests.Attempt,
+        now: float,
+        out: entry_state.Commands,
+    ) -> None:
+        """Submits an attempt whose claim is held, or selects another endpoint.
+
+        The place of the selected endpoint may have been evacuated while the claim was
+        written. That attempt was not sent, so it isn't counted.
+        """
+        view = self._state.loads.get_view(attempt.instance)
+        if view is not None and view.evacuated:
+            active.attempt_count -= 1
+            self.route(active, now, out)
+            return
+        self.submit(active, attempt, now, out)
+
     def submit(
         self,
         active: active_requests.ActiveRequest,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/ejection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/ejection.py
@@ -35,6 +35,9 @@
         self._due_at = now + DETECTION_PERIOD_S
         services: dict[str, list[str]] = {}
         for link in self._state.agent_links.values():
+            view = self._state.loads.get_view(link.instance)
+            if view is not None and view.evacuated:
+                continue
             services.setdefault(link.service, []).append(link.instance)
         for service, members in services.items():
             self._eject(service, sorted(members), now, out)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -203,6 +203,17 @@
         ]
         return 1 + roles.count(instances.Role.ENTRY)
 
+    def list_data_centres(self, role: instances.Role | None = None) -> frozenset[str]:
+        """Returns the data centres of the known instances, or of those of a role."""
+        names = {
+            item.data_centre
+            for item in self._known.values()
+            if role in (None, item.role)
+        }
+        if role in (None, instances.Role.ENTRY):
+            names.add(self._state.config.data_centre)
+        return frozenset(names)
+
     def list_sessions(self) -> list[tuple[str, str]]:
         """Returns the instance name and session of each linked entry."""
         return [(name, peer.session_id) for name, peer in self._entries.items()]
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/problems.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/problems.py
@@ -16,6 +16,21 @@
     )
 
 
+def make_evacuated(
+    peer: str, service: str, outcome: outcomes.Outcome, retry_after_ms: int
+) -> outcomes.Problem:
+    """Returns the problem for a request that only evacuated places could run."""
+    return outcomes.Problem(
+        503,
+        "Place evacuated",
+        f"all places where {service} could run it are evacuated",
+        outcome,
+        "routing",
+        peer,
+        retry_after_ms,
+    )
+
+
 def make_deadline_passed(peer: str, outcome: outcomes.Outcome) -> outcomes.Problem:
     """Returns the problem for a request whose deadline passed unanswered."""
     return outcomes.Problem(
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/loads.py
@@ -17,6 +17,8 @@
 RATE_DECAY_PER_REPORT = 0.98
 MAX_TOKEN_TIME_S = 10.0
 
+IsEvacuated = collections.abc.Callable[[str], bool]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Attempt:
@@ -42,7 +44,7 @@
     )
 
     def add(self, view: views.EndpointView, sign: int) -> None:
-        if view.reported_at is None or not view.connected:
+        if view.reported_at is None or not view.connected or view.evacuated:
             return
         self.endpoint_count += sign
         for priority, wait_s in enumerate(view.reported_wait_s):
@@ -76,6 +78,19 @@
         self._endpoints: dict[str, _Endpoint] = {}
         self._members: dict[str, dict[str, tuple[views.Member, ...]]] = {}
         self._totals: dict[str, _ServiceTotals] = {}
+        self._is_evacuated: IsEvacuated = lambda _: False
+
+    def set_evacuations(self, is_evacuated: IsEvacuated) -> None:
+        """Sets which data centres are evacuated, for known and later endpoints.
+
+        Takes time that grows with the number of endpoints.
+        """
+        self._is_evacuated = is_evacuated
+        for endpoint in self._endpoints.values():
+            evacuated = is_evacuated(endpoint.view.data_centre)
+            if evacuated != endpoint.view.evacuated:
+                self._replace(endpoint, evacuated=evacuated)
+                self._members.pop(endpoint.view.service, None)
 
     def add_endpoint(self, instance: str, data_centre: str, service: str) -> None:
         """Adds an endpoint of a service, or replaces it if its data changed."""
@@ -86,7 +101,11 @@
             self.remove_endpoint(instance)
         self._endpoints[instance] = _Endpoint(
             views.make_view(
-                instance, data_centre, service, self._find_latency(data_centre)
+                instance,
+                data_centre,
+                service,
+                self._find_latency(data_centre),
+                self._is_evacuated(data_centre),
             )
         )
         self._members.pop(service, None)
@@ -212,6 +231,8 @@
     def list_members(self, service: str, model: str = "") -> tuple[views.Member, ...]:
         """Returns the known endpoints of a service, sorted by instance.
 
+        Endpoints of evacuated data centres are not members.
+
         Args:
             service: The service.
             model: Omits endpoints that are known not to have this model loaded; an
@@ -229,6 +250,7 @@
                     self._endpoints.items(), key=operator.itemgetter(0)
                 )
                 if endpoint.view.service == service
+                and not endpoint.view.evacuated
                 and endpoint.view.may_have_model(model)
             )
             if len(by_model) >= views.MAX_CACHED_MODELS:
@@ -236,6 +258,14 @@
             by_model[model] = members
         return members
 
+    def list_evacuated(self, service: str) -> tuple[views.EndpointView, ...]:
+        """Returns the endpoints of a service in evacuated data centres."""
+        return tuple(
+            endpoint.view
+            for endpoint in self._endpoints.values()
+            if endpoint.view.service == service and endpoint.view.evacuated
+        )
+
     def get_view(self, instance: str) -> views.EndpointView | None:
         """Returns the view of an endpoint, or None if it is unknown."""
         endpoint = self._endpoints.get(instance)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/selection.py
@@ -21,6 +21,8 @@
 SPILL_CANDIDATES = 4
 SPILL_WAIT_S = 0.25
 RETRY_AFTER_MS = 500
+# A change of the settings that ends an evacuation is in force everywhere within 5 s.
+EVACUATED_RETRY_AFTER_MS = 5000
 _UINT64_MASK = (1 << 64) - 1
 _HASH_MULTIPLIER = 0x9E3779B97F4A7C15
 
@@ -35,12 +37,14 @@
         EXCLUDED: All available endpoints were tried already.
         SUSPECT: The few endpoints that a suspect request may use were all tried, or are
             currently unavailable; only in the latter case a retry delay is given.
+        EVACUATED: The endpoints that could run it are all in evacuated data centres.
     """
 
     NO_ENDPOINT = "no_endpoint"
     UNAVAILABLE = "unavailable"
     EXCLUDED = "excluded"
     SUSPECT = "suspect"
+    EVACUATED = "evacuated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,13 +297,17 @@
     suspect: bool,
 ) -> NoneAvailable:
     members = list(fleet.list_members(request.service))
-    if not members:
-        return NoneAvailable(Reason.NO_ENDPOINT, RETRY_AFTER_MS)
     available = list(
         _iterate_available(members, request.model, fleet, frozenset(), now)
     )
     if not available:
-        return NoneAvailable(Reason.UNAVAILABLE, RETRY_AFTER_MS)
+        if any(
+            view.is_working(request.model, now)
+            for view in fleet.list_evacuated(request.service)
+        ):
+            return NoneAvailable(Reason.EVACUATED, EVACUATED_RETRY_AFTER_MS)
+        reason = Reason.UNAVAILABLE if members else Reason.NO_ENDPOINT
+        return NoneAvailable(reason, RETRY_AFTER_MS)
     if suspect:
         return NoneAvailable(Reason.SUSPECT, RETRY_AFTER_MS)
     assert any(view.instance in excluded for view in available)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/views.py
@@ -49,6 +49,7 @@
             report, which still includes them.
         ejected_until: End of its last ejection as an outlier; minus infinity if it was
             never ejected.
+        evacuated: Whether its data centre is evacuated.
     """
 
     instance: str
@@ -72,9 +73,14 @@
     own_attempts: int
     finished_tokens: float
     ejected_until: float
+    evacuated: bool
 
     def is_available(self, model: str, now: float) -> bool:
         """Returns whether attempts may be sent to it; an empty model means any."""
+        return not self.evacuated and self.is_working(model, now)
+
+    def is_working(self, model: str, now: float) -> bool:
+        """Returns whether it could run attempts, evacuated or not."""
         if not self.connected or self.leaving or not self.serving:
             return False
         if now < self.ejected_until:
@@ -167,7 +173,13 @@
     """The endpoints known to an entry, with their state and load."""
 
     def list_members(self, service: str, model: str = "") -> tuple[Member, ...]:
-        """Returns the endpoints of a service that may have a model, by instance."""
+        """Returns the endpoints of a service that may have a model, by instance.
+
+        Endpoints of evacuated data centres are not members.
+        """
+
+    def list_evacuated(self, service: str) -> tuple[EndpointView, ...]:
+        """Returns the endpoints of a service in evacuated data centres."""
 
     def get_view(self, instance: str) -> EndpointView | None:
         """Returns the view of an endpoint, or None if it is unknown."""
@@ -182,7 +194,11 @@
 
 
 def make_view(
-    instance: str, data_centre: str, service: str, latency_s: float
+    instance: str,
+    data_centre: str,
+    service: str,
+    latency_s: float,
+    evacuated: bool = False,
 ) -> EndpointView:
     """Creates the view of an endpoint that has not connected yet."""
     return EndpointView(
@@ -207,4 +223,5 @@
         own_attempts=0,
         finished_tokens=0.0,
         ejected_until=-math.inf,
+        evacuated=evacuated,
     )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/catalogue.py
@@ -21,6 +21,8 @@
         unit: Unit of the value, or an empty string for a ratio or a count.
         nullable: Whether null is allowed; it disables the limit.
         summary: Effect of the setting, in one line.
+        is_flag: Whether the value must be true or false.
+        level: The only level of the tree whose nodes may set it; None for every node.
     """
 
     name: str
@@ -30,14 +32,19 @@
     unit: str
     nullable: bool
     summary: str
+    is_flag: bool = False
+    level: str | None = None
 
     def describe_allowed(self) -> str:
         """Describes the allowed values in a phrase that is shown to operators."""
+        level = f", at {self.level} only" if self.level is not None else ""
+        if self.is_flag:
+            return f"true or false{level}"
         kind = "a whole number" if self.is_integer else "a number"
         unit = f" {self.unit}" if self.unit else ""
         null = ", or null" if self.nullable else ""
         low, high = _format_bound(self.minimum), _format_bound(self.maximum)
-        return f"{kind} from {low} to {high}{unit}{null}"
+        return f"{kind} from {low} to {high}{unit}{null}{level}"
 
 
 def _format_bound(bound: float) -> str:
@@ -56,6 +63,10 @@
     return Setting(name, False, low, high, unit, null, summary)
 
 
+def _flag_setting(name: str, summary: str, level: str) -> Setting:
+    return Setting(name, False, 0, 1, "", False, summary, is_flag=True, level=level)
+
+
 SETTINGS: tuple[Setting, ...] = (
     _integer_setting(
         "deadline_ms", 1, MAX_DURATION_MS, "Deadline without X-Deadline-Ms", "ms"
@@ -108,6 +119,7 @@
     _number_setting(
         "map_keep_s", 0.0, 86_400.0, "Time an expert map is kept at the least", "s"
     ),
+    _flag_setting("evacuated", "Endpoints get no new requests", "places"),
 )
 
 SETTINGS_BY_NAME: dict[str, Setting] = {setting.name: setting for setting in SETTINGS}
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/resolution.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/resolution.py
@@ -50,6 +50,7 @@
     max_ejected_share: float = 0.34
     map_gain_min: float = 0.05
     map_keep_s: float = 60.0
+    evacuated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/schema.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/schema.py
@@ -102,7 +102,7 @@
 
 
 def _build_node(depth: int) -> Schema:
-    properties: Schema = {"settings": _build_settings()}
+    properties: Schema = {"settings": _build_settings(depth)}
     if depth < len(trees.LEVELS):
         level = trees.LEVELS[depth]
         names: Schema = {"anyOf": [{"const": "*"}, {"pattern": NAME_PATTERN}]}
@@ -120,21 +120,37 @@
     }
 
 
-def _build_settings() -> Schema:
+def _build_settings(depth: int) -> Schema:
+    level = trees.LEVELS[depth - 1] if depth else None
     return {
         "type": "object",
         "additionalProperties": False,
         "properties": {
-            setting.name: _build_value(setting) for setting in catalogue.SETTINGS
+            setting.name: _build_value(setting)
+            if setting.level in (None, level)
+            else _build_forbidden(setting)
+            for setting in catalogue.SETTINGS
         },
     }
 
 
 def _build_value(setting: catalogue.Setting) -> Schema:
+    description = _describe(setting)
+    if setting.is_flag:
+        return {"type": "boolean", "description": description}
     kind = "integer" if setting.is_integer else "number"
     return {
         "type": [kind, "null"] if setting.nullable else kind,
         "minimum": setting.minimum,
         "maximum": setting.maximum,
-        "description": f"{setting.summary}; {setting.describe_allowed()}.",
+        "description": description,
     }
+
+
+def _build_forbidden(setting: catalogue.Setting) -> Schema:
+    """Builds the schema of a setting at a level that must not set it."""
+    return {"not": {}, "description": _describe(setting)}
+
+
+def _describe(setting: catalogue.Setting) -> str:
+    return f"{setting.summary}; {setting.describe_allowed()}."
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/tree.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/tree.py
@@ -14,7 +14,7 @@
 ANY_NAME = "*"
 LEVELS = ("places", "services", "workspaces", "classes")
 
-Value = None | int | float
+Value = None | bool | int | float
 KeyHashes = collections.abc.Mapping[str, tuple[str, ...]]
 
 
@@ -165,6 +165,8 @@
             continue
         if value is None:
             values[name] = None
+        elif setting.is_flag:
+            values[name] = value is True
         elif isinstance(value, int | float):
             values[name] = int(value) if setting.is_integer else float(value)
     return values
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/validation.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/validation.py
@@ -86,6 +86,7 @@
     "maximum": "value is too great",
     "uniqueItems": "an item is doubled",
     "pattern": "wrong format",
+    "not": "setting is not allowed at this level",
 }
 
 
--- a/packages/chicoryweir-policy/tests/routing/test_selection.py
+++ b/packages/chicoryweir-policy/tests/routing/test_selection.py
@@ -286,3 +286,30 @@
     assert _select(request, tracker).instance == first
     tracker.record_report(first, make_report(running=1, tokens_per_s=5.0), 0.0)
     assert _select(request, tracker).instance != first
+
+
+@pytest.mark.parametrize("suspect", [False, True])
+def test_evacuated_endpoints_are_never_selected(
+    make_tracker, make_request, make_report, suspect
+):
+    """Guards also against content that waits for an endpoint that is evacuated."""
+    tracker = make_tracker(6)
+    tracker.record_report("agent-0", make_report(wait_s=8.0), 0.0)
+    tracker.set_evacuations(lambda place: place != "gurjaani")
+    tracker.add_endpoint("agent-9", "telavi", "model-desk")
+    for number in range(30):
+        request = make_request(f"content-{number}")
+        chosen = _select(request, tracker, suspect=suspect)
+        assert tracker.get_view(chosen.instance).data_centre == "gurjaani"
+    mean_s = tracker.compute_mean_wait("model-desk", request.priority)
+    assert mean_s == pytest.approx(0.0)
+    tracker.set_evacuations(lambda place: True)
+    assert _select(request, tracker, suspect=suspect) == selection.NoneAvailable(
+        selection.Reason.EVACUATED, selection.EVACUATED_RETRY_AFTER_MS
+    )
+    view = tracker.get_view("agent-1")
+    assert not view.is_available("", 0.0)
+    late = views.MAX_REPORT_AGE_S + 1
+    assert _select(request, tracker, now=late).reason is selection.Reason.NO_ENDPOINT
+    tracker.set_evacuations(lambda place: False)
+    assert tracker.compute_mean_wait("model-desk", request.priority) > 1.0
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/simulation/exploration.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/simulation/exploration.py
@@ -11,6 +11,7 @@
 from chicoryweir_policy.membership import instances
 from chicoryweir_standins.simulation import callers
 from chicoryweir_standins.simulation import endpoints
+from chicoryweir_standins.simulation import evacuations
 from chicoryweir_standins.simulation import simulator
 
 ENTRIES = ("entry-1", "entry-2")
@@ -46,7 +47,11 @@
     """Executes random actions in one simulation."""
 
     def __init__(
-        self, simulation: simulator.Simulation, seed: int, prompt_delivery: bool = False
+        self,
+        simulation: simulator.Simulation,
+        seed: int,
+        prompt_delivery: bool = False,
+        evacuates: bool = False,
     ) -> None:
         """Creates a walker.
 
@@ -55,6 +60,7 @@
             seed: Seed of all choices.
             prompt_delivery: Whether messages arrive within `PROMPT_DELAY_S`, which the
                 bound on the endpoints lost to one poisonous body assumes.
+            evacuates: Whether operators also evacuate data centres.
         """
         self.simulation = simulation
         self._prompt_delivery = prompt_delivery
@@ -83,6 +89,8 @@
             (self._change_settings, 2),
             (self._advance_change, 12),
         ]
+        if evacuates:
+            self._actions.append((self._change_evacuation, 4))
 
     def walk(self, steps: int) -> None:
         """Executes random actions, ends all faults and checks that all requests end."""
@@ -221,6 +229,15 @@
             index = self._random.randrange(len(pending))
             self.simulation.advance_change(index, self._random.random() < 0.15)
 
+    def _change_evacuation(self) -> None:
+        node = self._choose_node_of_role(instances.Role.ENTRY, True)
+        agent = self._random.choice(AGENTS)
+        place = self.simulation.nodes[agent].data_centre
+        evacuated = self._random.random() < 0.6
+        if node is not None:
+            edit = evacuations.make_edit(self.simulation, place, evacuated)
+            self.simulation.change_settings(node.name, edit)
+
     def _boot_endpoint(self) -> None:
         self.simulation.boot_endpoint(self._random.choice(AGENTS))
 
@@ -296,6 +313,19 @@
     return simulation
 
 
+def walk_evacuating(seed: int, steps: int = STEPS_PER_WALK) -> simulator.Simulation:
+    """Runs one walk in which operators evacuate data centres, one agent in each.
+
+    Raises:
+        BrokenGuaranteeError: A guarantee did not hold.
+    """
+    data_centres = {name: f"place-{number}" for number, name in enumerate(AGENTS)}
+    hedge_after_ms = HEDGE_AFTER_MS if seed % 4 < 2 else None
+    simulation = simulator.Simulation(ENTRIES, AGENTS, hedge_after_ms, data_centres)
+    RandomWalker(simulation, seed, seed % 2 == 1, evacuates=True).walk(steps)
+    return simulation
+
+
 def walk_mixed(seed: int) -> simulator.Simulation:
     """Runs one walk, with prompt messages if the seed is odd, else delayed."""
     return walk_once(seed, prompt_delivery=seed % 2 == 1)
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/simulation/operators.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/simulation/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from chicoryweir_policy import store
@@ -12,6 +13,23 @@
 from chicoryweir_standins.simulation import callers
 from chicoryweir_standins.simulation import storage
 
+# Returns a changed copy of a document; gets the document and the number of the change.
+Edit = collections.abc.Callable[[store.Json, int], store.Json]
+
+
+def change_weight(document: store.Json, number: int) -> store.Json:
+    """Sets only the weight of all workspaces, differently for each change.
+
+    Keeps the settings of places.
+    """
+    assert isinstance(document, dict)
+    fleet = document.get("fleet")
+    places = fleet.get("places", {}) if isinstance(fleet, dict) else {}
+    return {
+        **document,
+        "fleet": {"settings": {"weight": 1 + number}, "places": places},
+    }
+
 
 @dataclasses.dataclass(slots=True)
 class PendingChange:
@@ -38,23 +56,24 @@
         self._change_count = 0
 
     def start_change(
-        self, entry: str, incarnation: int, current: copies.Copy, now: float
+        self,
+        entry: str,
+        incarnation: int,
+        current: copies.Copy,
+        edit: Edit,
+        now: float,
     ) -> None:
         """Starts an operator's change of an entry's current version."""
         self._change_count += 1
         document = documents.decode_stored(current.data)
         assert isinstance(document, documents.Decoded)
-        assert isinstance(document.document, dict)
         proposal = changes.Proposal(
             change_id=f"c{self._change_count}",
             author="dato",
             at=0.0,
             reason="",
             expect_version=current.head.version,
-            document={
-                **document.document,
-                "fleet": {"settings": {"weight": 1 + self._change_count}},
-            },
+            document=edit(document.document, self._change_count),
         )
         step = changes.start_change(proposal, current, now)
         self.pending.append(PendingChange(entry, incarnation, step))
--- a/packages/chicoryweir-standins/src/chicoryweir_standins/simulation/simulator.py
+++ b/packages/chicoryweir-standins/src/chicoryweir_standins/simulation/simulator.py
@@ -18,7 +18,10 @@
 from chicoryweir_policy.cores.entry import core as entry_core
 from chicoryweir_policy.cores.entry import state as entry_state
 from chicoryweir_policy.membership import instances
+from chicoryweir_policy.settings import documents
+from chicoryweir_policy.settings import evacuation
 from chicoryweir_policy.settings import heads
+from chicoryweir_policy.settings import tree as trees
 from chicoryweir_standins.simulation import callers
 from chicoryweir_standins.simulation import endpoints
 from chicoryweir_standins.simulation import operators
@@ -43,6 +46,7 @@
     Attributes:
         name: Instance name.
         role: Role of the process.
+        data_centre: Data centre of the process.
         core: Its core; None while it is dead.
         incarnation: Number of its starts so far.
         stopping: Whether it accepts no new connections and exits after the last answer.
@@ -56,6 +60,7 @@
 
     name: str
     role: instances.Role
+    data_centre: str = DATA_CENTRE
     core: Core | None = None
     incarnation: int = 0
     stopping: bool = False
@@ -96,6 +101,7 @@
         entry_names: tuple[str, ...],
         agent_names: tuple[str, ...],
         hedge_after_ms: int | None = None,
+        data_centres: collections.abc.Mapping[str, str] | None = None,
     ) -> None:
         """Starts all processes.
 
@@ -103,6 +109,7 @@
             entry_names: Names of the entries.
             agent_names: Names of the agents, each with an endpoint.
             hedge_after_ms: Value of the setting; None turns hedging off.
+            data_centres: Data centres by instance; `DATA_CENTRE` for those not listed.
         """
         self.now = 100.0
         self.store = storage.FakeStore()
@@ -115,11 +122,15 @@
         self.steps = 0
         self._request_count = 0
         self._session_count = 0
+        self._evacuated: dict[tuple[int, str], bool] = {}
         self._put_settings(hedge_after_ms)
+        places = data_centres or {}
         for name in entry_names:
-            self.nodes[name] = Node(name, instances.Role.ENTRY)
+            place = places.get(name, DATA_CENTRE)
+            self.nodes[name] = Node(name, instances.Role.ENTRY, place)
         for name in agent_names:
-            self.nodes[name] = Node(name, instances.Role.AGENT)
+            place = places.get(name, DATA_CENTRE)
+            self.nodes[name] = Node(name, instances.Role.AGENT, place)
             self.endpoints[name] = endpoints.FakeEndpoint(name)
             self.endpoints[name].boot()
         for name in (*agent_names, *entry_names):
@@ -156,16 +167,23 @@
         incarnation = f"{node.name}.{node.incarnation}"
         if node.role is instances.Role.AGENT:
             agent_config = agent_core.AgentConfig(
-                node.name, DATA_CENTRE, SERVICE, incarnation, SLOTS
+                node.name, node.data_centre, SERVICE, incarnation, SLOTS
             )
             attempt_queue = fair_queue.create_fair_queue(QUEUE_LIMIT, TOKENS_PER_S)
             return agent_core.AgentCore(agent_config, attempt_queue)
         entry_config = entry_state.EntryConfig(
-            node.name, DATA_CENTRE, incarnation, "127.0.0.1", 1
+            node.name, node.data_centre, incarnation, "127.0.0.1", 1
         )
         seeds = tuple(
             instances.Instance(
-                other.name, other.role, DATA_CENTRE, SERVICE, "127.0.0.1", 1, 1, False
+                other.name,
+                other.role,
+                other.data_centre,
+                SERVICE,
+                "127.0.0.1",
+                1,
+                1,
+                False,
             )
             for other in self.nodes.values()
             if other.name != node.name
@@ -219,7 +237,7 @@
         return messages.Hello(
             node.name,
             node.role,
-            DATA_CENTRE,
+            node.data_centre,
             SERVICE,
             f"{node.name}.{node.incarnation}",
             session,
@@ -298,14 +316,18 @@
 
     # Operators
 
-    def change_settings(self, entry: str) -> None:
+    def change_settings(
+        self, entry: str, edit: operators.Edit = operators.change_weight
+    ) -> None:
         """Starts an operator's change of an entry's current settings version."""
         node = self.nodes[entry]
         if not isinstance(node.core, entry_core.EntryCore) or node.stopping:
             return
         current = node.core.state.settings.current_copy
         if current is not None:
-            self.operators.start_change(entry, node.incarnation, current, self.now)
+            self.operators.start_change(
+                entry, node.incarnation, current, edit, self.now
+            )
 
     def advance_change(self, index: int, lose_reply: bool = False) -> None:
         """Runs the next store operation of a settings change."""
@@ -333,6 +355,19 @@
                 f"after {MAX_SETTINGS_DELAY_S} s"
             )
 
+    def is_evacuated(self, version: int, data_centre: str) -> bool:
+        """Returns whether a version of the settings evacuates a data centre."""
+        key = (version, data_centre)
+        if version and key not in self._evacuated:
+            row = self.store.rows.get(heads.make_history_key(version))
+            head = heads.parse_head(row.value) if row is not None else None
+            name = head.object_name if head is not None else f"settings/{version}"
+            decoding = documents.decode_stored(self.store.objects[name])
+            assert isinstance(decoding, documents.Decoded)
+            tree = trees.parse_tree(decoding.document)
+            self._evacuated[key] = evacuation.is_evacuated(tree, data_centre)
+        return self._evacuated.get(key, False)
+
     # Callers
 
     def call(
@@ -493,9 +528,10 @@
             return
         self.steps += 1
         self._record_drain(node, event)
-        for command in node.core.step(event, self.now):
-            self._execute(node, command)
+        node_commands = node.core.step(event, self.now)
         self._check_version(node)
+        for command in node_commands:
+            self._execute(node, command)
         if node.stopping and not self.callers.list_open(node.name):
             self._stop(node)
 
@@ -562,6 +598,10 @@
             raise callers.BrokenGuaranteeError(
                 f"{node.name} started {command.attempt_id} after its drain"
             )
+        if self.is_evacuated(node.versions[-1], node.data_centre):
+            raise callers.BrokenGuaranteeError(
+                f"{node.name} started {command.attempt_id} while it was evacuated"
+            )
         for event in self.endpoints[node.name].start_call(command):
             self._post(node, event)
 
@@ -570,6 +610,12 @@
         if link is None:
             return
         to = link.listener if node.name == link.dialer else link.dialer
+        if isinstance(message, messages.SubmitAttempt) and self.is_evacuated(
+            node.versions[-1], self.nodes[to].data_centre
+        ):
+            raise callers.BrokenGuaranteeError(
+                f"{node.name} sent {message.attempt_id} to {to}, which is evacuated"
+            )
         link.queues[to].append(message)
 
 
