Add `chicoryweir evacuate` and the places in `chicoryweir status`

The command changes the settings in force as `settings apply` does. It refuses unknown places and the last place with endpoints, and may be repeated when its outcome is not known. The status lists places with the requests that run there.

--- a/packages/chicoryweir-cli/src/chicoryweir_cli/app.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/app.py
@@ -9,6 +9,7 @@
 import typer
 
 from chicoryweir_cli import command_helpers
+from chicoryweir_cli import evacuation_command
 from chicoryweir_cli import rendering
 from chicoryweir_cli import settings
 from chicoryweir_policy import store
@@ -24,7 +25,7 @@
 After = typing.Annotated[
     int, typer.Option("--after", min=0, help="Sequence number of the last one seen.")
 ]
-_STATUS_TABLES = ("outcomes", "endpoints", "entries", "groups")
+_STATUS_TABLES = ("outcomes", "places", "endpoints", "entries", "groups")
 
 
 @app.command("status")
@@ -102,6 +103,27 @@
         rendering.print_line(f"{instance} is draining (change {change_id})")
 
 
+@app.command("evacuate")
+def evacuate_place(
+    place: str,
+    reason: typing.Annotated[str, typer.Option("--reason", help="Why.")],
+    undo: typing.Annotated[
+        bool, typer.Option("--undo", help="End the evacuation instead.")
+    ] = False,
+    author: typing.Annotated[
+        str, typer.Option("--author", help="Author; the user's name by default.")
+    ] = "",
+    client_file: command_helpers.ClientFile = None,
+    as_json: command_helpers.JsonFlag = False,
+) -> None:
+    """Evacuate a place: its endpoints finish their requests and get no new ones."""
+    evacuation_command.change_evacuation(
+        command_helpers.open_client(client_file),
+        evacuation_command.Order(place, not undo, reason, author),
+        as_json,
+    )
+
+
 def _print_items(body: dict[str, store.Json], name: str, as_json: bool) -> None:
     if as_json:
         rendering.print_json(body)
--- a/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import getpass
 import pathlib
 import typing
 import uuid
 
 import typer
 
+from chicoryweir_cli import change_report
 from chicoryweir_cli import command_helpers
 from chicoryweir_cli import effective_values
 from chicoryweir_cli import exit_codes
@@ -100,37 +100,14 @@
     change = settings_change.SettingsChange(
         change_id or uuid.uuid4().hex,
         expect_version,
-        author or _get_user_name(),
+        author or change_report.get_user_name(),
         reason,
         document,
     )
     outcome = settings_change.apply_change(
         command_helpers.open_client(client_file), change
     )
-    match outcome:
-        case settings_change.Applied(version):
-            accepted: store.Json = {"version": version, "change_id": change.change_id}
-            if as_json:
-                rendering.print_json(accepted)
-            else:
-                rendering.print_line(f"version {version} is accepted")
-        case settings_change.Refused(entry, status, body):
-            _print_refusal(body, as_json)
-            raise command_helpers.make_exit(
-                exit_codes.ExitCode.REFUSED,
-                command_helpers.describe_problem(entry, status, body),
-            )
-        case settings_change.Unavailable(detail):
-            raise command_helpers.make_exit(
-                exit_codes.ExitCode.UNKNOWN,
-                f"no entry accepted the change; nothing was changed: {detail}",
-            )
-        case settings_change.Unknown(detail):
-            raise command_helpers.make_exit(
-                exit_codes.ExitCode.UNKNOWN,
-                f"the outcome is not known: {detail}. Repeat the command with "
-                f"--change-id {change.change_id}; it cannot take effect twice",
-            )
+    change_report.report_outcome(outcome, change, as_json)
 
 
 @app.command("history")
@@ -219,22 +196,3 @@
         return
     for value in values:
         rendering.print_line(rendering.format_fields(value))
-
-
-def _print_refusal(body: dict[str, store.Json], as_json: bool) -> None:
-    if as_json:
-        rendering.print_json(body)
-        return
-    if "current_version" in body:
-        current = rendering.format_value(body["current_version"])
-        rendering.print_line(f"the current version is {current}; it differs in:")
-    for name in ("difference", "faults"):
-        for item in rendering.list_items(body, name):
-            rendering.print_line(rendering.format_fields(item))
-
-
-def _get_user_name() -> str:
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError):
-        return ""
--- a/packages/chicoryweir-cli/tests/test_settings_commands.py
+++ b/packages/chicoryweir-cli/tests/test_settings_commands.py
@@ -48,6 +48,7 @@
     return CommandRunner(tmp_path, monkeypatch)
 
 
+EVACUATE = ["evacuate", "telavi", "--reason", "fire"]
 APPLY = ["settings", "apply", str(EXAMPLE), "--expect-version", "4", "--json"]
 
 
@@ -94,6 +95,80 @@
     assert len(runner.requests) == 1
 
 
+def make_fleet(document: typing.Any, changes: list[typing.Any]) -> Handler:
+    """Returns an entry of two places, which collects the changes that it accepts."""
+    places = [
+        {"place": name, "has_endpoints": True, "evacuated": False}
+        for name in ("telavi", "gurjaani")
+    ]
+
+    def handle(request: httpx.Request) -> httpx.Response:
+        if request.url.path == "/operator/status":
+            return httpx.Response(200, json={"places": places})
+        if request.method == "POST":
+            changes.append(json.loads(request.content))
+            return httpx.Response(200, json={"version": 8})
+        return httpx.Response(200, json={"version": 7, "tree": document})
+
+    return handle
+
+
+@pytest.mark.parametrize("undo", [False, True])
+def test_evacuate_writes_the_next_version(runner: CommandRunner, undo: bool) -> None:
+    evacuated = {"places": {"telavi": {"settings": {"evacuated": True}}}}
+    old, new = ({"fleet": {"places": {}}}, {"fleet": evacuated})
+    changes: list[typing.Any] = []
+    command = ["evacuate", "telavi", "--reason", "fire", "--json"]
+    handler = make_fleet(new if undo else old, changes)
+    result = runner.run([*command, "--undo"] if undo else command, handler)
+    assert result.exit_code == 0
+    assert changes[0]["tree"] == (old if undo else new)
+    assert (changes[0]["expect_version"], changes[0]["reason"]) == (7, "fire")
+    printed = json.loads(result.stdout)
+    assert (printed["version"], printed["evacuated"]) == (8, not undo)
+
+
+@pytest.mark.parametrize(
+    ("place", "names", "code"),
+    [("telavi", "last place", 1), ("nowhere", "gurjaani, telavi", 1), ("", "", 1)],
+)
+def test_evacuate_refuses_unknown_and_last_place(
+    runner: CommandRunner, place: str, names: str, code: int
+) -> None:
+    document = {"fleet": {"places": {"gurjaani": {"settings": {"evacuated": True}}}}}
+    changes: list[typing.Any] = []
+    command = ["evacuate", place, "--reason", "fire"]
+    result = runner.run(command, make_fleet(document, changes))
+    assert (result.exit_code, changes) == (code, [])
+    assert names in result.stderr
+    again = ["evacuate", "gurjaani", "--reason", "fire"]
+    assert runner.run(again, make_fleet(document, changes)).exit_code == 0
+    assert changes == []
+
+
+def test_evacuate_reports_a_conflict_and_an_unknown_outcome(
+    runner: CommandRunner,
+) -> None:
+    document: dict[str, typing.Any] = {"fleet": {}}
+    answer = make_fleet(document, [])
+
+    def make_failing(status: int) -> Handler:
+        def handle(request: httpx.Request) -> httpx.Response:
+            if request.method == "POST":
+                return httpx.Response(status, json={"current_version": 9})
+            return answer(request)
+
+        return handle
+
+    command = ["evacuate", "telavi", "--reason", "fire"]
+    conflict = runner.run(command, make_failing(409))
+    assert conflict.exit_code == 1
+    assert "current version is 9" in conflict.stdout
+    unknown = runner.run(command, make_failing(504))
+    assert (unknown.exit_code, "Repeat the command;" in unknown.stderr) == (3, True)
+    assert runner.run(command, make_failing(503)).exit_code == 3
+
+
 def test_apply_with_lost_reply_is_retried_at_another_entry(
     runner: CommandRunner,
 ) -> None:
@@ -136,7 +211,7 @@
     def refuse(request: httpx.Request) -> httpx.Response:
         raise httpx.ConnectError("refused")
 
-    for command in (["status"], ["audit"], ["drain", "agent-1"], APPLY):
+    for command in (["status"], ["audit"], ["drain", "agent-1"], EVACUATE, APPLY):
         assert runner.run(command, refuse).exit_code == 3
     entries = [request.split("/")[2] for request in runner.requests[:2]]
     assert entries == ["a", "b"]
@@ -146,6 +221,7 @@
     "command",
     [
         ["settings", "apply", str(EXAMPLE)],
+        ["evacuate", "telavi"],
         ["settings", "check", "absent.jsonc"],
         ["status", "--client", "absent.jsonc"],
         ["settings", "show", "a/b/c/odd", "--effective", "--file", str(EXAMPLE)],
--- a/packages/chicoryweir-standins/tests/blackbox/test_operators.py
+++ b/packages/chicoryweir-standins/tests/blackbox/test_operators.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import json
 import os
 import pathlib
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -109,3 +111,58 @@
         check=False,
     )
     assert done.returncode == 3
+
+
+def _count_runs(fleet, endpoint: str) -> int:
+    runs_by_body = fleet.read_runs()["by_body"].values()
+    return sum(runs.get(endpoint, 0) for runs in runs_by_body)
+
+
+def _find_place(fleet, entry: int, place: str) -> dict[str, object]:
+    places = fleet.operate("/status", entry=entry).json()["places"]
+    found: dict[str, object] = next(item for item in places if item["place"] == place)
+    return found
+
+
+def _wait_for_place(fleet, name: str, value: object) -> None:
+    """Waits until both entries report a value of the place of engine-2."""
+    until = time.monotonic() + 10.0
+    while any(_find_place(fleet, entry, "gurjaani")[name] != value for entry in (0, 1)):
+        assert time.monotonic() < until
+        time.sleep(0.05)
+
+
+def _evacuate(fleet, *options: str) -> None:
+    """Evacuates the place of engine-2 and waits until both entries know it."""
+    command = ("evacuate", "gurjaani", "--reason", "power", *options)
+    done = _run(fleet, *command, "--json")
+    assert done.returncode == 0, done.stderr
+    _wait_for_place(fleet, "evacuated", "--undo" not in options)
+
+
+def test_evacuated_place_gets_no_request_and_its_streams_end_whole(fleet) -> None:
+    """Guards against requests to a place that operators are about to switch off."""
+
+    def stream(number: int) -> str:
+        text: str = fleet.chat(
+            f"stream {number}", number % 2, stream=True, max_tokens=250
+        ).text
+        return text
+
+    before_streams = _count_runs(fleet, "engine-2")
+    with concurrent.futures.ThreadPoolExecutor(12) as executor:
+        streams = [executor.submit(stream, number) for number in range(12)]
+        until = time.monotonic() + 10.0
+        while _count_runs(fleet, "engine-2") == before_streams:
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        _evacuate(fleet)
+        started = _count_runs(fleet, "engine-2")
+        for number in range(24):
+            answer = fleet.chat(f"later {number}", number % 2, max_tokens=2)
+            assert answer.status_code == 200
+        assert all("data: [DONE]" in item.result() for item in streams)
+    assert _count_runs(fleet, "engine-2") == started
+    _wait_for_place(fleet, "running_requests", 0)
+    assert fleet.operate("/audit").json()["rows"][-1]["reason"] == "power"
+    _evacuate(fleet, "--undo")
