Warn of settings that have no effect or contradict each other

`settings check` passed files whose values nothing reads where they stand, or which exclude each other where both apply. It now tells both as warnings, with the nodes that the values come from; `--strict` counts them, and `--compare` lists the differences from the version in force and asks which places exist.

--- a/packages/chicoryweir-cli/src/chicoryweir_cli/evacuation_command.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/evacuation_command.py
@@ -10,13 +10,12 @@
 from chicoryweir_cli import client
 from chicoryweir_cli import command_helpers
 from chicoryweir_cli import exit_codes
+from chicoryweir_cli import places
 from chicoryweir_cli import rendering
 from chicoryweir_cli import settings_change
 from chicoryweir_policy import store
 from chicoryweir_policy.settings import evacuation
 
-STATUS_URL = "/operator/status"
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
@@ -37,7 +36,7 @@
 
 def change_evacuation(entries: client.Client, order: Order, as_json: bool) -> None:
     """Applies the order to the settings in force and prints the outcome."""
-    status = command_helpers.require_success(entries.get(STATUS_URL))
+    status = command_helpers.require_success(entries.get(places.STATUS_URL))
     body = command_helpers.require_success(entries.get(settings_change.SETTINGS_URL))
     version, document = body.get("version"), body.get("tree")
     if not isinstance(version, int) or not isinstance(document, dict):
@@ -45,7 +44,7 @@
             exit_codes.ExitCode.UNKNOWN, "the entry answered without settings"
         )
     plan = evacuation.plan_change(
-        document, order.place, order.evacuated, list_places(status)
+        document, order.place, order.evacuated, places.list_known(status)
     )
     details: dict[str, store.Json] = {
         "place": order.place,
@@ -78,15 +77,6 @@
             typing.assert_never(plan)
 
 
-def list_places(status: dict[str, store.Json]) -> list[evacuation.Place]:
-    """Returns the places in an entry's status."""
-    return [
-        evacuation.Place(str(item.get("place")), item.get("has_endpoints") is True)
-        for item in rendering.list_items(status, "places")
-        if isinstance(item, dict)
-    ]
-
-
 def _apply(
     entries: client.Client,
     order: Order,
--- a/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
@@ -15,6 +15,7 @@
 from chicoryweir_cli import file_check
 from chicoryweir_cli import rendering
 from chicoryweir_cli import settings_change
+from chicoryweir_cli import settings_check
 from chicoryweir_policy import store
 from chicoryweir_policy.settings import difference
 
@@ -25,14 +26,25 @@
 
 @app.command("check")
 def check_settings(
-    file: SettingsFile, as_json: command_helpers.JsonFlag = False
+    file: SettingsFile,
+    strict: typing.Annotated[
+        bool, typer.Option("--strict", help="Exit with 1 on warnings, too.")
+    ] = False,
+    compare: typing.Annotated[
+        bool,
+        typer.Option(
+            "--compare",
+            help="Also compare with the running system: differences from the version "
+            "in force, and places without instances.",
+        ),
+    ] = False,
+    client_file: command_helpers.ClientFile = None,
+    as_json: command_helpers.JsonFlag = False,
 ) -> None:
-    """Check a settings file; needs no running system."""
-    _load_document(file, as_json)
-    if as_json:
-        rendering.print_json({"file": str(file), "faults": []})
-    else:
-        rendering.print_line(f"{file}: no faults")
+    """Check a settings file; needs a running system only with --compare."""
+    checked = file_check.check_text(command_helpers.read_file(file))
+    entries = command_helpers.open_client(client_file) if compare else None
+    settings_check.check_settings(str(file), checked, entries, strict, as_json)
 
 
 @app.command("show")
@@ -137,14 +149,7 @@
         _load_version_or_file(first, client_file, as_json),
         _load_version_or_file(second, client_file, as_json),
     )
-    rendered: list[store.Json] = [
-        {
-            "path": change.path,
-            "from": difference.render_value(change.before),
-            "to": difference.render_value(change.after),
-        }
-        for change in changes
-    ]
+    rendered = settings_check.render_changes(changes)
     if as_json:
         rendering.print_json({"changes": rendered})
         return
--- a/packages/chicoryweir-cli/tests/test_settings_commands.py
+++ b/packages/chicoryweir-cli/tests/test_settings_commands.py
@@ -11,6 +11,7 @@
 
 from chicoryweir_cli import app
 from chicoryweir_cli import command_helpers
+from chicoryweir_policy.settings import documents
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "docs/examples/settings.jsonc"
 Handler = collections.abc.Callable[[httpx.Request], httpx.Response]
@@ -52,6 +53,12 @@
 APPLY = ["settings", "apply", str(EXAMPLE), "--expect-version", "4", "--json"]
 
 
+def parse_document(text: str) -> typing.Any:
+    decoding = documents.parse_text(text.encode())
+    assert isinstance(decoding, documents.Decoded)
+    return decoding.document
+
+
 def make_handler(status: int, **body: typing.Any) -> Handler:
     return lambda request: httpx.Response(status, json=body)
 
@@ -72,6 +79,33 @@
     assert "/relay/settings/weight: value is too small; found -4;" in result.stdout
 
 
+def test_check_tells_warnings_and_differences(runner: CommandRunner) -> None:
+    file = runner.directory / "settings.jsonc"
+    text = EXAMPLE.read_text()
+    in_force = parse_document(text)
+    file.write_text(
+        text.replace('"max_attempts": 3', '"max_attempts": 4, "burst_tokens": 1')
+    )
+    plain = runner.run(["settings", "check", str(file)])
+    assert (plain.exit_code, runner.requests) == (0, [])
+    assert (
+        "settings.jsonc:25:76: warning: /fleet/settings/burst_tokens:" in plain.stdout
+    )
+    assert runner.run(["settings", "check", str(file), "--strict"]).exit_code == 1
+    command = ["settings", "check", str(file), "--compare"]
+    result = runner.run([*command, "--json"], make_fleet(in_force, []))
+    printed = json.loads(result.stdout)
+    assert (result.exit_code, printed["compared_with"]) == (0, 7)
+    assert [change["path"] for change in printed["changes"]] == [
+        "/fleet/settings/burst_tokens",
+        "/fleet/settings/max_attempts",
+    ]
+    assert len(printed["warnings"]) == 1
+    text_result = runner.run(command, make_fleet(in_force, []))
+    assert "2 differences from version 7" in text_result.stdout
+    assert runner.run(command, make_handler(503)).exit_code == 3
+
+
 def test_show_effective_names_the_node_of_each_value(runner: CommandRunner) -> None:
     path = "telavi/model-desk/relay/urgent"
     command = ["settings", "show", path, "--effective", "--file", str(EXAMPLE)]
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/operators/reports.py
@@ -51,6 +51,7 @@
             {
                 "place": place.place,
                 "evacuated": place.evacuated,
+                "has_entries": place.has_entries,
                 "has_endpoints": place.has_endpoints,
                 "linked_endpoints": place.linked_endpoints,
                 "running_requests": place.running_requests,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/evacuations.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/evacuations.py
@@ -17,7 +17,8 @@
     Attributes:
         place: A place that the settings name or an instance is in.
         evacuated: Whether the settings in force evacuate it.
-        has_endpoints: Whether an agent of the place is known.
+        has_entries: Whether an entry is known to be in it.
+        has_endpoints: Whether an agent is known to be in it.
         linked_endpoints: Number of its agents that are linked to this entry.
         running_requests: Number of attempts of all entries that run or wait at these
             agents.
@@ -25,6 +26,7 @@
 
     place: str
     evacuated: bool
+    has_entries: bool
     has_endpoints: bool
     linked_endpoints: int
     running_requests: int
@@ -57,6 +59,7 @@
         tree = self._state.settings.tree
         named = evacuation.list_named(tree) if tree is not None else ()
         with_agents = self._peers.list_data_centres(instances.Role.AGENT)
+        with_entries = self._peers.list_data_centres(instances.Role.ENTRY)
         linked: dict[str, int] = {}
         running: dict[str, int] = {}
         for name in self._state.agent_links:
@@ -68,11 +71,12 @@
             attempts = view.reported_attempts + view.own_attempts
             if view.reported_at is not None:
                 running[place] = running.get(place, 0) + attempts
-        places = self._peers.list_data_centres().union(named, linked)
+        places = with_agents.union(with_entries, named, linked)
         return [
             PlaceStatus(
                 place,
                 tree is not None and evacuation.is_evacuated(tree, place),
+                place in with_entries,
                 place in with_agents or place in linked,
                 linked.get(place, 0),
                 running.get(place, 0),
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/entry/peers.py
@@ -203,14 +203,10 @@
         ]
         return 1 + roles.count(instances.Role.ENTRY)
 
-    def list_data_centres(self, role: instances.Role | None = None) -> frozenset[str]:
-        """Returns the data centres of the known instances, or of those of a role."""
-        names = {
-            item.data_centre
-            for item in self._known.values()
-            if role in (None, item.role)
-        }
-        if role in (None, instances.Role.ENTRY):
+    def list_data_centres(self, role: instances.Role) -> frozenset[str]:
+        """Returns the data centres of the known instances of a role."""
+        names = {item.data_centre for item in self._known.values() if item.role is role}
+        if role is instances.Role.ENTRY:
             names.add(self._state.config.data_centre)
         return frozenset(names)
 
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/settings/faults.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/settings/faults.py
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
-    """A fault that makes a document invalid.
+    """A fault that makes a document invalid, or a warning about a valid document.
 
     Attributes:
         path: JSON pointer of the faulty value or key.
