--- a/packages/chicoryweir-cli/tests/test_settings_commands.py
+++ b/packages/chicoryweir-cli/tests/test_settings_commands.py
@@ -11,7 +11,7 @@
 
 from chicoryweir_cli import app
 from chicoryweir_cli import command_helpers
-from chicoryweir_policy.settings import documents
+from chicoryweir_cli import jsonc
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "docs/examples/settings.jsonc"
 Handler = collections.abc.Callable[[httpx.Request], httpx.Response]
@@ -53,12 +53,6 @@
 APPLY = ["settings", "apply", str(EXAMPLE), "--expect-version", "4", "--json"]
 
 
-def parse_document(text: str) -> typing.Any:
-    decoding = documents.parse_text(text.encode())
-    assert isinstance(decoding, documents.Decoded)
-    return decoding.document
-
-
 def make_handler(status: int, **body: typing.Any) -> Handler:
     return lambda request: httpx.Response(status, json=body)
 
@@ -82,15 +76,12 @@
 def test_check_tells_warnings_and_differences(runner: CommandRunner) -> None:
     file = runner.directory / "settings.jsonc"
     text = EXAMPLE.read_text()
-    in_force = parse_document(text)
-    file.write_text(
-        text.replace('"max_attempts": 3', '"max_attempts": 4, "burst_tokens": 1')
-    )
+    in_force = jsonc.parse_bytes(text.encode()).document
+    changed = '"max_attempts": 4, "burst_tokens": 1'
+    file.write_text(text.replace('"max_attempts": 3', changed))
     plain = runner.run(["settings", "check", str(file)])
     assert (plain.exit_code, runner.requests) == (0, [])
-    assert (
-        "settings.jsonc:25:76: warning: /fleet/settings/burst_tokens:" in plain.stdout
-    )
+    assert ":25:76: warning: /fleet/settings/burst_tokens:" in plain.stdout
     assert runner.run(["settings", "check", str(file), "--strict"]).exit_code == 1
     command = ["settings", "check", str(file), "--compare"]
     result = runner.run([*command, "--json"], make_fleet(in_force, []))
@@ -131,10 +122,7 @@
 
 def make_fleet(document: typing.Any, changes: list[typing.Any]) -> Handler:
     """Returns an entry of two places, which collects the changes that it accepts."""
-    places = [
-        {"place": name, "has_endpoints": True, "evacuated": False}
-        for name in ("telavi", "gurjaani")
-    ]
+    places = [{"place": name, "has_endpoints": True} for name in ("telavi", "gurjaani")]
 
     def handle(request: httpx.Request) -> httpx.Response:
         if request.url.path == "/operator/status":
@@ -163,44 +151,42 @@
 
 
 @pytest.mark.parametrize(
-    ("place", "names", "code"),
-    [("telavi", "last place", 1), ("nowhere", "gurjaani, telavi", 1), ("", "", 1)],
+    ("place", "words"),
+    [("telavi", "last place"), ("nowhere", "gurjaani, telavi"), ("", "no place")],
 )
 def test_evacuate_refuses_unknown_and_last_place(
-    runner: CommandRunner, place: str, names: str, code: int
+    runner: CommandRunner, place: str, words: str
 ) -> None:
     document = {"fleet": {"places": {"gurjaani": {"settings": {"evacuated": True}}}}}
     changes: list[typing.Any] = []
     command = ["evacuate", place, "--reason", "fire"]
     result = runner.run(command, make_fleet(document, changes))
-    assert (result.exit_code, changes) == (code, [])
-    assert names in result.stderr
+    assert (result.exit_code, words in result.stderr) == (1, True)
     again = ["evacuate", "gurjaani", "--reason", "fire"]
     assert runner.run(again, make_fleet(document, changes)).exit_code == 0
     assert changes == []
 
 
-def test_evacuate_reports_a_conflict_and_an_unknown_outcome(
-    runner: CommandRunner,
+@pytest.mark.parametrize(
+    ("status", "code", "words"),
+    [
+        (409, 1, "current version is 9"),
+        (504, 3, "Repeat the command;"),
+        (503, 3, "nothing was changed"),
+    ],
+)
+def test_evacuate_reports_conflicts_and_unknown_outcomes(
+    runner: CommandRunner, status: int, code: int, words: str
 ) -> None:
-    document: dict[str, typing.Any] = {"fleet": {}}
-    answer = make_fleet(document, [])
-
-    def make_failing(status: int) -> Handler:
-        def handle(request: httpx.Request) -> httpx.Response:
-            if request.method == "POST":
-                return httpx.Response(status, json={"current_version": 9})
-            return answer(request)
-
-        return handle
-
-    command = ["evacuate", "telavi", "--reason", "fire"]
-    conflict = runner.run(command, make_failing(409))
-    assert conflict.exit_code == 1
-    assert "current version is 9" in conflict.stdout
-    unknown = runner.run(command, make_failing(504))
-    assert (unknown.exit_code, "Repeat the command;" in unknown.stderr) == (3, True)
-    assert runner.run(command, make_failing(503)).exit_code == 3
+    answer = make_fleet({"fleet": {}}, [])
+
+    def handle(request: httpx.Request) -> httpx.Response:
+        if request.method == "POST":
+            return httpx.Response(status, json={"current_version": 9})
+        return answer(request)
+
+    result = runner.run(EVACUATE, handle)
+    assert (result.exit_code, words in result.stdout + result.stderr) == (code, True)
 
 
 def test_apply_with_lost_reply_is_retried_at_another_entry(
--- a/packages/chicoryweir-policy/tests/settings/test_evacuation.py
+++ b/packages/chicoryweir-policy/tests/settings/test_evacuation.py
@@ -68,22 +68,19 @@
 
 
 @pytest.mark.parametrize(
-    ("fleet", "path"),
+    ("inner", "path"),
     [
-        ({"settings": {"evacuated": True}}, "/fleet/settings/evacuated"),
+        ({"settings": {"evacuated": True}}, ""),
         (
             {"places": {"*": {"services": {"*": {"settings": {"evacuated": False}}}}}},
-            "/fleet/places/*/services/*/settings/evacuated",
-        ),
-        (
-            {"places": {"telavi": {"settings": {"evacuated": 1}}}},
-            "/fleet/places/telavi/settings/evacuated",
+            "/places/*/services/*",
         ),
+        ({"places": {"telavi": {"settings": {"evacuated": 1}}}}, "/places/telavi"),
     ],
 )
 def test_value_elsewhere_or_of_another_type_is_a_fault(
-    fleet: Document, path: str
+    inner: Document, path: str
 ) -> None:
-    (fault,) = validation.find_faults({**BASE, "fleet": fleet})
-    assert fault.path == path
+    (fault,) = validation.find_faults({**BASE, "fleet": inner})
+    assert fault.path == f"/fleet{path}/settings/evacuated"
     assert "true or false, at places only" in fault.allowed
--- a/packages/chicoryweir-policy/tests/settings/test_review.py
+++ b/packages/chicoryweir-policy/tests/settings/test_review.py
@@ -1,6 +1,7 @@
 """Tests of the warnings about valid documents."""
 
 import copy
+import json
 import typing
 
 import pytest
@@ -10,130 +11,97 @@
 from chicoryweir_policy.settings import validation
 
 Document = dict[str, typing.Any]
-KEY = "ab" * 32
+GROUP = {"service": "desk", "ranks": 4, "experts": 8, "slots_per_rank": 2}
 BASE: Document = {
     "workspaces": {"relay": {}, "clerks": {}},
-    "operators": {"dato": {"keys_sha256": [KEY]}},
+    "operators": {"dato": {"keys_sha256": ["ab" * 32]}},
     "services": {
         "desk": {"kind": "model", "models": ["m1"]},
         "ledger": {"kind": "plain"},
     },
-    "groups": {"g": {"service": "desk", "ranks": 4, "experts": 8, "slots_per_rank": 2}},
+    "groups": {"g": GROUP},
     "fleet": {"settings": {"max_attempts": 3}, "places": {"telavi": {}}},
 }
-PLACE = "/fleet/places/*"
-DESK = f"{PLACE}/services/desk"
-LEDGER = f"{PLACE}/services/ledger"
-RELAY = f"{LEDGER}/workspaces/relay"
+NODES = {
+    "TELAVI": "/fleet/places/telavi",
+    "ANY": "/fleet/places/*",
+    "DESK": "/fleet/places/*/services/desk",
+    "LEDGER": "/fleet/places/*/services/ledger",
+    "RELAY": "/fleet/places/*/services/ledger/workspaces/relay",
+}
+# Values to set, path of the warning (that of the first value if empty), words in it.
+WARNINGS = """
+RELAY/settings/floor_share=0.1 | | name no workspace
+RELAY/settings/drain_timeout_ms=60000 | | name no workspace
+RELAY/classes/bulk/settings/hedge_after_ms=9 | | class urgent
+LEDGER/workspaces/*/classes/urgent/settings/map_keep_s=5 | | class standard
+/fleet/settings/queue_limit=9 | | does not read it
+DESK/settings/max_request_bytes=99999 | | before the model is known
+LEDGER/settings/map_keep_s=9 | | have a group
+RELAY/classes/*/settings/weight=2 RELAY/classes/urgent/settings/weight=3 \
+RELAY/classes/standard/settings/weight=3 RELAY/classes/bulk/settings/weight=3 | | all classes set
+/operators/mariam={} | /operators/mariam | without a key
+/services/desk/models=[] | /services/desk/models | without models
+/services/b={"kind":"model","models":["m1"]} | /services/b/models/0 | go to /services/desk
+/groups/g/service="ledger" | | model service
+/groups/g/experts=9 | /groups/g/slots_per_rank | do not fit
+ANY/settings/max_request_bytes=16383 | | shorter than
+/fleet/settings/burst_tokens=9 | | without a rate
+RELAY/settings/retry_ratio=0.2 /fleet/settings/max_attempts=1 | | one attempt
+RELAY/settings/spill_wait_ms=10000 | | nothing spills
+/fleet/settings/drain_timeout_ms=9999 | | a drain ends
+TELAVI/settings/hedge_after_ms=751 \
+LEDGER/workspaces/*/classes/urgent/settings/deadline_ms=1000 | | no request is hedged
+TELAVI/settings/evacuated=true | /fleet/places | name are
+ANY/settings/evacuated=true | /fleet/places | no request runs
+"""  # noqa: E501 - one line for each case
+CLEAN = """
+RELAY/classes/urgent/settings/hedge_after_ms=7500
+LEDGER/workspaces/*/settings/floor_share=0.1
+/fleet/settings/max_attempts=1
+DESK/workspaces/*/classes/*/settings/map_keep_s=9
+RELAY/settings/rate_tokens_per_s=5 RELAY/settings/burst_tokens=9
+TELAVI/settings/evacuated=true /fleet/places/gurjaani/settings/evacuated=false
+"""
+
+
+def list_lines(table: str) -> list[str]:
+    return table.replace("\\\n", "").strip().splitlines()
+
 
+def resolve_path(path: str) -> str:
+    alias = path.partition("/")[0]
+    return NODES.get(alias, alias) + path[len(alias) :]
 
-def make_document(values: dict[str, typing.Any]) -> Document:
-    """Returns the base with values set at JSON pointers."""
+
+def make_document(values: str) -> Document:
+    """Returns the valid base with PATH=JSON set for each word."""
     document = copy.deepcopy(BASE)
-    for path, value in values.items():
+    for path, _, value in (word.partition("=") for word in values.split()):
         target: typing.Any = document
-        keys = path.split("/")[1:]
-        for key in keys[:-1]:
+        *keys, last = resolve_path(path).split("/")[1:]
+        for key in keys:
             target = target.setdefault(key, {})
-        target[keys[-1]] = value
+        target[last] = json.loads(value)
+    assert validation.find_faults(document) == ()
     return document
 
 
-def at(node: str, name: str, value: typing.Any) -> dict[str, typing.Any]:
-    return {f"{node}/settings/{name}": value}
-
-
-@pytest.mark.parametrize(
-    ("values", "path", "words"),
-    [
-        (at(RELAY, "floor_share", 0.1), None, "name no workspace"),
-        (at(RELAY, "drain_timeout_ms", 60_000), None, "name no workspace"),
-        (
-            at(f"{RELAY}/classes/bulk", "hedge_after_ms", 9),
-            None,
-            "class urgent",
-        ),
-        (
-            at(f"{LEDGER}/workspaces/*/classes/urgent", "max_ejected_share", 0.5),
-            None,
-            "class standard",
-        ),
-        (at("/fleet", "queue_limit", 9), None, "does not read it"),
-        (at(DESK, "max_request_bytes", 99_999), None, "before the model is known"),
-        (at(LEDGER, "map_keep_s", 9), None, "have a group"),
-        (
-            {
-                **at(f"{RELAY}/classes/*", "weight", 2),
-                **at(f"{RELAY}/classes/urgent", "weight", 3),
-                **at(f"{RELAY}/classes/standard", "weight", 3),
-                **at(f"{RELAY}/classes/bulk", "weight", 3),
-            },
-            f"{RELAY}/classes/*/settings/weight",
-            "all classes set",
-        ),
-        ({"/operators/mariam": {}}, "/operators/mariam", "without a key"),
-        ({"/services/desk/models": []}, "/services/desk/models", "without models"),
-        (
-            {"/services/other": {"kind": "model", "models": ["m1"]}},
-            "/services/other/models/0",
-            "go to /services/desk",
-        ),
-        ({"/groups/g/service": "ledger"}, "/groups/g/service", "model service"),
-        ({"/groups/g/experts": 9}, "/groups/g/slots_per_rank", "do not fit"),
-        (at(PLACE, "max_request_bytes", 16_383), None, "shorter than"),
-        (at("/fleet", "burst_tokens", 9), None, "without a rate"),
-        (
-            {**at("/fleet", "max_attempts", 1), **at(RELAY, "retry_ratio", 0.2)},
-            f"{RELAY}/settings/retry_ratio",
-            "one attempt",
-        ),
-        (at(RELAY, "spill_wait_ms", 10_000), None, "nothing spills"),
-        (at("/fleet", "drain_timeout_ms", 9_999), None, "a drain ends"),
-        (
-            {
-                **at(f"{LEDGER}/workspaces/*/classes/urgent", "deadline_ms", 1000),
-                **at("/fleet/places/telavi", "hedge_after_ms", 751),
-            },
-            "/fleet/places/telavi/settings/hedge_after_ms",
-            "no request is hedged",
-        ),
-        (at("/fleet/places/telavi", "evacuated", True), "/fleet/places", "name are"),
-        (at(PLACE, "evacuated", True), "/fleet/places", "no request runs"),
-    ],
-)
-def test_warning_names_the_entry(
-    values: dict[str, typing.Any], path: str | None, words: str
-) -> None:
-    document = make_document(values)
-    assert validation.find_faults(document) == ()
-    (warning,) = review.find_warnings(document)
-    assert warning.path == (path or next(iter(values)))
+@pytest.mark.parametrize("line", list_lines(WARNINGS))
+def test_warning_names_the_entry(line: str) -> None:
+    values, path, words = (part.strip() for part in line.split("|"))
+    (warning,) = review.find_warnings(make_document(values))
+    assert warning.path == (path or resolve_path(values.partition("=")[0]))
     assert words in warning.problem + warning.allowed
 
 
-@pytest.mark.parametrize(
-    "values",
-    [
-        {},
-        at(f"{RELAY}/classes/urgent", "hedge_after_ms", 7_500),
-        at(f"{LEDGER}/workspaces/*", "floor_share", 0.1),
-        at("/fleet", "max_attempts", 1),
-        at(f"{DESK}/workspaces/*/classes/*", "map_keep_s", 9),
-        {**at(RELAY, "rate_tokens_per_s", 5), **at(RELAY, "burst_tokens", 9)},
-        {
-            **at("/fleet/places/telavi", "evacuated", True),
-            **at("/fleet/places/gurjaani", "evacuated", False),
-        },
-    ],
-)
-def test_entries_with_an_effect_give_no_warning(values: dict[str, typing.Any]) -> None:
-    document = make_document(values)
-    assert validation.find_faults(document) == ()
-    assert review.find_warnings(document) == ()
+@pytest.mark.parametrize("values", ["", *list_lines(CLEAN)])
+def test_entries_with_an_effect_give_no_warning(values: str) -> None:
+    assert review.find_warnings(make_document(values)) == ()
 
 
 def test_known_places_decide_about_names_and_evacuations() -> None:
-    document = make_document(at("/fleet/places/telavi", "evacuated", True))
+    document = make_document("TELAVI/settings/evacuated=true")
     telavi, office = evacuation.Place("telavi", True), evacuation.Place("office", False)
     (warning,) = review.find_warnings(document, [telavi, office])
     assert "with endpoints are evacuated" in warning.problem
--- a/tests/fleet_platform/test_checking.py
+++ b/tests/fleet_platform/test_checking.py
@@ -103,13 +103,10 @@
     config["limits"] = "none"
     config["tenants"][0]["api_keys"] = ["k", 2]
     faults = check("configuration", json.dumps(config))
-    assert [fault.split(": ")[1] for fault in faults] == [
-        "$.routes[0].timeout_ms",
-        "$.routes[1].name",
-        "$.routes[2]",
-        "$.routes[3].kind",
-        "$.limits",
-        "$.tenants[0].api_keys[1]",
+    expected = "routes[0].timeout_ms routes[1].name routes[2] routes[3].kind limits"
+    assert [fault.split(": ")[1].removeprefix("$.") for fault in faults] == [
+        *expected.split(),
+        "tenants[0].api_keys[1]",
     ]
 
 
@@ -167,6 +164,7 @@
     config = fleetstandins.build_configuration()
     before.write_text(json.dumps(config))
     config["routes"][3]["timeout_ms"] = 400
+    config["routes"].reverse()
     config["tenants"][0]["api_keys"].append("key-2")
     after.write_text(json.dumps(config))
     command = [sys.executable, str(START), "check", "configuration", str(after)]
@@ -178,13 +176,13 @@
 
     ended = run("--against", str(before))
     assert ended.returncode == 0
-    assert "warning: $.routes[3].target_latency_ms: 0.5 s" in ended.stderr
+    assert "warning: $.routes[0].target_latency_ms: 0.5 s" in ended.stderr
     assert "/routes/slow/timeout_ms: 300 -> 400" in ended.stdout
     assert "key-2" not in ended.stdout
     strict = run("--strict", "--json", "--against", str(before))
     printed = json.loads(strict.stdout)
     assert (strict.returncode, printed["faults"]) == (1, [])
-    assert printed["warnings"][0]["path"] == "$.routes[3].target_latency_ms"
+    assert printed["warnings"][0]["path"] == "$.routes[0].target_latency_ms"
     assert [change["path"] for change in printed["changes"]] == [
         "/routes/slow/timeout_ms",
         "/tenants/w/api_keys",
