--- a/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/settings.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-import getpass
 import pathlib
 import typing
 import uuid
 
 import typer
 
+from chicoryweir_cli import change_report
 from chicoryweir_cli import command_helpers
 from chicoryweir_cli import effective_values
 from chicoryweir_cli import exit_codes
 from chicoryweir_cli import file_check
 from chicoryweir_cli import rendering
 from chicoryweir_cli import settings_change
+from chicoryweir_cli import settings_check
 from chicoryweir_policy import store
 from chicoryweir_policy.settings import difference
 
@@ -25,14 +26,25 @@
 
 @app.command("check")
 def check_settings(
-    file: SettingsFile, as_json: command_helpers.JsonFlag = False
+    file: SettingsFile,
+    strict: typing.Annotated[
+        bool, typer.Option("--strict", help="Exit with 1 on warnings, too.")
+    ] = False,
+    compare: typing.Annotated[
+        bool,
+        typer.Option(
+            "--compare",
+            help="Also compare with the running system: differences from the version "
+            "in force, and places without instances.",
+        ),
+    ] = False,
+    client_file: command_helpers.ClientFile = None,
+    as_json: command_helpers.JsonFlag = False,
 ) -> None:
-    """Check a settings file; needs no running system."""
-    _load_document(file, as_json)
-    if as_json:
-        rendering.print_json({"file": str(file), "faults": []})
-    else:
-        rendering.print_line(f"{file}: no faults")
+    """Check a settings file; needs a running system only with --compare."""
+    checked = file_check.check_text(command_helpers.read_file(file))
+    entries = command_helpers.open_client(client_file) if compare else None
+    settings_check.check_settings(str(file), checked, entries, strict, as_json)
 
 
 @app.command("show")
@@ -100,37 +112,14 @@
     change = settings_change.SettingsChange(
         change_id or uuid.uuid4().hex,
         expect_version,
-        author or _get_user_name(),
+        author or change_report.get_user_name(),
         reason,
         document,
     )
     outcome = settings_change.apply_change(
         command_helpers.open_client(client_file), change
     )
-    match outcome:
-        case settings_change.Applied(version):
-            accepted: store.Json = {"version": version, "change_id": change.change_id}
-            if as_json:
-                rendering.print_json(accepted)
-            else:
-                rendering.print_line(f"version {version} is accepted")
-        case settings_change.Refused(entry, status, body):
-            _print_refusal(body, as_json)
-            raise command_helpers.make_exit(
-                exit_codes.ExitCode.REFUSED,
-                command_helpers.describe_problem(entry, status, body),
-            )
-        case settings_change.Unavailable(detail):
-            raise command_helpers.make_exit(
-                exit_codes.ExitCode.UNKNOWN,
-                f"no entry accepted the change; nothing was changed: {detail}",
-            )
-        case settings_change.Unknown(detail):
-            raise command_helpers.make_exit(
-                exit_codes.ExitCode.UNKNOWN,
-                f"the outcome is not known: {detail}. Repeat the command with "
-                f"--change-id {change.change_id}; it cannot take effect twice",
-            )
+    change_report.report_outcome(outcome, change, as_json)
 
 
 @app.command("history")
@@ -160,14 +149,7 @@
         _load_version_or_file(first, client_file, as_json),
         _load_version_or_file(second, client_file, as_json),
     )
-    rendered: list[store.Json] = [
-        {
-            "path": change.path,
-            "from": difference.render_value(change.before),
-            "to": difference.render_value(change.after),
-        }
-        for change in changes
-    ]
+    rendered = settings_check.render_changes(changes)
     if as_json:
         rendering.print_json({"changes": rendered})
         return
@@ -219,22 +201,3 @@
         return
     for value in values:
         rendering.print_line(rendering.format_fields(value))
-
-
-def _print_refusal(body: dict[str, store.Json], as_json: bool) -> None:
-    if as_json:
-        rendering.print_json(body)
-        return
-    if "current_version" in body:
-        current = rendering.format_value(body["current_version"])
-        rendering.print_line(f"the current version is {current}; it differs in:")
-    for name in ("difference", "faults"):
-        for item in rendering.list_items(body, name):
-            rendering.print_line(rendering.format_fields(item))
-
-
-def _get_user_name() -> str:
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError):
-        return ""
--- a/packages/chicoryweir-cli/tests/test_settings_commands.py
+++ b/packages/chicoryweir-cli/tests/test_settings_commands.py
@@ -11,6 +11,7 @@
 
 from chicoryweir_cli import app
 from chicoryweir_cli import command_helpers
+from chicoryweir_cli import jsonc
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "docs/examples/settings.jsonc"
 Handler = collections.abc.Callable[[httpx.Request], httpx.Response]
@@ -48,6 +49,7 @@
     return CommandRunner(tmp_path, monkeypatch)
 
 
+EVACUATE = ["evacuate", "telavi", "--reason", "fire"]
 APPLY = ["settings", "apply", str(EXAMPLE), "--expect-version", "4", "--json"]
 
 
@@ -71,6 +73,30 @@
     assert "/relay/settings/weight: value is too small; found -4;" in result.stdout
 
 
+def test_check_tells_warnings_and_differences(runner: CommandRunner) -> None:
+    file = runner.directory / "settings.jsonc"
+    text = EXAMPLE.read_text()
+    in_force = jsonc.parse_bytes(text.encode()).document
+    changed = '"max_attempts": 4, "burst_tokens": 1'
+    file.write_text(text.replace('"max_attempts": 3', changed))
+    plain = runner.run(["settings", "check", str(file)])
+    assert (plain.exit_code, runner.requests) == (0, [])
+    assert ":25:76: warning: /fleet/settings/burst_tokens:" in plain.stdout
+    assert runner.run(["settings", "check", str(file), "--strict"]).exit_code == 1
+    command = ["settings", "check", str(file), "--compare"]
+    result = runner.run([*command, "--json"], make_fleet(in_force, []))
+    printed = json.loads(result.stdout)
+    assert (result.exit_code, printed["compared_with"]) == (0, 7)
+    assert [change["path"] for change in printed["changes"]] == [
+        "/fleet/settings/burst_tokens",
+        "/fleet/settings/max_attempts",
+    ]
+    assert len(printed["warnings"]) == 1
+    text_result = runner.run(command, make_fleet(in_force, []))
+    assert "2 differences from version 7" in text_result.stdout
+    assert runner.run(command, make_handler(503)).exit_code == 3
+
+
 def test_show_effective_names_the_node_of_each_value(runner: CommandRunner) -> None:
     path = "telavi/model-desk/relay/urgent"
     command = ["settings", "show", path, "--effective", "--file", str(EXAMPLE)]
@@ -94,6 +120,75 @@
     assert len(runner.requests) == 1
 
 
+def make_fleet(document: typing.Any, changes: list[typing.Any]) -> Handler:
+    """Returns an entry of two places, which collects the changes that it accepts."""
+    places = [{"place": name, "has_endpoints": True} for name in ("telavi", "gurjaani")]
+
+    def handle(request: httpx.Request) -> httpx.Response:
+        if request.url.path == "/operator/status":
+            return httpx.Response(200, json={"places": places})
+        if request.method == "POST":
+            changes.append(json.loads(request.content))
+            return httpx.Response(200, json={"version": 8})
+        return httpx.Response(200, json={"version": 7, "tree": document})
+
+    return handle
+
+
+@pytest.mark.parametrize("undo", [False, True])
+def test_evacuate_writes_the_next_version(runner: CommandRunner, undo: bool) -> None:
+    evacuated = {"places": {"telavi": {"settings": {"evacuated": True}}}}
+    old, new = ({"fleet": {"places": {}}}, {"fleet": evacuated})
+    changes: list[typing.Any] = []
+    command = ["evacuate", "telavi", "--reason", "fire", "--json"]
+    handler = make_fleet(new if undo else old, changes)
+    result = runner.run([*command, "--undo"] if undo else command, handler)
+    assert result.exit_code == 0
+    assert changes[0]["tree"] == (old if undo else new)
+    assert (changes[0]["expect_version"], changes[0]["reason"]) == (7, "fire")
+    printed = json.loads(result.stdout)
+    assert (printed["version"], printed["evacuated"]) == (8, not undo)
+
+
+@pytest.mark.parametrize(
+    ("place", "words"),
+    [("telavi", "last place"), ("nowhere", "gurjaani, telavi"), ("", "no place")],
+)
+def test_evacuate_refuses_unknown_and_last_place(
+    runner: CommandRunner, place: str, words: str
+) -> None:
+    document = {"fleet": {"places": {"gurjaani": {"settings": {"evacuated": True}}}}}
+    changes: list[typing.Any] = []
+    command = ["evacuate", place, "--reason", "fire"]
+    result = runner.run(command, make_fleet(document, changes))
+    assert (result.exit_code, words in result.stderr) == (1, True)
+    again = ["evacuate", "gurjaani", "--reason", "fire"]
+    assert runner.run(again, make_fleet(document, changes)).exit_code == 0
+    assert changes == []
+
+
+@pytest.mark.parametrize(
+    ("status", "code", "words"),
+    [
+        (409, 1, "current version is 9"),
+        (504, 3, "Repeat the command;"),
+        (503, 3, "nothing was changed"),
+    ],
+)
+def test_evacuate_reports_conflicts_and_unknown_outcomes(
+    runner: CommandRunner, status: int, code: int, words: str
+) -> None:
+    answer = make_fleet({"fleet": {}}, [])
+
+    def handle(request: httpx.Request) -> httpx.Response:
+        if request.method == "POST":
+            return httpx.Response(status, json={"current_version": 9})
+        return answer(request)
+
+    result = runner.run(EVACUATE, handle)
+    assert (result.exit_code, words in result.stdout + result.stderr) == (code, True)
+
+
 def test_apply_with_lost_reply_is_retried_at_another_entry(
     runner: CommandRunner,
 ) -> None:
@@ -136,7 +231,7 @@
     def refuse(request: httpx.Request) -> httpx.Response:
         raise httpx.ConnectError("refused")
 
-    for command in (["status"], ["audit"], ["drain", "agent-1"], APPLY):
+    for command in (["status"], ["audit"], ["drain", "agent-1"], EVACUATE, APPLY):
         assert runner.run(command, refuse).exit_code == 3
     entries = [request.split("/")[2] for request in runner.requests[:2]]
     assert entries == ["a", "b"]
@@ -146,6 +241,7 @@
     "command",
     [
         ["settings", "apply", str(EXAMPLE)],
+        ["evacuate", "telavi"],
         ["settings", "check", "absent.jsonc"],
         ["status", "--client", "absent.jsonc"],
         ["settings", "show", "a/b/c/odd", "--effective", "--file", str(EXAMPLE)],
