--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -12,6 +12,8 @@
 
 # Connections that wait to be accepted; a test opens 200 at once.
 BACKLOG = 1024
+# Largest head that an endpoint reads.
+MAX_HEAD_BYTES = 1 << 20
 
 
 def build_configuration(version=7, **changes):
@@ -229,7 +231,7 @@
     async def start(self):
         """Listens on a free port, or after a crash on the same port again."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port, backlog=BACKLOG
+            self._serve, "127.0.0.1", self.port, backlog=BACKLOG, limit=MAX_HEAD_BYTES
         )
         self.port = self._server.sockets[0].getsockname()[1]
         return self._server
