--- a/packages/chicoryweir-daemon/tests/http1/test_answerparser.py
+++ b/packages/chicoryweir-daemon/tests/http1/test_answerparser.py
@@ -112,3 +112,25 @@
         parser = answerparser.AnswerParser()
         events = [*parser.feed(data[:end]), *parser.feed_eof(True)]
         assert [type(event) for event in events] == [answerparser.Broken]
+
+
+# Guards against a body that the reader gets without a head, and against a status that
+# no caller understands.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("rest", [b"\r\n", b"Content-Length: 3\r\n\r\nabc"])
+def test_status_outside_the_range_is_broken(status, rest):
+    events = answerparser.AnswerParser().feed(b"HTTP/1.1 %s X\r\n" % status + rest)
+    assert [type(event) for event in events] == [answerparser.Broken]
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 3\r\n\r\nabc",
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        b"Content-Length: 3\r\n\r\n" + SIZED,
+    ],
+)
+def test_interim_answer_with_a_body_is_broken(rest):
+    events = answerparser.AnswerParser().feed(b"HTTP/1.1 102 X\r\n" + rest)
+    assert [type(event) for event in events] == [answerparser.Broken]
