Account for the memory that connections receive and hold

Callers, endpoints and the store could make a process hold many times what they sent: a header line of 4 bytes holds 176, trailers were collected without a bound, requests were parsed ahead of their answers a received part at a time, and answers were written to callers that don't read.

One account per process now counts what each connection holds, as Python holds it, on all listeners and on connections to endpoints, ranks and the store. Above its limit nothing new is begun, and what has not begun is refused with 503, the largest first; a quarter above it, connections are ended, the largest first. Heads, trailers, empty lines, interim answers and header lines are bounded; parsing pauses while requests or answers wait; requests that follow wait until their caller reads; a caller that takes nothing for 10 s and a body that isn't complete in 120 s end. All connections receive into one buffer.

An endpoint's status outside 100 to 599, or 101, and an interim answer with a body are broken answers now. 100 (Continue) is no longer written within another answer.

The test that the newcomer is refused for want of memory is replaced: the largest is refused, the newcomer is answered.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -262,6 +262,7 @@
                     len(body) <= relay.MAX_BUFFERED_BYTES
                 ):
                     body += data
+                    connection.hold(len(body))
                 case answerparser.End():
                     error_answer = relay.BufferedAnswer(head, bytes(body))
                     detail = f"status {head.status}"
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/eventstream.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/eventstream.py
@@ -36,6 +36,11 @@
         """Whether the buffer holds part of an event."""
         return bool(self._pending.strip())
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the part of an event that the buffer holds, in bytes."""
+        return len(self._pending)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes; returns the events that they complete."""
         self._pending += data
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
@@ -12,6 +12,9 @@
 # Maximum size of an answer. The store's and other entries' answers have at most some
 # 1.5 MB, the counts of a rank some 40 KB.
 MAX_REPLY_BYTES = 8_388_608
+# Memory of an answer's body, its copy and what is decoded from it, as a multiple of its
+# size.
+DECODED_FACTOR = 3
 
 
 class FetchError(Exception):
@@ -105,6 +108,7 @@
                 head = event
             case answerparser.BodyPart(data):
                 body += data
+                connection.hold(len(body) * DECODED_FACTOR)
                 if len(body) > MAX_REPLY_BYTES:
                     detail = f"an answer longer than {MAX_REPLY_BYTES} bytes"
                     raise FetchError("receive", peer, detail, sent=True)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
@@ -40,14 +40,19 @@
             limits.max_body_bytes,
             limits.header_timeout_s,
             limits.idle_timeout_s,
+            self._context.fleet.settings.received,
         )
 
     def reject(self, rejected: requestparser.Rejected) -> list[heads.Header]:
         """Logs a malformed request; returns the headers of its answer."""
         self._context.metrics.count("malformed", str(rejected.status))
-        self._context.event_log.record(
-            catalogue.REQUEST_MALFORMED, status=rejected.status, detail=rejected.detail
-        )
+        # Refusals for want of memory are reported together, see `refusalreports`.
+        if rejected.status != callers.NO_MEMORY_STATUS:
+            self._context.event_log.record(
+                catalogue.REQUEST_MALFORMED,
+                status=rejected.status,
+                detail=rejected.detail,
+            )
         return self._context.header_codec.write_own_answer(None)
 
     async def handle(self, request: heads.Request, answer: callers.Answer) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -4,11 +4,10 @@
 
 import dataclasses
 
+from chicoryweir_daemon.http1 import limits
+
 # Memory of a process whose settings state none.
 DEFAULT_MEMORY_BYTES = 256 << 20
-# Share of the memory for requests that are being read or wait. What is sent on is held
-# a second time while its endpoint reads it.
-REQUEST_MEMORY_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +67,7 @@
             processor's speed and by the bandwidth of its link. Compared between
             entries only.
         memory_bytes: Memory that the process may use, in bytes.
+        received: Limits on what callers, endpoints and the store may send.
     """
 
     name: str
@@ -84,3 +84,4 @@
     bounds: Bounds
     capacity: float = 0.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    received: limits.ReceivedLimits = limits.DEFAULT
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/relay.py
@@ -93,6 +93,7 @@
         self._buffer += data
         if len(self._buffer) > MAX_BUFFERED_BYTES:
             self._begin(sized=False)
+        self._answer.hold(len(self._buffer))
         return True
 
     def finish(self) -> bool:
@@ -166,6 +167,7 @@
         self._unsent_bytes = 0 if sent else self._unsent_bytes + len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
             raise RelayError(f"{self._unsent_bytes} bytes without a new event")
+        self._answer.hold(self._splitter.pending_bytes)
         return has_data
 
     def finish(self) -> bool:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -20,6 +20,7 @@
 from chicoryweir_daemon.forwarder import operations
 from chicoryweir_daemon.forwarder import peerfetch
 from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import refusalreports
 from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.forwarder import watches
@@ -104,8 +105,12 @@
         self._fleet = fleets.Fleet(settings, clock)
         self._event_log = eventlog.EventLog(settings.name)
         self._metrics = metrics_registry.MetricsRegistry()
-        self._pool = connections.Pool()
-        self._store_pool = connections.Pool()
+        self._refusals = refusalreports.RefusalReport(self._metrics)
+        self._account = refusalreports.create_account(
+            settings.memory_bytes, settings.received, self._refusals
+        )
+        self._pool = connections.Pool(self._account, settings.received)
+        self._store_pool = connections.Pool(self._account, settings.received)
         self._adapters = create_adapters(self._store_pool)
         self._allocator = allocation.EndpointAllocator(self._fleet)
         context = exchange.ExchangeContext(
@@ -122,9 +127,6 @@
         )
         self._caller_connections: set[callers.CallerConnection] = set()
         self._operations_connections: set[callers.CallerConnection] = set()
-        self._request_buffer = callers.RequestBuffer(
-            int(settings.memory_bytes * process.REQUEST_MEMORY_SHARE)
-        )
         self._servers: list[asyncio.Server] = []
         self._store_health = storehealth.StoreHealth(self._fleet, self._event_log)
         self._configuration_watch = watches.ConfigurationWatch(
@@ -196,6 +198,7 @@
             "fetches": self._peer_fetcher.run,
             "lease": self._lease_holder.run,
             "expert maps": self._map_controller.run,
+            "refusals": lambda: self._refusals.run(self._account, self._event_log),
         }
         tasks = {
             name: asyncio.create_task(supervision.supervise(run, name, self._event_log))
@@ -210,6 +213,7 @@
                 catalogue.INVARIANT_VIOLATED,
                 detail=f"{task.get_coro()!r} did not end when cancelled",
             )
+        self._refusals.write(self._account, self._event_log)
         detail = "a task failed" if self._task_failed else "planned stop"
         self._event_log.record(catalogue.DAEMON_STOPPED, detail=detail)
         return not self._task_failed
@@ -225,6 +229,9 @@
             peer_listener,
             metrics_listener,
         )
+        operations_limits = dataclasses.replace(
+            operations.LIMITS, received=settings.received
+        )
         opened = await self._open(self._gossip.open, peer_listener)
         # The address is handed out as soon as the others are open.
         opened = opened and await self._serve(
@@ -240,7 +247,7 @@
             opened = opened and await self._serve(
                 listener,
                 self._operations,
-                lambda: operations.LIMITS,
+                lambda: operations_limits,
                 self._operations_connections,
                 OPERATIONS_DESCRIPTOR_SHARE,
             )
@@ -269,7 +276,7 @@
                     open_connections,
                     lambda: self._fleet.stopping,
                     gate.admit,
-                    self._request_buffer,
+                    self._account,
                 ),
                 listener.host,
                 listener.port,
@@ -445,6 +452,7 @@
         self._metrics.register_gauge(
             "caller_connections", lambda: len(self._caller_connections)
         )
+        self._metrics.register_gauge("held_bytes", lambda: self._account.used_bytes)
         self._metrics.register_gauge("opened_connections", lambda: self._pool.opened)
         self._metrics.register_gauge(
             "idle_connections", lambda: self._pool.count_idle()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/callers.py
@@ -9,10 +9,15 @@
 import typing
 
 from chicoryweir_daemon.http1 import heads
+from chicoryweir_daemon.http1 import limits
+from chicoryweir_daemon.http1 import memory
 from chicoryweir_daemon.http1 import requestparser
+from chicoryweir_daemon.http1 import unreadanswers
 
-# Reading pauses while this many parsed requests wait on a connection.
+# Reading and parsing pause while this many parsed requests wait on a connection, or
+# requests that hold this much.
 MAX_PIPELINED_REQUESTS = 8
+MAX_PIPELINED_BYTES = 65_536
 # Status code of the answer to a request that ended with an unexpected error. It says
 # nothing about whether the request ran.
 FAILURE_STATUS = 500
@@ -34,25 +39,7 @@
     max_body_bytes: int
     head_timeout_s: float
     idle_timeout_s: float
-
-
-class RequestBuffer:
-    """Memory for requests that are being read or wait for their answer.
-
-    All connections of a process share it.
-
-    Attributes:
-        used_bytes: Bytes that are held.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
-        self.used_bytes = 0
-
-    @property
-    def is_full(self) -> bool:
-        """Whether more is held than the process has memory for."""
-        return self.used_bytes > self._max_bytes
+    received: limits.ReceivedLimits = limits.DEFAULT
 
 
 class Handler(typing.Protocol):
@@ -128,13 +115,17 @@
         self.write(body)
         self.finish()
 
+    def hold(self, held_bytes: int) -> None:
+        """Sets how much of an endpoint's answer is held before it is sent, in bytes."""
+        self._connection.hold(held_bytes)
+
     def abort(self) -> None:
         """Aborts the connection, so that the caller sees the answer as incomplete."""
         self.ended = True
         self._connection.abort()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Server side of a connection of a caller."""
 
     def __init__(
@@ -144,19 +135,30 @@
         open_connections: set[CallerConnection],
         is_stopping: collections.abc.Callable[[], bool],
         is_admitted: collections.abc.Callable[[int], bool],
-        buffer: RequestBuffer,
+        account: memory.Account,
     ) -> None:
-        limits = get_limits()
+        server_limits = get_limits()
         self._is_stopping = is_stopping
         self._handler = handler
-        self._limits = limits
+        self._limits = server_limits
         self._open_connections = open_connections
         self._is_admitted = is_admitted
-        self._buffer = buffer
-        self._held_bytes = 0
+        self._account = account
+        self._holding = account.open(self)
         self._parser = requestparser.RequestParser(
-            limits.max_head_bytes, limits.max_body_bytes
+            server_limits.max_head_bytes,
+            server_limits.max_body_bytes,
+            server_limits.received,
+        )
+        self._unparsed = b""
+        self._pending_bytes = 0
+        self._running_bytes = 0
+        self._answer_bytes = 0
+        self._unread_timer = unreadanswers.UnreadTimer(
+            server_limits.received.unread_timeout_s, self._count_unsent, self._on_unread
         )
+        self._awaits_continue = False
+        self._body_began_at: float | None = None
         self._transport: asyncio.Transport | None = None
         self._pending: collections.deque[heads.Request] = collections.deque()
         self._task: asyncio.Task[None] | None = None
@@ -192,25 +194,20 @@
         self._open_connections.add(self)
         self._start_timer(self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer to receive into, which all connections share."""
+        return self._account.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes and starts answering complete requests.
 
-        Rejects what was not begun yet if there is no memory for it.
+        If there is no memory for them, refuses what was not begun yet, here or on
+        connections that hold more.
         """
-        self._held_bytes += len(data)
-        self._buffer.used_bytes += len(data)
-        for event in self._parser.feed(data):
-            match event:
-                case heads.Request():
-                    self._pending.append(event)
-                case requestparser.ContinueExpected():
-                    self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                case requestparser.Rejected():
-                    self._rejection = event
-        if self._buffer.is_full and self._task is None:
-            self._pending.clear()
-            detail = "no memory for more requests"
-            self._rejection = requestparser.Rejected(NO_MEMORY_STATUS, detail)
+        data = self._account.read_buffer[:nbytes]
+        # Bytes that were received while reading was being paused come after others.
+        self._unparsed = self._parse(self._unparsed + data if self._unparsed else data)
+        self._update_holding()
         self._process_next()
 
     def eof_received(self) -> bool:
@@ -220,9 +217,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Deregisters the connection and cancels the request in progress."""
         self._open_connections.discard(self)
-        self._release_buffer()
+        self._account.close(self._holding)
         self._stop_timer()
-        self._pending.clear()
+        self._unread_timer.stop()
+        self._discard_requests()
         if self._task is not None:
             self._task.cancel()
         self._resume_writer()
@@ -234,12 +232,44 @@
 
     def resume_writing(self) -> None:
         """Lets `drain` return, as the write buffer is below its low-water mark."""
+        self._update_holding()
         self._resume_writer()
 
     def write(self, data: bytes) -> None:
         """Writes bytes to the caller, unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            if self._count_unsent():
+                self._unread_timer.record_write(len(data))
+                self._update_holding()
+
+    def hold(self, held_bytes: int) -> None:
+        """Sets how much of an answer is held before it is written, in bytes."""
+        self._answer_bytes = held_bytes
+        self._update_holding()
+
+    def is_refusable(self) -> bool:
+        """Returns whether nothing that it holds has begun to run."""
+        return self._task is None and not self._count_unsent()
+
+    def measure_memory(self) -> int:
+        """Returns the memory that the connection holds, in bytes."""
+        return (
+            len(self._unparsed)
+            + self._parser.held_bytes
+            + self._pending_bytes
+            + self._running_bytes
+            + self._answer_bytes
+            + self._count_unsent()
+        )
+
+    def release_memory(self) -> None:
+        """Refuses what has not begun, or ends the connection."""
+        if self.is_refusable() and not self.is_closing:
+            detail = "no memory for more requests"
+            self._answer_rejection(requestparser.Rejected(NO_MEMORY_STATUS, detail))
+        else:
+            self.abort()
 
     async def drain(self) -> None:
         """Waits while the transport has paused writing."""
@@ -257,30 +287,93 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _holds_enough(self) -> bool:
+        return (
+            len(self._pending) >= MAX_PIPELINED_REQUESTS
+            or self._pending_bytes >= MAX_PIPELINED_BYTES
+        )
+
+    def _parse(self, data: bytes | memoryview) -> bytes:
+        """Parses data until enough requests wait; returns a copy of the rest."""
+        start, end = 0, len(data)
+        while start < end and self._rejection is None and not self._holds_enough:
+            step_bytes = self._parser.step_bytes
+            for event in self._parser.feed(data[start : start + step_bytes]):
+                match event:
+                    case heads.Request():
+                        self._pending.append(event)
+                        self._pending_bytes += event.held_bytes
+                        self._awaits_continue = False
+                    case requestparser.ContinueExpected():
+                        self._awaits_continue = True
+                    case requestparser.Rejected():
+                        self._rejection = event
+            start += step_bytes
+        return b"" if self._rejection is not None else bytes(data[start:])
+
+    def _update_holding(self) -> None:
+        self._holding.update(self.measure_memory())
+        if self._account.is_full:
+            self._account.relieve()
+
+    def _count_unsent(self) -> int:
+        transport = self._transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    def _on_unread(self) -> None:
+        """Ends a connection whose caller takes nothing of its answers."""
+        self._account.record_refusal(memory.Cause.UNREAD)
+        self.abort()
+
+    def _discard_requests(self) -> None:
+        """Discards what has not begun."""
+        self._pending.clear()
+        self._pending_bytes = 0
+        self._unparsed = b""
+        self._parser.discard()
+
     def _process_next(self) -> None:
-        if self._task is not None or self._transport is None:
-            self._update_reading()
+        if self._transport is None or self._transport.is_closing():
             return
-        if self._transport.is_closing():
+        if self._task is not None:
+            self._update_reading()
             return
-        if self._pending:
+        if self._unparsed and not self._holds_enough:
+            self._unparsed = self._parse(self._unparsed)
+        if self._pending and self._account.is_full:
+            self._account.record_refusal(memory.Cause.NO_MEMORY)
+            self.release_memory()
+        elif self._pending:
             self._stop_timer()
             request = self._pending.popleft()
+            self._pending_bytes -= request.held_bytes
+            self._running_bytes = request.held_bytes
             answer = Answer(self, request.head)
             self._task = asyncio.create_task(self._run(request, answer))
         elif self._rejection is not None:
             self._answer_rejection(self._rejection)
-        elif self._parser.in_head:
+        else:
+            self._await_request()
+        self._update_reading()
+
+    def _await_request(self) -> None:
+        """Starts the timer for what the caller has to send next."""
+        if self._parser.in_head:
             self._start_head_timer(self._limits.head_timeout_s)
         elif self._in_body:
-            self._start_timer(BODY_STALL_TIMEOUT_S)
+            if self._awaits_continue:
+                self._awaits_continue = False
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._start_body_timer()
         else:
             self._start_timer(self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S)
-        self._update_reading()
 
     async def _run(self, request: heads.Request, answer: Answer) -> None:
         try:
             await self._handler.handle(request, answer)
+            # Requests that follow wait until their caller reads.
+            await self.drain()
         except Exception as error:
             context = {"message": "answer a request", "exception": error}
             asyncio.get_running_loop().call_exception_handler(context)
@@ -290,27 +383,28 @@
             self._task = None
             if not answer.ended:
                 self.abort()
-        if self.is_idle and not self._pending:
-            self._release_buffer()
+        self._running_bytes = self._answer_bytes = 0
+        self._body_began_at = None
+        self._update_holding()
         self._process_next()
 
-    def _release_buffer(self) -> None:
-        self._buffer.used_bytes -= self._held_bytes
-        self._held_bytes = 0
-
     def _answer_rejection(self, rejected: requestparser.Rejected) -> None:
+        self._discard_requests()
+        if rejected.cause is not None:
+            self._account.record_refusal(rejected.cause)
         headers = self._handler.reject(rejected)
         headers += [(b"Content-Length", b"0"), (b"Connection", b"close")]
         if rejected.status == NO_MEMORY_STATUS:
             headers.append((b"Retry-After", NO_MEMORY_RETRY_S))
         phrase = heads.get_reason_phrase(rejected.status)
+        self.is_closing = True
         self.write(heads.encode_answer(rejected.status, phrase, headers))
         self.close_after_answer()
 
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+        if self._unparsed or self._holds_enough:
             self._transport.pause_reading()
         elif not self._transport.is_reading():
             self._transport.resume_reading()
@@ -321,6 +415,14 @@
             self._start_timer(delay_s)
             self._timer_restartable = False
 
+    def _start_body_timer(self) -> None:
+        """Starts the timeout for a body, which all of its parts share."""
+        now = asyncio.get_running_loop().time()
+        if self._body_began_at is None:
+            self._body_began_at = now
+        left_s = self._body_began_at + self._limits.received.body_timeout_s - now
+        self._start_timer(min(BODY_STALL_TIMEOUT_S, max(0.0, left_s)))
+
     def _start_timer(self, delay_s: float) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -338,7 +440,7 @@
             self.close_after_answer()
             return
         detail = "the request did not arrive in time"
-        self._answer_rejection(requestparser.Rejected(408, detail))
+        self._answer_rejection(requestparser.Rejected(408, detail, memory.Cause.SLOW))
 
     def _resume_writer(self) -> None:
         if self._drained is not None and not self._drained.done():
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -11,6 +11,8 @@
 
 from chicoryweir_daemon.http1 import answerparser
 from chicoryweir_daemon.http1 import heads
+from chicoryweir_daemon.http1 import limits
+from chicoryweir_daemon.http1 import memory
 
 # A round trip takes a few ms; a lost SYN would be retransmitted only after 1 s.
 CONNECT_TIMEOUT_S = 0.7
@@ -21,8 +23,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Reading pauses while more unread answer data than this is buffered.
-MAX_BUFFERED_BYTES = 262_144
+# Reading and parsing pause while more than this of unread answers is held.
+MAX_BUFFERED_BYTES = 131_072
 # Share of the peer's idle timeout for which an idle connection is reused.
 IDLE_REUSE_SHARE = 0.6
 # Assumed if the peer sends no idle timeout in a `Keep-Alive` header.
@@ -60,7 +62,7 @@
         return f"{self.host}:{self.port}"
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A client connection that carries one request at a time.
 
     Attributes:
@@ -70,13 +72,21 @@
         on_idle_closed: Called if it is closed while it is idle.
     """
 
-    def __init__(self) -> None:
-        self._parser = answerparser.AnswerParser()
+    def __init__(
+        self, account: memory.Account, received: limits.ReceivedLimits
+    ) -> None:
+        self._account = account
+        self._holding = account.open(self)
+        self._parser = answerparser.AnswerParser(received)
         self._events: collections.deque[answerparser.Event] = collections.deque()
-        self._buffered_bytes = 0
+        self._unparsed = b""
+        self._queued_bytes = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._received_eof = False
+        self._ended_cleanly = False
         self._closed = False
         self._in_use = False
         self.has_answered = False
@@ -97,15 +107,22 @@
         ):
             tcp_socket.setsockopt(socket.IPPROTO_TCP, option, value)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer to receive into, which all connections share."""
+        return self._account.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes; unsolicited bytes abort the connection."""
         if not self._in_use:
             self.abort()
             return
-        self._buffered_bytes += len(data)
-        self._deliver(self._parser.feed(data))
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport is not None:
+        data = self._account.read_buffer[:nbytes]
+        # Bytes that were received while reading was being paused come after others.
+        self._parse(self._unparsed + data if self._unparsed else data)
+        if self._holds_enough and self._transport is not None:
             self._transport.pause_reading()
+        self._wake_reader()
+        self._update_holding()
 
     def eof_received(self) -> bool:
         """Records that the peer ended its side of the connection without an error."""
@@ -115,7 +132,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the answer in progress, or reports an idle connection as closed."""
         self._closed = True
-        self._deliver(self._parser.feed_eof(self._received_eof and exc is None))
+        self._ended_cleanly = self._received_eof and exc is None
+        self._account.close(self._holding)
+        if not self._unparsed:
+            self._end_answer()
+        self._wake_reader()
         if not self._in_use and self.on_idle_closed is not None:
             self.on_idle_closed(self)
 
@@ -129,6 +150,39 @@
         assert self._transport is not None
         self._in_use = True
         self._transport.write(data)
+        self._update_holding()
+
+    def resume_writing(self) -> None:
+        """Updates what is held, as most of the request was sent."""
+        self._update_holding()
+
+    def hold(self, held_bytes: int) -> None:
+        """Sets how much the reader holds of the answer's body, in bytes."""
+        self._body_bytes = held_bytes
+        self._update_holding()
+
+    def measure_memory(self) -> int:
+        """Returns the memory that the connection holds, in bytes."""
+        transport = self._transport
+        return (
+            len(self._unparsed)
+            + self._parser.held_bytes
+            + self._queued_bytes
+            + self._head_bytes
+            + self._body_bytes
+            + (0 if transport is None else transport.get_write_buffer_size())
+        )
+
+    def is_refusable(self) -> bool:
+        """Returns False, since a request that was sent has begun."""
+        return False
+
+    def release_memory(self) -> None:
+        """Ends the connection; its answer counts as broken off."""
+        self._events.clear()
+        self._unparsed = b""
+        self._queued_bytes = 0
+        self.abort()
 
     async def receive(self, timeout_s: float) -> answerparser.Event | None:
         """Returns the next event of the answer, or None after the timeout.
@@ -145,12 +199,12 @@
             if not self._events:
                 return None
         event = self._events.popleft()
-        if isinstance(event, answerparser.BodyPart):
-            self._buffered_bytes -= len(event.data)
+        self._queued_bytes -= _measure_event(event)
+        if isinstance(event, heads.AnswerHead):
+            self._head_bytes = event.held_bytes
         if not self._events:
-            self._buffered_bytes = 0
-            if self._transport is not None and not self._transport.is_closing():
-                self._transport.resume_reading()
+            self._continue_reading()
+        self._update_holding()
         return event
 
     def mark_idle(self, head: heads.AnswerHead, now: float) -> bool:
@@ -160,11 +214,14 @@
         """
         assert self._transport is not None
         has_unsent_data = self._transport.get_write_buffer_size() > 0
-        has_surplus_data = bool(self._events) or not self._parser.is_idle
-        if not head.keep_alive or has_surplus_data or has_unsent_data or self.is_closed:
+        has_surplus_data = bool(self._events or self._unparsed)
+        is_reusable = head.keep_alive and self._parser.is_idle and not self.is_closed
+        if not is_reusable or has_surplus_data or has_unsent_data:
             self.abort()
             return False
         self._in_use = False
+        self._head_bytes = self._body_bytes = 0
+        self._update_holding()
         self.has_answered = True
         self.idle_since = now
         self.idle_timeout_s = _parse_idle_timeout(head)
@@ -186,19 +243,71 @@
             timer.cancel()
             self._waiter = None
 
-    def _deliver(self, events: list[answerparser.Event]) -> None:
-        self._events.extend(events)
-        if self._closed and not self._events and self._in_use:
+    @property
+    def _holds_enough(self) -> bool:
+        return bool(self._unparsed) or self._queued_bytes > MAX_BUFFERED_BYTES
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parses data until enough is queued, and keeps a copy of the rest."""
+        start, end = 0, len(data)
+        while start < end and self._queued_bytes <= MAX_BUFFERED_BYTES:
+            part = data[start : start + answerparser.STEP_BYTES]
+            self._queue(self._parser.feed(part))
+            start += answerparser.STEP_BYTES
+        self._unparsed = bytes(data[start:])
+
+    def _continue_reading(self) -> None:
+        """Parses and reads on once all events are taken."""
+        while self._unparsed and not self._events:
+            self._parse(self._unparsed)
+        if self._unparsed:
+            return
+        if self._closed and not self._events:
+            self._end_answer()
+        elif self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _end_answer(self) -> None:
+        """Queues the end of the answer of a connection that ended."""
+        self._queue(self._parser.feed_eof(self._ended_cleanly))
+        if not self._events and self._in_use:
             detail = "the connection ended without an answer"
-            self._events.append(answerparser.Broken(detail))
+            self._queue([answerparser.Broken(detail)])
+
+    def _queue(self, events: list[answerparser.Event]) -> None:
+        for event in events:
+            self._events.append(event)
+            self._queued_bytes += _measure_event(event)
+
+    def _wake_reader(self) -> None:
         if self._events and self._waiter is not None:
             _wake(self._waiter)
 
+    def _update_holding(self) -> None:
+        if self._closed:
+            return
+        self._holding.update(self.measure_memory())
+        if self._account.is_full:
+            self._account.relieve()
+
 
 class Pool:
     """Pool of idle connections, grouped by address."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        account: memory.Account | None = None,
+        received: limits.ReceivedLimits = limits.DEFAULT,
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            account: Account of the memory that its connections hold; None for one
+                without a limit.
+            received: Limits of answers.
+        """
+        self._account = memory.Account() if account is None else account
+        self._received = received
         self._idle: dict[Address, list[Connection]] = {}
         self.opened = 0
 
@@ -285,13 +394,26 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    Connection, address.host, address.port
+                    lambda: Connection(self._account, self._received),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectError(str(address), error) from error
         return connection
 
 
+def _measure_event(event: answerparser.Event) -> int:
+    """Returns the memory that an event holds, in bytes."""
+    match event:
+        case answerparser.BodyPart(data):
+            return memory.PART_BYTES + len(data)
+        case heads.AnswerHead():
+            return event.held_bytes
+        case _:
+            return memory.PART_BYTES
+
+
 def _wake(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
         waiter.set_result(None)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/heads.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/heads.py
@@ -59,10 +59,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A complete request."""
+    """A complete request.
+
+    Attributes:
+        head: Its head.
+        body: Its body, without chunks' sizes.
+        held_bytes: Memory that it holds, in bytes.
+    """
 
     head: RequestHead
     body: bytes
+    held_bytes: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +82,7 @@
         headers: Headers in order.
         ends_at_close: Whether the body ends only when the connection closes.
         keep_alive: Whether the connection can be reused for another request.
+        held_bytes: Memory that it holds, in bytes.
     """
 
     status: int
@@ -82,6 +90,7 @@
     headers: tuple[Header, ...]
     ends_at_close: bool
     keep_alive: bool
+    held_bytes: int = dataclasses.field(default=0, compare=False)
 
     def find(self, name: bytes) -> bytes | None:
         """Returns the first value of a header; `name` must be in lower case."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -16,11 +16,15 @@
 from chicoryweir_daemon.forwarder import digestformat
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fetching
+from chicoryweir_daemon.forwarder import metrics_registry
 from chicoryweir_daemon.forwarder import process
+from chicoryweir_daemon.forwarder import refusalreports
 from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
+from chicoryweir_daemon.http1 import limits
+from chicoryweir_daemon.http1 import memory
 from chicoryweir_daemon.http1 import requestparser
 from chicoryweir_daemon.lifecycle import descriptors
 from chicoryweir_daemon.lifecycle import eventloop
@@ -66,6 +70,7 @@
             the body of its answer; raises ValueError if it is not valid.
         forwarded_headers: Names of headers forwarded with a call, in lower case.
         memory_bytes: Memory that the process may use, in bytes.
+        received: Limits on what entries and the rank may send.
     """
 
     name: str
@@ -76,15 +81,21 @@
     counts_target: bytes
     decode_counts: collections.abc.Callable[[bytes], tuple[int, tuple[int, ...]]]
     memory_bytes: int = process.DEFAULT_MEMORY_BYTES
+    received: limits.ReceivedLimits = limits.DEFAULT
 
 
 class Agent:
     """Forwards calls of entries to the rank on its own machine."""
 
-    def __init__(self, settings: Settings, event_log: eventlog.EventLog) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        event_log: eventlog.EventLog,
+        account: memory.Account,
+    ) -> None:
         self._settings = settings
         self._event_log = event_log
-        self._pool = connections.Pool()
+        self._pool = connections.Pool(account, settings.received)
         self._address = connections.Address(settings.rank.host, settings.rank.port)
         self._digests = digests.DigestSource(secrets.randbits(SEQUENCE_BITS))
 
@@ -196,25 +207,27 @@
     event_log = eventlog.EventLog(settings.name)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(supervision.create_exception_handler(event_log))
-    agent = Agent(settings, event_log)
+    refusals = refusalreports.RefusalReport(metrics_registry.MetricsRegistry())
+    account = refusalreports.create_account(
+        settings.memory_bytes, settings.received, refusals
+    )
+    agent = Agent(settings, event_log, account)
+    server_limits = dataclasses.replace(LIMITS, received=settings.received)
     open_connections: set[callers.CallerConnection] = set()
     listener = settings.listener
 
     servers: list[asyncio.Server] = []
-    buffer = callers.RequestBuffer(
-        int(settings.memory_bytes * process.REQUEST_MEMORY_SHARE)
-    )
     gate = descriptors.create_gate(DESCRIPTOR_SHARE, event_log)
 
     async def open_server() -> None:
         server = await loop.create_server(
             lambda: callers.CallerConnection(
                 agent,
-                lambda: LIMITS,
+                lambda: server_limits,
                 open_connections,
                 requests.stop.is_set,
                 gate.admit,
-                buffer,
+                account,
             ),
             listener.host,
             listener.port,
@@ -227,10 +240,13 @@
         event_log.record(
             catalogue.DAEMON_STARTED, listener=str(listener), rank=str(settings.rank)
         )
+    reporting = asyncio.create_task(refusals.run(account, event_log))
     await requests.stop.wait()
     for server in servers:
         server.close()
     await _await_calls(open_connections)
+    await eventloop.cancel_tasks([reporting])
+    refusals.write(account, event_log)
     event_log.record(catalogue.DAEMON_STOPPED, detail="planned stop")
 
 
--- a/packages/chicoryweir-daemon/tests/forwarder/test_supervision.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_supervision.py
@@ -15,6 +15,7 @@
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_daemon.forwarder.mapcontrol import map_controller
 from chicoryweir_daemon.http1 import callers
+from chicoryweir_daemon.http1 import memory
 from chicoryweir_policy.forwarding import endpoints
 
 
@@ -98,7 +99,7 @@
             set(),
             lambda: False,
             lambda count: True,
-            callers.RequestBuffer(1 << 20),
+            memory.Account(1 << 20),
         ),
         "127.0.0.1",
         0,
--- a/packages/chicoryweir-daemon/tests/http1/test_callers.py
+++ b/packages/chicoryweir-daemon/tests/http1/test_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chicoryweir_daemon.http1 import callers
+from chicoryweir_daemon.http1 import memory
 
 LIMITS = callers.ServerLimits(1000, 1 << 20, 1.0, 1.0)
 
@@ -30,7 +31,7 @@
 
     async def start(max_connections=100, max_bytes=1 << 20):
         handler, connections = _Handler(), set()
-        buffer = callers.RequestBuffer(max_bytes)
+        buffer = memory.Account(max_bytes)
         server = await asyncio.get_running_loop().create_server(
             lambda: callers.CallerConnection(
                 handler,
@@ -74,21 +75,27 @@
     second.close()
 
 
-# Guards against a process that is killed since bodies that it reads fill its memory.
-async def test_request_that_there_is_no_memory_for_is_rejected(start_server):
-    handler, buffer, port = await start_server(max_bytes=30_000)
-    _, first = await asyncio.open_connection("127.0.0.1", port)
+# Guards against a process that is killed since bodies that it reads fill its memory, and
+# against one that refuses all others since one caller holds most of it.
+async def test_largest_request_is_rejected_if_there_is_no_memory_for_it(start_server):
+    handler, account, port = await start_server(max_bytes=30_000)
+    reader, first = await asyncio.open_connection("127.0.0.1", port)
     first.write(_encode(40_000, 25_000))
-    await _wait_for(lambda: buffer.used_bytes > 25_000)
-    reader, second = await asyncio.open_connection("127.0.0.1", port)
-    second.write(_encode(40_000, 10_000))
+    await _wait_for(lambda: account.used_bytes > 25_000)
+    other_reader, second = await asyncio.open_connection("127.0.0.1", port)
+    second.write(_encode(10_000, 9_999))
     head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
     assert head.startswith(b"HTTP/1.1 503 ")
     assert b"Retry-After: 1" in head
     assert handler.handled == 0
+    handler.released.set()
+    second.write(b"x")
+    head = await asyncio.wait_for(other_reader.readuntil(b"\r\n\r\n"), 5.0)
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert handler.handled == 1
     first.close()
     second.close()
-    await _wait_for(lambda: buffer.used_bytes == 0)
+    await _wait_for(lambda: account.used_bytes == 0)
 
 
 async def test_memory_of_an_answered_request_is_free_again(start_server):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -52,6 +52,7 @@
 ANNOUNCEMENT_UNREADABLE = 132
 ANNOUNCEMENT_NOT_SENT = 133
 LINES_DROPPED = 140
+RECEIVED_REFUSED = 141
 REQUEST_REFUSED = 200
 REQUEST_RETRIED = 201
 REQUEST_RESUMED = 202
@@ -241,6 +242,13 @@
         "Log lines were dropped because the reader of the log did not keep up.",
         "Check the process that reads standard output.",
     ),
+    EventKind(
+        RECEIVED_REFUSED,
+        "received_refused",
+        "Messages were refused, or connections closed, in the last minute: they were "
+        "beyond a limit or there was no memory for them.",
+        "See which limits `causes` names; raise one if callers or endpoints need it.",
+    ),
     EventKind(
         REQUEST_REFUSED,
         "request_refused",
