--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -117,16 +117,19 @@
             self._arrived_at
         )
         try:
-            async with asyncio.timeout_at(self._compute_end_at()) as timeout:
-                self._timeout = timeout
+            async with asyncio.timeout_at(self._compute_end_at()) as self._timeout:
                 await self._serve()
         except TimeoutError:
-            if not timeout.expired():
+            if self._timeout is None or not self._timeout.expired():
                 raise
             self._end_at_deadline()
         except asyncio.CancelledError:
             self._log_end("caller left", 0, "")
             raise
+        finally:
+            # The attempt refers to this exchange, and the timeout to its task; they would
+            # hold the request until the garbage collector finds them.
+            self._attempt = self._timeout = None
 
     def update_end(self) -> None:
         """Sets the time until which the request may go on as it does now.
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/answerparser.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/answerparser.py
@@ -87,7 +87,6 @@
             data: At most `STEP_BYTES` bytes, so that no more than that is held before
                 the limits are checked.
         """
-        self._events = []
         if self._broken:
             return []
         try:
@@ -100,7 +99,7 @@
         self._head_bytes = 0 if self._events else self._head_bytes + len(data)
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(f"over {MAX_HEAD_BYTES} bytes without a complete head")
-        return self._events
+        return self._take_events()
 
     def feed_eof(self, clean: bool) -> list[Event]:
         """Handles the end of the connection and returns the resulting events.
@@ -109,7 +108,6 @@
             clean: Whether the connection ended without an error. Only then is an answer
                 without a length complete.
         """
-        self._events = []
         if self._broken:
             return []
         if self._in_answer and self._ends_at_close and clean:
@@ -117,7 +115,7 @@
             self._events.append(End())
         elif self._in_answer:
             self._fail("the connection ended within the answer")
-        return self._events
+        return self._take_events()
 
     def on_message_begin(self) -> None:
         """Resets the state for a new answer."""
@@ -193,6 +191,11 @@
             self._flush_body()
             self._events.append(End())
 
+    def _take_events(self) -> list[Event]:
+        """Returns the new events without keeping them, and the memory that they hold."""
+        events, self._events = self._events, []
+        return events
+
     def _flush_body(self) -> None:
         if self._body:
             self._events.append(BodyPart(b"".join(self._body)))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -242,6 +242,9 @@
         finally:
             timer.cancel()
             self._waiter = None
+            # A cancelled waiter refers to its exception, and that to this frame; both
+            # would hold the request until the garbage collector finds them.
+            del waiter, timer
 
     @property
     def _holds_enough(self) -> bool:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
@@ -107,11 +107,10 @@
         Args:
             data: At most `step_bytes` bytes.
         """
-        self._events = []
         if not (self.in_head or self.in_body):
             data = self._skip_empty_lines(data)
         if self._failed or not data:
-            return self._events
+            return self._take_events()
         self._begins_with_head = not self.in_body
         if self.in_body:
             self._framing_bytes += len(data)
@@ -127,7 +126,7 @@
                 self._reject_head()
         elif self._framing_bytes > self._received.max_trailer_bytes + STEP_BYTES:
             self._reject_trailers()
-        return self._events
+        return self._take_events()
 
     def on_message_begin(self) -> None:
         """Marks the begin of a head."""
@@ -202,6 +201,11 @@
         self._events.append(heads.Request(self._head, bytes(self._body), held_bytes))
         self._reset()
 
+    def _take_events(self) -> list[Event]:
+        """Returns the new events without keeping them, and the memory that they hold."""
+        events, self._events = self._events, []
+        return events
+
     def _skip_empty_lines(self, data: bytes | memoryview) -> bytes | memoryview:
         """Returns the data without empty lines before a request."""
         if not data or data[0] not in _LINE_ENDS:
