--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -127,8 +127,8 @@
             self._log_end("caller left", 0, "")
             raise
         finally:
-            # The attempt refers to this exchange, and the timeout to its task; they would
-            # hold the request until the garbage collector finds them.
+            # The attempt refers to this exchange, and the timeout to its task; until the
+            # garbage collector finds them, they would hold the request.
             self._attempt = self._timeout = None
 
     def update_end(self) -> None:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/requestparser.py
@@ -202,7 +202,7 @@
         self._reset()
 
     def _take_events(self) -> list[Event]:
-        """Returns the new events without keeping them, and the memory that they hold."""
+        """Returns the new events; the parser keeps none, and no memory of them."""
         events, self._events = self._events, []
         return events
 
--- a/packages/chicoryweir-daemon/tests/http1/test_callers.py
+++ b/packages/chicoryweir-daemon/tests/http1/test_callers.py
@@ -75,8 +75,8 @@
     second.close()
 
 
-# Guards against a process that is killed since bodies that it reads fill its memory, and
-# against one that refuses all others since one caller holds most of it.
+# Guards against a process that is killed since bodies that it reads fill its memory,
+# and against one that refuses all others since one caller holds most of it.
 async def test_largest_request_is_rejected_if_there_is_no_memory_for_it(start_server):
     handler, account, port = await start_server(max_bytes=30_000)
     reader, first = await asyncio.open_connection("127.0.0.1", port)
