--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -127,7 +127,7 @@
             self._log_end("caller left", 0, "")
             raise
         finally:
-            # The attempt refers to this exchange, and the timeout to its task; until the
+            # The attempt refers to this exchange and the timeout to its task; until the
             # garbage collector finds them, they would hold the request.
             self._attempt = self._timeout = None
 
