Bound heads and trailers at the product's own entry, and statuses at its agent

uvicorn has no limits for them with httptools: it collected header and trailer lines without end. A subclass of its protocol counts lines and bytes. httpx accepts answers with a status of 600 to 999 (it refuses those below 100); uvicorn then has no status line for them and answers 500. The agent now counts them as failures of the engine.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
@@ -26,6 +26,8 @@
 # Maximum size of a document of the engine; its cache events have some 10 KB.
 MAX_DOCUMENT_BYTES = 4 << 20
 _OK = 200
+# Greatest status that HTTP has; an entry can't send others.
+MAX_STATUS = 599
 _PLAIN_INCARNATION = "plain"
 
 
@@ -109,6 +111,9 @@
     async def _relay_answer(
         self, command: commands.CallEndpoint, answer: httpx.Response
     ) -> None:
+        if answer.status_code > MAX_STATUS:
+            # httpx itself refuses those below 100, and interim answers are skipped.
+            raise httpx.RemoteProtocolError(f"status {answer.status_code}")
         content_type = answer.headers.get("content-type", "")
         mode = requests.AnswerMode.BODY
         if answer.status_code == _OK and command.mode is requests.AnswerMode.EVENTS:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -17,6 +17,7 @@
 from chicoryweir_daemon import logs
 from chicoryweir_daemon.entry import application
 from chicoryweir_daemon.entry import callers
+from chicoryweir_daemon.entry import limited_protocol
 from chicoryweir_daemon.entry import mailboxes
 from chicoryweir_daemon.entry import metrics
 from chicoryweir_daemon.entry import outcome_window
@@ -226,6 +227,7 @@
             log_config=None,
             access_log=False,
             loop="asyncio",
+            http=limited_protocol.LimitedProtocol,
             ws="none",
             proxy_headers=False,
             timeout_keep_alive=KEEP_ALIVE_S,
--- a/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
+++ b/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
@@ -13,6 +13,18 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 PART = b"a" * 65_536
+CALL = commands.CallEndpoint(
+    "a",
+    "r",
+    "POST",
+    "/x",
+    "",
+    "",
+    b"",
+    requests.AnswerMode.EVENTS,
+    requests.PriorityClass.URGENT,
+    0,
+)
 
 
 class CoreStandIn:
@@ -72,19 +84,7 @@
 # Guards against an attempt that ends without an outcome.
 async def test_event_without_end_fails_the_attempt(engine):
     core, task = _make_task(engine[0])
-    call = commands.CallEndpoint(
-        "a",
-        "r",
-        "POST",
-        "/x",
-        "",
-        "",
-        b"",
-        requests.AnswerMode.EVENTS,
-        requests.PriorityClass.URGENT,
-        0,
-    )
-    core.handlers[commands.CallEndpoint](call)
+    core.handlers[commands.CallEndpoint](CALL)
     failed = await _wait_for(core, events.EndpointFailed)
     assert failed.attempt_id == "a"
     await task.close()
@@ -101,3 +101,23 @@
         await probes
     await task.close()
     assert engine[1][0] < 16 * endpoints.MAX_DOCUMENT_BYTES
+
+
+# Guards against a status of a failing engine that the entry can't send to its caller.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+async def test_status_outside_the_range_is_a_failure(status):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 %s X\r\nContent-Length: 3\r\n\r\nbad" % status)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    core, task = _make_task(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    core.handlers[commands.CallEndpoint](CALL)
+    failed = await _wait_for(core, events.EndpointFailed)
+    assert failed.sent
+    kinds = [type(event) for event in core.events]
+    assert events.EndpointAnswerStarted not in kinds
+    await task.close()
+    server.close()
