--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/answerparser.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/answerparser.py
@@ -35,9 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """The answer is truncated or invalid; `detail` gives the reason."""
+    """The answer is truncated or invalid.
+
+    Attributes:
+        detail: The reason.
+        is_beyond_limit: Whether it is larger than a limit allows.
+    """
 
     detail: str
+    is_beyond_limit: bool = dataclasses.field(default=False, compare=False)
 
 
 Event = heads.AnswerHead | BodyPart | End | Broken
@@ -98,7 +104,8 @@
         self._flush_body()
         self._head_bytes = 0 if self._events else self._head_bytes + len(data)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self._fail(f"over {MAX_HEAD_BYTES} bytes without a complete head")
+            detail = f"over {MAX_HEAD_BYTES} bytes without a complete head"
+            self._fail(detail, is_beyond_limit=True)
         return self._take_events()
 
     def feed_eof(self, clean: bool) -> list[Event]:
@@ -138,14 +145,14 @@
         if not self._in_body:
             self._headers.append((name, value))
             if self._lines > self._received.max_answer_lines:
-                self._break("a head of too many lines")
+                self._break("a head of too many lines", is_beyond_limit=True)
             return
         self._trailer_bytes += len(name) + len(value)
         if (
             self._lines > self._received.max_trailer_lines
             or self._trailer_bytes > self._received.max_trailer_bytes
         ):
-            self._break("too many trailers")
+            self._break("too many trailers", is_beyond_limit=True)
 
     def on_headers_complete(self) -> None:
         """Emits the head, unless the answer is an interim one (1xx)."""
@@ -162,7 +169,7 @@
                 self._break(f"an interim answer with a body, status {status}")
             self._interim_answers += 1
             if self._interim_answers > self._received.max_interim_answers:
-                self._break("too many interim answers")
+                self._break("too many interim answers", is_beyond_limit=True)
             self._is_interim = True
             return
         self._interim_answers = 0
@@ -201,20 +208,20 @@
             self._events.append(BodyPart(b"".join(self._body)))
             self._body = []
 
-    def _break(self, detail: str) -> None:
+    def _break(self, detail: str, is_beyond_limit: bool = False) -> None:
         """Breaks the answer off within a callback of the parser.
 
         Raises:
             _BrokenError: Always.
         """
-        self._fail(f"not a valid answer: {detail}")
+        self._fail(f"not a valid answer: {detail}", is_beyond_limit)
         raise _BrokenError
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, detail: str, is_beyond_limit: bool = False) -> None:
         if self._broken:
             return
         self._flush_body()
         self._broken = True
         self._in_answer = False
         self._headers = []
-        self._events.append(Broken(detail))
+        self._events.append(Broken(detail, is_beyond_limit))
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -202,9 +202,10 @@
         self._queued_bytes -= _measure_event(event)
         if isinstance(event, heads.AnswerHead):
             self._head_bytes = event.held_bytes
+        # The account measures again before it ends anything, so that what is taken need
+        # not be updated here for each event.
         if not self._events:
             self._continue_reading()
-        self._update_holding()
         return event
 
     def mark_idle(self, head: heads.AnswerHead, now: float) -> bool:
@@ -281,6 +282,8 @@
         for event in events:
             self._events.append(event)
             self._queued_bytes += _measure_event(event)
+            if isinstance(event, answerparser.Broken) and event.is_beyond_limit:
+                self._account.record_refusal(memory.Cause.ANSWER)
 
     def _wake_reader(self) -> None:
         if self._events and self._waiter is not None:
--- a/packages/chicoryweir-daemon/tests/http1/test_callers.py
+++ b/packages/chicoryweir-daemon/tests/http1/test_callers.py
@@ -5,15 +5,18 @@
 import pytest
 
 from chicoryweir_daemon.http1 import callers
+from chicoryweir_daemon.http1 import limits
 from chicoryweir_daemon.http1 import memory
 
-LIMITS = callers.ServerLimits(1000, 1 << 20, 1.0, 1.0)
+RECEIVED = limits.ReceivedLimits(unread_timeout_s=0.2)
+LIMITS = callers.ServerLimits(1000, 1 << 20, 1.0, 1.0, RECEIVED)
 
 
 class _Handler:
     def __init__(self):
         self.released = asyncio.Event()
         self.handled = 0
+        self.body = b""
 
     def reject(self, rejected):
         return []
@@ -21,7 +24,7 @@
     async def handle(self, request, answer):
         self.handled += 1
         await self.released.wait()
-        answer.send(200, [])
+        answer.send(200, [], self.body)
 
 
 @pytest.fixture
@@ -123,3 +126,32 @@
     assert head.startswith(b"HTTP/1.1 200 ")
     other.close()
     writer.close()
+
+
+# Guards against answers that pile up for a caller that doesn't read.
+async def test_caller_that_does_not_read_is_disconnected(start_server):
+    handler, account, port = await start_server(max_bytes=100 << 20)
+    handler.released.set()
+    handler.body = b"x" * 8_000_000
+    _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1000)
+    writer.write(_encode(0, 0) * 20)
+    await _wait_for(lambda: account.used_bytes > 0)
+    await _wait_for(lambda: account.used_bytes == 0)
+    assert handler.handled == 1
+    writer.close()
+
+
+# Guards against an interim answer that is written within the answer before it.
+async def test_continue_follows_the_answer_before(start_server):
+    handler, _, port = await start_server()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    expecting = _encode(3, 0).replace(b"Host", b"Expect: 100-continue\r\nHost")
+    writer.write(_encode(0, 0) + expecting)
+    await _wait_for(lambda: handler.handled == 1)
+    handler.released.set()
+    heads = [await reader.readuntil(b"\r\n\r\n") for _ in range(2)]
+    assert [head[:12] for head in heads] == [b"HTTP/1.1 200", b"HTTP/1.1 100"]
+    writer.write(b"abc")
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+    assert head.startswith(b"HTTP/1.1 200 ")
+    writer.close()
--- a/packages/chicoryweir-daemon/tests/http1/test_requestparser.py
+++ b/packages/chicoryweir-daemon/tests/http1/test_requestparser.py
@@ -91,3 +91,36 @@
         (b"X-Kept", b"2"),
     )
     assert heads.strip_connection_headers(headers) == [(b"X-Kept", b"2")]
+
+
+# Guards against bytes without end that aren't part of a head or a body.
+@pytest.mark.parametrize(
+    ("start", "part", "allowed", "status"),
+    [
+        (b"", b"\r\n", 64, 400),
+        (CHUNKED[:-2], b"a:\r\n", 64, 431),
+        (CHUNKED[:-2], b"a: " + b"b" * 1000 + b"\r\n", 8, 431),
+        (CHUNKED[:-5] + b"1;", b"b" * 1000, 8, 431),
+    ],
+)
+def test_bytes_beside_requests_are_bounded(start, part, allowed, status):
+    parser = requestparser.RequestParser(1000, 1000)
+    events = [e for data in (start, *[part] * allowed) for e in parser.feed(data)]
+    assert events == []
+    events = [e for data in [part] * 20 for e in parser.feed(data)]
+    assert [event.status for event in events] == [status]
+
+
+def test_trailers_within_the_limits_are_dropped():
+    (request,) = _parse(CHUNKED[:-2] + b"X-Trailer: 1\r\n\r\n")
+    assert request.body == b"hello"
+    assert request.head.find(b"x-trailer") is None
+
+
+# Guards against a limit that counts more than was sent.
+def test_head_of_the_largest_size_is_accepted():
+    head = b"GET / HTTP/1.1\r\n"
+    head += b"a:\r\n" * ((1000 - len(head) - 2) // 4) + b"\r\n"
+    for cuts in ((), (500,), (10, 999)):
+        (request,) = _parse(b"\r\n" + head + head, cuts, max_head_bytes=len(head))[:1]
+        assert len(request.head.headers) == 245
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -17,6 +17,8 @@
 # another writer's, and would break what is computed from it.
 MAX_NAME_LENGTH = 200
 MAX_SLOTS = 1_000_000
+# Endpoints that an entry keeps; large systems have some 100.
+MAX_ENDPOINTS = 4_096
 MAX_COLD_S = 86_400.0
 MAX_BORN_MS = 1 << 53
 MAX_EPOCH = 1 << 53
@@ -93,6 +95,7 @@
         "host": _is_unicast_address(endpoint.host),
         "port": 0 < endpoint.port < 1 << 16,
         "slots": 0 < endpoint.slots <= MAX_SLOTS,
+        "data_centre": len(endpoint.data_centre) <= MAX_NAME_LENGTH,
         "cold_s": 0.0 <= endpoint.cold_s <= MAX_COLD_S,
         "born_ms": 0 <= endpoint.born_ms <= MAX_BORN_MS,
         "member": member is None or _is_valid_member(member),
@@ -363,6 +366,9 @@
         )
 
     def _register(self, endpoint: Endpoint) -> Transition | None:
+        is_new = endpoint.instance not in self._endpoints
+        if is_new and len(self._endpoints) >= MAX_ENDPOINTS:
+            return Transition(endpoint.instance, endpoint.service, "surplus")
         self._missing.pop(endpoint.instance, None)
         before = self._endpoints.get(endpoint.instance)
         departed = self._departed.pop(endpoint.instance, None)
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -238,3 +238,14 @@
     announced = table.list_stated_leaving(1.0 + endpoints.SPREAD_S)
     assert announced == (endpoints.Leaving("a", 1),)
     assert table.list_stated_leaving(1.1 + endpoints.SPREAD_S) == ()
+
+
+# Guards against a feed without end that fills an entry's memory.
+def test_endpoints_beyond_the_limit_are_ignored(make_endpoint):
+    names = [f"e{number}" for number in range(endpoints.MAX_ENDPOINTS)]
+    table = _create_table(make_endpoint, *names)
+    transition = table.apply(endpoints.Registered(make_endpoint("more")), 1.0)
+    assert transition.meaning == "surplus"
+    changed = table.apply(endpoints.Registered(make_endpoint("e1", leaving=True)), 1.0)
+    assert changed.meaning == "leaving"
+    assert len(table.list_all()) == endpoints.MAX_ENDPOINTS
--- a/tests/fleet_platform/test_formats.py
+++ b/tests/fleet_platform/test_formats.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chicoryweir_daemon.http1 import heads
+from chicoryweir_daemon.http1 import limits
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import endpoints
 from fleet_platform import decoding
@@ -213,3 +214,19 @@
     head = heads.AnswerHead(200, b"", fields, False, True)
     statement = headers.HeaderCodec().read_answer(head).statement
     assert statement.unknown == ("server-mood", "chicoryweir-load")
+
+
+def test_limits_on_what_is_received_have_defaults_and_bounds():
+    fields = settings.parse_fields(
+        "received.memory_mb=8\nreceived.header_lines=100\nreceived.unread_timeout_s=0.5"
+    )
+    received = settings._decode_received(fields)
+    assert received.memory_bytes == 8 << 20
+    assert received.compute_max_lines(16_384) == 100
+    assert received.unread_timeout_s == 0.5
+    default = settings._decode_received({})
+    assert default == limits.DEFAULT
+    assert default.compute_max_lines(16_384) == 4_096
+    for key in ("memory_mb", "header_lines", "body_timeout_s", "unread_timeout_s"):
+        with pytest.raises(settings.SettingsError):
+            settings._decode_received({f"received.{key}": "0"})
