--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -269,6 +269,7 @@
                     len(body) <= relay.MAX_BUFFERED_BYTES
                 ):
                     body += data
+                    connection.hold(len(body))
                 case answerparser.End():
                     error_answer = relay.BufferedAnswer(head, bytes(body))
                     detail = f"status {head.status}"
