Make the decision in a shortage a Protocol

Who starts, waits and is rejected was spread over the dispatcher, the queue and the reservation, so that no other way could be compared with it. The dispatcher now asks one object (shedding.Shedding).

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -4,21 +4,21 @@
 
 import collections.abc
 import dataclasses
-import functools
 import math
 
-from chicoryweir_policy import requests
 from chicoryweir_policy.admission import delay
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
+from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import latency
 from chicoryweir_policy.forwarding import loads
+from chicoryweir_policy.forwarding import objectivefirst
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import ratelimits
-from chicoryweir_policy.forwarding import reservation
 from chicoryweir_policy.forwarding import rests
 from chicoryweir_policy.forwarding import selection
+from chicoryweir_policy.forwarding import shedding
 
 # Retry-after time of requests that expired in the queue.
 EXPIRED_RETRY_S = 1.0
@@ -31,11 +31,6 @@
 # remains. Fewer would be overloaded, and a problem of most endpoints usually has a
 # common cause.
 MIN_TRUSTED_SHARE = 0.4
-# Time constant of the moving average of the load that shows whether late requests can
-# start at all.
-LOAD_AVERAGING_S = 1.0
-# Share of the slots up to which no request is rejected for the load alone.
-UNSATURATED_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,13 +108,13 @@
             endpoint_table: Endpoints known to this entry.
             load_table: Load of the endpoints.
             selector: Selects the endpoint of a request.
-            queue: Queue of the service.
+            queue: Queue of the service, unless `set_shedding` is called.
             entry: Name of this entry.
         """
         self._endpoints = endpoint_table
         self._loads = load_table
         self._selector = selector
-        self._queue = queue
+        self._shedding: shedding.Shedding = objectivefirst.ObjectiveFirst(queue, entry)
         self._head: queueing.PendingRequest | None = None
         self._is_avoided: collections.abc.Callable[[str, float], bool] = _avoid_none
         self._inflation = congestion.StepInflation()
@@ -129,14 +124,11 @@
         self._slowdowns: collections.abc.Mapping[str, float] = {}
         self._rate_limits = ratelimits.RateLimits(entry)
         self._rests = rests.Rests("")
-        self._reservation = reservation.Reservation(entry)
-        self._average_running = 0.0
-        self._averaged_at = -math.inf
         self._capacity = _Capacity([], 0, 0, 0, 0)
 
     def __len__(self) -> int:
         """Returns the number of queued requests."""
-        return len(self._queue) + (self._head is not None)
+        return len(self._shedding) + (self._head is not None)
 
     def describe_admission(self, now: float) -> AdmissionInputs:
         """Returns the inputs of the latest decision."""
@@ -148,6 +140,14 @@
             self._peer_on_time,
         )
 
+    def take_basis(self, request_id: str) -> shedding.Basis | None:
+        """Returns what the latest decision on a request was based on, if known."""
+        return self._shedding.take_basis(request_id)
+
+    def set_shedding(self, decision: shedding.Shedding) -> None:
+        """Sets who decides in a shortage; called before the first request."""
+        self._shedding = decision
+
     def set_avoidance(
         self, is_avoided: collections.abc.Callable[[str, float], bool]
     ) -> None:
@@ -216,18 +216,16 @@
             The outcome of the request, and those of requests that were evicted for it
             or dispatched from the queue.
         """
-        priority = queueing.convert_priority(request.priority)
-        late = now > request.latest_on_time_start_at
-        self._reservation.record_request(priority, late, now)
+        self._shedding.record_request(request, now)
         capacity = self._measure_capacity(service, now)
-        if not len(self) and self._admits(capacity, priority, late, now):
+        if not len(self) and self._shedding.admits(request, now):
             dispatched = self._dispatch(request, capacity, now)
             if dispatched is not None:
                 return (dispatched,)
         rejection = self._check_acceptance(request, capacity, now)
         if rejection is not None:
             return (rejection,)
-        rejections = self._queue.push(request, now)
+        rejections = self._shedding.push(request, now)
         if any(r.request.request_id == request.request_id for r in rejections):
             return rejections
         return (*rejections, Enqueued(request), *self.dispatch_queued(service, now))
@@ -236,7 +234,7 @@
         self, service: configuration.Service, now: float
     ) -> tuple[Outcome, ...]:
         """Dispatches queued requests while capacity is free; rejects expired ones."""
-        outcomes: list[Outcome] = list(self._queue.expire(now))
+        outcomes: list[Outcome] = list(self._shedding.expire(now))
         if self._head is not None and self._head.latest_start_at < now:
             outcomes.append(_reject_expired(self._head))
             self._head = None
@@ -246,9 +244,7 @@
                 outcomes += self._reject_in_rest(capacity.rest_s, now)
             if not capacity.free:
                 break
-            request = self._head or self._queue.pop(
-                now, functools.partial(self._admits_queued, capacity, now)
-            )
+            request = self._head or self._shedding.pop(now)
             self._head = None
             if request is None:
                 break
@@ -265,7 +261,7 @@
 
     def count_on_time(self) -> int:
         """Returns the number of queued requests that can still be on time."""
-        return self._queue.count_on_time()
+        return self._shedding.count_on_time()
 
     def set_peer_on_time(self, count: int) -> None:
         """Sets the number of on-time requests that are queued at other entries."""
@@ -276,7 +272,7 @@
         if self._head is not None and self._head.request_id == request_id:
             self._head = None
             return
-        self._queue.remove(request_id)
+        self._shedding.remove(request_id)
 
     def finish(self, dispatched: Dispatched) -> None:
         """Subtracts a finished request from the load of its endpoint."""
@@ -284,21 +280,6 @@
             dispatched.endpoint.instance, dispatched.request.estimate.memory_tokens
         )
 
-    def _admits(
-        self, capacity: _Capacity, priority: int, late: bool, now: float
-    ) -> bool:
-        """Returns whether requests of a priority may start now."""
-        limit = self._reservation.compute_limit(capacity.limit, priority, late, now)
-        return capacity.running < limit
-
-    def _admits_queued(
-        self, capacity: _Capacity, now: float, priority: int, late: bool
-    ) -> bool:
-        # The free capacity may be needed by other entries' on-time requests.
-        if late and capacity.free <= self._peer_on_time:
-            return False
-        return self._admits(capacity, priority, late, now)
-
     def _dispatch(
         self, request: queueing.PendingRequest, capacity: _Capacity, now: float
     ) -> Dispatched | None:
@@ -316,8 +297,7 @@
         )
         self._rate_limits.record_sent(chosen.endpoint)
         self._rests.record_sent(chosen.endpoint, now)
-        priority = queueing.convert_priority(request.priority)
-        self._reservation.record_start(priority, now)
+        self._shedding.record_start(request, now)
         return Dispatched(request, chosen.endpoint)
 
     def _find_max_slowdown(self, usable: list[endpoints.Endpoint]) -> float:
@@ -332,14 +312,17 @@
     ) -> _Capacity:
         """Computes load, limits and free capacity of the endpoints."""
         capacity = self._capacity = self._compute_capacity(service, now)
-        weight = 1.0 - math.exp(-max(0.0, now - self._averaged_at) / LOAD_AVERAGING_S)
-        self._average_running += weight * (capacity.running - self._average_running)
-        self._averaged_at = now
-        late_limit = self._reservation.compute_limit(
-            capacity.limit, max(requests.PriorityClass), True, now
+        load = shedding.ServiceLoad(
+            capacity.running,
+            capacity.limit,
+            capacity.slots,
+            capacity.free,
+            self._peer_on_time,
+            self._loads.count_own(c.endpoint.instance for c in capacity.candidates),
+            self._loads.measure_silence_s(now),
+            demand.estimate_run_s(service.engine) * self._inflation.factor,
         )
-        unsaturated = max(late_limit, UNSATURATED_SHARE * capacity.slots)
-        self._queue.set_saturated(self._average_running >= max(1.0, unsaturated))
+        self._shedding.observe(load, now)
         return capacity
 
     def _compute_capacity(
@@ -406,7 +389,7 @@
 
     def _reject_in_rest(self, rest_s: float, now: float) -> list[queueing.Rejection]:
         """Rejects the queued requests that can't wait until an endpoint's rest ends."""
-        rejected = [r.request for r in self._queue.expire(now + rest_s)]
+        rejected = [r.request for r in self._shedding.expire(now + rest_s)]
         if self._head is not None and self._head.latest_start_at < now + rest_s:
             rejected.append(self._head)
             self._head = None
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/loads.py
@@ -53,6 +53,7 @@
         self._peers: dict[str, PeerLoad] = {}
         self._totals: dict[str, Load] = {}
         self._oldest_received_at = math.inf
+        self._latest_received_at = -math.inf
         self.expiry_s = EXPIRY_S
 
     def record_start(self, instance: str, memory_tokens: float) -> None:
@@ -78,6 +79,7 @@
         self.forget_peer(peer)
         self._peers[peer] = PeerLoad(loads, now)
         self._oldest_received_at = min(self._oldest_received_at, now)
+        self._latest_received_at = now
         for instance, load in loads.items():
             self._add(instance, load)
 
@@ -105,6 +107,14 @@
             return 0.0
         return now - self._oldest_received_at
 
+    def count_own(self, instances: collections.abc.Iterable[str]) -> int:
+        """Returns the number of this entry's running requests at some endpoints."""
+        return sum(self._own.get(name, _NO_LOAD).requests for name in instances)
+
+    def measure_silence_s(self, now: float) -> float:
+        """Returns the age of the latest announcement; infinite if there was none."""
+        return now - self._latest_received_at
+
     def _add(self, instance: str, change: Load) -> None:
         total = self._totals.get(instance, _NO_LOAD).add(change)
         if total.requests:
