--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -29,6 +29,7 @@
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import retries
+from chicoryweir_policy.forwarding import returns
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import stalls
 from chicoryweir_policy.forwarding import statements
@@ -91,6 +92,13 @@
         self._fingerprint = crashes.compute_fingerprint(
             routed.workspace, facts.host, request.head.target, request.body
         )
+        first_attempts = self._fleet.get_first_attempts(self._route.name)
+        first_attempts.record(facts.remaining_s)
+        self._origin = returns.Origin(
+            f"{self._fingerprint:016x}",
+            arrived_at - first_attempts.estimate_age_s(facts.remaining_s),
+            self._deadline_at,
+        )
         self._prompt_parts = tuple(
             f"{service.name}/{part}" for part in facts.shared_parts
         )
@@ -106,7 +114,7 @@
         self._endpoint: endpoints.Endpoint | None = None
         self._statement = statements.Statement()
         self._attempt_log: list[str] = []
-        self._admission_log: dict[str, int | float] = {}
+        self._admission_log: dict[str, int | float | str] = {}
         self._attempt: attempts.Attempt | None = None
         self._timeout: asyncio.Timeout | None = None
         self._relay = self._create_relay()
@@ -171,6 +179,7 @@
             finally:
                 self._waited_s += self._now() - queued_at
                 self._describe_admission()
+            self._record_decision(allocated)
             match allocated:
                 case queueing.Rejection() as rejection:
                     if rejection.predicted_wait_s is not None:
@@ -197,6 +206,27 @@
             "first_part_s": round(dispatcher.predict_first_part_s(), 3),
         }
 
+    def _record_decision(self, allocated: allocation.Allocation) -> None:
+        """Keeps what a decision in a shortage was based on, and counts its outcome."""
+        dispatcher = self._fleet.get_dispatcher(self._service.name)
+        basis = dispatcher.take_basis(allocated.request.request_id)
+        if basis is None:
+            return
+        if isinstance(allocated, queueing.Rejection):
+            outcome = f"rejected: {allocated.reason}"
+        else:
+            outcome = "started late" if basis.late else "started on time"
+        self._context.metrics.count("shedding", outcome)
+        self._admission_log |= {
+            "decision": outcome,
+            "load_share": round(basis.load_share, 3),
+            "threshold": round(basis.threshold, 3),
+            "age_s": round(basis.age_s, 3),
+            "predicted_wait_s": round(basis.predicted_wait_s, 3),
+        }
+        if basis.heard_s < math.inf:
+            self._admission_log["heard_s"] = round(basis.heard_s, 3)
+
     async def _run_attempt(self, dispatched: dispatching.Dispatched) -> None:
         endpoint = self._endpoint = dispatched.endpoint
         attempt = attempts.Attempt(
@@ -515,6 +545,7 @@
             abandon_at,
             self._arrived_at,
             self._excluded,
+            self._origin,
         )
 
     def _estimate_demand(self) -> demand.Demand:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -17,10 +17,12 @@
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import ratelimits
 from chicoryweir_policy.forwarding import rests
+from chicoryweir_policy.forwarding import returns
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import selection
 from chicoryweir_policy.forwarding import statements
 from chicoryweir_policy.forwarding import stopping
+from chicoryweir_policy.forwarding import ways
 from chicoryweir_policy.routing import outliers
 
 # Maximum number of headers without a known meaning that are remembered and logged.
@@ -73,6 +75,7 @@
         self._dispatchers: dict[str, dispatching.Dispatcher] = {}
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._durations: dict[str, stopping.AnswerDurations] = {}
+        self._first_attempts: dict[str, returns.FirstAttempts] = {}
         self._unknown_statements: set[tuple[str, str]] = set()
 
     @property
@@ -104,6 +107,10 @@
                 queueing.create_request_queue(),
                 self.settings.name,
             )
+            settings = self.settings
+            dispatcher.set_shedding(
+                ways.create_shedding(settings.shedding, settings.name)
+            )
             dispatcher.set_avoidance(self._is_ejected)
             dispatcher.set_slowdowns(self._merged_slowdowns)
             dispatcher.set_rate_limits(self.rate_limits)
@@ -184,6 +191,10 @@
         """Returns how long the answers to the requests of a route take."""
         return self._durations.setdefault(route, stopping.AnswerDurations())
 
+    def get_first_attempts(self, route: str) -> returns.FirstAttempts:
+        """Returns what tells the first attempts of a route's requests from others."""
+        return self._first_attempts.setdefault(route, returns.FirstAttempts())
+
     def count_entries(self, now: float) -> int:
         """Returns the number of serving entries, including this one."""
         return self.peers.count_entries(now)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from chicoryweir_policy.forwarding import ways
+
 # Memory of a process whose settings state none.
 DEFAULT_MEMORY_BYTES = 256 << 20
 # Share of the memory for requests that are being read or wait. What is sent on is held
@@ -68,6 +70,7 @@
             processor's speed and by the bandwidth of its link. Compared between
             entries only.
         memory_bytes: Memory that the process may use, in bytes.
+        shedding: How it is decided who starts, waits and is rejected in a shortage.
     """
 
     name: str
@@ -84,3 +87,4 @@
     bounds: Bounds
     capacity: float = 0.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    shedding: ways.Way = ways.Way.OBJECTIVE_FIRST
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/congestion.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/congestion.py
@@ -66,6 +66,26 @@
     return engine.steps_per_event * (engine.step_s * slowdown + sequence_s * running)
 
 
+def predict_run_s(
+    inflation: StepInflation, engine: configuration.Engine | None, running: float
+) -> float:
+    """Predicts the time that a usual request runs, in seconds.
+
+    Args:
+        inflation: Current inflation.
+        engine: Nominal speed of the engine; None for a plain service.
+        running: Mean number of running requests per endpoint.
+
+    Returns:
+        The time; 0 for a plain service, whose requests don't tell their work.
+    """
+    if engine is None:
+        return 0.0
+    events = engine.usual_answer_tokens / engine.steps_per_event
+    interval_s = compute_event_interval_s(engine, max(1.0, running))
+    return events * interval_s * inflation.factor
+
+
 def record_gap(
     inflation: StepInflation,
     engine: configuration.Engine,
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/demand.py
@@ -68,19 +68,6 @@
     return Demand(cost, first_part_s, prompt + answer)
 
 
-def estimate_run_s(engine: configuration.Engine | None) -> float:
-    """Estimates the time that a usual request runs at a busy endpoint, in seconds.
-
-    Returns:
-        The time at the engine's nominal speed; 0 for a plain service, whose requests
-        give no information on their work.
-    """
-    if engine is None:
-        return 0.0
-    full_step_s = engine.step_s + engine.sequence_s * engine.slots
-    return engine.usual_answer_tokens * full_step_s
-
-
 def _estimate_tokens(
     size: RequestSize | None, engine: configuration.Engine
 ) -> tuple[float, float]:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -9,7 +9,6 @@
 from chicoryweir_policy.admission import delay
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
-from chicoryweir_policy.forwarding import demand
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import latency
 from chicoryweir_policy.forwarding import loads
@@ -320,7 +319,11 @@
             self._peer_on_time,
             self._loads.count_own(c.endpoint.instance for c in capacity.candidates),
             self._loads.measure_silence_s(now),
-            demand.estimate_run_s(service.engine) * self._inflation.factor,
+            congestion.predict_run_s(
+                self._inflation,
+                service.engine,
+                capacity.running / max(1, len(capacity.candidates)),
+            ),
         )
         self._shedding.observe(load, now)
         return capacity
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
@@ -16,6 +16,7 @@
 from chicoryweir_policy.admission import fair_queue
 from chicoryweir_policy.admission import queued
 from chicoryweir_policy.forwarding import demand
+from chicoryweir_policy.forwarding import returns
 
 # Time that each priority level of a route adds to the deadline by which requests of one
 # workspace are ordered. It exceeds the difference between objectives, so that requests
@@ -56,6 +57,7 @@
         abandon_at: Time at which its caller leaves if it has received nothing.
         arrived_at: Time of arrival.
         excluded: Instances that it is sent to only if all usable ones are excluded.
+        origin: The caller's call that it is an attempt of; None if it isn't known.
     """
 
     request_id: str
@@ -67,6 +69,7 @@
     abandon_at: float
     arrived_at: float
     excluded: frozenset[str] = frozenset()
+    origin: returns.Origin | None = None
 
     @property
     def latest_on_time_start_at(self) -> float:
--- a/tests/support/groupload.py
+++ b/tests/support/groupload.py
@@ -9,6 +9,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -20,13 +21,17 @@
 from chicoryweir_policy.forwarding import loads
 from chicoryweir_policy.forwarding import peers
 from chicoryweir_policy.forwarding import queueing
+from chicoryweir_policy.forwarding import returns
 from chicoryweir_policy.forwarding import selection
+from chicoryweir_policy.forwarding import shedding
 
 SERVICE = "model"
 TICK_S = 0.03
 # Requests that wait in an endpoint's own queue; further ones are declined.
 ENDPOINT_QUEUE = 10
 WORKSPACES = 24
+# Time after which callers that don't honour retry-after times come back.
+EARLY_RETURN_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +42,8 @@
     per_s: float
     worth: float
     late_worth: float
+    prompt_tokens: float = 750.0
+    events: float = 19.7
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,6 +71,15 @@
         shifted_s: Time after a shift until the map follows.
         shifted_skew: Load of the most loaded rank over the mean until then.
         skew: The same afterwards.
+        groups: Number of lock-step groups that the ranks form.
+        data_centres: Number of data centres that the entries are in.
+        wave: Share by which the rate in each data centre rises and falls.
+        wave_s: Period of the wave, which is shifted between the data centres.
+        hot_share: Share of the requests that one workspace sends.
+        early_share: Share of the callers that come back after 0.1 s.
+        hints: Whether callers state how long an answer they expect.
+        returns: Number of times a rejected caller comes back.
+        shedding: Creates what decides in a shortage; None for the default.
     """
 
     engine: configuration.Engine
@@ -76,10 +92,19 @@
     shifted_s: float = 0.8
     shifted_skew: float = 2.4
     skew: float = 1.2
+    groups: int = 1
+    data_centres: int = 1
+    wave: float = 0.0
+    wave_s: float = 13.0
+    hot_share: float = 0.0
+    early_share: float = 0.0
+    hints: bool = False
+    returns: int = 1
+    shedding: typing.Callable[[str], shedding.Shedding] | None = None
 
 
 @dataclasses.dataclass
-class _Call:
+class Call:
     """One request of a caller, over its attempts."""
 
     number: int
@@ -97,6 +122,10 @@
     last_at: float = 0.0
     longest_gap_s: float = 0.0
     events_left: int = 0
+    data_centre: int = 0
+    early: bool = False
+    hinted_tokens: int | None = None
+    outcome: str = "unfinished"
 
 
 @dataclasses.dataclass
@@ -123,11 +152,15 @@
         kinds: Tally of each kind.
         peak_running: Most requests that ran or waited at the group.
         worth: Worth earned over worth owed.
+        calls: All calls, with their outcomes.
+        retry_after_s: Retry-after times of all rejections, with the time left then.
     """
 
     kinds: list[Tally]
     peak_running: int
     worth: float
+    calls: list[Call] = dataclasses.field(default_factory=list)
+    retry_after_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
 
 
 class _Entry:
@@ -160,8 +193,10 @@
             queueing.create_request_queue(),
             self.name,
         )
+        if scenario.shedding is not None:
+            self.dispatcher.set_shedding(scenario.shedding(self.name))
         self.on_time: dict[int, int] = {}
-        self.waiting: dict[str, _Call] = {}
+        self.waiting: dict[str, Call] = {}
 
 
 class Simulation:
@@ -175,8 +210,8 @@
         self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._order = itertools.count()
         self._now = 0.0
-        self._running: list[list[_Call]] = [[] for _ in range(scenario.ranks)]
-        self._queued: list[list[_Call]] = [[] for _ in range(scenario.ranks)]
+        self._running: list[list[Call]] = [[] for _ in range(scenario.ranks)]
+        self._queued: list[list[Call]] = [[] for _ in range(scenario.ranks)]
         self._calls = itertools.count()
         self._result = Result([Tally() for _ in scenario.kinds], 0, 0.0)
         self._earned = self._owed = 0.0
@@ -185,7 +220,8 @@
         """Runs until all requests have ended."""
         scenario = self._scenario
         for kind in range(len(scenario.kinds)):
-            self._schedule_arrival(kind)
+            for data_centre in range(scenario.data_centres):
+                self._schedule_arrival(kind, data_centre)
         period_s = peers.ANNOUNCE_PERIOD_S * max(
             1.0, len(self._entries) / peers.FULL_RATE_ENTRIES
         )
@@ -193,7 +229,8 @@
             offset = self._rng.random()
             self._schedule(offset * period_s, self._make_announcer(number, period_s))
             self._schedule(offset * TICK_S, self._make_ticker(number))
-        self._schedule(0.0, self._step)
+        for group in range(scenario.groups):
+            self._schedule(0.0, self._make_stepper(group))
         while self._events and self._now < scenario.length_s + 12.0:
             self._now, _, action = heapq.heappop(self._events)
             action()
@@ -203,35 +240,55 @@
     def _schedule(self, at: float, action: typing.Callable[[], None]) -> None:
         heapq.heappush(self._events, (at, next(self._order), action))
 
-    def _schedule_arrival(self, kind: int) -> None:
-        per_s = self._scenario.kinds[kind].per_s
-        for burst in self._scenario.bursts:
+    def _schedule_arrival(self, kind: int, data_centre: int) -> None:
+        scenario = self._scenario
+        per_s = scenario.kinds[kind].per_s / scenario.data_centres
+        for burst in scenario.bursts:
             if burst.kind == kind and burst.begin_s <= self._now < burst.end_s:
                 per_s *= burst.factor
+        turn = self._now / scenario.wave_s + data_centre / scenario.data_centres
+        per_s *= 1.0 + scenario.wave * math.sin(math.tau * turn)
         at = self._now + self._rng.expovariate(per_s)
-        if at < self._scenario.length_s:
-            self._schedule(at, lambda: self._arrive(kind))
+        if at < scenario.length_s:
+            self._schedule(at, lambda: self._arrive(kind, data_centre))
 
-    def _arrive(self, kind: int) -> None:
-        self._schedule_arrival(kind)
-        rng = self._rng
+    def _arrive(self, kind_number: int, data_centre: int) -> None:
+        self._schedule_arrival(kind_number, data_centre)
+        rng, scenario = self._rng, self._scenario
+        kind = scenario.kinds[kind_number]
         workspace = f"w{int(WORKSPACES * rng.random() ** 2)}"
-        prompt = min(2400, max(50, int(rng.lognormvariate(6.3, 0.8))))
-        answer_events = min(48, max(2, int(rng.lognormvariate(2.7, 0.75))))
-        call = _Call(
-            next(self._calls), kind, self._now, workspace, prompt, answer_events
+        prompt = int(rng.lognormvariate(math.log(kind.prompt_tokens) - 0.32, 0.8))
+        events = int(rng.lognormvariate(math.log(kind.events) - 0.28, 0.75))
+        call = Call(
+            next(self._calls),
+            kind_number,
+            self._now,
+            workspace,
+            min(2400, max(50, prompt)),
+            min(48, max(2, events)),
+            scenario.returns,
+            data_centre=data_centre,
         )
-        self._result.kinds[kind].asked += 1
-        self._owed += self._scenario.kinds[kind].worth
+        if scenario.hot_share and rng.random() < scenario.hot_share:
+            call.workspace = "hot"
+        if scenario.early_share:
+            call.early = rng.random() < scenario.early_share
+        if scenario.hints:
+            tokens = call.events * scenario.engine.steps_per_event
+            call.hinted_tokens = int(tokens * rng.lognormvariate(0.0, 0.5))
+        self._result.calls.append(call)
+        self._result.kinds[kind_number].asked += 1
+        self._owed += kind.worth
         self._submit(call)
 
-    def _submit(self, call: _Call) -> None:
+    def _submit(self, call: Call) -> None:
         scenario, now = self._scenario, self._now
-        call.entry = self._rng.randrange(len(self._entries))
+        entries = range(call.data_centre, len(self._entries), scenario.data_centres)
+        call.entry = self._rng.choice(entries)
         call.attempt_id = f"{call.number}-{call.returns}"
         route = scenario.kinds[call.kind].route
         entry = self._entries[call.entry]
-        size = demand.RequestSize(call.prompt_tokens, 400, None)
+        size = demand.RequestSize(call.prompt_tokens, 400, call.hinted_tokens)
         estimate = demand.estimate_demand(size, scenario.engine)
         first_part_s = max(
             estimate.first_part_s, entry.dispatcher.predict_first_part_s()
@@ -246,6 +303,7 @@
             now + route.objective_s,
             abandonment.compute_abandon_at(route, now, deadline_at),
             now,
+            origin=returns.Origin(str(call.number), call.arrived_at, deadline_at),
         )
         entry.waiting[call.attempt_id] = call
         self._apply(entry, entry.dispatcher.submit(request, self._service, now))
@@ -263,7 +321,7 @@
                     self._reject(call, outcome.retry_after_s)
 
     def _send(
-        self, entry: _Entry, call: _Call, dispatched: dispatching.Dispatched
+        self, entry: _Entry, call: Call, dispatched: dispatching.Dispatched
     ) -> None:
         rank = int(dispatched.endpoint.instance[1:])
         if len(self._queued[rank]) >= ENDPOINT_QUEUE:
@@ -276,22 +334,28 @@
         total = sum(map(len, self._running)) + sum(map(len, self._queued))
         self._result.peak_running = max(self._result.peak_running, total)
 
-    def _reject(self, call: _Call, retry_after_s: float) -> None:
+    def _reject(self, call: Call, retry_after_s: float) -> None:
         self._result.kinds[call.kind].rejections += 1
         timeout_s = self._scenario.kinds[call.kind].route.timeout_s
         left_s = call.arrived_at + timeout_s - self._now
+        self._result.retry_after_s.append((retry_after_s, left_s))
         if not call.returns or left_s < 0.5:
             self._result.kinds[call.kind].refused += 1
+            call.outcome = "refused"
             return
         call.returns -= 1
-        back_at = self._now + min(retry_after_s, left_s / 3.0)
+        back_s = EARLY_RETURN_S if call.early else min(retry_after_s, left_s / 3.0)
+        back_at = self._now + back_s
         self._schedule(back_at, lambda: self._submit(call))
 
-    def _step(self) -> None:
+    def _make_stepper(self, group: int) -> typing.Callable[[], None]:
+        return lambda: self._step(group)
+
+    def _step(self, group: int) -> None:
         """Runs one pass: every running stream gets an event at its end."""
-        engine, own_s = self._scenario.engine, []
-        for rank, running in enumerate(self._running):
-            started = 0.0
+        scenario, engine, own_s = self._scenario, self._scenario.engine, []
+        for rank in range(group, scenario.ranks, scenario.groups):
+            running, started = self._running[rank], 0.0
             while self._queued[rank] and len(running) < engine.slots:
                 call = self._queued[rank].pop(0)
                 started += call.prompt_tokens / engine.read_tokens_per_s
@@ -305,9 +369,8 @@
             else:
                 own_s.append(0.0)
         if not any(own_s):
-            self._schedule(self._now + 0.01, self._step)
+            self._schedule(self._now + 0.01, self._make_stepper(group))
             return
-        scenario = self._scenario
         since_shift_s = self._now % scenario.shift_period_s
         is_shifted = (
             self._now > scenario.shift_period_s and since_shift_s < scenario.shifted_s
@@ -315,21 +378,22 @@
         skew = scenario.shifted_skew if is_shifted else scenario.skew
         mean_s = sum(own_s) / len(own_s)
         pass_s = 0.15 * max(own_s) + 0.85 * skew * mean_s
-        self._schedule(self._now + pass_s, self._end_step)
+        self._schedule(self._now + pass_s, lambda: self._end_step(group))
 
-    def _end_step(self) -> None:
-        ended: list[tuple[int, _Call]] = []
+    def _end_step(self, group: int) -> None:
+        ended: list[tuple[int, Call]] = []
         measured: set[int] = set()
-        for rank, running in enumerate(self._running):
+        for rank in range(group, self._scenario.ranks, self._scenario.groups):
+            running = self._running[rank]
             for call in list(running):
                 if self._deliver(call, measured):
                     running.remove(call)
                     ended.append((rank, call))
         for _, call in ended:
             self._end(call)
-        self._step()
+        self._step(group)
 
-    def _deliver(self, call: _Call, measured: set[int]) -> bool:
+    def _deliver(self, call: Call, measured: set[int]) -> bool:
         """Delivers one event; returns whether the stream has ended."""
         route = self._scenario.kinds[call.kind].route
         dispatcher = self._entries[call.entry].dispatcher
@@ -346,7 +410,7 @@
         call.events_left -= 1
         return call.events_left <= 0
 
-    def _end(self, call: _Call) -> None:
+    def _end(self, call: Call) -> None:
         entry = self._entries[call.entry]
         assert call.dispatched is not None
         assert call.first_at is not None
@@ -358,9 +422,15 @@
             and call.longest_gap_s <= kind.route.max_gap_s
         ):
             tally.on_time += 1
+            call.outcome = "on time"
             self._earned += kind.worth
+        elif self._now > call.arrived_at + kind.route.timeout_s:
+            # The entry has broken it off.
+            tally.refused += 1
+            call.outcome = "refused"
         else:
             tally.late += 1
+            call.outcome = "late"
             self._earned += kind.worth * kind.late_worth
         self._dispatch(entry)
 
