--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from chicoryweir_daemon.http1 import limits
+from chicoryweir_policy.forwarding import ways
 
 # Memory of a process whose settings state none.
 DEFAULT_MEMORY_BYTES = 256 << 20
@@ -79,6 +80,7 @@
             entries only.
         memory_bytes: Memory that the process may use, in bytes.
         received: Limits on what callers, endpoints and the store may send.
+        shedding: How it is decided who starts, waits and is rejected in a shortage.
     """
 
     name: str
@@ -96,3 +98,4 @@
     capacity: float = 0.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     received: limits.ReceivedLimits = limits.DEFAULT
+    shedding: ways.Way = ways.Way.OBJECTIVE_FIRST
