Choose the way to decide in a shortage by the routes' priorities

It is now the default for services whose routes of streams all have one priority; others are served as before.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -122,10 +122,9 @@
                 queueing.create_request_queue(),
                 self.settings.name,
             )
-            settings = self.settings
-            dispatcher.set_shedding(
-                ways.create_shedding(settings.shedding, settings.name)
-            )
+            configured = () if self.table is None else self.table.configuration.routes
+            way = ways.choose_way(self.settings.shedding, service, configured)
+            dispatcher.set_shedding(ways.create_shedding(way, self.settings.name))
             dispatcher.set_avoidance(self._is_ejected)
             dispatcher.set_slowdowns(self._merged_slowdowns)
             dispatcher.set_rate_limits(self.rate_limits)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/process.py
@@ -98,4 +98,4 @@
     capacity: float = 0.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     received: limits.ReceivedLimits = limits.DEFAULT
-    shedding: ways.Way = ways.Way.OBJECTIVE_FIRST
+    shedding: ways.Way = ways.Way.BY_PRIORITY
--- a/tests/fleet_platform/test_formats.py
+++ b/tests/fleet_platform/test_formats.py
@@ -57,7 +57,7 @@
 def test_way_to_decide_in_a_shortage_has_a_default():
     fields = settings.parse_fields(SETTINGS.replace("shedding=", "other="))
     loaded = settings.decode_settings(fields)
-    assert loaded.shedding is ways.Way.OBJECTIVE_FIRST
+    assert loaded.shedding is ways.Way.BY_PRIORITY
 
 
 @pytest.mark.parametrize(
@@ -71,7 +71,7 @@
         ("bounds.grace_s", "nan", "a number"),
         ("bounds.cold_slack", "-1", "a number"),
         ("platform.address", "", "missing"),
-        ("shedding", "cheapest", "objective_first or least_cost"),
+        ("shedding", "cheapest", "by_priority, objective_first, least_cost"),
     ],
 )
 def test_error_names_the_key_and_the_allowed_values(tmp_path, key, value, allowed):
