--- a/packages/chicoryweir-policy/benchmarks/shedding.py
+++ b/packages/chicoryweir-policy/benchmarks/shedding.py
@@ -109,6 +109,7 @@
     ]
     for name in loads:
         lines += _format_load(name, results)
+    # The notes on targets in docs/measurements/shedding.md are written by hand.
     path.write_text("\n".join(lines) + "\n")
 
 
