Share the limits of cold endpoints soon after the whole fleet started

The wait lets entries that ran on hear the new one. If all entries that were heard had just started and the store has told all hosts, 1 s after a majority is enough. The new test fails without the change.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -149,11 +149,18 @@
         self.cold_endpoints.set_bounds(bounds.cold_over, bounds.cold_slack)
         self.add_entry_hosts(settings.seeds)
 
-    def add_entry_hosts(self, hosts: collections.abc.Collection[str]) -> None:
-        """Adds hosts on which an entry may run."""
+    def add_entry_hosts(
+        self, hosts: collections.abc.Collection[str], are_all: bool = False
+    ) -> None:
+        """Adds hosts on which an entry may run.
+
+        Args:
+            hosts: The hosts.
+            are_all: Whether they are all hosts that the store lists.
+        """
         now = self.clock.read()
         self.peers.add_hosts(hosts, now)
-        self.cold_endpoints.participants.add_hosts(hosts, now)
+        self.cold_endpoints.participants.add_hosts(hosts, now, are_all)
 
     def apply_peer_announcements(self, now: float) -> None:
         """Passes the other entries' announcements to the dispatchers."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -111,7 +111,11 @@
         self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
         self._fleet.apply_peer_announcements(now)
         self._fleet.cold_endpoints.participants.record_heard(
-            announcement.host, announcement.ready, announcement.peers, now
+            announcement.host,
+            announcement.ready,
+            announcement.peers,
+            now,
+            announcement.sequence <= peers.STARTING_ANNOUNCEMENTS,
         )
         self._fleet.crashes.merge(announcement.crash_update, now)
         self._fleet.crashes.parts.merge(announcement.part_update, now)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -441,7 +441,7 @@
                     )
             hosts = await registry.list_entries()
             if not isinstance(hosts, interfaces.Unreachable):
-                self._fleet.add_entry_hosts(hosts)
+                self._fleet.add_entry_hosts(hosts, are_all=True)
                 self._gossip.announce(force=True)
                 if written is not None:
                     await self._store_health.await_restore(written.era)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -19,7 +19,8 @@
 # another writer's, and would break what is computed from it.
 MAX_NAME_LENGTH = 200
 MAX_SLOTS = 1_000_000
-# Endpoints that an entry keeps; large systems have some 100.
+# Endpoints that an entry keeps, several times the 890 that fleets are planned for. More
+# are the rows of a writer in error.
 MAX_ENDPOINTS = 4_096
 MAX_COLD_S = 86_400.0
 MAX_BORN_MS = 1 << 53
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/participants.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/participants.py
@@ -4,6 +4,8 @@
 others that do. An entry therefore counts those that it heard or that others named in
 the last `KEPT_S`. One that starts takes part only when the others have heard it, and
 one that is cut off from half of the entries stops before those count it no longer.
+After the whole fleet has started again nobody has to be waited for: entries that the
+store lists count each other, and those that ran on, if any, still count all that ran.
 Entries are told apart by host: other entries' announcements name hosts only.
 """
 
@@ -23,6 +25,10 @@
 # it sends from the start, arrive at the others within it: they are up to 1 s old, and
 # the next ones follow after 0.5 s under load.
 JOIN_S = 3.0
+# The same in an entry that knows all hosts from the store, if all entries that it has
+# heard started at about the same time. It covers the first announcements of an entry
+# that ran on, which are up to 1 s old.
+START_JOIN_S = 1.0
 # Time without a call after which the process may have been frozen. What it receives for
 # as long afterwards may be as old as that, and doesn't show that it still hears anyone.
 GAP_S = 2.0
@@ -37,12 +43,14 @@
         seen_at: When it was last heard, or named by a source.
         heard_at: When it was last heard.
         has_left: Whether it said that it doesn't accept callers: it starts or stops.
+        was_starting: Whether it had just started when it was first heard.
     """
 
     known_since: float
     seen_at: float
     heard_at: float = -math.inf
     has_left: bool = False
+    was_starting: bool = False
 
 
 class Participants:
@@ -62,15 +70,27 @@
         self._majority_until = -math.inf
         self._majority_since: float | None = None
         self._takes_part = False
+        self._knows_all = False
         self._sharing = frozenset((host,))
         self._sharing_until = math.inf
 
-    def add_hosts(self, hosts: collections.abc.Iterable[str], now: float) -> None:
+    def add_hosts(
+        self,
+        hosts: collections.abc.Iterable[str],
+        now: float,
+        are_all: bool = False,
+    ) -> None:
         """Adds hosts at which entries may run, from the settings or the store.
 
         An entry that is alone takes part from the first call on.
+
+        Args:
+            hosts: The hosts.
+            now: Present time, monotonic seconds.
+            are_all: Whether they are all hosts that the store lists.
         """
         self._advance(now)
+        self._knows_all = self._knows_all or are_all
         for host in hosts:
             self._record_seen(host, now)
         self._update_majority(now)
@@ -81,6 +101,7 @@
         is_ready: bool,
         named: collections.abc.Iterable[str],
         now: float,
+        is_starting: bool = False,
     ) -> None:
         """Records an announcement of another entry.
 
@@ -89,12 +110,15 @@
             is_ready: Whether it accepts callers.
             named: Hosts of entries that it considers alive.
             now: Present time, monotonic seconds.
+            is_starting: Whether that entry has just started.
         """
         self._advance(now)
         for name in (host, *named):
             self._record_seen(name, now)
         other = self._others.get(host)
         if other is not None:
+            if other.heard_at == -math.inf:
+                other.was_starting = is_starting
             if now >= self._hears_from:
                 other.heard_at = now
             other.has_left = not is_ready
@@ -129,6 +153,9 @@
             return False
         if not self._others:
             return True
+        heard = [o for o in self._others.values() if o.heard_at > -math.inf]
+        if self._knows_all and all(other.was_starting for other in heard):
+            return now - self._majority_since >= START_JOIN_S
         # An entry that this one knows and hasn't heard may not have heard it either.
         has_unheard = any(
             other.heard_at == -math.inf and now - other.known_since < KEPT_S
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/peers.py
@@ -31,6 +31,9 @@
 # Number of other entries' hosts in an announcement. It is sent to all entries, and each
 # of them names others.
 ANNOUNCED_HOSTS = 8
+# Number of announcements during which a process counts as one that has just started:
+# 1 s in small fleets, 4 s with 40 entries.
+STARTING_ANNOUNCEMENTS = 10
 # Number of ended processes remembered of each entry.
 MAX_ENDED_PROCESSES = 8
 
--- a/packages/chicoryweir-policy/tests/forwarding/test_participants.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_participants.py
@@ -52,6 +52,29 @@
     assert not any(entry.wait(float(now)) for now in range(100))
 
 
+# After the end of all machines, nothing was sent to cold endpoints for 3 s.
+@pytest.mark.parametrize(
+    ("are_all", "running", "sends"),
+    [(True, [], True), (False, [], False), (True, HOSTS[6:7], False)],
+)
+def test_entry_that_starts_with_all_others_soon_sends(are_all, running, sends):
+    known = participants.Participants("h0")
+    known.add_hosts(HOSTS, 0.0, are_all)
+    for host in HOSTS[1:8]:
+        known.record_heard(host, True, (), 0.5, is_starting=host not in running)
+    assert not known.list_sharing(0.4 + participants.START_JOIN_S)
+    sharing = known.list_sharing(0.6 + participants.START_JOIN_S)
+    assert sharing == (frozenset(HOSTS) if sends else frozenset())
+
+
+def test_entry_that_starts_without_hearing_a_majority_sends_nothing():
+    known = participants.Participants("h0")
+    known.add_hosts(HOSTS, 0.0, are_all=True)
+    for host in HOSTS[1:6]:
+        known.record_heard(host, True, (), 0.5, is_starting=True)
+    assert not known.list_sharing(2.0)
+
+
 # Guards against an entry that sends while others may not have heard it yet.
 def test_entry_that_starts_sends_once_the_others_have_heard_it():
     entry = _Entry(HOSTS)
