Run the tests of real processes apart from others

Traced: a start is processor time until daemon_started, and an entry is ready some 20 ms after it.

Tests marked `processes` now run in a second step of `make test`, one at a time and with nothing beside them, as is asked of the tests of memory. Checks and bounds are the same.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,15 @@
 
 setup: $(VENV)/.ready
 
+# Tests of real processes run alone: a start takes most of a second of a processor, and
+# beside busy workers processes miss the bounds of their starts and stops.
 test: setup
 	$(BIN)/ruff format --check deploy packages platform tests
 	$(BIN)/ruff check deploy packages platform tests
 	PYTHONPATH=platform $(BIN)/lint-imports
 	$(BIN)/mypy $(wildcard packages/*/src) platform/fleet_platform deploy/build.py
-	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6 --dist loadgroup
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -n 6 --dist loadgroup -m "not processes"
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -m processes
 
 docs: setup
 	$(BIN)/python -m chicoryweir_daemon.eventdocs
--- a/tests/fleet_platform/test_memory_plays.py
+++ b/tests/fleet_platform/test_memory_plays.py
@@ -12,7 +12,7 @@
 import pytest
 import pytest_asyncio
 
-pytestmark = pytest.mark.xdist_group("memory plays")
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory plays")]
 
 SHORT_LINE = b"a:\r\n"
 MAX_HEAD_BYTES = 16_384
--- a/tests/fleet_platform/test_process_lifecycle.py
+++ b/tests/fleet_platform/test_process_lifecycle.py
@@ -10,7 +10,7 @@
 import pytest
 
 # Many starts at once would delay each other.
-pytestmark = pytest.mark.xdist_group("process lifecycle")
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("process lifecycle")]
 # Times since the start of a process, in seconds: while it imports, while it opens its
 # listeners, and later. One before its first line is judged as such.
 MOMENTS = (0.15, 0.25, 0.35, 0.5, 0.7, 0.9, 1.1, 1.4)
--- a/tests/fleet_platform/test_process_soak.py
+++ b/tests/fleet_platform/test_process_soak.py
@@ -4,7 +4,7 @@
 import pytest
 
 # Many starts at once would delay each other.
-pytestmark = pytest.mark.xdist_group("process soak")
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("process soak")]
 
 
 # Guards against processes that end by themselves or don't start on a user's machine.
