Split the handling of a request by concern

Each other concern has a module: requestrecord (state of the request), answerprogress (arrival of the answer's parts), admission (input and log of the dispatcher's decisions), quarantine, attemptreports, failedattempts, endings (answers to the caller and the last log line) and exchangecontext. An attempt calls answerprogress directly, so a streamed event passes no further layer. Behaviour is unchanged. test_planned_stops.py takes its constant from the new module.

--- /dev/null
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
@@ -0,0 +1,90 @@
+"""Decides whether a request is retried after a failed attempt."""
+
+from __future__ import annotations
+
+from chicoryweir_daemon.forwarder import attempt as attempts
+from chicoryweir_daemon.forwarder import crashreports
+from chicoryweir_daemon.forwarder import exchangecontext
+from chicoryweir_daemon.forwarder import requestrecord
+from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import retries
+
+
+def record_failure(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    instance: str,
+    failure: retries.Failure,
+) -> None:
+    """Excludes the instance from the request's next attempts, and counts the failure.
+
+    If another instance uses its address now, the endpoint is removed.
+    """
+    record.excluded |= {instance}
+    if failure is retries.Failure.MISDIRECTED:
+        _remove_displaced(context, record, instance)
+    history = record.attempt_history
+    record.attempt_history = retries.AttemptHistory(
+        history.deliveries + failure.was_delivered,
+        history.attempts + failure.reached_intended_endpoint,
+        history.runs + (not failure.proves_not_run),
+        record.relay.begun,
+        history.requeues + (not failure.reached_intended_endpoint),
+    )
+
+
+def decide_retry(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    failure: retries.Failure,
+    now: float,
+) -> retries.Decision:
+    """Returns how to proceed after a failure, by the history and the retry budget."""
+    fleet = context.fleet
+    budget = fleet.get_retry_budget(record.service.name)
+    return retries.decide_retry(
+        record.route,
+        failure,
+        record.attempt_history,
+        budget.count_remaining(fleet.count_entries(now), now),
+        record.deadline_at - now,
+    )
+
+
+def record_retry(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    instance: str,
+    failed: attempts.Failed,
+    charged: bool,
+    now: float,
+) -> None:
+    """Charges a retry to the budget if it counts there, and logs it."""
+    if charged:
+        fleet = context.fleet
+        budget = fleet.get_retry_budget(record.service.name)
+        budget.try_spend(fleet.count_entries(now), now)
+    context.metrics.count("repeats", failed.failure.value)
+    context.event_log.record(
+        catalogue.REQUEST_RETRIED,
+        record.request_id,
+        instance,
+        failure=failed.failure.value,
+        detail=failed.detail,
+        begun=record.relay.begun,
+        elapsed_s=round(now - record.arrived_at, 3),
+    )
+
+
+def _remove_displaced(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    instance: str,
+) -> None:
+    """Removes an endpoint whose address another instance uses now."""
+    fleet = context.fleet
+    transition = fleet.endpoints.remove_displaced(instance, fleet.clock.read())
+    if transition is not None:
+        crashreports.record_transition(
+            fleet, context.event_log, transition, record.request_id
+        )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chicoryweir_daemon.forwarder import exchange
+from chicoryweir_daemon.forwarder import exchangecontext
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import problems
 from chicoryweir_daemon.http1 import callers
@@ -20,7 +21,7 @@
 class Ingress:
     """Handles the requests of callers."""
 
-    def __init__(self, context: exchange.ExchangeContext) -> None:
+    def __init__(self, context: exchangecontext.ExchangeContext) -> None:
         self._context = context
         self._exchanges: set[exchange.Exchange] = set()
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -12,7 +12,7 @@
 from chicoryweir_daemon.forwarder import allocation
 from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
-from chicoryweir_daemon.forwarder import exchange
+from chicoryweir_daemon.forwarder import exchangecontext
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import gossip as gossips
 from chicoryweir_daemon.forwarder import ingress as ingresses
@@ -114,7 +114,7 @@
         self._store_pool = connections.Pool(self._account, settings.received)
         self._adapters = create_adapters(self._store_pool)
         self._allocator = allocation.EndpointAllocator(self._fleet)
-        context = exchange.ExchangeContext(
+        context = exchangecontext.ExchangeContext(
             self._fleet,
             self._allocator,
             self._pool,
--- a/tests/fleet_platform/test_planned_stops.py
+++ b/tests/fleet_platform/test_planned_stops.py
@@ -7,7 +7,7 @@
 import fleetstandins
 import pytest
 
-from chicoryweir_daemon.forwarder import exchange
+from chicoryweir_daemon.forwarder import endings
 from chicoryweir_daemon.forwarder import service
 
 GRACE_S = 2.0
@@ -48,7 +48,7 @@
     began_at = time.monotonic()
     status, headers, _, complete = await system.call(path, attempt="late", **LATE)
     assert (status, complete) == (503, True)
-    assert float(headers["retry-after"]) == exchange.STOPPING_RETRY_AFTER_S
+    assert float(headers["retry-after"]) == endings.STOPPING_RETRY_AFTER_S
     assert time.monotonic() - began_at < 0.2
     assert endpoint.running == 1
 
