Split the map change by concern

The rest moves to changeplan, changestate, changelimits, rankdecisions (what a rank needs next, by its report), rankholds (holds ordered and released) and settlement (`is_settled`). Behaviour is unchanged. test_change.py and group_controller.py use the new modules; all checks stay.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/group_controller.py
@@ -18,9 +18,12 @@
 from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.maps import placement
 from chicoryweir_policy.rankmaps import change as changes
+from chicoryweir_policy.rankmaps import changeplan
 from chicoryweir_policy.rankmaps import digests
 from chicoryweir_policy.rankmaps import orders
 from chicoryweir_policy.rankmaps import planning
+from chicoryweir_policy.rankmaps import rankholds
+from chicoryweir_policy.rankmaps import settlement
 
 # Maximum time between two polls of a map change for commands.
 COMMAND_POLL_S = 0.02
@@ -101,7 +104,7 @@
         self._load_logged_at = -math.inf
         self._order_lost_at = -math.inf
         self._step_begun_at = -math.inf
-        self._released: frozenset[changes.Hold] = frozenset()
+        self._released: frozenset[rankholds.Hold] = frozenset()
         self._wake = asyncio.Event()
 
     async def update(
@@ -279,7 +282,7 @@
             for report in received
         ):
             return
-        if changes.is_settled(received):
+        if settlement.is_settled(received):
             self._recovered = True
             return
         self._event_log.record(
@@ -293,7 +296,7 @@
         )
         steps = [report.held for report in received if report.held is not None]
         steps += [r.armed_step for r in received if r.armed_step is not None]
-        plan = changes.ChangePlan(
+        plan = changeplan.ChangePlan(
             version=0,
             experts=(),
             current=None,
@@ -419,7 +422,7 @@
         copy_s = planning.compute_copy_s(
             proposal.max_copies_per_rank, layout, engine.link_bytes_per_s
         )
-        plan = changes.ChangePlan(
+        plan = changeplan.ChangePlan(
             version=self._holder.raise_token(),
             experts=planning.encode_maps(proposal.maps),
             current=planning.encode_maps(self._maps),
--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -9,7 +9,10 @@
 
 from chicoryweir_policy.charts import interpreter
 from chicoryweir_policy.rankmaps import change
+from chicoryweir_policy.rankmaps import changeplan
 from chicoryweir_policy.rankmaps import orders
+from chicoryweir_policy.rankmaps import rankholds
+from chicoryweir_policy.rankmaps import settlement
 
 RANKS = 4
 STEP_S = rankgroup.STEP_S
@@ -24,7 +27,7 @@
 
 
 def _plan(holder, version):
-    return change.ChangePlan(
+    return changeplan.ChangePlan(
         version=version,
         experts=((),),
         current=((),),
@@ -45,7 +48,7 @@
 def _recover(simulation, holder):
     """Takes the group over, as each new holder does."""
     reports = [simulation.report(rank) for rank in range(RANKS)]
-    if change.is_settled(reports):
+    if settlement.is_settled(reports):
         return
     steps = [report.held for report in reports if report.held is not None]
     steps += [r.armed_step for r in reports if r.armed_step is not None]
@@ -147,7 +150,7 @@
     simulation = _simulate(idle=True)
     holder = Holder(1)
     holder.released = frozenset(
-        change.Hold(holder.fence, step) for step in range(1, 40)
+        rankholds.Hold(holder.fence, step) for step in range(1, 40)
     )
     assert simulation.drive(_create_change(simulation, holder, 1), 5.0)
     held = [
