Split the forwarding process by concern

The rest moves to listeners, draining, registration, settingswatch, ejections, gauges and clocks. Behaviour is unchanged. The settings in force are held by SettingsWatch only; test_planned_stops.py, which shortens the grace period of a running entry, sets them there, and test_store_and_settings.py reads those that the entry was started with. The checks stay.

--- a/tests/fleet_platform/test_planned_stops.py
+++ b/tests/fleet_platform/test_planned_stops.py
@@ -7,12 +7,12 @@
 import fleetstandins
 import pytest
 
+from chicoryweir_daemon.forwarder import draining
 from chicoryweir_daemon.forwarder import endings
-from chicoryweir_daemon.forwarder import service
 
 GRACE_S = 2.0
 # Time from the signal until unfinished requests are ended.
-STOP_S = GRACE_S - service.ABORT_MARGIN_S - service.ANSWER_MARGIN_S
+STOP_S = GRACE_S - draining.ABORT_MARGIN_S - draining.ANSWER_MARGIN_S
 # Deadlines after the end of the process, and before it.
 LATE = {"Chicoryweir-Deadline-Remaining-Ms": "7000"}
 EARLY = {"Chicoryweir-Deadline-Remaining-Ms": "500"}
@@ -21,7 +21,8 @@
 async def _start(start_system, *endpoints, **options):
     system = await start_system(*endpoints, **options)
     bounds = dataclasses.replace(system.settings.bounds, grace_s=GRACE_S)
-    system.entry._settings = dataclasses.replace(system.settings, bounds=bounds)
+    settings = dataclasses.replace(system.settings, bounds=bounds)
+    system.entry._settings_watch.settings = settings
     return system
 
 
--- a/tests/fleet_platform/test_store_and_settings.py
+++ b/tests/fleet_platform/test_store_and_settings.py
@@ -133,12 +133,12 @@
 
 # Guards against an address that is handed out before connections are accepted there.
 async def test_address_is_resolved_only_once_callers_can_connect(start_system):
-    entry = (await start_system()).entry
+    started = (await start_system()).settings
     settings = dataclasses.replace(
-        entry._settings,
+        started,
         host="127.0.0.9",
-        callers=dataclasses.replace(entry._settings.callers, host="127.0.0.9"),
-        resolution=dataclasses.replace(entry._settings.resolution, host="127.0.0.9"),
+        callers=dataclasses.replace(started.callers, host="127.0.0.9"),
+        resolution=dataclasses.replace(started.resolution, host="127.0.0.9"),
         readiness=None,
     )
     with socket.create_server((settings.callers.host, settings.callers.port)):
