Relay idle announcements twice, so that running entries stay listed

In an idle fleet an entry announces itself every fourth period and counts as ended after ten, so two or three losses in a row remove it from the directory. Through one relay a tenth is lost at 5 % of lost datagrams, more while ended relays count as alive. Announcements without updates now go through two relays of each data centre. The list for callers moves to a pure function.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -169,7 +169,8 @@
             [rest.process for rest in self._fleet.rests.list_own(now)],
             self._list_evacuations(),
         )
-        if not (force or is_due or content != self._last_content):
+        has_updates = content != self._last_content
+        if not (force or is_due or has_updates):
             return
         self._last_content, self._last_sent_at = content, now
         self._fleet.announced_at = self._fleet.clock.read_boot()
@@ -184,6 +185,7 @@
             self._fleet.settings.data_centre,
             self._incarnation + self._sequence,
             force,
+            not has_updates,
         )
         self._send(data, receivers.direct)
         self._send(RELAY_MARK + data, receivers.relays)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/operations.py
@@ -92,18 +92,14 @@
     def _send_addresses(self, head: heads.RequestHead, answer: callers.Answer) -> None:
         settings = self._fleet.settings
         query = dict(urllib.parse.parse_qsl(head.query.decode("latin-1")))
-        candidates = [
-            resolving.EntryAddress(peer.name, peer.address, peer.data_centre)
-            for peer in self._fleet.peers.list_alive(self._fleet.clock.read())
-            if peer.ready
-        ]
+        own = None
         if not self._fleet.stopping:
             own = resolving.EntryAddress(
                 settings.name, str(settings.callers), settings.data_centre
             )
-            candidates.append(own)
+        alive = self._fleet.peers.list_alive(self._fleet.clock.read())
         data_centre = self._operations_format.read_data_centre(query)
-        addresses = resolving.select_addresses(candidates, data_centre)
+        addresses = resolving.list_addresses(alive, own, data_centre)
         if not addresses:
             answer.send(503, [])
             return
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dissemination.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dissemination.py
@@ -21,6 +21,10 @@
 # Number of entries in another data centre from which on one of them relays. Fewer are
 # sent to directly: a relay would save little.
 MIN_RELAYED_ENTRIES = 3
+# Number of relays in each data centre of an announcement without updates. An entry
+# counts as alive for two or three of those only, and one in ten is lost on one of the
+# two ways through a single relay if 5 % of all datagrams are.
+IDLE_RELAYS = 2
 # Time since the last iteration of its event loop's periodic task after which an entry
 # relays nothing. What a frozen process receives is old when it wakes.
 MAX_RELAY_LAG_S = 1.5
@@ -45,6 +49,7 @@
     data_centre: str,
     turn: int,
     is_urgent: bool,
+    is_idle: bool = False,
 ) -> Receivers:
     """Selects the receivers of one announcement.
 
@@ -54,6 +59,7 @@
         data_centre: Data centre of this entry.
         turn: Number that rises with each announcement.
         is_urgent: Whether the announcement goes to every host directly.
+        is_idle: Whether the announcement has no updates.
     """
     is_small = len(alive) < peers.FULL_RATE_ENTRIES
     if is_urgent or is_small or turn % DIRECT_INTERVAL == 0:
@@ -63,7 +69,12 @@
         if peer.data_centre != data_centre:
             remote.setdefault(peer.data_centre, []).append(peer.host)
     relayed = [group for group in remote.values() if len(group) >= MIN_RELAYED_ENTRIES]
-    relays = [sorted(group)[turn % len(group)] for group in relayed]
+    count = IDLE_RELAYS if is_idle else 1
+    relays = [
+        sorted(group)[(turn + n * len(group) // count) % len(group)]
+        for group in relayed
+        for n in range(count)
+    ]
     indirect = {host for group in relayed for host in group}
     return Receivers(
         tuple(sorted(host for host in hosts if host not in indirect)),
--- a/packages/chicoryweir-policy/tests/forwarding/test_dissemination.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_dissemination.py
@@ -85,6 +85,17 @@
     assert len(reached) == len(own) - 1 + 2
 
 
+# Guards against entries that count as ended because two or three announcements without
+# updates were lost by the same relay.
+def test_announcement_without_updates_has_two_relays_in_each_data_centre():
+    sender, *others = ENTRIES.values()
+    hosts = [entry.host for entry in others]
+    receivers = dissemination.select_receivers(hosts, others, "a", 1, False, True)
+    relays = sorted(BY_HOST[host].data_centre for host in receivers.relays)
+    assert relays == ["b", "b", "c", "c"]
+    assert len(set(receivers.relays)) == 4
+
+
 def test_small_fleet_and_urgent_announcements_need_no_relay():
     few = list(ENTRIES.values())[: peers.FULL_RATE_ENTRIES - 1]
     hosts = [entry.host for entry in few]
