--- a/tests/support/memoryplays.py
+++ b/tests/support/memoryplays.py
@@ -78,7 +78,13 @@
 
 
 class Subject:
-    """A process with lowered limits, its stand-ins, and the most that it used."""
+    """A process with lowered limits, its stand-ins, and the most that it used.
+
+    Attributes:
+        memory_mb: Bound of its resident memory.
+    """
+
+    memory_mb = MEMORY_MB
 
     def __init__(self, directory, role, store, endpoint):
         self.role = role
@@ -145,7 +151,7 @@
         self.max_memory_mb = int(fields["VmHWM"].split()[0]) / 1024
         open_count = len(list((process / "fd").iterdir()))
         self.max_descriptors = max(self.max_descriptors, open_count)
-        return self.max_memory_mb < MEMORY_MB and open_count < MAX_DESCRIPTORS
+        return self.max_memory_mb < self.memory_mb and open_count < MAX_DESCRIPTORS
 
     async def serve_one(self):
         """Repeats an ordinary request until it is answered as it should be.
@@ -168,11 +174,17 @@
             port, expected, body = self.ports.peer, 404, b""
             request = b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n"
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection(HOST, port)
-            try:
-                writer.write(request)
-                status, _, answer, _ = await system.read_answer(reader)
-            finally:
-                writer.close()
-            return (status, answer) == (expected, body)
+            return await exchange(port, request) == (expected, body)
         return False
+
+
+async def exchange(port, request):
+    """Sends a request on a new connection; returns the answer's status and body."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        writer.write(request)
+        system = fleetstandins.System(None, None, None, None)
+        status, _, body, _ = await system.read_answer(reader)
+    finally:
+        writer.close()
+    return status, body
