Bound what callers make the product's own entry hold

Cause: uvicorn's protocol limits neither the memory of heads, bodies, requests sent ahead and answers nor the time of heads, stalled bodies and idle connections.

Change: `entry.limited_protocol` parses in steps of 4 KiB into the account of `http1.memory`, stops while a request waits for its answer, and has timeouts. What has not begun is refused with 503 and Retry-After, the largest first; slow heads and bodies get 408, in the place of 400 after 30 s for a body. Connections above a quarter more memory, idle ones, those whose answers aren't read, and those above the descriptors or `max_connections` are closed. The limits are `limits` of the daemon's configuration. Refusals are counted and logged once a minute by the forwarder's report; uvicorn no longer logs a warning for each invalid request.

uvicorn accepts 16 connections at once: with the backlog of 2,048, 500 connections took all 400 descriptors before the first one could be refused.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/configuration.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/configuration.py
@@ -13,6 +13,11 @@
 
 MAX_PORT = 65535
 DEFAULT_SLOTS = 16
+MAX_MEMORY_MB = 1 << 20
+# Memory in which an entry with few callers fits.
+MIN_MEMORY_MB = 128
+MAX_CONNECTIONS = 1 << 20
+MAX_TIMEOUT_MS = 3_600_000
 
 Json = dict[str, typing.Any]
 
@@ -73,6 +78,42 @@
     key_file: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerTimeouts:
+    """Times that a caller may take, in seconds.
+
+    Attributes:
+        head_s: From the first byte of a head to its end.
+        body_s: For a whole body.
+        body_stall_s: Between two parts of a body.
+        idle_s: Without a request.
+        unread_s: Without taking anything of an answer that waits to be sent.
+    """
+
+    head_s: float = 10.0
+    body_s: float = 120.0
+    body_stall_s: float = 10.0
+    idle_s: float = 75.0
+    unread_s: float = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits on callers of an entry.
+
+    Attributes:
+        memory_mb: Memory that the process may use, in MiB; None for half of that of the
+            machine.
+        max_connections: Maximum number of connections of callers; None for as many as
+            the descriptors allow.
+        timeouts: Times that a caller may take.
+    """
+
+    memory_mb: int | None = None
+    max_connections: int | None = None
+    timeouts: CallerTimeouts = CallerTimeouts()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """Parsed configuration file of a daemon.
@@ -88,6 +129,7 @@
         service: Service of an agent's endpoint; empty for an entry.
         endpoint: Endpoint of an agent; None for an entry.
         tls: Certificate and key for callers; None for plain HTTP.
+        limits: Limits on callers of an entry.
     """
 
     instance: str
@@ -100,6 +142,7 @@
     service: str
     endpoint: Endpoint | None
     tls: Tls | None
+    limits: CallerLimits = CallerLimits()
 
 
 class _DocumentReader:
@@ -209,6 +252,33 @@
         service="" if is_entry else reader.read_text(document, "service", ""),
         endpoint=None if is_entry else _read_endpoint(reader, document),
         tls=_read_tls(reader, tls) if tls else None,
+        limits=_read_limits(reader, document) if is_entry else CallerLimits(),
+    )
+
+
+def _read_limits(reader: _DocumentReader, document: Json) -> CallerLimits:
+    limits = reader.read_object(document, "limits", "", required=False)
+
+    def read_optional(key: str, bounds: tuple[int, int]) -> int | None:
+        if limits.get(key) is None:
+            return None
+        return reader.read_number(limits, key, "limits.", bounds, None)
+
+    def read_timeout(key: str, default_s: float) -> float:
+        bounds, default = (1, MAX_TIMEOUT_MS), int(default_s * 1000)
+        return reader.read_number(limits, key, "limits.", bounds, default) / 1000
+
+    defaults = CallerTimeouts()
+    return CallerLimits(
+        memory_mb=read_optional("memory_mb", (MIN_MEMORY_MB, MAX_MEMORY_MB)),
+        max_connections=read_optional("max_connections", (1, MAX_CONNECTIONS)),
+        timeouts=CallerTimeouts(
+            head_s=read_timeout("head_timeout_ms", defaults.head_s),
+            body_s=read_timeout("body_timeout_ms", defaults.body_s),
+            body_stall_s=read_timeout("body_stall_timeout_ms", defaults.body_stall_s),
+            idle_s=read_timeout("idle_timeout_ms", defaults.idle_s),
+            unread_s=read_timeout("unread_timeout_ms", defaults.unread_s),
+        ),
     )
 
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/callers.py
@@ -23,7 +23,6 @@
 from chicoryweir_policy.intake import rejections
 from chicoryweir_policy.settings import resolution
 
-BODY_TIMEOUT_S = 30.0
 SETTINGS_RETRY_AFTER_MS = 1000
 _EVENT_STREAM = "text/event-stream"
 
@@ -287,21 +286,15 @@
 
 
 async def _read_body(receive: Receive, limit_bytes: int) -> bytes | outcomes.Problem:
-    chunks: list[bytes] = []
-    size = 0
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    raise CallerDisconnectedError
-                chunks.append(message.get("body", b""))
-                size += len(chunks[-1])
-                if size > limit_bytes:
-                    return rejections.make_too_large("body", limit_bytes)
-                if not message.get("more_body", False):
-                    return b"".join(chunks)
-    except TimeoutError:
-        return rejections.make_bad_field(
-            "body", f"not whole after {BODY_TIMEOUT_S:g} s"
-        )
+    """Returns the body; the connection limits the time that it takes."""
+    # A list of many small parts would take more memory than their bytes.
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerDisconnectedError
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
+            return rejections.make_too_large("body", limit_bytes)
+        if not message.get("more_body", False):
+            return bytes(body)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import core as prometheus_core
 
 from chicoryweir_daemon.entry import outcome_window
+from chicoryweir_daemon.forwarder import metrics_registry
 from chicoryweir_daemon.runtime import links
 from chicoryweir_policy import outcomes
 from chicoryweir_policy import requests
@@ -33,7 +34,16 @@
         self,
         window: outcome_window.OutcomeWindow,
         get_traffic: collections.abc.Callable[[], links.Traffic],
+        connection_metrics: metrics_registry.MetricsRegistry,
     ) -> None:
+        """Creates a collector without counts.
+
+        Args:
+            window: Recent outcomes.
+            get_traffic: Returns the traffic of the links.
+            connection_metrics: Metrics of what callers' connections hold.
+        """
+        self._connection_metrics = connection_metrics
         self._window = window
         self._get_traffic = get_traffic
         self._answer_counts: collections.Counter[tuple[str, str]] = (
@@ -98,6 +108,7 @@
         yield _make_latency_family(
             "answer", "Time to the whole answer.", self._answer_latencies
         )
+        yield from self._connection_metrics.collect()
 
     def render(self) -> bytes:
         """Returns the metrics in Prometheus' text format."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/service.py
@@ -5,11 +5,14 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
+import math
 import pathlib
 import secrets
 import socket
 import ssl
 import time
+import typing
 
 import uvicorn
 
@@ -17,6 +20,7 @@
 from chicoryweir_daemon import logs
 from chicoryweir_daemon.entry import application
 from chicoryweir_daemon.entry import callers
+from chicoryweir_daemon.entry import connection_limits
 from chicoryweir_daemon.entry import limited_protocol
 from chicoryweir_daemon.entry import mailboxes
 from chicoryweir_daemon.entry import metrics
@@ -26,6 +30,8 @@
 from chicoryweir_daemon.entry.operators import explanations
 from chicoryweir_daemon.entry.operators import routes
 from chicoryweir_daemon.forwarder import eventlog
+from chicoryweir_daemon.forwarder import metrics_registry
+from chicoryweir_daemon.forwarder import refusalreports
 from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_daemon.lifecycle import startup
 from chicoryweir_daemon.runtime import cores
@@ -42,7 +48,9 @@
 
 TICK_S = 0.02
 LISTEN_BACKLOG = 2048
-KEEP_ALIVE_S = 75
+# Connections that are accepted at once. Refused ones have a descriptor for some turns
+# of the event loop, which must not use up those of other connections.
+ACCEPT_BATCH = 16
 SHUTDOWN_GRACE_S = 5
 TLS_CHECK_PERIOD_S = 5.0
 
@@ -50,6 +58,12 @@
 class _Server(uvicorn.Server):
     """An HTTP server that leaves signal handling to this daemon."""
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Starts to accept; asyncio accepts as many at once as its backlog is long."""
+        await super().startup(sockets)
+        for listener in sockets or ():
+            listener.listen(LISTEN_BACKLOG)
+
     @contextlib.contextmanager
     def capture_signals(self) -> collections.abc.Iterator[None]:
         """Installs no signal handlers."""
@@ -104,9 +118,23 @@
         is_store_up=lambda: store_task.is_reachable,
     )
     send_timers = send_timeouts.SendTimers()
-    metrics_collector = metrics.MetricsCollector(window, link_task.get_traffic)
+    registry = metrics_registry.MetricsRegistry()
+    metrics_collector = metrics.MetricsCollector(
+        window, link_task.get_traffic, registry
+    )
+    report = refusalreports.RefusalReport(registry)
+    event_log = eventlog.EventLog(config.instance)
+    limits = connection_limits.create_connection_limits(
+        config, report, registry, event_log
+    )
     server = _make_server(
-        config, core, core_task, metrics_collector, operator_context, send_timers
+        config,
+        core,
+        core_task,
+        metrics_collector,
+        operator_context,
+        send_timers,
+        limits,
     )
     instance_list = http_instances.create_instance_list(config.platform_url)
     core_run = asyncio.ensure_future(core_task.run())
@@ -115,6 +143,7 @@
         asyncio.ensure_future(core_task.run_ticker()),
         asyncio.ensure_future(platform_tasks.poll_instances(instance_list, core_task)),
         asyncio.ensure_future(send_timers.run()),
+        asyncio.ensure_future(report.run(limits.account, event_log)),
     ]
     listener = await _open_listeners(config, link_task, server, requests.stop)
     if listener is not None:
@@ -192,6 +221,7 @@
     metrics_collector: metrics.MetricsCollector,
     operator_context: contexts.OperatorContext,
     send_timers: send_timeouts.SendTimers,
+    limits: connection_limits.ConnectionLimits,
 ) -> uvicorn.Server:
     settings = core.state.settings
     caller_handler = callers.CallerHandler(
@@ -217,20 +247,24 @@
         metrics_collector=metrics_collector,
     )
     tls = config.tls
+    protocol = functools.partial(limited_protocol.LimitedProtocol, limits=limits)
     return _Server(
         uvicorn.Config(
             application.make_application(
                 caller_handler, queries, [routes.make_router(operator_context)]
             ),
-            backlog=LISTEN_BACKLOG,
+            backlog=ACCEPT_BATCH,
             lifespan="off",
             log_config=None,
+            # Any caller could cause a warning for each invalid request.
+            log_level="error",
             access_log=False,
             loop="asyncio",
-            http=limited_protocol.LimitedProtocol,
+            # uvicorn calls what it takes for a class.
+            http=typing.cast(type[asyncio.Protocol], protocol),
             ws="none",
             proxy_headers=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_keep_alive=math.ceil(limits.timeouts.idle_s),
             timeout_graceful_shutdown=SHUTDOWN_GRACE_S,
             ssl_certfile=tls.certificate_file if tls else None,
             ssl_keyfile=tls.key_file if tls else None,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/memory.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/memory.py
@@ -59,13 +59,14 @@
     return sum(len(name) + len(value) + HEADER_BYTES for name, value in headers)
 
 
-def compute_max_bytes(memory_bytes: int) -> int:
+def compute_max_bytes(memory_bytes: int, idle_bytes: int = IDLE_PROCESS_BYTES) -> int:
     """Returns the memory that connections may hold in a process, in bytes.
 
     Args:
         memory_bytes: Memory that the process may use, in bytes.
+        idle_bytes: Memory that it uses when nobody calls, in bytes.
     """
-    share = int((memory_bytes - IDLE_PROCESS_BYTES) * CONNECTION_SHARE)
+    share = int((memory_bytes - idle_bytes) * CONNECTION_SHARE)
     return max(MIN_BYTES, share)
 
 
