--- a/packages/chicoryweir-standins/tests/blackbox/test_entry_memory.py
+++ b/packages/chicoryweir-standins/tests/blackbox/test_entry_memory.py
@@ -8,7 +8,7 @@
 import pytest
 import pytest_asyncio
 
-pytestmark = pytest.mark.xdist_group("memory plays")
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory plays")]
 
 SHORT_LINE = b"a:\r\n"
 # Lines with different names, which also take memory once they are decoded.
