Discard what was measured of an endpoint before its start

The samples of the outlier detector were discarded only when a registration changed its start, not when it was removed in between, and an ejection outlasted any start. A slow start counted like a slow endpoint. Samples are now discarded and an ejection ends at each start, and samples are ignored while the endpoint is cold and for 2 s more, for answers that began meanwhile.

New tests in test_fleet: three of four cases fail without the change (an ejection that outlasts both kinds of start, and one for a slow start); the fourth checks that an endpoint that stays slow is still ejected.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/coldreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/coldreports.py
@@ -26,9 +26,13 @@
 
 
 def record_start(fleet: fleets.Fleet, transition: endpoints.Transition) -> None:
-    """Records that an endpoint started if a transition indicates it."""
+    """Records that an endpoint started if a transition indicates it.
+
+    What was measured of its speed and failures before doesn't count any more.
+    """
     endpoint = fleet.endpoints.get(transition.instance)
     if endpoint is not None and transition.meaning in _START_MEANINGS:
+        fleet.discard_measurements(endpoint, fleet.clock.read())
         fleet.cold_endpoints.record_restart(
             endpoint, fleet.clock.read(), coldness.Reason.STARTED
         )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -31,6 +31,8 @@
 
 # Maximum number of headers without a known meaning that are remembered and logged.
 MAX_UNKNOWN_STATEMENTS = 64
+# Time after an endpoint turned warm in which answers that began before may end.
+COLD_ANSWER_S = 2.0
 
 
 class Fleet:
@@ -162,6 +164,14 @@
         self.peers.add_hosts(hosts, now)
         self.cold_endpoints.participants.add_hosts(hosts, now, are_all)
 
+    def discard_measurements(self, endpoint: endpoints.Endpoint, now: float) -> None:
+        """Discards what was measured of an endpoint that started, and its ejection."""
+        service = self.table and self.table.get_service(endpoint.service)
+        cold_s = max(endpoint.cold_s, service.cold_start_s if service else 0.0)
+        ignored_until = now + cold_s + COLD_ANSWER_S if cold_s > 0.0 else now
+        self.outliers.discard(endpoint.instance, ignored_until)
+        self.ejected_until.pop(endpoint.instance, None)
+
     def apply_peer_announcements(self, now: float) -> None:
         """Passes the other entries' announcements to the dispatchers."""
         alive = self.peers.list_alive(now)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -301,8 +301,6 @@
         now = self._fleet.clock.read()
         for transition in transitions:
             coldreports.record_start(self._fleet, transition)
-            if transition.meaning == "restarted":
-                self._fleet.outliers.discard(transition.instance)
             if transition.meaning == "leaving":
                 # Entries read at different times; the first one tells the others.
                 self._fleet.endpoints.announce_leaving(transition.instance, now)
--- a/packages/chicoryweir-daemon/tests/forwarder/test_fleet.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_fleet.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chicoryweir_daemon.forwarder import coldreports
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import demand
@@ -64,3 +65,59 @@
         )
     ]
     assert len(taken) == fleets.MAX_UNKNOWN_STATEMENTS
+
+
+class Clock:
+    now = 10.0
+
+    def read(self):
+        return self.now
+
+
+def _answer(fleet, now, token_time_s):
+    """Records an answer of each of four endpoints; that of i-1 takes another time."""
+    for name in ("i-1", "i-2", "i-3", "i-4"):
+        is_other = name == "i-1"
+        fleet.outliers.record_outcome(name, False, now)
+        fleet.outliers.record_token_time(name, token_time_s if is_other else 0.01, now)
+
+
+def _eject(fleet, now):
+    ejected = fleet.outliers.eject(("i-1", "i-2", "i-3", "i-4"), now)
+    fleet.ejected_until |= {one.instance: one.until for one in ejected}
+    return [one.instance for one in ejected]
+
+
+# Guards against an endpoint that is avoided, or compared with others, by what its
+# previous process did, also if its registration was removed in between.
+@pytest.mark.parametrize("meaning", ["registered", "restarted"])
+def test_start_discards_what_was_measured_before(settings, meaning):
+    fleet = fleets.Fleet(settings, Clock())
+    fleet.endpoints.replace_all([ENDPOINT], 0.0)
+    for tenth in range(100):
+        _answer(fleet, tenth / 10, 1.0)
+    assert _eject(fleet, 10.0) == ["i-1"]
+    for tenth in range(90):
+        _answer(fleet, 10.0 + tenth / 10, 1.0)
+    fleet.clock.now = 19.0
+    transition = endpoints.Transition("i-1", "svc", meaning)
+    coldreports.record_start(fleet, transition)
+    assert not fleet.ejected_until
+    for tenth in range(100):
+        _answer(fleet, 19.0 + tenth / 10, 0.01)
+        assert not _eject(fleet, 19.0 + tenth / 10)
+
+
+# Guards against an endpoint that is ejected because it is slow for 3 s after its start;
+# one that stays slow is still ejected.
+@pytest.mark.parametrize("slow_s", [5.0, 60.0])
+def test_endpoint_is_not_ejected_for_its_slow_start(settings, slow_s):
+    fleet = fleets.Fleet(settings, Clock())
+    fleet.endpoints.replace_all([dataclasses.replace(ENDPOINT, cold_s=3.0)], 0.0)
+    coldreports.record_start(fleet, endpoints.Transition("i-1", "svc", "restarted"))
+    ejected = []
+    for tenth in range(200):
+        now = 10.0 + tenth / 10
+        _answer(fleet, now, 0.5 if tenth / 10 < slow_s else 0.01)
+        ejected += _eject(fleet, now)
+    assert bool(ejected) == (slow_s > 5.0)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/routing/outliers.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/routing/outliers.py
@@ -80,6 +80,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._ignored_until: dict[str, float] = {}
 
     def record_token_time(self, instance: str, token_time_s: float, now: float) -> None:
         """Records the time per token of a running attempt, in seconds.
@@ -87,17 +88,41 @@
         It is computed from load reports, as running attempts divided by tokens per
         second, so that an endpoint that generates no tokens is detected too.
         """
+        if self._is_ignored(instance, now):
+            return
         token_time_s = min(token_time_s, MAX_TOKEN_TIME_S)
         self._records.setdefault(instance, _Record()).token_time.add(token_time_s, now)
 
     def record_outcome(self, instance: str, failed: bool, now: float) -> None:
         """Records whether an attempt failed because of the endpoint."""
+        if self._is_ignored(instance, now):
+            return
         record = self._records.setdefault(instance, _Record())
         record.failures.add(float(failed), now)
 
-    def discard(self, instance: str) -> None:
-        """Discards the samples of an endpoint that was removed or restarted."""
+    def discard(self, instance: str, ignored_until: float = -math.inf) -> None:
+        """Discards the samples of an endpoint that was removed or restarted.
+
+        Args:
+            instance: Instance of the endpoint.
+            ignored_until: Monotonic time until which its samples are ignored, in
+                seconds: an endpoint is slow right after its start.
+        """
         self._records.pop(instance, None)
+        if ignored_until > -math.inf:
+            since = ignored_until - RESET_AFTER_S
+            self._ignored_until = {
+                name: until
+                for name, until in self._ignored_until.items()
+                if until > since
+            }
+            self._ignored_until[instance] = ignored_until
+
+    def _is_ignored(self, instance: str, now: float) -> bool:
+        if now < self._ignored_until.get(instance, -math.inf):
+            return True
+        self._ignored_until.pop(instance, None)
+        return False
 
     def eject(
         self,
