Keep streams of callers that stop reading for some seconds

While its caller took nothing, an entry didn't read from the endpoint, and then counted that time as the endpoint's silence: after 0.9 s beside other streams it ended the attempt, requested the stream anew and in the end broke it off. The time for which it waits for its caller no longer counts, also when the caller's time ends meanwhile. What is held unread of an endpoint's connection is 64 KiB instead of 128, plus one received part.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import relay
@@ -242,7 +243,7 @@
                         return None, Failed(retries.Failure.GARBLED, str(error))
                     if has_progressed:
                         self._note_progress()
-                    await answer.drain()
+                    await self._await_caller(answer)
                 case answerparser.End():
                     if target.finish():
                         return head, Finished(head.status)
@@ -254,6 +255,15 @@
                     detail = "an answer began within an answer"
                     return None, Failed(retries.Failure.GARBLED, detail)
 
+    async def _await_caller(self, answer: callers.Answer) -> None:
+        """Waits while the caller doesn't read; the endpoint isn't silent meanwhile."""
+        began_at = self._clock.read()
+        received_at, self.last_received_at = self.last_received_at, math.inf
+        await answer.drain()
+        waited_s = self._clock.read() - began_at
+        self.last_received_at = received_at + waited_s
+        self.last_progress_at += waited_s
+
     async def _read_error_answer(
         self,
         connection: connections.Connection,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/http1/connections.py
@@ -24,7 +24,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 # Reading and parsing pause while more than this of unread answers is held.
-MAX_BUFFERED_BYTES = 131_072
+MAX_BUFFERED_BYTES = 65_536
 # Share of the peer's idle timeout for which an idle connection is reused.
 IDLE_REUSE_SHARE = 0.6
 # Assumed if the peer sends no idle timeout in a `Keep-Alive` header.
