Revert "Send the most valuable waiting requests to cold endpoints first"

Cause: while requests waited, warm endpoints took them first even where the limit of a cold endpoint held nothing back.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/arrivalorder.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/arrivalorder.py
@@ -64,14 +64,6 @@
         request: queueing.PendingRequest = self._queue.pop(0)
         return request
 
-    def pop_most_valuable(self, now: float) -> queueing.PendingRequest | None:
-        """Dequeues the next request: the order is fixed."""
-        return self.pop(now)
-
-    def list_waiting(self) -> tuple[queueing.PendingRequest, ...]:
-        """Returns all queued requests."""
-        return tuple(self._queue)
-
     def expire(self, now: float) -> tuple[queueing.Rejection, ...]:
         """Removes and rejects requests whose callers would leave before the start."""
         expired = [r for r in self._queue if r.latest_start_at < now]
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -7,7 +7,6 @@
 import math
 
 from chicoryweir_policy.admission import delay
-from chicoryweir_policy.forwarding import coldorder
 from chicoryweir_policy.forwarding import coldstarts
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import congestion
@@ -106,12 +105,6 @@
             for candidate in self.candidates
         )
 
-    @property
-    def is_cold_only(self) -> bool:
-        """Whether only cold endpoints have room for a request."""
-        with_room = [c for c in self.candidates if c.load.requests < c.limit]
-        return bool(with_room) and all(c.is_cold for c in with_room)
-
 
 class Dispatcher:
     """Queues and dispatches the requests of one service."""
@@ -255,9 +248,6 @@
         if rejection is not None:
             return (rejection,)
         rejections = self._shedding.push(request, now)
-        if any(r.request.request_id == request.request_id for r in rejections):
-            return rejections
-        rejections += self._reject_passed(capacity, service, now)
         if any(r.request.request_id == request.request_id for r in rejections):
             return rejections
         return (*rejections, Enqueued(request), *self.dispatch_queued(service, now))
@@ -278,13 +268,14 @@
                 outcomes += self._reject_in_rest(capacity.rest_s, now)
             if not capacity.free:
                 break
-            request = self._take_next(capacity, now)
+            request = self._head or self._shedding.pop(now)
+            self._head = None
             if request is None:
                 break
             if request.latest_start_at < now:
                 outcomes.append(_reject_expired(request))
                 continue
-            dispatched = self._dispatch(request, capacity, now, is_queued=True)
+            dispatched = self._dispatch(request, capacity, now)
             if dispatched is None:
                 # Every free endpoint is excluded for it or lacks memory.
                 self._head = request
@@ -313,23 +304,8 @@
             dispatched.endpoint.instance, dispatched.request.estimate.memory_tokens
         )
 
-    def _take_next(
-        self, capacity: _Capacity, now: float
-    ) -> queueing.PendingRequest | None:
-        """Dequeues the next request; None if none may start."""
-        head, self._head = self._head, None
-        if head is not None:
-            return head
-        if capacity.is_cold_only:
-            return self._shedding.pop_most_valuable(now)
-        return self._shedding.pop(now)
-
     def _dispatch(
-        self,
-        request: queueing.PendingRequest,
-        capacity: _Capacity,
-        now: float,
-        is_queued: bool = False,
+        self, request: queueing.PendingRequest, capacity: _Capacity, now: float
     ) -> Dispatched | None:
         allowed = [
             candidate
@@ -337,10 +313,7 @@
             if candidate.endpoint.instance not in request.excluded
         ]
         candidates = allowed or capacity.candidates
-        # While requests wait, what cold endpoints accept is kept for the most valuable
-        # ones; `_take_next` selects them once warm endpoints have no room.
-        warm = [c for c in candidates if not c.is_cold] if is_queued else []
-        chosen = self._select(warm, request) or self._select(candidates, request)
+        chosen = self._selector.select(candidates, request.estimate, request.request_id)
         if chosen is None:
             return None
         self._loads.record_start(
@@ -352,13 +325,6 @@
         self._shedding.record_start(request, now)
         return Dispatched(request, chosen.endpoint)
 
-    def _select(
-        self,
-        candidates: list[selection.Candidate],
-        request: queueing.PendingRequest,
-    ) -> selection.Candidate | None:
-        return self._selector.select(candidates, request.estimate, request.request_id)
-
     def _find_max_slowdown(self, usable: list[endpoints.Endpoint]) -> float:
         """Returns the slowdown of the slowest endpoint, which determines the step."""
         if not self._slowdowns:
@@ -430,11 +396,7 @@
         max_per_endpoint = math.ceil(limit)
         limited = [
             selection.Candidate(
-                c.endpoint,
-                c.load,
-                min(c.limit, max_per_endpoint),
-                c.memory_tokens,
-                c.is_cold,
+                c.endpoint, c.load, min(c.limit, max_per_endpoint), c.memory_tokens
             )
             for c in candidates
         ]
@@ -454,47 +416,24 @@
             if now + capacity.rest_s <= request.latest_start_at:
                 return None
             return _reject_in_rest(request, capacity.rest_s)
-        ahead = len(self)
-        if any(candidate.is_cold for candidate in capacity.candidates):
-            ahead = coldorder.count_ahead(request, self._shedding.list_waiting(), now)
-            ahead += self._head is not None
-        wait_s = self._predict_wait_s(capacity, service, ahead, now)
+        wait_s = self._predict_wait_s(capacity, service, now)
         if wait_s is None or now + wait_s <= request.latest_start_at:
             return None
-        return _reject_limited(request, wait_s)
-
-    def _reject_passed(
-        self, capacity: _Capacity, service: configuration.Service, now: float
-    ) -> tuple[queueing.Rejection, ...]:
-        """Rejects the last requests for cold endpoints that are now sent too late."""
-        if not any(candidate.is_cold for candidate in capacity.candidates):
-            return ()
-        waiting = coldorder.sort_requests(self._shedding.list_waiting(), now)
-        rejections = []
-        while waiting:
-            last = waiting.pop()
-            ahead = len(waiting) + (self._head is not None)
-            wait_s = self._predict_wait_s(capacity, service, ahead, now)
-            if wait_s is None or now + wait_s <= last.latest_start_at:
-                break
-            self._shedding.remove(last.request_id)
-            rejections.append(_reject_limited(last, wait_s))
-        return tuple(rejections)
+        expected_s = OTHER_ENTRY_WAIT_S if math.isinf(wait_s) else wait_s
+        retry_after_ms = delay.compute_retry_after_ms(request.request_id, expected_s)
+        reason = "its endpoints accept no more requests"
+        return queueing.Rejection(request, reason, retry_after_ms / 1000, wait_s)
 
     def _predict_wait_s(
-        self,
-        capacity: _Capacity,
-        service: configuration.Service,
-        ahead: int,
-        now: float,
+        self, capacity: _Capacity, service: configuration.Service, now: float
     ) -> float | None:
         """Predicts how long limits keep this entry from sending a further request."""
         cold = [c.endpoint for c in capacity.candidates if c.is_cold]
         warm = [c.endpoint for c in capacity.candidates if not c.is_cold]
-        wait_s = self._rate_limits.predict_wait_s(warm, ahead, now)
+        wait_s = self._rate_limits.predict_wait_s(warm, len(self), now)
         if not cold or (warm and wait_s is None):
             return wait_s
-        cold_wait_s = self._cold_endpoints.predict_wait_s(cold, service, ahead, now)
+        cold_wait_s = self._cold_endpoints.predict_wait_s(cold, service, len(self), now)
         if wait_s is None or cold_wait_s is None:
             return cold_wait_s
         return min(wait_s, cold_wait_s)
@@ -535,15 +474,6 @@
     return queueing.Rejection(request, "its time ran out waiting", EXPIRED_RETRY_S)
 
 
-def _reject_limited(
-    request: queueing.PendingRequest, wait_s: float
-) -> queueing.Rejection:
-    expected_s = OTHER_ENTRY_WAIT_S if math.isinf(wait_s) else wait_s
-    retry_after_ms = delay.compute_retry_after_ms(request.request_id, expected_s)
-    reason = "its endpoints accept no more requests"
-    return queueing.Rejection(request, reason, retry_after_ms / 1000, wait_s)
-
-
 def _reject_evacuated(request: queueing.PendingRequest) -> queueing.Rejection:
     retry_after_ms = delay.compute_retry_after_ms(request.request_id, EVACUATED_WAIT_S)
     reason = "the data centres of its endpoints are evacuated"
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/leastcost.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/leastcost.py
@@ -12,7 +12,6 @@
 import collections
 import math
 
-from chicoryweir_policy.forwarding import coldorder
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import returns
 from chicoryweir_policy.forwarding import shedding
@@ -92,18 +91,6 @@
             return None
         return self._waiting.pop(first.request_id)
 
-    def pop_most_valuable(self, now: float) -> queueing.PendingRequest | None:
-        """Dequeues the first in `coldorder`; None if no request may start."""
-        # The thresholds say whether a request starts, the order says which one.
-        if not any(self._may_start(request, now) for request in self._waiting.values()):
-            return None
-        first, *_ = coldorder.sort_requests(self._waiting.values(), now)
-        return self._waiting.pop(first.request_id)
-
-    def list_waiting(self) -> tuple[queueing.PendingRequest, ...]:
-        """Returns all queued requests."""
-        return tuple(self._waiting.values())
-
     def expire(self, now: float) -> tuple[queueing.Rejection, ...]:
         """Removes and rejects the requests that have waited in vain."""
         rejections = []
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/objectivefirst.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/objectivefirst.py
@@ -6,7 +6,6 @@
 import math
 
 from chicoryweir_policy import requests
-from chicoryweir_policy.forwarding import coldorder
 from chicoryweir_policy.forwarding import queueing
 from chicoryweir_policy.forwarding import reservation
 from chicoryweir_policy.forwarding import shedding
@@ -77,19 +76,6 @@
         """Dequeues the next request that may start; None if there is none."""
         return self._queue.pop(now, functools.partial(self._admits_queued, now))
 
-    def pop_most_valuable(self, now: float) -> queueing.PendingRequest | None:
-        """Dequeues the first in `coldorder`; None if no request may start."""
-        waiting = coldorder.sort_requests(self._queue.list_waiting(), now)
-        # The limits say whether a request starts, the order says which one.
-        if not any(self._admits_waiting(request, now) for request in waiting):
-            return None
-        self._queue.take(waiting[0], now)
-        return waiting[0]
-
-    def list_waiting(self) -> tuple[queueing.PendingRequest, ...]:
-        """Returns all queued requests, in any order."""
-        return self._queue.list_waiting()
-
     def expire(self, now: float) -> tuple[queueing.Rejection, ...]:
         """Removes and rejects requests whose callers would leave before the start."""
         return self._queue.expire(now)
@@ -114,11 +100,6 @@
         limit = self._reservation.compute_limit(self._load.limit, priority, late, now)
         return self._load.running < limit
 
-    def _admits_waiting(self, request: queueing.PendingRequest, now: float) -> bool:
-        priority = queueing.convert_priority(request.priority)
-        late = now > request.latest_on_time_start_at
-        return self._admits_queued(now, priority, late)
-
     def _admits_queued(self, now: float, priority: int, late: bool) -> bool:
         # The free capacity may be needed by other entries' on-time requests.
         if late and self._load.free <= self._load.peer_on_time:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/queueing.py
@@ -146,12 +146,6 @@
     def pop(self, now: float, admits: Admits) -> PendingRequest | None:
         """Dequeues the next request of those that may start; None if there is none."""
 
-    def take(self, request: PendingRequest, now: float) -> None:
-        """Dequeues a queued request that starts out of turn."""
-
-    def list_waiting(self) -> tuple[PendingRequest, ...]:
-        """Returns all queued requests."""
-
     def set_saturated(self, saturated: bool) -> None:
         """Sets whether late requests are rejected: on-time ones use all capacity."""
 
@@ -215,24 +209,12 @@
             ]
             entry = queue.pop(now, max(admitted)) if admitted else None
             if entry is not None:
-                self._measure_start(entry.cost_tokens, now)
+                if self._meter.add(entry.cost_tokens, now):
+                    self._on_time.set_speed(self._meter.throughput)
+                    self._late.set_speed(self._meter.throughput)
                 return self._requests.pop(entry.attempt_id)
         return None
 
-    def take(self, request: PendingRequest, now: float) -> None:
-        """Dequeues a queued request that starts out of turn."""
-        self.remove(request.request_id)
-        self._measure_start(request.estimate.cost, now)
-
-    def list_waiting(self) -> tuple[PendingRequest, ...]:
-        """Returns all queued requests."""
-        return tuple(self._requests.values())
-
-    def _measure_start(self, cost: float, now: float) -> None:
-        if self._meter.add(cost, now):
-            self._on_time.set_speed(self._meter.throughput)
-            self._late.set_speed(self._meter.throughput)
-
     def set_saturated(self, saturated: bool) -> None:
         """Sets whether late requests are rejected: on-time ones use all capacity."""
         self._saturated = saturated
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/shedding.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/shedding.py
@@ -82,12 +82,6 @@
     def pop(self, now: float) -> queueing.PendingRequest | None:
         """Dequeues the next request that may start; None if there is none."""
 
-    def pop_most_valuable(self, now: float) -> queueing.PendingRequest | None:
-        """Dequeues the first in `coldorder`; None if no request may start."""
-
-    def list_waiting(self) -> tuple[queueing.PendingRequest, ...]:
-        """Returns all queued requests, in any order."""
-
     def expire(self, now: float) -> tuple[queueing.Rejection, ...]:
         """Removes and returns the requests that have waited in vain."""
 
