Keep the cold mark of a lock-step group's endpoints

Cause: under the concurrency limit of a group the candidates were built anew without their cold mark, so that cold endpoints counted as warm ones, whose wait has no such limit. A request for which they had no room before its deadline was enqueued and rejected only when its time ran out.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -395,9 +395,7 @@
         total_limit = math.floor(limit * len(candidates))
         max_per_endpoint = math.ceil(limit)
         limited = [
-            selection.Candidate(
-                c.endpoint, c.load, min(c.limit, max_per_endpoint), c.memory_tokens
-            )
+            dataclasses.replace(c, limit=min(c.limit, max_per_endpoint))
             for c in candidates
         ]
         return _Capacity(limited, running, total_limit, slots, free)
