Parse one step of a connection in each turn of the event loop

What callers saw: while 120 clients sent bodies in chunks of one byte, the product's own entry didn't answer an ordinary request within 40 s. Cause: all that a connection had received, up to 64 KiB with 11,000 chunks, was parsed in one turn, so that a turn took seconds and a request needs several of them. Now a step of 4 KiB, or a body of known length, is parsed in a turn.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/limited_protocol.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/limited_protocol.py
@@ -290,12 +290,17 @@
         return self._running is None or self._in_body
 
     def _parse(self, data: bytes | memoryview) -> None:
-        """Parses data until something has to be done first; keeps the rest."""
+        """Parses a step of the data unless something has to be done first.
+
+        The rest is parsed in later turns of the event loop: the parts of many bodies
+        that are sent a byte at a time would delay all other callers for seconds.
+        """
         start, end = 0, len(data)
-        while start < end and self._may_parse:
-            step_bytes = max(STEP_BYTES, self._missing_body_bytes)
-            self._parse_step(data[start : start + step_bytes])
-            start += step_bytes
+        if end and self._may_parse:
+            start = min(end, max(STEP_BYTES, self._missing_body_bytes))
+            self._parse_step(data[:start])
+            if start < end and self._may_parse:
+                self._schedule_parsing()
         is_over = self.parser is None or self.transport.is_closing()
         self._unparsed = b"" if is_over else bytes(data[start:])
         if not (self._in_head or self._in_body):
