Count what a step parses once

Cause: the change before kept the received bytes in the account while a part of them was parsed into its request, so that a body counted four times in that step and one more request was refused than the memory required (test_largest_incomplete_request_is_refused failed). The rest alone is kept now.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/limited_protocol.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/limited_protocol.py
@@ -295,14 +295,18 @@
         The rest is parsed in later turns of the event loop: the parts of many bodies
         that are sent a byte at a time would delay all other callers for seconds.
         """
-        start, end = 0, len(data)
-        if end and self._may_parse:
+        end = len(data)
+        start = 0
+        if self._may_parse:
             start = min(end, max(STEP_BYTES, self._missing_body_bytes))
+        # What a step parses is counted as a part of its request.
+        self._unparsed = bytes(data[start:])
+        if start:
             self._parse_step(data[:start])
-            if start < end and self._may_parse:
-                self._schedule_parsing()
-        is_over = self.parser is None or self.transport.is_closing()
-        self._unparsed = b"" if is_over else bytes(data[start:])
+        if self.parser is None or self.transport.is_closing():
+            self._unparsed = b""
+        elif start and self._unparsed and self._may_parse:
+            self._schedule_parsing()
         if not (self._in_head or self._in_body):
             # Kept bytes pause reading, and with it the notice of a disconnect.
             self._unparsed = self._unparsed.lstrip(_LINE_ENDS)
