Revert "Keep the cold mark of a lock-step group's endpoints"

The fault that it mended is open again: under the limit of a group, cold endpoints count as warm ones.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/dispatching.py
@@ -395,7 +395,9 @@
         total_limit = math.floor(limit * len(candidates))
         max_per_endpoint = math.ceil(limit)
         limited = [
-            dataclasses.replace(c, limit=min(c.limit, max_per_endpoint))
+            selection.Candidate(
+                c.endpoint, c.load, min(c.limit, max_per_endpoint), c.memory_tokens
+            )
             for c in candidates
         ]
         return _Capacity(limited, running, total_limit, slots, free)
