--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -19,7 +19,9 @@
         self.rows = {}
         self.history = []
         self.version = 0
-        self.refused_hosts = set()
+        # While this is set, no call is answered. A connection on which an answer is
+        # lost delivers nothing further.
+        self.silent = False
         self._changed = asyncio.Event()
 
     async def start(self, host, port):
@@ -61,7 +63,12 @@
                 body = await httpio.read_body(reader, headers)
                 method, target, _ = first.split(" ")
                 await asyncio.sleep(ANSWER_S)
+                is_lost = self.silent
                 status, answer = await self._answer(method, target, body)
+                if is_lost or self.silent:
+                    while await reader.read(65536):
+                        pass
+                    return
                 data = json.dumps(answer | {"now_ms": int(time.monotonic() * 1000)})
                 writer.write(httpio.encode_answer(
                     status, {"Content-Type": "application/json"}, data.encode()))
