--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# LOST: a planned stop cuts a stream that was accepted 3.2 s or more after SIGTERM.
+# CONFIG: after the store left calls unanswered for 8 s, changes aren't seen for long.
 cd "$(dirname "$0")"
 exec python3 -B play.py
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# LOST: after a SIGHUP, a stream is cut because its worker was silent for 0.9 s.
+# LOST: a planned stop cuts a stream that was accepted 3.2 s or more after SIGTERM.
 cd "$(dirname "$0")"
 exec python3 -B play.py
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# CONFIG: after the store left calls unanswered for 8 s, changes aren't seen for long.
+# LOST: after a SIGHUP, a stream is cut because its worker was silent for 0.9 s.
 cd "$(dirname "$0")"
 exec python3 -B play.py
