Keep a silent endpoint's request until another endpoint can take it

Cause: after 0.9 s without an event, or 3.5 objectives without a first one, the attempt ended, and only then was it decided whether a retry is allowed. Without attempts or budget left, for an answer that can't be resumed, or when the queue rejected the retry, the request ended with the attempt.

Change: the endpoint of the next attempt is allocated, through the queue, while the silent attempt goes on; the attempt ends when it is. Otherwise the request stays, and the event silent_attempt_kept tells why. The budget and the attempts are decided on before, not after.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/admission.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/admission.py
@@ -19,15 +19,38 @@
     record: requestrecord.RequestRecord, dispatcher: dispatching.Dispatcher
 ) -> queueing.PendingRequest:
     """Returns the request as the dispatcher queues it for its next attempt."""
+    retried = record.attempt_history.deliveries > 0
+    return _make_pending(
+        record, dispatcher, record.request_id, record.excluded, retried
+    )
+
+
+def make_pending_successor(
+    record: requestrecord.RequestRecord,
+    dispatcher: dispatching.Dispatcher,
+    instance: str,
+) -> queueing.PendingRequest:
+    """Returns the request as it is queued while its attempt at an instance goes on."""
+    request_id = f"{record.request_id}/successor"
+    excluded = record.excluded | {instance}
+    return _make_pending(record, dispatcher, request_id, excluded, retried=True)
+
+
+def _make_pending(
+    record: requestrecord.RequestRecord,
+    dispatcher: dispatching.Dispatcher,
+    request_id: str,
+    excluded: frozenset[str],
+    retried: bool,
+) -> queueing.PendingRequest:
     route = record.route
     abandon_at = abandonment.compute_abandon_at(
         route,
         record.progress.last_received_at or record.arrived_at,
         record.deadline_at,
     )
-    retried = record.attempt_history.deliveries > 0
     return queueing.PendingRequest(
-        record.request_id,
+        request_id,
         record.routed.workspace,
         record.routed.priority,
         route.priority,
@@ -35,7 +58,7 @@
         abandonment.compute_objective_at(route, record.arrived_at, abandon_at, retried),
         abandon_at,
         record.arrived_at,
-        record.excluded,
+        excluded,
         record.origin,
     )
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -18,6 +18,7 @@
 from chicoryweir_daemon.forwarder import quarantine
 from chicoryweir_daemon.forwarder import requestrecord
 from chicoryweir_daemon.forwarder import statementreports
+from chicoryweir_daemon.forwarder import successors
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
@@ -34,6 +35,8 @@
 # Maximum time to find out whether an endpoint still listens. A round trip takes a few
 # milliseconds.
 LISTENER_CHECK_S = 0.1
+# Interval of checks whether an endpoint can take over a request from a silent one.
+SUCCESSOR_POLL_S = 0.03
 
 
 class Exchange:
@@ -57,6 +60,7 @@
         self._endpoint: endpoints.Endpoint | None = None
         self._attempt: attempts.Attempt | None = None
         self._timeout: asyncio.Timeout | None = None
+        self._successor = successors.Successor(context, self._record)
 
     async def run(self) -> None:
         """Handles the request; is cancelled when the caller leaves."""
@@ -75,6 +79,7 @@
             endings.log_end(self._context, record, "caller left", 0, "")
             raise
         finally:
+            self._successor.withdraw()
             # The attempt refers to this exchange and the timeout to its task; until the
             # garbage collector finds them, they would hold the request.
             self._attempt = self._timeout = None
@@ -113,6 +118,9 @@
 
     async def _allocate(self) -> allocation.Allocation:
         """Waits for an endpoint; returns it or the rejection."""
+        successor = self._successor.take()
+        if successor is not None:
+            return successor
         record = self._record
         dispatcher = self._fleet.get_dispatcher(record.service.name)
         queued_at = self._now()
@@ -132,6 +140,7 @@
         record = self._record
         endpoint = self._endpoint = dispatched.endpoint
         attempt = self._attempt = self._create_attempt(endpoint)
+        self._successor.begin_attempt()
         self.update_end()
         forwarding = self._describe_forwarding(endpoint)
         attemptreports.record_start(self._context, record, endpoint, self._now())
@@ -168,12 +177,29 @@
             self._context.header_codec,
             self._fleet.clock,
             endpoint,
-            self._record.progress.record_part,
-            self._record.progress.compute_stall_timeout,
+            self._record_part,
+            self._compute_stall_timeout,
             self._record_statement,
             self._fleet.confirm_sending,
         )
 
+    def _record_part(self, gap_s: float) -> None:
+        """Records that part of the answer arrived."""
+        self._successor.withdraw()
+        self._record.progress.record_part(gap_s)
+
+    def _compute_stall_timeout(self, attempt: attempts.Attempt) -> float:
+        """Returns how much longer an attempt may wait for its answer, in seconds.
+
+        A silent attempt ends as soon as another endpoint can take the request over.
+        """
+        timeout_s = self._record.progress.compute_stall_timeout(attempt)
+        if timeout_s > 0.0 or self._endpoint is None:
+            return timeout_s
+        if self._successor.prepare(self._endpoint.instance, self._now()):
+            return 0.0
+        return SUCCESSOR_POLL_S if self._successor.is_pending else stalls.RECHECK_S
+
     def _describe_forwarding(
         self, endpoint: endpoints.Endpoint
     ) -> interfaces.ForwardingFacts:
@@ -252,7 +278,10 @@
         context, record = self._context, self._record
         failedattempts.record_failure(context, record, instance, failed.failure)
         now = self._now()
-        decision = failedattempts.decide_retry(context, record, failed.failure, now)
+        if self._successor.is_allocated:
+            decision: retries.Decision = retries.Retry(charged=True)
+        else:
+            decision = failedattempts.decide_retry(context, record, failed.failure, now)
         match decision:
             case retries.Retry(charged):
                 failedattempts.record_retry(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
@@ -23,8 +23,34 @@
     record.excluded |= {instance}
     if failure is retries.Failure.MISDIRECTED:
         _remove_displaced(context, record, instance)
+    record.attempt_history = _add_failure(record, failure)
+
+
+def decide_retry(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    failure: retries.Failure,
+    now: float,
+) -> retries.Decision:
+    """Returns how to proceed after a failure, by the history and the retry budget."""
+    return _decide(context, record, failure, record.attempt_history, now)
+
+
+def predict_decision(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    failure: retries.Failure,
+    now: float,
+) -> retries.Decision:
+    """Returns what would follow if the attempt that runs failed now."""
+    return _decide(context, record, failure, _add_failure(record, failure), now)
+
+
+def _add_failure(
+    record: requestrecord.RequestRecord, failure: retries.Failure
+) -> retries.AttemptHistory:
     history = record.attempt_history
-    record.attempt_history = retries.AttemptHistory(
+    return retries.AttemptHistory(
         history.deliveries + failure.was_delivered,
         history.attempts + failure.reached_intended_endpoint,
         history.runs + (not failure.proves_not_run),
@@ -33,19 +59,19 @@
     )
 
 
-def decide_retry(
+def _decide(
     context: exchangecontext.ExchangeContext,
     record: requestrecord.RequestRecord,
     failure: retries.Failure,
+    history: retries.AttemptHistory,
     now: float,
 ) -> retries.Decision:
-    """Returns how to proceed after a failure, by the history and the retry budget."""
     fleet = context.fleet
     budget = fleet.get_retry_budget(record.service.name)
     return retries.decide_retry(
         record.route,
         failure,
-        record.attempt_history,
+        history,
         budget.count_remaining(fleet.count_entries(now), now),
         record.deadline_at - now,
     )
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -62,6 +62,7 @@
 ANSWER_CORRUPT = 204
 REQUEST_ENDED = 205
 REQUEST_MALFORMED = 206
+SILENT_ATTEMPT_KEPT = 207
 CLAIM_TAKEN_OVER = 210
 REQUEST_QUARANTINED = 220
 PROMPT_PART_HELD = 221
@@ -318,6 +319,13 @@
         "A caller sent an invalid request, or one that is too large or too slow.",
         "Check the caller.",
     ),
+    EventKind(
+        SILENT_ATTEMPT_KEPT,
+        "silent_attempt_kept",
+        "An endpoint is silent while others of its service answer; its request stays "
+        "there, as `detail` says.",
+        "Check the log of the engine if it happens often.",
+    ),
     EventKind(
         CLAIM_TAKEN_OVER,
         "claim_taken_over",
