Renew the wait for a configuration when the store is back

Cause: entries wait for changes by one call of up to 11.2 s. One that the store has left unanswered ended by its time-out alone, also when other calls of the same entry had shown that the store was unreachable and is back.

Change: a success after a failure replaces the wait by a call that is answered at once; the event configuration_wait_renewed says how old the wait was.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -38,6 +38,7 @@
         self._seed = random.getrandbits(32)
         self._eras = storeeras.EraTracker()
         self._restored = asyncio.Event()
+        self._back = asyncio.Event()
 
     async def record_call(self, unreachable: interfaces.Unreachable | None) -> None:
         """Records the result of a call; sleeps for the backoff after a failure."""
@@ -48,6 +49,8 @@
                 self._event_log.record(
                     catalogue.STORE_BACK, failures=self._backoff.failures
                 )
+                self._back.set()
+                self._back = asyncio.Event()
             self._backoff = backoff.Backoff()
             return
         if not self._backoff.failures:
@@ -75,6 +78,10 @@
             self._restored = asyncio.Event()
         return observation is not storeeras.Observation.OUTDATED
 
+    async def await_back(self) -> None:
+        """Waits until a call succeeds after one that failed."""
+        await self._back.wait()
+
     async def await_restore(self, era: int | None) -> None:
         """Waits until an answer shows that the store was restored since an era."""
         if era is None or self.era is None or self.era <= era:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -20,8 +20,8 @@
 
 # Time for which the store may wait for a newer configuration before it answers.
 CONFIGURATION_WAIT_S = 10.0
-# The same after the process was frozen, when requests wait for the answer.
-WAKE_WAIT_S = 0.01
+# The same for a call that replaces one that may never be answered.
+RENEWED_WAIT_S = 0.01
 # Rate at which configurations are read in a quick succession, in bytes per second, and
 # the longest pause that follows from it. Reads of 400 KB every 0.2 s took half of the
 # bandwidth of a machine's link, and events of streams were late.
@@ -165,26 +165,38 @@
     ):
         """Waits for a change after a position; ends early if the store is restored.
 
-        After a freeze, the call that was made before it may not be answered for long,
-        so that it is replaced by one that is answered at once.
+        After a freeze, or when the store has left other calls unanswered and is back,
+        the call that was made before may never be answered. It is replaced by one that
+        is answered at once.
         """
+        began_at = self._fleet.clock.read()
         change = asyncio.ensure_future(
             self._registry.await_configuration(position, CONFIGURATION_WAIT_S)
         )
         restore = asyncio.ensure_future(self._store_health.await_restore(position.era))
-        wake = asyncio.ensure_future(self._fleet.freezes.await_wake())
-        waits = {change, restore, wake}
+        renewals = {
+            "freeze": asyncio.ensure_future(self._fleet.freezes.await_wake()),
+            "store back": asyncio.ensure_future(self._store_health.await_back()),
+        }
+        waits = {change, restore, *renewals.values()}
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             if change.done():
                 return change.result()
             if restore.done():
                 return interfaces.HistoryLost(self._store_health.era)
+            reasons = [reason for reason, wait in renewals.items() if wait.done()]
         finally:
             for wait in waits:
                 wait.cancel()
+        self._event_log.record(
+            catalogue.CONFIGURATION_WAIT_RENEWED,
+            detail=", ".join(reasons),
+            waited_s=round(self._fleet.clock.read() - began_at, 3),
+            **_describe(position),
+        )
         self._asked_at = self._fleet.clock.read_boot()
-        return await self._registry.await_configuration(position, WAKE_WAIT_S)
+        return await self._registry.await_configuration(position, RENEWED_WAIT_S)
 
 
 class EndpointWatch:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -114,3 +114,24 @@
         await registry.exhausted.wait()
     task.cancel()
     assert pauses == [0.3, watches.MAX_CONFIGURATION_PAUSE_S]
+
+
+# Guards against a configuration that is seen late: other calls showed that the store
+# had been silent and was back, and the wait for a change went on unanswered.
+async def test_wait_that_may_be_lost_is_replaced_when_the_store_is_back(settings):
+    position = interfaces.Position(60, 1)
+    fleet = fleets.Fleet(settings, Clock())
+    event_log = eventlog.EventLog("front-1")
+    health = storehealth.StoreHealth(fleet, event_log)
+    registry = ScriptedRegistry(interfaces.NoNewerConfiguration(position))
+    watch = watches.ConfigurationWatch(fleet, registry, None, event_log, health)
+    task = asyncio.create_task(watch.run())
+    async with asyncio.timeout(5.0):
+        await registry.exhausted.wait()
+        await health.record_call(None)
+        assert registry.positions == [None, position]
+        await health.record_call(interfaces.Unreachable("no answer in time"))
+        await health.record_call(None)
+        await asyncio.sleep(0.01)
+    task.cancel()
+    assert registry.positions == [None, position, position]
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -82,6 +82,7 @@
 SETTINGS_REFUSED = 301
 SETTINGS_NOT_FETCHED = 302
 SETTINGS_KEPT = 303
+CONFIGURATION_WAIT_RENEWED = 304
 STORE_UNREACHABLE = 310
 STORE_BACK = 311
 STORE_RESTORED = 312
@@ -448,6 +449,13 @@
         "A version of the settings older than the one in force was read and ignored.",
         "None; after `store_restored`, the newer version is written again.",
     ),
+    EventKind(
+        CONFIGURATION_WAIT_RENEWED,
+        "configuration_wait_renewed",
+        "A call that has waited for a newer configuration for `waited_s` is replaced, "
+        "as it may never be answered; `detail` says why.",
+        "None.",
+    ),
     EventKind(
         STORE_UNREACHABLE,
         "store_unreachable",
--- a/tests/fleet_platform/test_store_and_settings.py
+++ b/tests/fleet_platform/test_store_and_settings.py
@@ -60,6 +60,28 @@
     assert "no registration" in find("i-3")[0]
 
 
+# A wait for a newer configuration that the store leaves unanswered hid all later ones.
+@pytest.mark.parametrize("silent_s", [1.0, 2.5, 6.0])
+@pytest.mark.parametrize("is_changed_meanwhile", [True, False])
+async def test_configuration_is_adopted_in_time_after_the_store_was_silent(
+    start_system, silent_s, is_changed_meanwhile
+):
+    system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
+    fleet = system.entry._fleet
+    await asyncio.sleep(0.5)
+    system.store.silent = True
+    if is_changed_meanwhile:
+        await asyncio.sleep(silent_s / 2)
+        system.store.put("op", "config", fleetstandins.build_configuration(9))
+        await asyncio.sleep(silent_s / 2)
+    else:
+        await asyncio.sleep(silent_s)
+    system.store.silent = False
+    await asyncio.sleep(3.0)
+    system.store.put("op", "config", fleetstandins.build_configuration(12))
+    await fleetstandins.wait_until(lambda: fleet.version == 12, 1.0)
+
+
 async def test_store_outage_and_return_are_logged_once_each(start_system):
     with structlog.testing.capture_logs() as lines:
         system = await start_system(fleetstandins.EndpointStandIn("i-1", _answer))
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -61,6 +61,8 @@
         self.version = 0
         self.history = []
         self.down = False
+        # While this is set, calls get no answer and their connections stay open.
+        self.silent = False
         self.history_start = 0
         self.era = 1
         self.calls = collections.Counter()
@@ -120,7 +122,11 @@
                 if self.down:
                     break
                 method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+                is_lost = self.silent
                 status, answer = await self._answer(method, target, body)
+                if is_lost or self.silent:
+                    await reader.read()
+                    break
                 data = json.dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
