Accept late requests of a planned stop only by their deadline

Cause: a stopping entry accepted what would be over in time by the longest answer to the route in the last minute, by half more. An answer may be longer.

Change: this estimate counts only for requests that arrive within 2.8 s of the signal; the platform excuses those that are sent within 3 s of it if they are still at work at the end. Later ones must have a deadline before the stop, or are rejected at once with 503.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/draining.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/draining.py
@@ -13,6 +13,7 @@
 from chicoryweir_daemon.lifecycle import eventloop
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import resolving
+from chicoryweir_policy.forwarding import stopping
 
 # Time for which a stopping entry still accepts connections, as a multiple of the
 # address TTL; some callers cache an address for three TTLs.
@@ -57,7 +58,9 @@
         started_at = loop.time()
         deadline_at = started_at + grace_s - ABORT_MARGIN_S
         self._fleet.stopping = True
-        self._fleet.stop_at = max(started_at, deadline_at - ANSWER_MARGIN_S)
+        self._fleet.stop = stopping.Stop(
+            started_at, max(started_at, deadline_at - ANSWER_MARGIN_S)
+        )
         self._ingress.begin_stop()
         self._event_log.record(
             catalogue.DRAIN_STARTED, connections=len(self._listeners.caller_connections)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import typing
 
 from chicoryweir_daemon.forwarder import admission
@@ -304,17 +303,19 @@
 
     def _compute_end_at(self) -> float:
         record = self._record
-        stop_at = self._fleet.stop_at
+        stop = self._fleet.stop
         if self._attempt is not None or record.relay.begun:
-            return min(record.deadline_at, stop_at)
-        if stop_at == math.inf:
+            return min(record.deadline_at, stop.ends_at)
+        if stop is stopping.NEVER:
             return record.deadline_at
         longest_s = self._fleet.get_durations(record.route.name).predict_longest_s(
             record.max_answer_tokens, self._now()
         )
         return min(
             record.deadline_at,
-            stopping.compute_latest_start(stop_at, record.deadline_at, longest_s),
+            stopping.compute_latest_start(
+                stop, record.arrived_at, record.deadline_at, longest_s
+            ),
         )
 
     def _now(self) -> float:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fleet.py
@@ -48,8 +48,7 @@
         duties: Fleet-wide duties for which this entry holds a lease.
         released_fence: Highest fencing token that this entry released and won't act
             under again.
-        stop_at: Time at which a stopping entry ends unfinished requests, monotonic
-            seconds.
+        stop: Planned stop of this entry.
         announced_at: Boot time of the last announcement, in seconds.
         endpoints_listed: Whether a complete list of the endpoints was read once.
     """
@@ -79,7 +78,7 @@
         self.duties: frozenset[str] = frozenset()
         self.released_fence = 0
         self.stopping = False
-        self.stop_at = math.inf
+        self.stop = stopping.NEVER
         self.announced_at = -math.inf
         self.endpoints_listed = False
         self._selector = selection.create_selector(settings.data_centre)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/stopping.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/stopping.py
@@ -5,7 +5,9 @@
 once, while it is certain that it does not run; its caller comes back to another entry.
 
 A request is sure to be over in time if its deadline is. Otherwise it must fit with a
-margin, by the longest answer to a request of its route in the last minute.
+margin, by the longest answer to a request of its route in the last minute. That is an
+estimate, so that it counts only for requests that arrive soon after the stop began: the
+platform allows that these are cut at the end, as callers had no time to learn of it.
 """
 
 from __future__ import annotations
@@ -19,6 +21,10 @@
 # until the request is over, and a time for the way to the endpoint and back.
 MARGIN_SHARE = 0.5
 MARGIN_S = 0.3
+# Time from the beginning of a stop in which requests are accepted by an estimate. The
+# platform allows 3 s between its signal and the sending of a request that is cut; the
+# rest is for the delay of the signal.
+ESTIMATE_S = 2.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,18 +97,36 @@
         self._began_at = now
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """A planned stop of an entry.
+
+    Attributes:
+        began_at: Time at which the entry was told to stop, monotonic seconds.
+        ends_at: Time at which unfinished requests are ended, monotonic seconds.
+    """
+
+    began_at: float
+    ends_at: float
+
+
+# Stop of an entry that wasn't told to stop.
+NEVER = Stop(math.inf, math.inf)
+
+
 def compute_latest_start(
-    stop_at: float, deadline_at: float, longest_s: float | None
+    stop: Stop, arrived_at: float, deadline_at: float, longest_s: float | None
 ) -> float:
     """Returns until when a request can be sent so that it is over before a stop.
 
     Args:
-        stop_at: Time at which unfinished requests are ended, monotonic seconds.
+        stop: The stop.
+        arrived_at: Time of arrival of the request, monotonic seconds.
         deadline_at: Deadline of the request, monotonic seconds.
         longest_s: Longest time that its answer takes, in seconds; None if not known.
     """
-    if deadline_at <= stop_at:
+    if deadline_at <= stop.ends_at:
         return deadline_at
-    if longest_s is None:
+    if longest_s is None or arrived_at > stop.began_at + ESTIMATE_S:
         return -math.inf
-    return stop_at - longest_s * (1.0 + MARGIN_SHARE) - MARGIN_S
+    return stop.ends_at - longest_s * (1.0 + MARGIN_SHARE) - MARGIN_S
--- a/packages/chicoryweir-policy/tests/forwarding/test_stopping.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_stopping.py
@@ -54,9 +54,21 @@
 
 
 @pytest.mark.parametrize(
-    ("deadline_at", "longest_s", "latest_at"),
-    [(90.0, None, 90.0), (110.0, None, -math.inf), (110.0, 2.0, 96.7)],
+    ("arrived_at", "deadline_at", "longest_s", "latest_at"),
+    [
+        (92.0, 99.0, None, 99.0),
+        (92.0, 110.0, None, -math.inf),
+        (92.0, 110.0, 2.0, 96.7),
+        (80.0, 110.0, 2.0, 96.7),
+        (96.0, 99.0, 2.0, 99.0),
+        # The longest answer known is no bound for a late request.
+        (96.0, 110.0, 0.1, -math.inf),
+        (95.6, 100.1, 0.1, -math.inf),
+    ],
 )
-def test_request_must_be_over_before_the_stop(deadline_at, longest_s, latest_at):
-    found = stopping.compute_latest_start(100.0, deadline_at, longest_s)
+def test_request_must_be_over_before_the_stop(
+    arrived_at, deadline_at, longest_s, latest_at
+):
+    stop = stopping.Stop(92.7, 100.0)
+    found = stopping.compute_latest_start(stop, arrived_at, deadline_at, longest_s)
     assert found == pytest.approx(latest_at)
--- a/tests/fleet_platform/test_planned_stops.py
+++ b/tests/fleet_platform/test_planned_stops.py
@@ -18,9 +18,9 @@
 EARLY = {"Chicoryweir-Deadline-Remaining-Ms": "500"}
 
 
-async def _start(start_system, *endpoints, **options):
+async def _start(start_system, *endpoints, grace_s=GRACE_S, **options):
     system = await start_system(*endpoints, **options)
-    bounds = dataclasses.replace(system.settings.bounds, grace_s=GRACE_S)
+    bounds = dataclasses.replace(system.settings.bounds, grace_s=grace_s)
     settings = dataclasses.replace(system.settings, bounds=bounds)
     system.entry._settings_watch.settings = settings
     return system
@@ -120,3 +120,36 @@
     assert (status, complete) == (200, False)
     assert body.count(b"data: t") >= 10
     await asyncio.wait_for(system.task, GRACE_S)
+
+
+# An answer may be longer than any before it, so that these are no bound for a request
+# that may not be cut.
+@pytest.mark.parametrize("path", ["/stream/x", "/once/x", "/again/x"])
+async def test_late_request_is_not_accepted_for_the_answers_before(
+    start_system, write_events, path
+):
+    runs = []
+
+    async def answer(endpoint, headers, writer):
+        runs.append(headers["chicoryweir-attempt-id"])
+        if path == "/stream/x":
+            await write_events(headers, writer, 1, 2)
+        else:
+            attempt = headers["chicoryweir-attempt-id"]
+            writer.write(fleetstandins.build_answer(attempt))
+            await writer.drain()
+
+    endpoint = fleetstandins.EndpointStandIn("i-1", answer)
+    system = await _start(start_system, endpoint, grace_s=6.0)
+    assert (await system.call(path, **LATE))[0] == 200
+    system.entry._stop.set()
+    await asyncio.sleep(2.4)
+    assert (await system.call(path, attempt="a2", **LATE))[0] == 200
+    await asyncio.sleep(0.7)
+    began_at = time.monotonic()
+    status, headers, _, complete = await system.call(path, attempt="late", **LATE)
+    assert (status, complete) == (503, True)
+    assert float(headers["retry-after"]) == endings.STOPPING_RETRY_AFTER_S
+    assert time.monotonic() - began_at < 0.2
+    assert (await system.call(path, attempt="a4", **EARLY))[0] == 200
+    assert runs == ["a1", "a2", "a4"]
