Bound the answers that clients of the platform, engines and entries read

Operators of a system like this one lost a machine that kept all that a faulty peer sent, until its memory was gone.

Cause: the clients of the store, the instance list, the weight store, a group's engine and the command line read answers whole, by a library that limits the head and each read only, and that decodes compressed bodies.

Change: bounded_http.request limits the size of the body and the time of the whole call, asks for no encoding and refuses encoded bodies.

--- a/packages/chicoryweir-cli/src/chicoryweir_cli/client.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import dataclasses
 import json
@@ -10,11 +11,14 @@
 
 import httpx
 
+from chicoryweir_platform import bounded_http
 from chicoryweir_policy import store
 from chicoryweir_policy.settings import documents
 
 TIMEOUT_S = 15.0
 CONNECT_TIMEOUT_S = 3.0
+# Maximum size of an answer; settings are the largest.
+MAX_REPLY_BYTES = 2 * documents.MAX_TEXT_BYTES
 _RETRIED_STATUSES = (502, 503, 504)
 
 
@@ -87,15 +91,10 @@
     """Sends an operator's requests to the entries in turn until one answers."""
 
     def __init__(
-        self, config: Config, transport: httpx.BaseTransport | None = None
+        self, config: Config, transport: httpx.AsyncBaseTransport | None = None
     ) -> None:
         self._config = config
-        self._http = httpx.Client(
-            headers={"Authorization": f"Bearer {config.operator_key}"},
-            timeout=httpx.Timeout(TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
-            transport=transport,
-            trust_env=False,
-        )
+        self._transport = transport
 
     def get(
         self, path: str, params: collections.abc.Mapping[str, str] | None = None
@@ -116,13 +115,26 @@
         """
         return self._try_entries("POST", path, json=body)
 
+    async def _request(
+        self, method: str, url: str, **arguments: typing.Any
+    ) -> httpx.Response:
+        async with httpx.AsyncClient(
+            timeout=httpx.Timeout(TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+            transport=self._transport,
+            trust_env=False,
+        ) as http:
+            headers = {"Authorization": f"Bearer {self._config.operator_key}"}
+            return await bounded_http.request(
+                http, method, url, MAX_REPLY_BYTES, headers=headers, **arguments
+            )
+
     def _try_entries(self, method: str, path: str, **arguments: typing.Any) -> Result:
         reply_lost: ReplyLost | None = None
         last_reply: Reply | None = None
         details: list[str] = []
         for entry in self._config.entries:
             try:
-                response = self._http.request(method, entry + path, **arguments)
+                response = asyncio.run(self._request(method, entry + path, **arguments))
             except (
                 httpx.ConnectError,
                 httpx.ConnectTimeout,
--- a/packages/chicoryweir-cli/src/chicoryweir_cli/command_helpers.py
+++ b/packages/chicoryweir-cli/src/chicoryweir_cli/command_helpers.py
@@ -31,7 +31,7 @@
 class TransportOverride:
     """HTTP transport that tests substitute; None selects the default one."""
 
-    transport: httpx.BaseTransport | None = None
+    transport: httpx.AsyncBaseTransport | None = None
 
 
 transport_override = TransportOverride()
--- a/packages/chicoryweir-cli/tests/test_settings_commands.py
+++ b/packages/chicoryweir-cli/tests/test_settings_commands.py
@@ -1,15 +1,18 @@
 """Tests of the commands: output, exit codes, failover and lost replies."""
 
+import asyncio
 import collections.abc
 import json
 import pathlib
 import typing
 
+import endlesspeers
 import httpx
 import pytest
 import typer.testing
 
 from chicoryweir_cli import app
+from chicoryweir_cli import client
 from chicoryweir_cli import command_helpers
 from chicoryweir_cli import jsonc
 
@@ -272,3 +275,19 @@
     assert runner.run(command, make_handler(200, **body)).exit_code == 0
     printed = runner.run([*command, "--json"], make_handler(200, **body))
     assert isinstance(json.loads(printed.stdout), dict)
+
+
+# Guards against a command that keeps what a faulty entry sends without end.
+@pytest.mark.parametrize("kind", endlesspeers.ENDLESS)
+async def test_answer_without_end_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, kind: str
+) -> None:
+    monkeypatch.setattr(client, "TIMEOUT_S", 0.5)
+    monkeypatch.setattr(client, "MAX_REPLY_BYTES", 8 << 20)
+    async with endlesspeers.EndlessPeer(kind) as peer:
+        operators = client.Client(client.Config((peer.url,), "k"))
+        async with asyncio.timeout(5.0):
+            read = await asyncio.to_thread(operators.get, "/x")
+            changed = await asyncio.to_thread(operators.post, "/x", {})
+    assert isinstance(read, client.Unreachable)
+    assert isinstance(changed, client.ReplyLost)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/group_orders.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/group_orders.py
@@ -9,6 +9,7 @@
 import httpx
 
 from chicoryweir_daemon.runtime import cores
+from chicoryweir_platform import bounded_http
 from chicoryweir_policy.groups import events
 from chicoryweir_policy.groups import member
 
@@ -51,7 +52,7 @@
 
     async def _observe(self) -> None:
         try:
-            answer = await self._client.get("/group")
+            answer = await bounded_http.request(self._client, "GET", "/group")
             observed = _parse_group(answer.json())
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             observed = member.NOT_ANSWERING
@@ -95,7 +96,7 @@
             self._core_task.post(events.EngineReplied(call_id, None, 0))
             return
         try:
-            answer = await self._client.post(path, json=body)
+            answer = await bounded_http.request(self._client, "POST", path, json=body)
             step = int(answer.json().get("step", 0))
             reply = events.EngineReplied(call_id, answer.is_success, step)
         except (httpx.HTTPError, ValueError, TypeError, AttributeError):
--- a/packages/chicoryweir-platform/src/chicoryweir_platform/http_instances.py
+++ b/packages/chicoryweir-platform/src/chicoryweir_platform/http_instances.py
@@ -4,6 +4,7 @@
 
 import httpx
 
+from chicoryweir_platform import bounded_http
 from chicoryweir_platform import decoding
 from chicoryweir_policy import store
 from chicoryweir_policy.membership import instances
@@ -21,7 +22,7 @@
     ) -> tuple[instances.Instance, ...] | store.Refused:
         """Fetches the list; returns `Refused` with the reason on any failure."""
         try:
-            reply = await self._client.get("/instances")
+            reply = await bounded_http.request(self._client, "GET", "/instances")
             if reply.status_code != 200:
                 return store.Refused(f"/instances: status {reply.status_code}")
             return decoding.decode_instances(reply.json())
--- a/packages/chicoryweir-platform/src/chicoryweir_platform/http_store.py
+++ b/packages/chicoryweir-platform/src/chicoryweir_platform/http_store.py
@@ -7,8 +7,10 @@
 
 import httpx
 
+from chicoryweir_platform import bounded_http
 from chicoryweir_platform import decoding
 from chicoryweir_policy import store
+from chicoryweir_policy.settings import documents
 
 # Errors that prove that the operation did not reach the platform.
 _NOT_SENT_ERRORS = (
@@ -18,6 +20,8 @@
     httpx.UnsupportedProtocol,
 )
 _UNAVAILABLE_STATUSES = (429, 503)
+# Maximum size of an object; settings are the largest.
+MAX_OBJECT_BYTES = documents.MAX_TEXT_BYTES
 
 
 class HttpStore:
@@ -51,7 +55,7 @@
 
     async def _read(self, path: str, body: dict[str, object]) -> store.Result:
         try:
-            reply = await self._client.post(path, json=body)
+            reply = await bounded_http.request(self._client, "POST", path, json=body)
             if reply.status_code != 200:
                 return store.Refused(f"{path}: status {reply.status_code}")
             return store.Rows(decoding.decode_rows(reply.json()))
@@ -70,7 +74,7 @@
             ],
         }
         try:
-            reply = await self._client.post(path, json=body)
+            reply = await bounded_http.request(self._client, "POST", path, json=body)
             if reply.status_code == 200:
                 return store.Committed(decoding.decode_versions(reply.json()))
             if reply.status_code == 409:
@@ -82,7 +86,9 @@
     async def _put(self, operation: store.PutObject) -> store.Result:
         path = _make_object_path(operation.name)
         try:
-            reply = await self._client.put(path, content=operation.data)
+            reply = await bounded_http.request(
+                self._client, "PUT", path, content=operation.data
+            )
         except httpx.HTTPError as error:
             return _classify_error(path, error)
         if reply.status_code in (200, 201, 204):
@@ -92,7 +98,9 @@
     async def _get(self, operation: store.GetObject) -> store.Result:
         path = _make_object_path(operation.name)
         try:
-            reply = await self._client.get(path)
+            reply = await bounded_http.request(
+                self._client, "GET", path, MAX_OBJECT_BYTES
+            )
         except httpx.HTTPError as error:
             return store.Refused(f"{path}: {error!r}")
         if reply.status_code == 200:
--- a/packages/chicoryweir-platform/src/chicoryweir_platform/http_weights.py
+++ b/packages/chicoryweir-platform/src/chicoryweir_platform/http_weights.py
@@ -6,6 +6,7 @@
 
 import httpx
 
+from chicoryweir_platform import bounded_http
 from chicoryweir_platform import protocols
 from chicoryweir_policy import store
 
@@ -23,7 +24,9 @@
         """Fetches weights; returns once the rate limiter has released them."""
         path = f"/weights/{urllib.parse.quote(name, safe='')}/fetch"
         try:
-            reply = await self._client.post(path, json={"bytes": size_bytes})
+            reply = await bounded_http.request(
+                self._client, "POST", path, json={"bytes": size_bytes}
+            )
         except httpx.HTTPError as error:
             return store.Refused(f"{path}: {error!r}")
         if reply.status_code == 200:
