Read answers of endpoints only as fast as they are taken

An engine that sends without end filled the memory of the agent that called it, and of the entry whose caller doesn't read.

Cause: the agent read answers as fast as the engine sent them, without a look at its link, and decoded compressed ones. The entry queued all parts of a stream for a caller that doesn't read, until its send timed out after 30 s.

Change: an answer is read on once its link has room (1 MiB queued); payloads that wait for the relay window are sent from 256 KiB on, and a frame takes no more than it can hold. Encoded answers are refused.

Whole daemons under such an engine were not played.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/endpoints.py
@@ -13,6 +13,7 @@
 from chicoryweir_daemon import configuration
 from chicoryweir_daemon.agent import streams
 from chicoryweir_daemon.runtime import cores
+from chicoryweir_platform import bounded_http
 from chicoryweir_policy import requests
 from chicoryweir_policy.cores import commands
 from chicoryweir_policy.cores import events
@@ -35,8 +36,19 @@
     """Sends attempts to the endpoint and posts the outcomes to the core."""
 
     def __init__(
-        self, endpoint: configuration.Endpoint, core_task: cores.CoreTask
+        self,
+        endpoint: configuration.Endpoint,
+        core_task: cores.CoreTask,
+        await_room: collections.abc.Callable[[str], collections.abc.Awaitable[None]],
     ) -> None:
+        """Initializes the task.
+
+        Args:
+            endpoint: The endpoint.
+            core_task: Task of the agent's core.
+            await_room: Waits while much is queued on the link of a session.
+        """
+        self._await_room = await_room
         self._endpoint = endpoint
         self._core_task = core_task
         self._calls: dict[str, asyncio.Task[None]] = {}
@@ -46,6 +58,7 @@
             limits=httpx.Limits(
                 max_connections=None, keepalive_expiry=IDLE_CONNECTION_TIMEOUT_S
             ),
+            headers={"Accept-Encoding": "identity"},
             trust_env=False,
         )
         self._incarnation = ""
@@ -114,6 +127,7 @@
         if answer.status_code > MAX_STATUS:
             # httpx itself refuses those below 100, and interim answers are skipped.
             raise httpx.RemoteProtocolError(f"status {answer.status_code}")
+        bounded_http.check_encoding(answer)
         content_type = answer.headers.get("content-type", "")
         mode = requests.AnswerMode.BODY
         if answer.status_code == _OK and command.mode is requests.AnswerMode.EVENTS:
@@ -124,9 +138,9 @@
             )
         )
         if mode is requests.AnswerMode.EVENTS:
-            is_complete = await self._relay_events(command.attempt_id, answer)
+            is_complete = await self._relay_events(command, answer)
         else:
-            await self._relay_body(command.attempt_id, answer)
+            await self._relay_body(command, answer)
             is_complete = True
         if is_complete:
             self._core_task.post(events.EndpointFinished(command.attempt_id))
@@ -136,21 +150,33 @@
             events.EndpointFailed(command.attempt_id, True, False, detail)
         )
 
-    async def _relay_events(self, attempt_id: str, answer: httpx.Response) -> bool:
+    async def _relay_events(
+        self, command: commands.CallEndpoint, answer: httpx.Response
+    ) -> bool:
         parser = streams.EventParser()
         async for data in answer.aiter_bytes():
             payloads = parser.feed(data)
             if payloads:
-                self._core_task.post(
-                    events.EndpointPayloadsReceived(attempt_id, payloads)
-                )
+                await self._relay_payloads(command, payloads)
             if parser.is_done:
                 return True
         return False
 
-    async def _relay_body(self, attempt_id: str, answer: httpx.Response) -> None:
+    async def _relay_body(
+        self, command: commands.CallEndpoint, answer: httpx.Response
+    ) -> None:
         async for data in answer.aiter_bytes(CHUNK_BYTES):
-            self._core_task.post(events.EndpointPayloadsReceived(attempt_id, (data,)))
+            await self._relay_payloads(command, (data,))
+
+    async def _relay_payloads(
+        self, command: commands.CallEndpoint, payloads: tuple[bytes, ...]
+    ) -> None:
+        """Posts payloads; waits until the core has had them and the link has room."""
+        self._core_task.post(
+            events.EndpointPayloadsReceived(command.attempt_id, payloads)
+        )
+        await asyncio.sleep(0)
+        await self._await_room(command.session_id)
 
     async def _check_lost(self, incarnation: str) -> bool:
         """Probes the endpoint; returns whether process `incarnation` no longer runs."""
@@ -197,6 +223,7 @@
             asyncio.timeout(PROBE_TIMEOUT_S),
             self._client.stream("GET", path, params=dict(parameters)) as answer,
         ):
+            bounded_http.check_encoding(answer)
             async for data in answer.aiter_bytes():
                 body += data
                 if len(body) > MAX_DOCUMENT_BYTES:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/agent/service.py
@@ -76,7 +76,9 @@
     platform_tasks.StoreTask(
         http_store.create_store(config.platform_url), core_task, write_record
     )
-    endpoint_task = endpoints.EndpointTask(config.endpoint, core_task)
+    endpoint_task = endpoints.EndpointTask(
+        config.endpoint, core_task, link_task.await_room
+    )
     group_order_task = group_orders.GroupOrderTask(config.endpoint.url, core_task)
     core_run = asyncio.ensure_future(core_task.run())
     background = [
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/callers.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/callers.py
@@ -24,7 +24,6 @@
 from chicoryweir_policy.settings import resolution
 
 SETTINGS_RETRY_AFTER_MS = 1000
-_EVENT_STREAM = "text/event-stream"
 
 Scope = collections.abc.MutableMapping[str, typing.Any]
 Message = collections.abc.MutableMapping[str, typing.Any]
@@ -134,7 +133,8 @@
             False if the caller disconnected before that.
 
         Raises:
-            AnswerAbortedError: The core aborted the answer.
+            AnswerAbortedError: The core aborted the answer, or the caller doesn't read
+                it.
         """
         send_timer = self.send_timers.add(request.request_id)
         writer = _AnswerWriter(request, send, self.metrics_collector, send_timer)
@@ -162,6 +162,8 @@
                         raise AnswerAbortedError(problem.detail)
                     case mailboxes.CallerDisconnected():
                         return False
+                    case mailboxes.Overflowed():
+                        raise AnswerAbortedError("the caller doesn't read its stream")
                     case _:
                         typing.assert_never(item)
             await writer.flush()
@@ -202,7 +204,7 @@
     def begin(self, answer: commands.BeginAnswer) -> None:
         """Records status and content type, which are sent with the first payload."""
         self._answer = answer
-        self._is_stream = answer.content_type.startswith(_EVENT_STREAM)
+        self._is_stream = answer.content_type.startswith(mailboxes.EVENT_STREAM)
 
     def add_payloads(self, payloads: tuple[bytes, ...]) -> None:
         """Buffers payloads; those of a stream are encoded as server-sent events."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/links.py
@@ -80,6 +80,12 @@
             self._server.close()
         await asyncio.gather(*(link.close() for link in open_links))
 
+    async def await_room(self, session: str) -> None:
+        """Waits while much is queued on the link of a session, if there is one."""
+        link = self._links.get(session)
+        if link is not None:
+            await link.await_room()
+
     def get_traffic(self) -> Traffic:
         """Returns the total traffic of all links, including closed ones."""
         return _add_traffic(self._closed_traffic, *self._links.values())
--- a/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
+++ b/packages/chicoryweir-daemon/tests/agent/test_endpoints.py
@@ -1,7 +1,10 @@
 """Tests of an agent whose engine sends bytes without end."""
 
 import asyncio
+import contextlib
+import dataclasses
 
+import endlesspeers
 import pytest
 import pytest_asyncio
 
@@ -64,12 +67,16 @@
     server.close()
 
 
-def _make_task(url):
+async def _have_room(session):
+    """Stands for a link that takes everything."""
+
+
+def _make_task(url, await_room=_have_room):
     core = CoreStandIn()
     endpoint = configuration.Endpoint(
         configuration.EndpointKind.MODEL, url, 2, False, "", ()
     )
-    return core, endpoints.EndpointTask(endpoint, core)
+    return core, endpoints.EndpointTask(endpoint, core, await_room)
 
 
 async def _wait_for(core, kind):
@@ -121,3 +128,53 @@
     assert events.EndpointAnswerStarted not in kinds
     await task.close()
     server.close()
+
+
+# Guards against an agent that keeps what an engine sends faster than its link takes it.
+@pytest.mark.parametrize("media_type", [b"text/event-stream", b"application/json"])
+async def test_answer_is_read_only_while_the_link_has_room(media_type):
+    asked = []
+
+    async def have_no_room(session):
+        asked.append(session)
+        await asyncio.Event().wait()
+
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\n\r\n" % media_type
+    sent = 0
+
+    async def serve(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(b"data: a\n\n" * 1000)
+                await writer.drain()
+                sent += 9000
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    core, task = _make_task(url, have_no_room)
+    core.handlers[commands.CallEndpoint](dataclasses.replace(CALL, session_id="s"))
+    await asyncio.sleep(1.0)
+    posted = [e for e in core.events if isinstance(e, events.EndpointPayloadsReceived)]
+    assert asked == ["s"]
+    assert sum(len(p) for event in posted for p in event.payloads) <= 1 << 20
+    # The buffers of both sockets hold some, too.
+    assert sent < 16 << 20
+    await task.close()
+    server.close()
+
+
+# Guards against an answer that is small as sent and large once decoded.
+async def test_encoded_answer_fails_the_attempt():
+    async with endlesspeers.EndlessPeer("decoded body") as peer:
+        core, task = _make_task(peer.url)
+        core.handlers[commands.CallEndpoint](CALL)
+        failed = await _wait_for(core, events.EndpointFailed)
+        assert failed.sent
+        kinds = {type(event) for event in core.events}
+        assert events.EndpointPayloadsReceived not in kinds
+        probed = await task._probe()
+        assert probed.incarnation == ""
+        await task.close()
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempt_runner.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempt_runner.py
@@ -15,6 +15,9 @@
 
 Commands = agent_state.Commands
 
+# Size from which on buffered payloads are sent before the window has passed.
+MAX_BUFFERED_BYTES = 262_144
+
 
 class AttemptRunner:
     """Starts queued attempts, relays their answers and ends them."""
@@ -92,6 +95,7 @@
                 mode=submit.mode,
                 priority=submit.priority,
                 resume_from=submit.resume_from,
+                session_id=attempt.session_id,
             )
         )
 
@@ -113,6 +117,7 @@
         if attempt is None:
             return
         attempt.buffered.extend(event.payloads)
+        attempt.buffered_bytes += sum(map(len, event.payloads))
         self._flush_if_due(attempt, now, out)
 
     def _flush_if_due(
@@ -121,7 +126,10 @@
         """Sends the buffered payloads if the session's relay window has passed."""
         session = self._state.sessions.find(attempt.session_id)
         window_s = session.window_s if session is not None else 0.0
-        if now - attempt.relayed_at >= window_s:
+        if (
+            now - attempt.relayed_at >= window_s
+            or attempt.buffered_bytes >= MAX_BUFFERED_BYTES
+        ):
             self._flush(attempt, now, out)
 
     def _flush(self, attempt: attempts.Attempt, now: float, out: Commands) -> None:
@@ -129,6 +137,7 @@
             return
         payloads = tuple(attempt.buffered)
         attempt.buffered.clear()
+        attempt.buffered_bytes = 0
         attempt_id = attempt.submit.attempt_id
         chunk = messages.AttemptChunk(attempt_id, attempt.chunk_count, payloads)
         attempt.relayed_at = now
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/agent/attempts.py
@@ -40,6 +40,7 @@
         payload_count: Number of payloads sent to the entry.
         digest: Digest of the payloads sent to the entry.
         buffered: Payloads to send with the next chunk.
+        buffered_bytes: Size of these payloads, in bytes.
         relayed_at: When the last chunk was sent, in monotonic seconds.
     """
 
@@ -53,6 +54,7 @@
     payload_count: int = 0
     digest: answers.Digest = dataclasses.field(default_factory=answers.Digest)
     buffered: list[bytes] = dataclasses.field(default_factory=list)
+    buffered_bytes: int = 0
     relayed_at: float = float("-inf")
 
     @property
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/cores/commands.py
@@ -80,7 +80,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallEndpoint:
-    """Sends an attempt to the endpoint of this agent."""
+    """Sends an attempt to the endpoint of this agent.
+
+    Attributes:
+        session_id: Session that the answer is relayed on.
+    """
 
     attempt_id: str
     request_id: str
@@ -92,6 +96,7 @@
     mode: requests.AnswerMode
     priority: requests.PriorityClass
     resume_from: int
+    session_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
+++ b/packages/chicoryweir-wire/src/chicoryweir_wire/links.py
@@ -25,6 +25,11 @@
 CLOSE_TIMEOUT_S = 1.0
 MAX_QUEUED_MESSAGES = 10_000
 MAX_MESSAGES_PER_FRAME = 64
+# A frame takes no more messages once its payloads have this size; the largest message
+# fits beside them.
+MAX_FRAME_PAYLOAD_BYTES = 1 << 20
+# Parts of answers are read from endpoints while no more than this is queued.
+MAX_QUEUED_BYTES = 1 << 20
 
 
 @dataclasses.dataclass(eq=False)
@@ -59,6 +64,9 @@
         self._outgoing: asyncio.Queue[messages.Message] = asyncio.Queue(
             MAX_QUEUED_MESSAGES
         )
+        self._queued_bytes = 0
+        self._has_room = asyncio.Event()
+        self._has_room.set()
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -68,19 +76,33 @@
             self._outgoing.put_nowait(message)
         except asyncio.QueueFull:
             return False
+        self._queued_bytes += _measure_payloads(message)
+        if self._queued_bytes > MAX_QUEUED_BYTES:
+            self._has_room.clear()
         return True
 
+    async def await_room(self) -> None:
+        """Waits while more than `MAX_QUEUED_BYTES` are queued on the open link."""
+        await self._has_room.wait()
+
     async def run_sender(self) -> None:
         """Sends queued messages until the link closes."""
         with contextlib.suppress(websockets.exceptions.ConnectionClosed):
             while True:
                 batch = [await self._outgoing.get()]
                 await asyncio.sleep(0)
+                batch_bytes = _measure_payloads(batch[0])
                 while (
-                    len(batch) < MAX_MESSAGES_PER_FRAME and not self._outgoing.empty()
+                    len(batch) < MAX_MESSAGES_PER_FRAME
+                    and batch_bytes < MAX_FRAME_PAYLOAD_BYTES
+                    and not self._outgoing.empty()
                 ):
                     batch.append(self._outgoing.get_nowait())
+                    batch_bytes += _measure_payloads(batch[-1])
                 await self.send_frame(*batch)
+                self._queued_bytes -= batch_bytes
+                if self._queued_bytes <= MAX_QUEUED_BYTES:
+                    self._has_room.set()
                 for _ in batch:
                     self._outgoing.task_done()
 
@@ -117,6 +139,8 @@
 
     async def close(self) -> None:
         """Closes the link; aborts it if the peer doesn't reply in `CLOSE_TIMEOUT_S`."""
+        # Nothing that waits is sent any more.
+        self._has_room.set()
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await self._socket.close()
@@ -124,6 +148,13 @@
             self._socket.transport.abort()
 
 
+def _measure_payloads(message: messages.Message) -> int:
+    """Returns the size of the parts of an answer in a message, in bytes."""
+    if isinstance(message, messages.AttemptChunk):
+        return sum(map(len, message.payloads))
+    return 0
+
+
 async def _perform_handshake(
     socket: connection.Connection, secret: bytes, is_dialer: bool, peer: str
 ) -> Link:
--- a/packages/chicoryweir-wire/tests/test_links.py
+++ b/packages/chicoryweir-wire/tests/test_links.py
@@ -81,3 +81,50 @@
         sending.cancel()
         forever.set()
         server.close()
+
+
+# Guards against a sender that keeps parts of answers which its peer doesn't take.
+async def test_link_has_room_again_once_its_peer_reads() -> None:
+    part = messages.AttemptChunk("a", 0, (b"x" * 400_000,))
+    may_read = asyncio.Event()
+
+    async def handle(
+        link: links.Link, hello: messages.Hello, own: messages.Hello
+    ) -> None:
+        await may_read.wait()
+        while True:
+            await link.receive()
+
+    server = await links.listen_links(
+        "127.0.0.1", 0, b"secret", lambda: _make_hello("listener"), handle
+    )
+    port = server.sockets[0].getsockname()[1]
+    link, _ = await links.dial_link("127.0.0.1", port, b"secret", _make_hello("dialer"))
+    await link.await_room()
+    sender = asyncio.create_task(link.run_sender())
+    while link.enqueue(part):
+        try:
+            async with asyncio.timeout(0.2):
+                await link.await_room()
+        except TimeoutError:
+            break
+    may_read.set()
+    async with asyncio.timeout(5.0):
+        await link.await_room()
+    sender.cancel()
+    await link.close()
+    server.close()
+
+
+# Guards against a wait that outlasts the link.
+async def test_wait_for_room_ends_when_the_link_closes() -> None:
+    server, port = await _start_listener(asyncio.Queue())
+    link, _ = await links.dial_link("127.0.0.1", port, b"secret", _make_hello("dialer"))
+    link.enqueue(messages.AttemptChunk("a", 0, (b"x" * (2 << 20),)))
+    waiting = asyncio.create_task(link.await_room())
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    await link.close()
+    async with asyncio.timeout(1.0):
+        await waiting
+    server.close()
