Limit the answers of ranks to 1 MiB

A faulty rank's report of up to 8 MiB was taken and decoded; a table in it takes some twenty times its size in an entry of 300 MB.

Cause: one limit for all calls between processes, set by the largest answers of the store.

Change: calls of ranks, by entries and by their agents, have a limit of 1 MiB; the counts of a rank have some 40 KB.

Measured: test_report_that_is_far_too_large_is_not_decoded failed before for a rank that is called directly (its report of 3 MB was decoded) and passes now; through an agent it passed before, too.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/fetching.py
@@ -12,6 +12,8 @@
 # Maximum size of an answer. The store's and other entries' answers have at most some
 # 1.5 MB, the counts of a rank some 40 KB.
 MAX_REPLY_BYTES = 8_388_608
+# Maximum size of a rank's answer; what is decoded from it can take many times as much.
+MAX_RANK_REPLY_BYTES = 1_048_576
 # Memory of an answer's body, its copy and what is decoded from it, as a multiple of its
 # size.
 DECODED_FACTOR = 3
@@ -54,6 +56,7 @@
     body: bytes,
     timeout_s: float,
     headers: tuple[heads.Header, ...] = (),
+    max_bytes: int = MAX_REPLY_BYTES,
 ) -> Reply:
     """Makes one call and returns its answer.
 
@@ -65,6 +68,7 @@
         body: Body; empty for none.
         timeout_s: Time limit of the whole call, in seconds.
         headers: Headers besides Host and Content-Length.
+        max_bytes: Maximum size of the answer's body, in bytes.
 
     Raises:
         FetchError: No complete answer arrived in time.
@@ -81,7 +85,7 @@
         if body or method != b"GET":
             fields.append((b"Content-Length", b"%d" % len(body)))
         connection.send_request(heads.encode_request(method, target, fields) + body)
-        head, data = await _read(connection, str(address), deadline_at)
+        head, data = await _read(connection, str(address), deadline_at, max_bytes)
         is_complete = True
     finally:
         if not is_complete:
@@ -91,7 +95,7 @@
 
 
 async def _read(
-    connection: connections.Connection, peer: str, deadline_at: float
+    connection: connections.Connection, peer: str, deadline_at: float, max_bytes: int
 ) -> tuple[heads.AnswerHead, bytes]:
     loop = asyncio.get_running_loop()
     head: heads.AnswerHead | None = None
@@ -109,8 +113,8 @@
             case answerparser.BodyPart(data):
                 body += data
                 connection.hold(len(body) * DECODED_FACTOR)
-                if len(body) > MAX_REPLY_BYTES:
-                    detail = f"an answer longer than {MAX_REPLY_BYTES} bytes"
+                if len(body) > max_bytes:
+                    detail = f"an answer longer than {max_bytes} bytes"
                     raise FetchError("receive", peer, detail, sent=True)
             case answerparser.End():
                 assert head is not None
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
@@ -250,7 +250,14 @@
         headers: tuple[heads.Header, ...],
     ) -> fetching.Reply:
         return await fetching.fetch(
-            self._pool, address, method, target, body, CALL_TIMEOUT_S, headers
+            self._pool,
+            address,
+            method,
+            target,
+            body,
+            CALL_TIMEOUT_S,
+            headers,
+            fetching.MAX_RANK_REPLY_BYTES,
         )
 
     def _uses_agent(self, endpoint: endpoints.Endpoint) -> bool:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/rankagent/service.py
@@ -165,6 +165,7 @@
                 body,
                 CALL_TIMEOUT_S,
                 headers,
+                fetching.MAX_RANK_REPLY_BYTES,
             )
         except fetching.FetchError as error:
             self._event_log.record(catalogue.RANK_SILENT, detail=str(error))
--- a/tests/fleet_platform/test_ranks.py
+++ b/tests/fleet_platform/test_ranks.py
@@ -117,6 +117,28 @@
     assert report.lag_s == rank_client.REMOTE_LAG_S
 
 
+# A faulty rank's report of some MB is valid, and takes many times as much once decoded.
+@pytest.mark.parametrize("has_agent", [True, False])
+async def test_report_that_is_far_too_large_is_not_decoded(
+    rank_setup, monkeypatch, has_agent
+):
+    _, client, endpoint, start_agent = rank_setup
+    if has_agent:
+        await start_agent()
+    filler = {f"{number}": number for number in range(200_000)}
+    monkeypatch.setitem(REPORT, "armed", filler)
+    decoded = []
+    decode = ranks.RankCodec.decode_report
+
+    def record(codec, body, lag_s):
+        decoded.append(len(body))
+        return decode(codec, body, lag_s)
+
+    monkeypatch.setattr(ranks.RankCodec, "decode_report", record)
+    assert await client.read_report(endpoint) is None
+    assert not decoded
+
+
 @pytest.mark.parametrize(
     ("status", "result"),
     [
