Let 4 MiB of a stream wait for its caller

One frame of a link can bring over 1 MiB for one stream before the task that sends it on runs, so that a caller who reads could have lost a stream of large events. Found by reading; no run showed it. test_mailboxes.py passes.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/mailboxes.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/entry/mailboxes.py
@@ -10,9 +10,9 @@
 from chicoryweir_policy.cores import events
 
 EVENT_STREAM = "text/event-stream"
-# Maximum size of the parts of a stream that wait for its caller; a caller that pauses
-# for some seconds is behind by some 10 KB.
-MAX_QUEUED_BYTES = 1 << 20
+# Size of the parts of a stream that may wait for its caller. One frame of a link brings
+# over 1 MiB at once; a caller that pauses for some seconds is behind by some 10 KB.
+MAX_QUEUED_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
