--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/change.py
@@ -21,9 +21,6 @@
 armed for needs no rollback, even if its step has not yet begun: see
 `settlement.is_settled`.
 
-A rank may repeat an earlier answer where that to an order is due. What others rely on,
-that the group is held and that all ranks are armed, is therefore read from reports.
-
 Releasing and rolling back take as many retries as needed; if a rank takes no orders
 meanwhile, the others are asked whether the group has a new epoch, in which nothing is
 armed or held.
@@ -123,7 +120,7 @@
         progress.report = None
         match result:
             case orders.Result.ACCEPTED | orders.Result.UNCHANGED:
-                self._handle_success(rank, order, now)
+                self._handle_success(rank, order)
             case orders.Result.CONFLICT:
                 self._handle_conflict(rank, order, now)
             case orders.Result.FENCED:
@@ -202,12 +199,8 @@
                 self._apply_event("fail", reason, now)
         return []
 
-    def _handle_success(self, rank: int, order: orders.Order, now: float) -> None:
-        """Handles an order that was executed, or whose effect was there already.
-
-        The answer may be another one that the rank repeats, so that a hold is in force
-        only once a report shows it.
-        """
+    def _handle_success(self, rank: int, order: orders.Order) -> None:
+        """Handles an order that was executed, or whose effect was there already."""
         operations = {
             "preparing": orders.Operation.PREPARE,
             "holding": orders.Operation.HOLD,
@@ -219,9 +212,9 @@
         if operations.get(self._state.name) is not order.operation:
             return
         if order.operation is orders.Operation.HOLD:
-            if rank == self._state.holds.holding_rank:
-                self._state.holds.record_answer(rank, order.step, now)
-            return
+            if rank != self._state.holds.holding_rank:
+                return
+            self._state.holds.hold = rankholds.Hold(rank, order.step)
         self._state.ranks[rank].done = True
 
     def _handle_conflict(self, rank: int, order: orders.Order, now: float) -> None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/rankdecisions.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/rankdecisions.py
@@ -79,13 +79,6 @@
 ) -> Decision:
     if report.held is not None:
         return _adopt_hold(change, rank, report.held)
-    if change.holds.hold is not None:
-        if report.step >= change.holds.step:
-            change.holds.give_up()
-        elif now - change.holds.answered_at < changelimits.CHECK_TIMEOUT_S:
-            return Wait()
-        else:
-            return Fail("no report shows the hold")
     age_s = change.compute_report_age(rank, now)
     step = change.holds.choose_step(rank, report, age_s, change.plan.step_s)
     return _create_order(change, orders.Operation.HOLD, report, step)
@@ -153,8 +146,7 @@
     if change.holds.hold is not None:
         if report.held == change.holds.step:
             return Reached()
-        waited_s = now - max(change.entered_at, change.holds.answered_at)
-        if waited_s < changelimits.CHECK_TIMEOUT_S:
+        if now - change.entered_at < changelimits.CHECK_TIMEOUT_S:
             return Wait()
         change.holds.give_up()
     if report.held is not None:
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/rankholds.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/rankmaps/rankholds.py
@@ -35,9 +35,7 @@
         lead_s: Time from choosing the held step to its start, in seconds.
         latest_step: Step that a rollback must hold the group at or before, since ranks
             may be armed for it; None if not known.
-        hold: Hold that is in force for this change, or whose order was answered; None
-            if there is none.
-        answered_at: Time at which its order was answered, in seconds.
+        hold: Hold that is in force for this change; None if there is none.
         ordered: Holds that this change has ordered.
         conflicts: Orders to hold that came after the step had begun.
         moves: Number of times that another rank was chosen to hold the group.
@@ -49,7 +47,6 @@
     lead_s: float
     latest_step: int | None
     hold: Hold | None = None
-    answered_at: float = -math.inf
     ordered: set[Hold] = dataclasses.field(default_factory=set)
     conflicts: int = 0
     moves: int = 0
@@ -74,11 +71,6 @@
                 if self.hold == Hold(rank, order.step):
                     self.hold = None
 
-    def record_answer(self, rank: int, step: int, now: float) -> None:
-        """Records that an order to hold was answered with success."""
-        self.hold = Hold(rank, step)
-        self.answered_at = now
-
     def record_conflict(self) -> int:
         """Records an order to hold for a step that had begun; returns their number.
 
--- a/packages/chicoryweir-policy/tests/rankmaps/test_change.py
+++ b/packages/chicoryweir-policy/tests/rankmaps/test_change.py
@@ -84,7 +84,7 @@
 def test_conflict_while_arming_keeps_all_ranks_on_the_old_map():
     simulation = _simulate()
     map_change = _create_change(simulation, Holder(1), 1)
-    while map_change.state != "holding":
+    while map_change.state != "arming":
         assert not simulation.drive(map_change, TICK_S)
     simulation.group.ranks[3].prepared = None
     assert simulation.drive(map_change, 10.0)
@@ -104,11 +104,10 @@
     assert map_change.poll_commands(simulation.now) == []
 
 
-# A lost order makes the change stay in `holding` or `arming` for more than a tick.
+# A lost order to hold makes the change stay in `holding` for more than a tick.
 @pytest.mark.parametrize("state", ["copying", "holding", "arming"])
 def test_new_epoch_ends_the_change(state):
-    operations = {"holding": orders.Operation.HOLD, "arming": orders.Operation.ARM}
-    lost = (1, operations[state], 5.0) if state in operations else None
+    lost = (1, orders.Operation.HOLD, 5.0) if state == "holding" else None
     simulation = _simulate(silent=lost)
     map_change = _create_change(simulation, Holder(1), 1)
     while map_change.state != state:
@@ -302,73 +301,3 @@
     assert map_change.state in ("done", "abandoned")
     simulation.run_until(simulation.now + 2.0)
     assert simulation.group.held_at is None
-
-
-class RepeatingSimulation(rankgroup.Simulation):
-    """Ranks repeat an earlier answer, a success, where that to an order is due.
-
-    Args:
-        repeated: Operations whose first order at each rank is answered so.
-        delay_s: Time after which that order is executed, in seconds.
-    """
-
-    def __init__(self, group, repeated, delay_s, lag_s):
-        super().__init__((), group, lag_s=lag_s)
-        self._repeated = repeated
-        self._delay_s = delay_s
-        self._seen = set()
-
-    def send(self, rank, order):
-        key = rank, order.operation
-        if order.operation in self._repeated and key not in self._seen:
-            self._seen.add(key)
-            self._delayed_orders.append((self.now + self._delay_s, rank, order))
-            return orders.Result.UNCHANGED
-        return super().send(rank, order)
-
-
-# An answer that belongs to another call was taken for that to the order to hold, and
-# the other ranks were armed without a hold.
-@pytest.mark.parametrize("delay_s", [0.3, 2.5, 12.0])
-@pytest.mark.parametrize("lag_s", [0.0, 0.25])
-@pytest.mark.parametrize("checks_fences", [True, False])
-@pytest.mark.parametrize("operation", list(orders.Operation))
-def test_repeated_answer_is_not_taken_for_that_to_an_order(
-    delay_s, lag_s, checks_fences, operation
-):
-    group = rankgroup.Group(RANKS, checks_fences=checks_fences, counts_orders=False)
-    simulation = RepeatingSimulation(group, {operation}, delay_s, lag_s)
-    simulation.run_until(0.3)
-    holder = Holder(1)
-    map_change = _create_change(simulation, holder, holder.raise_token())
-    assert simulation.drive(map_change, 40.0), map_change.state
-    simulation.run_until(simulation.now + 14.0)
-    _recover(simulation, Holder(2))
-    step = group.step
-    simulation.run_until(simulation.now + 1.0)
-    assert not group.diverged
-    assert group.held_at is None
-    assert group.step > step
-
-
-# The same for the hold of a rollback: some ranks are armed for the step that another
-# one holds.
-@pytest.mark.parametrize("delay_s", [0.3, 2.5, 12.0])
-@pytest.mark.parametrize("checks_fences", [True, False])
-@pytest.mark.parametrize("operation", list(orders.Operation))
-def test_repeated_answer_does_not_break_a_rollback(delay_s, checks_fences, operation):
-    group = rankgroup.Group(RANKS, checks_fences=checks_fences, counts_orders=False)
-    simulation = RepeatingSimulation(group, {operation}, delay_s, 0.0)
-    simulation.run_until(0.3)
-    for rank in group.ranks:
-        rank.prepared = 1
-        rank.versions.add(1)
-    for rank in group.ranks[1:]:
-        rank.armed = 1, group.step + 4
-    group.ranks[1].held = group.step + 4
-    _recover(simulation, Holder(2))
-    simulation.run_until(simulation.now + 14.0)
-    _recover(simulation, Holder(3))
-    simulation.run_until(simulation.now + 1.0)
-    assert not group.diverged
-    assert group.held_at is None
