--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -267,7 +267,7 @@
         self._store = store
         self._record = record
         self._service = service
-        self._host = host
+        self.host = self._host = host
         self._zone = zone
         self._run = run
         self._slots = slots
