--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -597,12 +597,14 @@
     """Runs a case; exits with 1 if it returns True, with 0 if False, else with 2."""
 
     async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await main()
 
     try:
         is_broken = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         print(f"could not run: {error!r}")
         raise SystemExit(2) from error
     print("rule broken" if is_broken else "rule held")
