--- a/review/11/play.py
+++ b/review/11/play.py
@@ -25,7 +25,7 @@
 
 ENTRIES = 4
 WORKERS = 16
-SLOTS = 10
+SLOTS = 6
 PARTS = [f"{0x5C1E0000 + number * 7919:08x}" for number in range(60)]
 CLIENTS = 150
 READ_S = 0.15
