Remove dropped suspects of a crash from its index

Cause: of a crash, 8 suspects are kept. When another entry announced more, one that was known could be dropped, but the crash stayed listed under its parts. Once the crash was forgotten, after 12 hours or when 64 later ones were known, a proof of such a part looked it up and raised KeyError; the proof is recorded while an event is relayed, so that the error ended the stream.

Change: parts that a changed record no longer names leave the index.

Measured: a test plays random calls and merges of three trackers with low bounds and compares the index with the records after each call; it failed before, as did both cases of the single sequence (KeyError). Of the other bounded records only SuspicionTracker has such an index, and it removes what it drops.

--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/promptparts.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/promptparts.py
@@ -212,6 +212,8 @@
             return
         if known is not None:
             at = min(at, known.at)
+        # Suspects of the record before may have been dropped.
+        self._remove_from_index(process, _list_parts(before) - _list_parts(merged))
         self._crashes[process] = partattribution.KnownCrash(at, merged, now)
         for part in _list_parts(merged):
             self._crashes_by_part.setdefault(part, set()).add(process)
@@ -289,13 +291,18 @@
 
     def _remove_crash(self, process: records.LossId) -> None:
         crash = self._crashes.pop(process)
-        for part in _list_parts(crash.suspects):
+        self._remove_from_index(process, _list_parts(crash.suspects))
+        self._is_attributed = False
+
+    def _remove_from_index(
+        self, process: records.LossId, parts: collections.abc.Iterable[str]
+    ) -> None:
+        for part in parts:
             processes = self._crashes_by_part[part]
             processes.discard(process)
             if not processes:
                 del self._crashes_by_part[part]
                 self._proof_changed_at.pop(part, None)
-        self._is_attributed = False
 
 
 def _list_parts(
