Keep errors in records about a request away from its answer

Cause: what an entry records about attempts runs in the middle of relaying their answers, and any unexpected error in it ended the exchange. After an error in the record of an attempt's end its place at the endpoint stayed taken.

Change: the records of an exchange run in supervision.isolate_errors: the error goes to the event loop's handler, which logs the first of equal ones in a second, and the exchange goes on. A look for holds that fails rejects nothing. Arrival times are recorded before what may fail.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/answerprogress.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/answerprogress.py
@@ -78,8 +78,6 @@
                 first part.
         """
         now = self._fleet.clock.read()
-        if gap_s >= MIN_STEP_S and not self.is_proven:
-            self.prove_parts(now)
         if self.last_received_at is None:
             self.first_part_s = now - self._arrived_at
             dispatcher = self._fleet.get_dispatcher(self._service.name)
@@ -89,6 +87,8 @@
             self.longest_gap_s = max(self.longest_gap_s, caller_gap_s)
         self.last_received_at = now
         self._fleet.progress_at[self._service.name] = now
+        if gap_s >= MIN_STEP_S and not self.is_proven:
+            self.prove_parts(now)
         if gap_s and self._route.max_gap_s:
             dispatcher = self._fleet.get_dispatcher(self._service.name)
             dispatcher.record_gap(self._service, gap_s, self._route.max_gap_s, now)
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -18,6 +18,7 @@
 from chicoryweir_daemon.forwarder import requestrecord
 from chicoryweir_daemon.forwarder import statementreports
 from chicoryweir_daemon.forwarder import successors
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.http1 import callers
 from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
@@ -130,8 +131,10 @@
         finally:
             now = self._now()
             record.waited_s += now - queued_at
-            admission.record_inputs(record, dispatcher, now)
-        admission.record_decision(self._context, record, dispatcher, allocated)
+            with supervision.isolate_errors("record the inputs of a decision"):
+                admission.record_inputs(record, dispatcher, now)
+        with supervision.isolate_errors("record an admission decision"):
+            admission.record_decision(self._context, record, dispatcher, allocated)
         return allocated
 
     async def _run_attempt(self, dispatched: dispatching.Dispatched) -> None:
@@ -142,7 +145,8 @@
         self._successor.begin_attempt()
         self.update_end()
         forwarding = self._describe_forwarding(endpoint)
-        attemptreports.record_start(self._context, record, endpoint, self._now())
+        with supervision.isolate_errors("record the start of an attempt"):
+            attemptreports.record_start(self._context, record, endpoint, self._now())
         may_have_crashed = is_complete = False
         try:
             outcome = await attempt.run(
@@ -160,12 +164,14 @@
             may_have_crashed = self._has_been_silent(attempt)
             raise
         finally:
-            attemptreports.record_end(
-                self._context, record, endpoint, may_have_crashed, is_complete
-            )
+            with supervision.isolate_errors("record the end of an attempt"):
+                attemptreports.record_end(
+                    self._context, record, endpoint, may_have_crashed, is_complete
+                )
             self._context.allocator.release(dispatched, record.service)
         if may_have_crashed:
-            await self._check_listener(endpoint)
+            with supervision.isolate_errors("check the listener of an endpoint"):
+                await self._check_listener(endpoint)
         # If the request's time ends before this, it has been sent and may have run.
         self._attempt = None
         self._process_outcome(endpoint, outcome)
@@ -185,7 +191,8 @@
     def _record_part(self, gap_s: float) -> None:
         """Records that part of the answer arrived."""
         self._successor.withdraw()
-        self._record.progress.record_part(gap_s)
+        with supervision.isolate_errors("record part of an answer"):
+            self._record.progress.record_part(gap_s)
 
     def _compute_stall_timeout(self, attempt: attempts.Attempt) -> float:
         """Returns how much longer an attempt may wait for its answer, in seconds.
@@ -215,7 +222,9 @@
         """Records what the endpoint of the current attempt states about itself."""
         record = self._record
         record.statement = statement
-        if self._endpoint is not None:
+        if self._endpoint is None:
+            return
+        with supervision.isolate_errors("record a statement of an endpoint"):
             statementreports.record_statement(
                 self._fleet,
                 self._context.event_log,
@@ -254,9 +263,10 @@
     ) -> None:
         """Records the outcome of an attempt, then ends or retries the request."""
         now = self._now()
-        attemptreports.record_outcome(
-            self._context, self._record, endpoint, outcome, now
-        )
+        with supervision.isolate_errors("record the outcome of an attempt"):
+            attemptreports.record_outcome(
+                self._context, self._record, endpoint, outcome, now
+            )
         match outcome:
             case attempts.Finished(status):
                 self._finish(status, now)
@@ -266,7 +276,8 @@
     def _finish(self, status: int, now: float) -> None:
         record = self._record
         if status < 300 and not record.progress.is_proven:
-            record.progress.prove_parts(now)
+            with supervision.isolate_errors("record a proof of prompt parts"):
+                record.progress.prove_parts(now)
         self._context.metrics.observe(
             "answer", record.route.kind.value, now - record.arrived_at
         )
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
@@ -6,6 +6,7 @@
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import exchangecontext
 from chicoryweir_daemon.forwarder import requestrecord
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_policy import catalogue
 from chicoryweir_policy.forwarding import retries
 
@@ -21,9 +22,10 @@
     If another instance uses its address now, the endpoint is removed.
     """
     record.excluded |= {instance}
-    if failure is retries.Failure.MISDIRECTED:
-        _remove_displaced(context, record, instance)
     record.attempt_history = _add_failure(record, failure)
+    if failure is retries.Failure.MISDIRECTED:
+        with supervision.isolate_errors("remove a displaced endpoint"):
+            _remove_displaced(context, record, instance)
 
 
 def decide_retry(
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/quarantine.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/quarantine.py
@@ -5,7 +5,9 @@
 from chicoryweir_daemon.forwarder import endings
 from chicoryweir_daemon.forwarder import exchangecontext
 from chicoryweir_daemon.forwarder import requestrecord
+from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_policy import catalogue
+from chicoryweir_policy.forwarding import partattribution
 from chicoryweir_policy.quarantine import records
 
 
@@ -16,13 +18,16 @@
 ) -> bool:
     """Rejects a request that would crash its endpoint; returns whether it did."""
     crash_tracker = context.fleet.crashes
-    quarantined = crash_tracker.find_quarantine(record.fingerprint, now)
+    quarantined: records.Quarantined | None = None
+    held: partattribution.Held | None = None
+    with supervision.isolate_errors("look for crashes of a request"):
+        quarantined = crash_tracker.find_quarantine(record.fingerprint, now)
+        held = crash_tracker.parts.find_hold(record.progress.prompt_parts, now)
     if quarantined is not None:
         _log_quarantine(context, record, quarantined.losses)
         detail = "endpoints crashed while it ran"
         endings.reject(context, record, detail, quarantined.retry_after_s)
         return True
-    held = crash_tracker.parts.find_hold(record.progress.prompt_parts, now)
     if held is not None:
         _log_quarantine(context, record, held.crashes, held.part)
         detail = "endpoints crashed on a part of its prompt"
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/supervision.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/supervision.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import traceback
 import typing
 
@@ -46,6 +47,23 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
+@contextlib.contextmanager
+def isolate_errors(step: str) -> collections.abc.Iterator[None]:
+    """Keeps an unexpected error in a step away from what follows it.
+
+    For records of what happened: an answer must not be cut off since one of them can't
+    be made. The error goes to the event loop's exception handler, which logs it.
+
+    Args:
+        step: What is recorded, for the log.
+    """
+    try:
+        yield
+    except Exception as error:
+        context = {"message": step, "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+
+
 def create_exception_handler(
     event_log: eventlog.EventLog,
 ) -> collections.abc.Callable[[asyncio.AbstractEventLoop, dict[str, typing.Any]], None]:
