Apply the other parts of an announcement when one can't be applied

What follows an error in an announcement was lost: that an endpoint leaves, what endpoints stated, and that there is a newer configuration.

Change: each part is applied on its own, and the log line names it.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -106,24 +106,71 @@
         now = self._fleet.clock.read()
         if not self._fleet.peers.record(announcement, now):
             return False
-        # Before a newer configuration, so that the entry isn't ready without them.
-        evacuationreports.merge_announced(self._fleet, self._event_log, announcement)
-        self._fleet.loads.set_peer(announcement.name, announcement.endpoint_loads, now)
-        self._fleet.apply_peer_announcements(now)
-        self._fleet.cold_endpoints.participants.record_heard(
-            announcement.host,
-            announcement.ready,
-            announcement.peers,
-            now,
-            announcement.sequence <= peers.STARTING_ANNOUNCEMENTS,
-        )
-        self._fleet.crashes.merge(announcement.crash_update, now)
-        self._fleet.crashes.parts.merge(announcement.part_update, now)
-        statementreports.record_announced(self._fleet, self._event_log, announcement)
+        for part, apply in self._list_steps(announcement, now):
+            try:
+                apply()
+            except Exception as error:
+                # The rest of the announcement must not be lost with this part.
+                self._event_log.record(
+                    catalogue.ANNOUNCEMENT_UNREADABLE,
+                    peer=announcement.host,
+                    detail=f"{part}: {error!r}",
+                )
         if announcement.version > self._fleet.version:
             self._fetch_newer_configuration(announcement.host, announcement.version)
         return True
 
+    def _list_steps(
+        self, announcement: peers.Announcement, now: float
+    ) -> list[tuple[str, collections.abc.Callable[[], object]]]:
+        """Returns what applies each part of an announcement, by its name."""
+        fleet, event_log = self._fleet, self._event_log
+        return [
+            # Before a newer configuration, so that the entry isn't ready without them.
+            (
+                "evacuations",
+                lambda: evacuationreports.merge_announced(
+                    fleet, event_log, announcement
+                ),
+            ),
+            (
+                "loads",
+                lambda: fleet.loads.set_peer(
+                    announcement.name, announcement.endpoint_loads, now
+                ),
+            ),
+            ("entries", lambda: fleet.apply_peer_announcements(now)),
+            (
+                "participants",
+                lambda: fleet.cold_endpoints.participants.record_heard(
+                    announcement.host,
+                    announcement.ready,
+                    announcement.peers,
+                    now,
+                    announcement.sequence <= peers.STARTING_ANNOUNCEMENTS,
+                ),
+            ),
+            ("crashes", lambda: fleet.crashes.merge(announcement.crash_update, now)),
+            (
+                "prompt parts",
+                lambda: fleet.crashes.parts.merge(announcement.part_update, now),
+            ),
+            (
+                "rates",
+                lambda: fleet.rate_limits.merge(announcement.rates, now),
+            ),
+            (
+                "rests",
+                lambda: fleet.rests.merge(
+                    announcement.rests, announcement.data_centre, now
+                ),
+            ),
+            (
+                "leaving",
+                lambda: statementreports.record_leaving(fleet, event_log, announcement),
+            ),
+        ]
+
     def error_received(self, exc: Exception) -> None:
         """Logs a send error, unless the connection was refused by a stopped peer."""
         if not isinstance(exc, ConnectionRefusedError):
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/statementreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/statementreports.py
@@ -52,15 +52,12 @@
         )
 
 
-def record_announced(
+def record_leaving(
     fleet: fleets.Fleet,
     event_log: eventlog.EventLog,
     announcement: peers.Announcement,
 ) -> None:
-    """Records what endpoints stated to another entry, and logs what it changes."""
-    now = fleet.clock.read()
-    fleet.rate_limits.merge(announcement.rates, now)
-    fleet.rests.merge(announcement.rests, announcement.data_centre, now)
+    """Records that endpoints told another entry that they leave, and logs it."""
     for leaving in announcement.leaving:
         transition = fleet.endpoints.record_leaving(leaving)
         if transition is not None:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_gossip.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_gossip.py
@@ -1,9 +1,15 @@
-"""Tests of relayed announcements."""
+"""Tests of relayed announcements, and of those that can't be applied whole."""
+
+import dataclasses
+
+import pytest
+import structlog
 
 from chicoryweir_daemon.forwarder import announcements
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import gossip as gossips
+from chicoryweir_policy.forwarding import endpoints
 from chicoryweir_policy.forwarding import peers
 
 
@@ -48,3 +54,40 @@
     plain = announce("far", "10.9.0.1", f"not-{own}", sequence=2)
     gossip.datagram_received(announcements.encode(plain), ("10.9.0.1", 1))
     assert len(transport.sent) == 1
+
+
+STEPS = {
+    "loads": lambda fleet: (fleet.loads, "set_peer"),
+    "crashes": lambda fleet: (fleet.crashes, "merge"),
+    "prompt parts": lambda fleet: (fleet.crashes.parts, "merge"),
+    "rates": lambda fleet: (fleet.rate_limits, "merge"),
+    "rests": lambda fleet: (fleet.rests, "merge"),
+}
+
+
+# Guards against an error in one part of an announcement that drops the others: among
+# them that an endpoint leaves, and that there is a newer configuration.
+@pytest.mark.parametrize("step", STEPS)
+def test_part_that_raises_does_not_keep_the_others_away(settings, step, monkeypatch):
+    fleet = fleets.Fleet(settings, Clock())
+    endpoint = endpoints.Endpoint("i-1", "s", "10.1.0.1", 80, "dc", 2, False, 0.0, 1)
+    fleet.endpoints.apply(endpoints.Registered(endpoint), 0.0)
+    fetched = []
+    gossip = gossips.Gossip(
+        fleet, eventlog.EventLog("e-1"), 7, lambda host, version: fetched.append(host)
+    )
+
+    def fail(*arguments):
+        raise KeyError("lost")
+
+    monkeypatch.setattr(*STEPS[step](fleet), fail)
+    announcement = dataclasses.replace(
+        announce("far", "10.9.0.1", "dc"),
+        version=9,
+        leaving=(endpoints.Leaving("i-1", 1),),
+    )
+    with structlog.testing.capture_logs() as lines:
+        gossip.datagram_received(announcements.encode(announcement), ("10.9.0.1", 1))
+    assert fleet.endpoints.get("i-1").leaving
+    assert fetched == ["10.9.0.1"]
+    assert step in lines[0]["detail"]
