Check whether the wait for a configuration missed one

Cause: an entry waits for changes by one call of up to 11.2 s. If the store leaves it unanswered, only its time-out shows it, unless another call of the same entry fails. In a silence of 0.05 to 0.2 s none of them need fail, and all entries wait anew at the same moment, after each change.

Change: entries also ask at intervals of 1.2 to 1.5 s, by calls that are answered at once, whether there is a change. In fleets of more than 8 entries only 8 check; they announce what a wait missed at once. An entry that hears of a version which its own wait did not deliver fetches it as before, and now replaces the wait; it asks the store, too, if the other entry hasn't answered in 0.3 s. A new version alone is a reason to announce.

Cost: 0.74 calls a second for each of up to 8 entries: 2.2 in all with 3 entries and 5.9 with 8 to 99, beside 1.2 calls of each entry for endpoints. Shorter waits would have cost 0.7 calls of each entry with a loss known after 2.6 s only, since each wait needs the time of a slow answer beside.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/gossip.py
@@ -203,6 +203,7 @@
         unchanged_interval_s = peers.IDLE_PERIODS * self._fleet.peers.announce_period_s
         is_due = now - self._last_sent_at >= unchanged_interval_s - TIMER_TOLERANCE_S
         content = (
+            self._fleet.version,
             endpoint_loads,
             on_time,
             self._fleet.crashes.position,
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/peerfetch.py
@@ -26,6 +26,8 @@
 # includes the pause after the one before and the transfer of a large configuration,
 # which both would send otherwise.
 STORE_LEAD_S = 0.8
+# Time that the other entry has to answer until the store is asked, too.
+FETCH_LEAD_S = 0.3
 
 
 class PeerFetcher:
@@ -74,7 +76,15 @@
             or host
         )
         path = operations.CONFIGURATION_PATH
-        data = await self._fetch_from_peer(host, path, version)
+        fetch = asyncio.ensure_future(self._fetch_from_peer(host, path, version))
+        try:
+            await asyncio.wait((fetch,), timeout=FETCH_LEAD_S)
+            if not self._fleet.endpoints.is_store_unreachable:
+                # The store would have delivered it if the wait weren't lost.
+                self._configuration_watch.renew()
+            data = await fetch
+        finally:
+            fetch.cancel()
         if data is not None:
             self._configuration_watch.apply(data, host)
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/service.py
@@ -126,6 +126,7 @@
             self._adapters.configuration_decoder,
             self._event_log,
             self._store_health,
+            lambda: self._gossip.announce(force=True),
         )
         self._peer_fetcher = peerfetch.PeerFetcher(
             self._fleet, self._store_pool, self._configuration_watch, self._event_log
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import random
 import typing
 
 from chicoryweir_daemon.forwarder import coldreports
+from chicoryweir_daemon.forwarder import configurationchecks
 from chicoryweir_daemon.forwarder import crashreports
 from chicoryweir_daemon.forwarder import evacuationreports
 from chicoryweir_daemon.forwarder import eventlog
@@ -43,7 +45,11 @@
 
 
 class ConfigurationWatch:
-    """Applies each newer configuration in the store, and the evacuations."""
+    """Applies each newer configuration in the store, and the evacuations.
+
+    It waits for changes by a long call, which the store may leave unanswered. Checks by
+    short calls find what such a call misses.
+    """
 
     def __init__(
         self,
@@ -52,14 +58,31 @@
         decoder: interfaces.ConfigurationDecoder,
         event_log: eventlog.EventLog,
         store_health: storehealth.StoreHealth,
+        announce: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
+        """Initializes the watch.
+
+        Args:
+            fleet: State of the entry.
+            registry: Client of the store.
+            decoder: Decoder of configurations.
+            event_log: Event log.
+            store_health: State of the store.
+            announce: Announces this entry to the others at once.
+        """
         self._fleet = fleet
         self._registry = registry
         self._decoder = decoder
         self._event_log = event_log
         self._store_health = store_health
+        self._announce = announce
         self._position: interfaces.Position | None = None
         self._asked_at = 0.0
+        self._checks = configurationchecks.ConfigurationChecks(
+            fleet, registry, store_health
+        )
+        self._is_missed = False
+        self._renewal = asyncio.Event()
 
     async def run(self) -> None:
         """Watches the configuration until cancelled."""
@@ -69,6 +92,7 @@
                     next_position = self._apply_evacuations(rows, position)
                     self.apply(data, "store", position)
                     self._position = next_position
+                    self._announce_missed()
                     await self._store_health.record_call(None)
                     await asyncio.sleep(
                         min(
@@ -78,6 +102,7 @@
                     )
                 case interfaces.NoNewerConfiguration(position, rows):
                     self._position = self._apply_evacuations(rows, position)
+                    self._announce_missed()
                     await self._store_health.record_call(None)
                 case interfaces.HistoryLost():
                     self._position = None
@@ -134,20 +159,18 @@
         self._fleet.freezes.confirm(self._asked_at)
         return position
 
-    async def _read(
-        self,
-    ) -> (
-        interfaces.StoredConfiguration
-        | interfaces.NoNewerConfiguration
-        | interfaces.HistoryLost
-        | interfaces.Unreachable
-    ):
-        answer: (
-            interfaces.StoredConfiguration
-            | interfaces.NoNewerConfiguration
-            | interfaces.HistoryLost
-            | interfaces.Unreachable
-        )
+    def renew(self) -> None:
+        """Replaces the wait for a change, as it missed one."""
+        self._renewal.set()
+
+    def _announce_missed(self) -> None:
+        """Announces a change that a wait missed; those of other entries may, too."""
+        if self._is_missed:
+            self._is_missed = False
+            self._announce()
+
+    async def _read(self) -> configurationchecks.Answer:
+        answer: configurationchecks.Answer
         self._asked_at = self._fleet.clock.read_boot()
         if self._position is None:
             answer = await self._registry.read_configuration()
@@ -157,28 +180,26 @@
 
     async def _await_change(
         self, position: interfaces.Position
-    ) -> (
-        interfaces.StoredConfiguration
-        | interfaces.NoNewerConfiguration
-        | interfaces.HistoryLost
-        | interfaces.Unreachable
-    ):
+    ) -> configurationchecks.Answer:
         """Waits for a change after a position; ends early if the store is restored.
 
-        After a freeze, or when the store has left other calls unanswered and is back,
-        the call that was made before may never be answered. It is replaced by one that
-        is answered at once.
+        After a freeze, when the store has left other calls unanswered and is back, or
+        when the wait missed a change, the call that was made before may never be
+        answered. It is replaced by one that is answered at once.
         """
         began_at = self._fleet.clock.read()
+        self._renewal.clear()
         change = asyncio.ensure_future(
             self._registry.await_configuration(position, CONFIGURATION_WAIT_S)
         )
+        found = asyncio.ensure_future(self._checks.find_change(position))
         restore = asyncio.ensure_future(self._store_health.await_restore(position.era))
         renewals = {
             "freeze": asyncio.ensure_future(self._fleet.freezes.await_wake()),
             "store back": asyncio.ensure_future(self._store_health.await_back()),
+            "fetched from another entry": asyncio.ensure_future(self._renewal.wait()),
         }
-        waits = {change, restore, *renewals.values()}
+        waits = {change, found, restore, *renewals.values()}
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             if change.done():
@@ -189,12 +210,18 @@
         finally:
             for wait in waits:
                 wait.cancel()
+        if found.done():
+            reasons.append("check")
         self._event_log.record(
             catalogue.CONFIGURATION_WAIT_RENEWED,
             detail=", ".join(reasons),
             waited_s=round(self._fleet.clock.read() - began_at, 3),
             **_describe(position),
         )
+        if found.done():
+            self._is_missed = True
+            self._asked_at, answer = found.result()
+            return answer
         self._asked_at = self._fleet.clock.read_boot()
         return await self._registry.await_configuration(position, RENEWED_WAIT_S)
 
--- a/tests/fleet_platform/conftest.py
+++ b/tests/fleet_platform/conftest.py
@@ -18,17 +18,25 @@
     """Returns a function that starts an entry with its stand-ins.
 
     All are stopped after the test. With a `peer`, the store is down, so the entry can
-    fetch its state only from that peer.
+    fetch its state only from that peer, unless it shares that peer's store.
     """
     started = []
 
     async def start(
-        *endpoints, config=None, host="127.0.0.1", peer=None, source=None, name=None
+        *endpoints,
+        config=None,
+        host="127.0.0.1",
+        peer=None,
+        source=None,
+        name=None,
+        store=None,
     ):
-        store = fleetstandins.StoreStandIn()
-        store.down = peer is not None
-        servers = [await store.start()]
-        if config is not False:
+        servers = []
+        if store is None:
+            store = fleetstandins.StoreStandIn()
+            store.down = peer is not None
+            servers.append(await store.start())
+        if config is not False and (peer is None or store is not peer.store):
             store.put("op", "config", config or fleetstandins.build_configuration())
         for endpoint in endpoints:
             await endpoint.start()
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -63,6 +63,8 @@
         self.down = False
         # While this is set, calls get no answer and their connections stay open.
         self.silent = False
+        # Returns whether a call gets no answer, by its path and query.
+        self.loses = lambda target: False
         self.history_start = 0
         self.era = 1
         self.calls = collections.Counter()
@@ -122,9 +124,9 @@
                 if self.down:
                     break
                 method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
-                is_lost = self.silent
+                is_lost = self.silent or self.loses(target)
                 status, answer = await self._answer(method, target, body)
-                if is_lost or self.silent:
+                if is_lost or self.silent or self.loses(target):
                     await reader.read()
                     break
                 data = json.dumps(answer).encode()
