Take the late failure of a lost call for no outage

Cause: a wait for a configuration that was lost fails 11.2 s later. The entry took that for the store's being unreachable now, and the next call that succeeded for its return; what is removed until 2.2 s after a return is kept as if it had lapsed.

Change: a failed call that was made before one that was answered says nothing of the present; it is logged (store_call_lost) and ends without a backoff. The time in which missing endpoints are kept begins with the first read of the endpoints after a failure, not with the answer to another call, which now only says that the store is reachable. A lost read of the endpoints still begins it, as what lapsed meanwhile is not known.

No call more.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/configurationchecks.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/configurationchecks.py
@@ -38,11 +38,14 @@
         first_s = storechecks.CHECK_PERIOD_S * random.random()
         self._due_at = fleet.clock.read() + first_s
 
-    async def find_change(self, position: interfaces.Position) -> tuple[float, Answer]:
+    async def find_change(
+        self, position: interfaces.Position
+    ) -> tuple[float, float, Answer]:
         """Asks at intervals for a change after a position, until there is one.
 
         Returns:
-            Boot time at which the call was made that found it, and its answer.
+            When the call was made that found it, by the monotonic clock and by that of
+            the time since boot, and its answer.
         """
         while True:
             await self._await_due()
@@ -57,11 +60,11 @@
             )
             match answer:
                 case interfaces.NoNewerConfiguration(evacuations=()):
-                    await self._store_health.record_call(None)
+                    await self._store_health.record_call(None, now)
                 case interfaces.Unreachable():
-                    await self._store_health.record_call(answer)
+                    await self._store_health.record_call(answer, now)
                 case _:
-                    return asked_at, answer
+                    return now, asked_at, answer
 
     async def _await_due(self) -> None:
         left_s = self._due_at - self._fleet.clock.read()
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import typing
 
@@ -39,20 +40,45 @@
         self._eras = storeeras.EraTracker()
         self._restored = asyncio.Event()
         self._back = asyncio.Event()
+        # When the latest call was made that was answered.
+        self._answered_since = -math.inf
 
-    async def record_call(self, unreachable: interfaces.Unreachable | None) -> None:
-        """Records the result of a call; sleeps for the backoff after a failure."""
+    async def record_call(
+        self,
+        unreachable: interfaces.Unreachable | None,
+        began_at: float,
+        reads_endpoints: bool = False,
+    ) -> None:
+        """Records the result of a call; sleeps for the backoff after a failure.
+
+        The failure of a call that was made before another one that was answered says
+        nothing of the present: the call was lost, which its time-out shows late.
+
+        Args:
+            unreachable: How the call failed; None if it was answered.
+            began_at: When it was made, monotonic seconds.
+            reads_endpoints: Whether it reads the endpoints.
+        """
         now = self._fleet.clock.read()
-        self._fleet.endpoints.record_store_call(unreachable is None, now)
+        endpoints = self._fleet.endpoints
         if unreachable is None:
-            if self._backoff.failures:
-                self._event_log.record(
-                    catalogue.STORE_BACK, failures=self._backoff.failures
-                )
-                self._back.set()
-                self._back = asyncio.Event()
-            self._backoff = backoff.Backoff()
+            self._answered_since = max(self._answered_since, began_at)
+            if reads_endpoints:
+                endpoints.record_store_call(True, now)
+            else:
+                endpoints.record_other_answer()
+            self._record_answer()
             return
+        if began_at < self._answered_since:
+            if reads_endpoints:
+                endpoints.record_lost_read()
+            self._event_log.record(
+                catalogue.STORE_CALL_LOST,
+                detail=unreachable.detail,
+                age_s=round(now - began_at, 3),
+            )
+            return
+        endpoints.record_store_call(False, now)
         if not self._backoff.failures:
             self._event_log.record(
                 catalogue.STORE_UNREACHABLE, detail=unreachable.detail
@@ -60,6 +86,16 @@
         self._backoff = backoff.record_failure(self._backoff, BACKOFF, self._seed, now)
         await asyncio.sleep(self._backoff.retry_at - now)
 
+    def _record_answer(self) -> None:
+        """Ends the backoff, and tells those who wait for the store's return."""
+        if self._backoff.failures:
+            self._event_log.record(
+                catalogue.STORE_BACK, failures=self._backoff.failures
+            )
+            self._back.set()
+            self._back = asyncio.Event()
+        self._backoff = backoff.Backoff()
+
     @property
     def era(self) -> int | None:
         """The latest known era of the store; None before the first."""
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -77,7 +77,8 @@
         self._store_health = store_health
         self._announce = announce
         self._position: interfaces.Position | None = None
-        self._asked_at = 0.0
+        # When the call was made that gave the latest answer, by both clocks.
+        self._made_at = self._asked_at = 0.0
         self._checks = configurationchecks.ConfigurationChecks(
             fleet, registry, store_health
         )
@@ -93,7 +94,7 @@
                     self.apply(data, "store", position)
                     self._position = next_position
                     self._announce_missed()
-                    await self._store_health.record_call(None)
+                    await self._store_health.record_call(None, self._made_at)
                     await asyncio.sleep(
                         min(
                             MAX_CONFIGURATION_PAUSE_S,
@@ -103,12 +104,12 @@
                 case interfaces.NoNewerConfiguration(position, rows):
                     self._position = self._apply_evacuations(rows, position)
                     self._announce_missed()
-                    await self._store_health.record_call(None)
+                    await self._store_health.record_call(None, self._made_at)
                 case interfaces.HistoryLost():
                     self._position = None
-                    await self._store_health.record_call(None)
+                    await self._store_health.record_call(None, self._made_at)
                 case interfaces.Unreachable() as unreachable:
-                    await self._store_health.record_call(unreachable)
+                    await self._store_health.record_call(unreachable, self._made_at)
 
     def apply(
         self, data: bytes, source: str, position: interfaces.Position | None = None
@@ -169,9 +170,14 @@
             self._is_missed = False
             self._announce()
 
+    def _record_start(self) -> None:
+        """Records that a call is made."""
+        self._made_at = self._fleet.clock.read()
+        self._asked_at = self._fleet.clock.read_boot()
+
     async def _read(self) -> configurationchecks.Answer:
         answer: configurationchecks.Answer
-        self._asked_at = self._fleet.clock.read_boot()
+        self._record_start()
         if self._position is None:
             answer = await self._registry.read_configuration()
         else:
@@ -220,9 +226,9 @@
         )
         if found.done():
             self._is_missed = True
-            self._asked_at, answer = found.result()
+            self._made_at, self._asked_at, answer = found.result()
             return answer
-        self._asked_at = self._fleet.clock.read_boot()
+        self._record_start()
         return await self._registry.await_configuration(position, RENEWED_WAIT_S)
 
 
@@ -241,6 +247,8 @@
         self._event_log = event_log
         self._store_health = store_health
         self._position: interfaces.Position | None = None
+        # When the latest call was made.
+        self._made_at = 0.0
 
     async def run(self) -> None:
         """Watches the endpoints until cancelled."""
@@ -248,19 +256,25 @@
             match await self._read():
                 case interfaces.Listing(listed, position, unusable):
                     now = self._fleet.clock.read()
-                    await self._store_health.record_call(None)
+                    await self._store_health.record_call(
+                        None, self._made_at, reads_endpoints=True
+                    )
                     self._apply_listing(listed, now)
                     self._log_unusable(unusable)
                     self._position = position
                 case interfaces.Changes(changes, position):
-                    await self._store_health.record_call(None)
+                    await self._store_health.record_call(
+                        None, self._made_at, reads_endpoints=True
+                    )
                     self._apply_changes(changes)
                     self._position = position
                 case interfaces.HistoryLost():
                     self._position = None
                     continue
                 case interfaces.Unreachable() as unreachable:
-                    await self._store_health.record_call(unreachable)
+                    await self._store_health.record_call(
+                        unreachable, self._made_at, reads_endpoints=True
+                    )
                     continue
             self._log_transitions(
                 self._fleet.endpoints.expire(self._fleet.clock.read())
@@ -303,6 +317,7 @@
             | interfaces.HistoryLost
             | interfaces.Unreachable
         )
+        self._made_at = self._fleet.clock.read()
         if self._position is None:
             answer = await self._registry.list_endpoints()
         else:
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import pytest
+import structlog
+
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_daemon.forwarder import watches
+from chicoryweir_policy.forwarding import endpoints
 
 
 class Clock:
@@ -128,10 +132,68 @@
     task = asyncio.create_task(watch.run())
     async with asyncio.timeout(5.0):
         await registry.exhausted.wait()
-        await health.record_call(None)
+        await health.record_call(None, 0.0)
         assert registry.positions == [None, position]
-        await health.record_call(interfaces.Unreachable("no answer in time"))
-        await health.record_call(None)
+        await health.record_call(interfaces.Unreachable("no answer in time"), 0.0)
+        await health.record_call(None, 0.0)
         await asyncio.sleep(0.01)
     task.cancel()
     assert registry.positions == [None, position, position]
+
+
+class SteppedClock(Clock):
+    """Clock that a test sets."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def read(self):
+        return self.now
+
+
+def _register(fleet, instance):
+    endpoint = endpoints.Endpoint(instance, "s", "h", 80, "dc", 2, False, 0.0, 1)
+    fleet.endpoints.apply(endpoints.Registered(endpoint), 0.0)
+
+
+# Guards against endpoints that get requests for seconds after they left: a call that
+# was lost long ago failed just before their registration was removed.
+@pytest.mark.parametrize("reads_endpoints", [True, False])
+async def test_failure_of_a_call_before_one_that_was_answered_is_no_outage(
+    settings, reads_endpoints
+):
+    clock = SteppedClock()
+    fleet = fleets.Fleet(settings, clock)
+    health = storehealth.StoreHealth(fleet, eventlog.EventLog("front-1"))
+    _register(fleet, "i-1")
+    clock.now = 11.0
+    await health.record_call(None, 10.99, reads_endpoints=reads_endpoints)
+    clock.now = 11.2
+    with structlog.testing.capture_logs() as lines:
+        await health.record_call(interfaces.Unreachable("no answer in time"), 0.0)
+    assert [(line["event"], line["age_s"]) for line in lines] == [
+        ("store_call_lost", 11.2)
+    ]
+    assert not fleet.endpoints.is_store_unreachable
+    transition = fleet.endpoints.apply(endpoints.Removed("i-1"), 11.3)
+    assert transition.meaning == "removed"
+
+
+# Guards against endpoints that are dropped after an outage before they could register
+# again: the read that would have shown the outage was lost in it.
+async def test_read_that_was_lost_keeps_missing_endpoints(settings):
+    clock = SteppedClock()
+    fleet = fleets.Fleet(settings, clock)
+    health = storehealth.StoreHealth(fleet, eventlog.EventLog("front-1"))
+    _register(fleet, "i-1")
+    clock.now = 10.0
+    await health.record_call(None, 9.99)
+    clock.now = 11.7
+    failure = interfaces.Unreachable("no answer in time")
+    await health.record_call(failure, 9.9, reads_endpoints=True)
+    clock.now = 11.8
+    await health.record_call(None, 11.79, reads_endpoints=True)
+    assert fleet.endpoints.apply(endpoints.Removed("i-1"), 11.8).meaning == "missing"
+    usable = fleet.endpoints.list_usable
+    assert usable("s", 11.8 + endpoints.LAPSE_GRACE_S - 0.1)
+    assert not usable("s", 11.8 + endpoints.LAPSE_GRACE_S)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/catalogue.py
@@ -86,6 +86,7 @@
 STORE_UNREACHABLE = 310
 STORE_BACK = 311
 STORE_RESTORED = 312
+STORE_CALL_LOST = 313
 EVACUATION_STARTED = 320
 EVACUATION_ENDED = 321
 EVACUATION_DRAINED = 322
@@ -469,6 +470,13 @@
         "The platform's store was restored from a copy and lost its latest changes.",
         "None; the entry reads everything again.",
     ),
+    EventKind(
+        STORE_CALL_LOST,
+        "store_call_lost",
+        "A call to the store failed that was made `age_s` ago, before one that was "
+        "answered; it tells nothing of the present state of the store.",
+        "None, unless it happens often.",
+    ),
     EventKind(
         EVACUATION_STARTED,
         "evacuation_started",
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -215,6 +215,8 @@
         self._outdated: set[str] = set()
         self._missing: dict[str, float] = {}
         self._store_unreachable = False
+        # Whether a call to the store has failed since the endpoints were last read.
+        self._failed_since_read = False
         self._store_reachable_since = -math.inf
         self._store_restored_at = -math.inf
         self._departed: dict[str, _Departed] = {}
@@ -286,13 +288,24 @@
         After a store outage or a restore, the first ones may be older.
         """
         is_settled = now >= self._store_reachable_since + LAPSE_GRACE_S
-        return is_settled and not self._store_unreachable
+        return is_settled and not self._failed_since_read
 
     def record_store_call(self, reachable: bool, now: float) -> None:
-        """Records whether the last call to the store succeeded."""
-        if reachable and self._store_unreachable:
+        """Records that the endpoints were read, or that a call to the store failed."""
+        if reachable and self._failed_since_read:
             self._store_reachable_since = now
-        self._store_unreachable = not reachable
+        self._store_unreachable = self._failed_since_read = not reachable
+
+    def record_other_answer(self) -> None:
+        """Records that the store answered a call that doesn't read the endpoints."""
+        self._store_unreachable = False
+
+    def record_lost_read(self) -> None:
+        """Records that a read of the endpoints failed before the store's last answer.
+
+        The store is reachable, but registrations may have lapsed.
+        """
+        self._failed_since_read = True
 
     def record_restore(self, now: float) -> None:
         """Records that the store was restored from a copy."""
@@ -407,7 +420,7 @@
 
     def _has_lapsed(self, instance: str, now: float) -> bool:
         return (
-            not self._store_unreachable and self._missing.get(instance, math.inf) <= now
+            not self._failed_since_read and self._missing.get(instance, math.inf) <= now
         )
 
     def _register(self, endpoint: Endpoint) -> Transition | None:
@@ -438,11 +451,11 @@
         if endpoint is None:
             return None
         keep_until = self._store_reachable_since + LAPSE_GRACE_S
-        if endpoint.leaving or (not self._store_unreachable and keep_until <= now):
+        if endpoint.leaving or (not self._failed_since_read and keep_until <= now):
             return self._delete(instance, "removed", now)
         if instance not in self._missing:
             self._missing[instance] = (
-                keep_until if not self._store_unreachable else math.inf
+                keep_until if not self._failed_since_read else math.inf
             )
             return Transition(instance, endpoint.service, "missing")
         return None
--- a/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
+++ b/packages/chicoryweir-policy/tests/forwarding/test_endpoints.py
@@ -55,6 +55,19 @@
     assert until < 20.0 + 3.0
 
 
+def test_answer_of_another_call_does_not_begin_the_grace_period(make_endpoint):
+    table = _create_table(make_endpoint, "a", "b")
+    table.record_store_call(False, 10.0)
+    table.record_other_answer()
+    assert not table.is_store_unreachable
+    assert not table.has_current_registrations(15.0)
+    table.record_store_call(True, 20.0)
+    table.apply(endpoints.Removed("a"), 20.1)
+    until = 20.0 + endpoints.LAPSE_GRACE_S
+    assert _list_usable(table, until - 0.1) == ["a", "b"]
+    assert _list_usable(table, until) == ["b"]
+
+
 def test_endpoint_that_registers_again_after_outage_is_kept(make_endpoint):
     table = _create_table(make_endpoint, "a")
     table.record_store_call(False, 10.0)
--- a/tests/fleet_platform/test_lost_waits.py
+++ b/tests/fleet_platform/test_lost_waits.py
@@ -11,10 +11,12 @@
 import fleetstandins
 import pytest
 
+from chicoryweir_daemon.forwarder import watches
 from chicoryweir_policy.forwarding import storechecks
+from fleet_platform import store as stores
 
 CONTACT_S = 3.0
-CONFIGURATION_S = 2.0
+CONFIGURATION_S = DRAIN_S = 2.0
 
 
 async def _answer(endpoint, headers, writer):
@@ -101,6 +103,54 @@
     await _await_version(systems, 15, loop.time() + 0.3)
 
 
+# Guards against requests to an endpoint that left: the late failure of a lost wait was
+# taken for an outage, and what was removed then was kept as if it had lapsed in it.
+@pytest.mark.parametrize("removed_after_s", [-0.3, 0.1, 0.6])
+async def test_removed_endpoint_gets_no_requests_after_a_lost_wait_ends(
+    start_system, monkeypatch, removed_after_s
+):
+    monkeypatch.setattr(watches, "CONFIGURATION_WAIT_S", 1.5)
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", _answer) for n in (1, 2)]
+    system = await start_system(*endpoints)
+    store, loop = system.store, asyncio.get_running_loop()
+    since = f"after_rev={store.version + 1}&wait_ms=1500"
+    store.loses = lambda target: _is_wait(target) and since in target
+    store.put("op", "config", fleetstandins.build_configuration(9))
+    fleet = system.entry._fleet
+    await fleetstandins.wait_until(lambda: fleet.version == 9)
+    ends_at = loop.time() + 1.5 + stores.CALL_TIMEOUT_S
+    await asyncio.sleep(ends_at + removed_after_s - loop.time())
+    store.delete("servers", "i-1")
+    until = loop.time() + DRAIN_S
+    await asyncio.sleep(1.4)
+    while loop.time() < until:
+        usable = fleet.endpoints.list_usable("svc", loop.time())
+        assert [endpoint.instance for endpoint in usable] == ["i-2"]
+        await asyncio.sleep(0.05)
+
+
+# Guards against endpoints that live and are dropped after an outage.
+@pytest.mark.parametrize("silent_s", [1.0, 4.0])
+async def test_endpoint_that_registers_again_after_a_silence_is_kept(
+    start_system, silent_s
+):
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", _answer) for n in (1, 2)]
+    system = await start_system(*endpoints)
+    store, loop = system.store, asyncio.get_running_loop()
+    usable = system.entry._fleet.endpoints.list_usable
+    store.silent = True
+    await asyncio.sleep(silent_s / 2)
+    store.delete("servers", "i-1")
+    await asyncio.sleep(silent_s / 2)
+    store.silent = False
+    registers_at = loop.time() + 2.0
+    while loop.time() < registers_at + 2.0:
+        if loop.time() >= registers_at and ("servers", "i-1") not in store.rows:
+            store.put("servers", "i-1", endpoints[0].build_registration())
+        assert len(usable("svc", loop.time())) == 2
+        await asyncio.sleep(0.05)
+
+
 # Silences of other lengths, at other moments of a wait, for all calls or for a part.
 @pytest.mark.parametrize("seed", range(6))
 async def test_configuration_is_adopted_in_time_after_any_silence(start_entries, seed):
