Store of the product: take a late failure for no outage

Operators saw a store that was up reported as unreachable.

Change: the failure of an operation sent before one that was answered leaves the state as it is.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platform_tasks.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/runtime/platform_tasks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import math
 import random
 import typing
 
@@ -34,6 +35,8 @@
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_OPERATIONS)
         self._log = log
         self.is_reachable = True
+        # When the latest operation was sent that was answered, loop time.
+        self._answered_since = -math.inf
         core_task.set_handler(commands.RunOperation, self._start)
 
     def _start(self, command: commands.RunOperation) -> None:
@@ -43,12 +46,22 @@
 
     async def _run(self, command: commands.RunOperation) -> None:
         async with self._slots:
+            sent_at = asyncio.get_running_loop().time()
             result = await self._store.run(command.operation)
-        self._record_reachability(result)
+        self._record_reachability(result, sent_at)
         self._core_task.post(events.StoreReplied(command.operation_id, result))
 
-    def _record_reachability(self, result: store.Result) -> None:
+    def _record_reachability(self, result: store.Result, sent_at: float) -> None:
+        """Records whether the store is reachable, by an operation sent at `sent_at`.
+
+        The failure of one that was sent before another one that was answered says
+        nothing of the present.
+        """
         is_reachable = not isinstance(result, store.Refused | store.Unknown)
+        if is_reachable:
+            self._answered_since = max(self._answered_since, sent_at)
+        elif sent_at < self._answered_since:
+            return
         if is_reachable == self.is_reachable:
             return
         self.is_reachable = is_reachable
