Rank agents: take a late failure for no outage

Calls to the agent of a rank run at the same time.

Change: the failure of a call made before one that was answered leaves the agent in use.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/mapcontrol/rank_client.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 import zlib
 
@@ -117,6 +118,8 @@
         self._clock = clock
         self._event_log = event_log
         self._agent_retry_at: dict[str, float] = {}
+        # When the latest call to an agent was made that was answered, by host.
+        self._answered_since: dict[str, float] = {}
         self._compressed: tuple[bytes, bytes] = (b"", b"")
         # Agents of earlier releases send no digests and can't decompress orders.
         self._hosts_with_digests: set[str] = set()
@@ -209,15 +212,22 @@
         is_large = len(body) >= MIN_COMPRESSED_BYTES
         if is_large and endpoint.host in self._hosts_with_digests:
             sent, sent_headers = self._compress(body), (*headers, COMPRESSION_HEADER)
+        made_at = self._clock.read()
         try:
-            return await self._fetch(
+            reply = await self._fetch(
                 agent, call.method, call.agent_target, sent, sent_headers
             )
         except fetching.FetchError as error:
-            self._agent_retry_at[endpoint.host] = self._clock.read() + AGENT_RETRY_S
+            # A call made before one that was answered shows nothing of the present.
+            if made_at >= self._answered_since.get(endpoint.host, -math.inf):
+                self._agent_retry_at[endpoint.host] = self._clock.read() + AGENT_RETRY_S
             if error.sent or not call.rank_target:
                 raise
             self._log_silent(endpoint, f"its agent: {error}")
+        else:
+            before = self._answered_since.get(endpoint.host, -math.inf)
+            self._answered_since[endpoint.host] = max(before, made_at)
+            return reply
         return await self._call_rank(endpoint, call, body, headers)
 
     def _compress(self, body: bytes) -> bytes:
