Checks of the configuration go on from the last one's position

Cause: checks asked for changes since the position of the wait, which is up to 10 s old. A store that keeps a history of a few seconds answers that it is lost, and each check would have read the whole configuration.

Change: a check goes on from the position up to which the one before saw no change.

Measured: the new case of test_watches.py failed before ([60, 60, 60]).

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/configurationchecks.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/configurationchecks.py
@@ -59,7 +59,9 @@
                 await self._registry.await_configuration(position, WAIT_S), position
             )
             match answer:
-                case interfaces.NoNewerConfiguration(evacuations=()):
+                case interfaces.NoNewerConfiguration(unchanged_until, ()):
+                    # The store may keep a history of a few seconds only.
+                    position = unchanged_until
                     await self._store_health.record_call(None, now)
                 case interfaces.Unreachable():
                     await self._store_health.record_call(answer, now)
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -5,12 +5,14 @@
 import pytest
 import structlog
 
+from chicoryweir_daemon.forwarder import clocks
 from chicoryweir_daemon.forwarder import eventlog
 from chicoryweir_daemon.forwarder import fleet as fleets
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import storehealth
 from chicoryweir_daemon.forwarder import watches
 from chicoryweir_policy.forwarding import endpoints
+from chicoryweir_policy.forwarding import storechecks
 
 
 class Clock:
@@ -197,3 +199,40 @@
     usable = fleet.endpoints.list_usable
     assert usable("s", 11.8 + endpoints.LAPSE_GRACE_S - 0.1)
     assert not usable("s", 11.8 + endpoints.LAPSE_GRACE_S)
+
+
+class CheckedRegistry:
+    """Leaves waits unanswered; answers checks that nothing has changed."""
+
+    def __init__(self):
+        self.checked = []
+        self.version = 60
+        self.done = asyncio.Event()
+
+    async def read_configuration(self):
+        return interfaces.NoNewerConfiguration(interfaces.Position(self.version, 1))
+
+    async def await_configuration(self, position, wait_s):
+        if wait_s == watches.CONFIGURATION_WAIT_S:
+            await asyncio.Event().wait()
+        self.checked.append(position.version)
+        self.version += 5
+        if len(self.checked) == 3:
+            self.done.set()
+        return interfaces.NoNewerConfiguration(interfaces.Position(self.version, 1))
+
+
+# Guards against full reads by each check when the store keeps a short history: checks
+# went on from the position of the wait, which is up to 10 s old.
+async def test_check_goes_on_from_the_position_of_the_one_before(settings, monkeypatch):
+    monkeypatch.setattr(storechecks, "CHECK_PERIOD_S", 0.02)
+    fleet = fleets.Fleet(settings, clocks.SystemClock())
+    event_log = eventlog.EventLog("front-1")
+    health = storehealth.StoreHealth(fleet, event_log)
+    registry = CheckedRegistry()
+    watch = watches.ConfigurationWatch(fleet, registry, None, event_log, health)
+    task = asyncio.create_task(watch.run())
+    async with asyncio.timeout(5.0):
+        await registry.done.wait()
+    task.cancel()
+    assert registry.checked == [60, 65, 70]
