--- a/tests/fleet_platform/test_lost_waits.py
+++ b/tests/fleet_platform/test_lost_waits.py
@@ -103,6 +103,28 @@
     await _await_version(systems, 15, loop.time() + 0.3)
 
 
+# Guards against calls that are lost one after the other on connections that are dead.
+@pytest.mark.parametrize("idle", [1, 4])
+async def test_changes_are_seen_in_time_after_all_connections_went_silent(
+    start_system, idle
+):
+    endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", _answer) for n in (1, 2)]
+    system = await start_system(*endpoints)
+    store, loop = system.store, asyncio.get_running_loop()
+    registry, fleet = system.entry._adapters.registry, system.entry._fleet
+    await asyncio.gather(*(registry.list_entries() for _ in range(idle)))
+    store.mute_connections()
+    ended_at = loop.time()
+    await asyncio.sleep(1.0)
+    store.put("op", "config", fleetstandins.build_configuration(12))
+    await _await_version([system], 12, ended_at + CONTACT_S)
+    await asyncio.sleep(ended_at + CONTACT_S - loop.time())
+    store.delete("servers", "i-1")
+    await fleetstandins.wait_until(
+        lambda: len(fleet.endpoints.list_usable("svc", loop.time())) == 1, DRAIN_S
+    )
+
+
 # Guards against requests to an endpoint that left: the late failure of a lost wait was
 # taken for an outage, and what was removed then was kept as if it had lapsed in it.
 @pytest.mark.parametrize("removed_after_s", [-0.3, 0.1, 0.6])
--- a/tests/support/fleetstandins.py
+++ b/tests/support/fleetstandins.py
@@ -65,6 +65,8 @@
         self.silent = False
         # Returns whether a call gets no answer, by its path and query.
         self.loses = lambda target: False
+        self._open = set()
+        self._muted = set()
         self.history_start = 0
         self.era = 1
         self.calls = collections.Counter()
@@ -117,7 +119,12 @@
         self.port = server.sockets[0].getsockname()[1]
         return server
 
+    def mute_connections(self):
+        """Leaves all calls on the connections that are open now unanswered."""
+        self._muted |= self._open
+
     async def _serve(self, reader, writer):
+        self._open.add(writer)
         try:
             while True:
                 head, body = await read_message(reader)
@@ -126,7 +133,12 @@
                 method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
                 is_lost = self.silent or self.loses(target)
                 status, answer = await self._answer(method, target, body)
-                if is_lost or self.silent or self.loses(target):
+                if (
+                    is_lost
+                    or self.silent
+                    or self.loses(target)
+                    or writer in self._muted
+                ):
                     await reader.read()
                     break
                 data = json.dumps(answer).encode()
@@ -139,6 +151,8 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._open.discard(writer)
+            self._muted.discard(writer)
             writer.close()
 
     async def _answer(self, method, target, body):
