Keep a silent attempt until another endpoint has begun to answer

Cause: a silent attempt ended as soon as a place at another endpoint was allocated. That endpoint may decline the request all the same, since others call it, too; on the last attempt nothing was left.

Change: the next attempt runs beside the silent one and relays nothing until it has its turn, which it gets when it has begun an answer. A failure of it is counted and changes nothing else; if the silent endpoint goes on, it is withdrawn. What runs one attempt moves from exchange.py to attemptrun.py.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -84,6 +84,7 @@
         confirm_sending: collections.abc.Callable[
             [str], collections.abc.Awaitable[bool]
         ],
+        await_turn: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
@@ -93,6 +94,7 @@
         self._get_stall_timeout = get_stall_timeout
         self._record_statement = record_statement
         self._confirm_sending = confirm_sending
+        self._await_turn = await_turn
         self.sent = False
         self.last_received_at = 0.0
         self.last_progress_at = 0.0
@@ -220,6 +222,7 @@
             return None, Failed(retries.Failure.GARBLED, detail)
         if head.status >= 500 or head.status in NOT_RUN_STATUSES:
             return await self._read_error_answer(connection, head, facts)
+        await self._await_turn()
         try:
             target.start(head)
         except relay.RelayError as error:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attemptreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attemptreports.py
@@ -15,20 +15,30 @@
     context: exchangecontext.ExchangeContext,
     record: requestrecord.RequestRecord,
     endpoint: endpoints.Endpoint,
+    key: int,
     now: float,
 ) -> None:
-    """Records that an attempt begins."""
+    """Records that an attempt begins.
+
+    Args:
+        context: Objects of the process.
+        record: The request.
+        endpoint: Endpoint of the attempt.
+        key: Key of the attempt.
+        now: Present time, monotonic seconds.
+    """
     fleet = context.fleet
     fleet.crashes.record_sent(endpoint, record.fingerprint)
     fleet.crashes.parts.record_sent(record.progress.prompt_parts, now)
-    record.progress.begin_attempt(now)
-    fleet.get_durations(record.route.name).record_start(id(record), now)
+    fleet.get_durations(record.route.name).record_start(key, now)
 
 
 def record_end(
     context: exchangecontext.ExchangeContext,
     record: requestrecord.RequestRecord,
     endpoint: endpoints.Endpoint,
+    key: int,
+    unproven_parts: tuple[str, ...],
     may_have_crashed: bool,
     is_complete: bool,
 ) -> None:
@@ -38,6 +48,8 @@
         context: Objects of the process.
         record: The request.
         endpoint: Endpoint of the attempt.
+        key: Key of the attempt.
+        unproven_parts: Prompt parts that its answer has not proved.
         may_have_crashed: Whether the endpoint may have crashed on the request.
         is_complete: Whether the caller received a complete answer.
     """
@@ -47,10 +59,10 @@
         record.fingerprint,
         may_have_crashed,
         fleet.clock.read(),
-        record.progress.unproven_parts,
+        unproven_parts,
     )
     fleet.get_durations(record.route.name).record_end(
-        id(record), record.max_answer_tokens, is_complete, fleet.clock.read()
+        key, record.max_answer_tokens, is_complete, fleet.clock.read()
     )
 
 
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/exchange.py
@@ -6,21 +6,18 @@
 import typing
 
 from chicoryweir_daemon.forwarder import admission
-from chicoryweir_daemon.forwarder import allocation
 from chicoryweir_daemon.forwarder import attempt as attempts
 from chicoryweir_daemon.forwarder import attemptreports
-from chicoryweir_daemon.forwarder import crashreports
+from chicoryweir_daemon.forwarder import attemptrun
 from chicoryweir_daemon.forwarder import endings
 from chicoryweir_daemon.forwarder import exchangecontext
 from chicoryweir_daemon.forwarder import failedattempts
 from chicoryweir_daemon.forwarder import interfaces
 from chicoryweir_daemon.forwarder import quarantine
 from chicoryweir_daemon.forwarder import requestrecord
-from chicoryweir_daemon.forwarder import statementreports
 from chicoryweir_daemon.forwarder import successors
 from chicoryweir_daemon.forwarder import supervision
 from chicoryweir_daemon.http1 import callers
-from chicoryweir_daemon.http1 import connections
 from chicoryweir_daemon.http1 import heads
 from chicoryweir_policy.forwarding import configuration
 from chicoryweir_policy.forwarding import dispatching
@@ -29,13 +26,9 @@
 from chicoryweir_policy.forwarding import retries
 from chicoryweir_policy.forwarding import routes
 from chicoryweir_policy.forwarding import stalls
-from chicoryweir_policy.forwarding import statements
 from chicoryweir_policy.forwarding import stopping
 
-# Maximum time to find out whether an endpoint still listens. A round trip takes a few
-# milliseconds.
-LISTENER_CHECK_S = 0.1
-# Interval of checks whether an endpoint can take over a request from a silent one.
+# Interval of checks whether another endpoint takes over a request from a silent one.
 SUCCESSOR_POLL_S = 0.03
 
 
@@ -57,8 +50,7 @@
         self._record = requestrecord.create_request_record(
             context.fleet, request, answer, facts, routed, service, arrived_at
         )
-        self._endpoint: endpoints.Endpoint | None = None
-        self._attempt: attempts.Attempt | None = None
+        self._run: attemptrun.AttemptRun | None = None
         self._timeout: asyncio.Timeout | None = None
         self._successor = successors.Successor(context, self._record)
 
@@ -82,7 +74,7 @@
             self._successor.withdraw()
             # The attempt refers to this exchange and the timeout to its task; until the
             # garbage collector finds them, they would hold the request.
-            self._attempt = self._timeout = None
+            self._run = self._timeout = None
 
     def update_end(self) -> None:
         """Sets the time until which the request may go on as it does now.
@@ -103,24 +95,17 @@
             self.update_end()
             if self._reject_quarantined():
                 continue
-            match await self._allocate():
-                case queueing.Rejection(reason=reason, retry_after_s=retry_after_s):
-                    endings.reject(self._context, record, reason, retry_after_s)
-                case dispatching.Dispatched() as dispatched:
-                    # Crashes may have been reported while the request was queued.
-                    if self._reject_quarantined():
-                        self._context.allocator.release(dispatched, record.service)
-                    else:
-                        await self._run_attempt(dispatched)
+            run = self._successor.take() or await self._allocate()
+            if isinstance(run, dispatching.Dispatched):
+                run = self._create_run(run)
+            if run is not None:
+                await self._perform(run)
 
     def _reject_quarantined(self) -> bool:
         return quarantine.reject_quarantined(self._context, self._record, self._now())
 
-    async def _allocate(self) -> allocation.Allocation:
-        """Waits for an endpoint; returns it or the rejection."""
-        successor = self._successor.take()
-        if successor is not None:
-            return successor
+    async def _allocate(self) -> dispatching.Dispatched | None:
+        """Waits for an endpoint; returns None if the request is rejected."""
         record = self._record
         dispatcher = self._fleet.get_dispatcher(record.service.name)
         queued_at = self._now()
@@ -135,58 +120,36 @@
                 admission.record_inputs(record, dispatcher, now)
         with supervision.isolate_errors("record an admission decision"):
             admission.record_decision(self._context, record, dispatcher, allocated)
+        if isinstance(allocated, queueing.Rejection):
+            endings.reject(
+                self._context, record, allocated.reason, allocated.retry_after_s
+            )
+            return None
+        # Crashes may have been reported while the request was queued.
+        if self._reject_quarantined():
+            self._context.allocator.release(allocated, record.service)
+            return None
         return allocated
 
-    async def _run_attempt(self, dispatched: dispatching.Dispatched) -> None:
+    def _create_run(self, dispatched: dispatching.Dispatched) -> attemptrun.AttemptRun:
+        return attemptrun.AttemptRun(
+            self._context,
+            self._record,
+            dispatched,
+            self._record_part,
+            self._compute_stall_timeout,
+        )
+
+    async def _perform(self, run: attemptrun.AttemptRun) -> None:
         """Sends the request to an endpoint, then processes the outcome."""
-        record = self._record
-        endpoint = self._endpoint = dispatched.endpoint
-        attempt = self._attempt = self._create_attempt(endpoint)
+        self._run = run
         self._successor.begin_attempt()
         self.update_end()
-        forwarding = self._describe_forwarding(endpoint)
-        with supervision.isolate_errors("record the start of an attempt"):
-            attemptreports.record_start(self._context, record, endpoint, self._now())
-        may_have_crashed = is_complete = False
-        try:
-            outcome = await attempt.run(
-                record.request,
-                record.facts,
-                forwarding,
-                record.relay,
-                record.answer,
-                fresh=not record.route.retryable,
-                tried_before=endpoint.instance in record.excluded,
-            )
-            may_have_crashed = attempts.may_have_crashed(outcome)
-            is_complete = isinstance(outcome, attempts.Finished)
-        except asyncio.CancelledError:
-            may_have_crashed = self._has_been_silent(attempt)
-            raise
-        finally:
-            with supervision.isolate_errors("record the end of an attempt"):
-                attemptreports.record_end(
-                    self._context, record, endpoint, may_have_crashed, is_complete
-                )
-            self._context.allocator.release(dispatched, record.service)
-        if may_have_crashed:
-            with supervision.isolate_errors("check the listener of an endpoint"):
-                await self._check_listener(endpoint)
+        run.take_turn()
+        outcome = await run.finish()
         # If the request's time ends before this, it has been sent and may have run.
-        self._attempt = None
-        self._process_outcome(endpoint, outcome)
-
-    def _create_attempt(self, endpoint: endpoints.Endpoint) -> attempts.Attempt:
-        return attempts.Attempt(
-            self._context.pool,
-            self._context.header_codec,
-            self._fleet.clock,
-            endpoint,
-            self._record_part,
-            self._compute_stall_timeout,
-            self._record_statement,
-            self._fleet.confirm_sending,
-        )
+        self._run = None
+        self._process_outcome(run.endpoint, outcome)
 
     def _record_part(self, gap_s: float) -> None:
         """Records that part of the answer arrived."""
@@ -194,70 +157,18 @@
         with supervision.isolate_errors("record part of an answer"):
             self._record.progress.record_part(gap_s)
 
-    def _compute_stall_timeout(self, attempt: attempts.Attempt) -> float:
+    def _compute_stall_timeout(self, run: attemptrun.AttemptRun) -> float:
         """Returns how much longer an attempt may wait for its answer, in seconds.
 
-        A silent attempt ends as soon as another endpoint can take the request over.
+        A silent attempt ends as soon as another endpoint has begun to answer.
         """
-        timeout_s = self._record.progress.compute_stall_timeout(attempt)
-        if timeout_s > 0.0 or self._endpoint is None:
+        timeout_s = run.measure_stall_timeout()
+        if timeout_s > 0.0 or not run.has_turn:
             return timeout_s
-        if self._successor.prepare(self._endpoint.instance, self._now()):
+        if self._successor.prepare(run, self._now()):
             return 0.0
         return SUCCESSOR_POLL_S if self._successor.is_pending else stalls.RECHECK_S
 
-    def _describe_forwarding(
-        self, endpoint: endpoints.Endpoint
-    ) -> interfaces.ForwardingFacts:
-        record = self._record
-        return interfaces.ForwardingFacts(
-            record.deadline_at - self._now(),
-            endpoint.instance,
-            record.routed.workspace,
-            record.routed.priority,
-            record.relay.resume_after,
-        )
-
-    def _record_statement(self, statement: statements.Statement) -> None:
-        """Records what the endpoint of the current attempt states about itself."""
-        record = self._record
-        record.statement = statement
-        if self._endpoint is None:
-            return
-        with supervision.isolate_errors("record a statement of an endpoint"):
-            statementreports.record_statement(
-                self._fleet,
-                self._context.event_log,
-                self._endpoint,
-                statement,
-                record.progress.attempt_started_at,
-                record.request_id,
-            )
-
-    def _has_been_silent(self, attempt: attempts.Attempt) -> bool:
-        """Returns whether the endpoint sent nothing for long before now."""
-        silent_s = self._now() - attempt.last_received_at
-        return attempt.sent and silent_s > stalls.SERVICE_STALL_S
-
-    async def _check_listener(self, endpoint: endpoints.Endpoint) -> None:
-        """Records a crash of an endpoint that broke an attempt and doesn't listen.
-
-        Its registration would show the crash only some seconds later, when the request
-        may already have crashed the endpoint that it is retried at. Only requests with
-        prompt parts that no answer has proved are checked.
-        """
-        unproven_parts = self._record.progress.unproven_parts
-        if not self._fleet.crashes.parts.has_unproven(unproven_parts):
-            return
-        address = connections.Address(endpoint.host, endpoint.port, endpoint.instance)
-        if await self._context.pool.is_refused(address, LISTENER_CHECK_S):
-            crashreports.record_refused_connection(
-                self._fleet,
-                self._context.event_log,
-                endpoint,
-                self._record.request_id,
-            )
-
     def _process_outcome(
         self, endpoint: endpoints.Endpoint, outcome: attempts.Outcome
     ) -> None:
@@ -288,8 +199,11 @@
         context, record = self._context, self._record
         failedattempts.record_failure(context, record, instance, failed.failure)
         now = self._now()
-        if self._successor.is_allocated:
-            decision: retries.Decision = retries.Retry(charged=True)
+        if self._successor.is_running:
+            # The budget was charged when that attempt began.
+            decision: retries.Decision = retries.Retry(charged=False)
+        elif self._successor.is_allocated:
+            decision = retries.Retry(charged=True)
         else:
             decision = failedattempts.decide_retry(context, record, failed.failure, now)
         match decision:
@@ -309,13 +223,13 @@
                 typing.assert_never(decision)
 
     def _end_at_deadline(self) -> None:
-        is_sent = self._attempt is not None and self._attempt.sent
+        is_sent = self._run is not None and self._run.is_sent
         endings.end_at_deadline(self._context, self._record, is_sent)
 
     def _compute_end_at(self) -> float:
         record = self._record
         stop = self._fleet.stop
-        if self._attempt is not None or record.relay.begun:
+        if self._run is not None or record.relay.begun:
             return min(record.deadline_at, stop.ends_at)
         if stop is stopping.NEVER:
             return record.deadline_at
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/failedattempts.py
@@ -89,9 +89,7 @@
 ) -> None:
     """Charges a retry to the budget if it counts there, and logs it."""
     if charged:
-        fleet = context.fleet
-        budget = fleet.get_retry_budget(record.service.name)
-        budget.try_spend(fleet.count_entries(now), now)
+        charge_retry(context, record, now)
     context.metrics.count("repeats", failed.failure.value)
     context.event_log.record(
         catalogue.REQUEST_RETRIED,
@@ -104,6 +102,17 @@
     )
 
 
+def charge_retry(
+    context: exchangecontext.ExchangeContext,
+    record: requestrecord.RequestRecord,
+    now: float,
+) -> None:
+    """Charges a retry to the budget of its service."""
+    fleet = context.fleet
+    budget = fleet.get_retry_budget(record.service.name)
+    budget.try_spend(fleet.count_entries(now), now)
+
+
 def _remove_displaced(
     context: exchangecontext.ExchangeContext,
     record: requestrecord.RequestRecord,
--- a/tests/fleet_platform/test_silent_endpoints.py
+++ b/tests/fleet_platform/test_silent_endpoints.py
@@ -195,3 +195,49 @@
     status, _, received, _ = await system.call("/again/x", **LONG)
     assert (status, received) == (200, b"whole")
     assert sum(len(endpoint.requests) for endpoint in endpoints) == 2
+
+
+# A silent attempt that ended before the next endpoint took the request was cut when
+# that one declined it, or broke off, on the last attempt.
+@pytest.mark.parametrize("refusal", ["declines", "fails", "resets", "is silent"])
+@pytest.mark.parametrize("max_attempts", [2, 3])
+async def test_silent_stream_goes_on_when_the_next_endpoint_does_not_take_it(
+    start_busy, refusal, max_attempts
+):
+    runs = []
+
+    async def answer(endpoint, headers, writer):
+        runs.append(endpoint.name)
+        if len(runs) == 1:
+            await _write_stream(headers, writer, 1, 12, 0.02, {4: 1.6})
+            return
+        attempt = headers["chicoryweir-attempt-id"]
+        match refusal:
+            case "declines":
+                writer.write(
+                    fleetstandins.build_answer(
+                        attempt,
+                        status=503,
+                        Chicoryweir_Not_Executed="1",
+                        Chicoryweir_Server_Stamp="",
+                    )
+                )
+            case "fails":
+                writer.write(fleetstandins.build_answer(attempt, status=500))
+            case "resets":
+                writer.transport.abort()
+            case "is silent":
+                await asyncio.sleep(3600)
+
+    system, _ = await start_busy(answer, 3, max_attempts=max_attempts)
+    status, _, received, complete = await system.call("/stream/x", **LONG)
+    assert (status, complete) == (200, True)
+    assert received == b"".join(_encode_event(n) for n in range(1, 13))
+    assert 1 < len(runs) <= max_attempts
+    await fleetstandins.wait_until(lambda: not _count_running(system))
+
+
+def _count_running(system):
+    """Returns the number of requests at endpoints other than the busy one."""
+    loads = system.entry._fleet.loads.copy_own()
+    return sum(load.requests for name, load in loads.items() if name != "busy")
