Count the grace of missing endpoints from the call that read them

Requests reached an endpoint later than 2 s after it left, when its removal came 3 s after connections to the store had gone silent.

Cause: endpoints that are missing after an outage are kept for 2.2 s. That time began with the answer to the first read that succeeded, for which the store may wait 0.5 s until there is a change; the store was back when the read was made.

Change: it begins when the read was made.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/storehealth.py
@@ -64,7 +64,8 @@
         if unreachable is None:
             self._answered_since = max(self._answered_since, began_at)
             if reads_endpoints:
-                endpoints.record_store_call(True, now)
+                # The store may have waited for a change before it answered.
+                endpoints.record_store_call(True, began_at)
             else:
                 endpoints.record_other_answer()
             self._record_answer()
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -193,9 +193,10 @@
     clock.now = 11.7
     failure = interfaces.Unreachable("no answer in time")
     await health.record_call(failure, 9.9, reads_endpoints=True)
-    clock.now = 11.8
-    await health.record_call(None, 11.79, reads_endpoints=True)
-    assert fleet.endpoints.apply(endpoints.Removed("i-1"), 11.8).meaning == "missing"
+    clock.now = 12.2
+    # A read that the store answers only after its wait shows that it was back before.
+    await health.record_call(None, 11.8, reads_endpoints=True)
+    assert fleet.endpoints.apply(endpoints.Removed("i-1"), 12.2).meaning == "missing"
     usable = fleet.endpoints.list_usable
     assert usable("s", 11.8 + endpoints.LAPSE_GRACE_S - 0.1)
     assert not usable("s", 11.8 + endpoints.LAPSE_GRACE_S)
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -291,7 +291,12 @@
         return is_settled and not self._failed_since_read
 
     def record_store_call(self, reachable: bool, now: float) -> None:
-        """Records that the endpoints were read, or that a call to the store failed."""
+        """Records that the endpoints were read, or that a call to the store failed.
+
+        Args:
+            reachable: Whether the endpoints were read.
+            now: When the read was made, or the call failed, monotonic seconds.
+        """
         if reachable and self._failed_since_read:
             self._store_reachable_since = now
         self._store_unreachable = self._failed_since_read = not reachable
