Read the endpoints just before missing ones are removed

Requests could be rejected or crowd on fewer endpoints for some tenths of a second after an outage of the store, although all endpoints were registered again.

Cause: endpoints that are missing after an outage are removed 2.2 s after its end, and register again within some 2 s. Reads are up to 1 s apart, so that the removal could come before the read that shows the registration.

Change: the pause before a read ends 0.15 s before the next removal, which costs each entry one or two reads in an outage in which registrations lapsed.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/watches.py
@@ -37,6 +37,10 @@
 # Elsewhere the pause is this share of that time, less the time that a call takes.
 DRAIN_PAUSE_SHARE = 0.5
 ENDPOINT_CALL_S = 0.2
+# Time before the removal of a missing endpoint at which the endpoints are read once
+# more, and the shortest pause before that.
+LAPSE_LEAD_S = 0.15
+MIN_ENDPOINT_PAUSE_S = 0.05
 # Time for which the store may wait for changes of endpoints before it answers.
 ENDPOINT_WAIT_S = 0.5
 # Random variation of the pause, as a share of it, so that entries don't call the store
@@ -279,15 +283,23 @@
             self._log_transitions(
                 self._fleet.endpoints.expire(self._fleet.clock.read())
             )
-            factor = 1.0 + JITTER_SHARE * (2.0 * random.random() - 1.0)
-            await asyncio.sleep(self._compute_pause_s() * factor)
+            await asyncio.sleep(self._compute_pause_s())
 
     def _compute_pause_s(self) -> float:
-        """Returns the pause until the next call, without its variation, in seconds."""
+        """Returns the pause until the next call, in seconds.
+
+        The endpoints are read once more just before one that is missing is removed.
+        """
         drain_s = self._fleet.settings.bounds.drain_s
+        pause_s = DRAIN_PAUSE_SHARE * drain_s - ENDPOINT_CALL_S
         if self._fleet.duties or drain_s <= SHORT_DRAIN_S:
-            return ENDPOINT_PAUSE_S
-        return DRAIN_PAUSE_SHARE * drain_s - ENDPOINT_CALL_S
+            pause_s = ENDPOINT_PAUSE_S
+        pause_s *= 1.0 + JITTER_SHARE * (2.0 * random.random() - 1.0)
+        now = self._fleet.clock.read()
+        lapse_at = self._fleet.endpoints.find_next_lapse(now)
+        if lapse_at is None:
+            return pause_s
+        return min(pause_s, max(MIN_ENDPOINT_PAUSE_S, lapse_at - LAPSE_LEAD_S - now))
 
     def _apply_listing(
         self, listed: tuple[endpoints.Endpoint, ...], now: float
--- a/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
+++ b/packages/chicoryweir-daemon/tests/forwarder/test_watches.py
@@ -237,3 +237,24 @@
         await registry.done.wait()
     task.cancel()
     assert registry.checked == [60, 65, 70]
+
+
+# Guards against endpoints that live and are removed between two reads, though the
+# later one would have shown that they are registered again.
+@pytest.mark.parametrize(("elapsed_s", "longest_s"), [(1.9, 0.15), (2.15, 0.05)])
+async def test_endpoints_are_read_just_before_a_missing_one_is_removed(
+    settings, elapsed_s, longest_s
+):
+    clock = SteppedClock()
+    fleet = fleets.Fleet(settings, clock)
+    event_log = eventlog.EventLog("front-1")
+    health = storehealth.StoreHealth(fleet, event_log)
+    watch = watches.EndpointWatch(fleet, None, event_log, health)
+    _register(fleet, "i-1")
+    fleet.endpoints.record_store_call(False, 10.0)
+    fleet.endpoints.record_store_call(True, 20.0)
+    fleet.endpoints.apply(endpoints.Removed("i-1"), 20.1)
+    clock.now = 20.0 + elapsed_s
+    assert watch._compute_pause_s() <= longest_s + 1e-9
+    clock.now = 20.0 + endpoints.LAPSE_GRACE_S
+    assert watch._compute_pause_s() > 0.6
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/endpoints.py
@@ -401,6 +401,11 @@
             self._unconfirmed.clear()
         return transitions
 
+    def find_next_lapse(self, now: float) -> float | None:
+        """Returns when the next missing endpoint is removed; None without one."""
+        times = [at for at in self._missing.values() if now < at < math.inf]
+        return min(times, default=None)
+
     def _contradicts(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether a listed endpoint may be of a copy and is known to be over.
 
--- a/tests/fleet_platform/test_lost_waits.py
+++ b/tests/fleet_platform/test_lost_waits.py
@@ -151,11 +151,15 @@
         await asyncio.sleep(0.05)
 
 
-# Guards against endpoints that live and are dropped after an outage.
+# Guards against endpoints that live and are dropped after an outage, since they are
+# removed between two reads.
 @pytest.mark.parametrize("silent_s", [1.0, 4.0])
+@pytest.mark.parametrize("pause_s", [0.64, 0.96])
 async def test_endpoint_that_registers_again_after_a_silence_is_kept(
-    start_system, silent_s
+    start_system, monkeypatch, silent_s, pause_s
 ):
+    monkeypatch.setattr(watches, "ENDPOINT_PAUSE_S", pause_s)
+    monkeypatch.setattr(watches, "JITTER_SHARE", 0.0)
     endpoints = [fleetstandins.EndpointStandIn(f"i-{n}", _answer) for n in (1, 2)]
     system = await start_system(*endpoints)
     store, loop = system.store, asyncio.get_running_loop()
