Take a refusal for its version of the weights for no displaced endpoint

Callers: after a few requests with Chicoryweir-Expect-Version: 1 no endpoint of four with version 2 was in use, and other callers were rejected until the endpoints registered again.

Cause: an endpoint of another version answers 421, which the entry took for another instance at its address. It removed the endpoint and tried the next one, up to eight times, as such an answer doesn't count as an attempt.

Change: a 421 to a request with that header is a version mismatch, unless it states the version that was asked for. The endpoint stays in use, nothing is recorded against it or another one that it names, and it counts as an attempt.

A caller whose route has one attempt is rejected if the first endpoint has another version: versions aren't known before a request is sent.

--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attempt.py
@@ -69,6 +69,17 @@
             return failure is retries.Failure.ERROR and not at_fault
 
 
+def _classify_refusal(
+    request: interfaces.RequestFacts, answer: interfaces.AnswerFacts
+) -> retries.Failure:
+    """Returns the failure that an endpoint's refusal to run a request means."""
+    if not answer.misdirected:
+        return retries.Failure.DECLINED
+    if request.expected_version in (None, answer.version):
+        return retries.Failure.MISDIRECTED
+    return retries.Failure.VERSION_MISMATCH
+
+
 class Attempt:
     """Sends one request to one endpoint."""
 
@@ -187,7 +198,7 @@
                         return None, Failed(retries.Failure.GARBLED, detail)
                     if answer_facts.attempt_id in (None, facts.attempt_id):
                         return await self._process_answer(
-                            connection, event, answer_facts, target, answer
+                            connection, event, facts, answer_facts, target, answer
                         )
                     if not await self._discard_answer(connection):
                         detail = "an answer to another attempt didn't end"
@@ -204,6 +215,7 @@
         self,
         connection: connections.Connection,
         head: heads.AnswerHead,
+        request_facts: interfaces.RequestFacts,
         facts: interfaces.AnswerFacts,
         target: relay.Relay,
         answer: callers.Answer,
@@ -212,9 +224,7 @@
             self._record_statement(facts.statement)
         if facts.misdirected or (facts.not_run and not facts.stamped):
             is_reusable = await self._discard_answer(connection)
-            kind = retries.Failure.DECLINED
-            if facts.misdirected:
-                kind = retries.Failure.MISDIRECTED
+            kind = _classify_refusal(request_facts, facts)
             failed = Failed(kind, f"status {head.status}", at_fault=facts.at_fault)
             return (head if is_reusable else None), failed
         if facts.attempt_id is None or not facts.stamped or facts.encoded:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attemptreports.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/attemptreports.py
@@ -86,7 +86,10 @@
                 context.fleet.cold_endpoints.record_restart(
                     endpoint, now, coldness.Reason.UNREACHABLE
                 )
-            if failure is not retries.Failure.MISDIRECTED:
+            if failure not in (
+                retries.Failure.MISDIRECTED,
+                retries.Failure.VERSION_MISMATCH,
+            ):
                 crashreports.record_endpoint_at_fault(
                     context.fleet,
                     context.event_log,
@@ -116,6 +119,7 @@
         case attempts.Failed(failure=failure, at_fault=at_fault):
             shows_nothing = failure in (
                 retries.Failure.MISDIRECTED,
+                retries.Failure.VERSION_MISMATCH,
                 retries.Failure.WITHDRAWN,
             )
             if not at_fault and not shows_nothing:
--- a/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
+++ b/packages/chicoryweir-daemon/src/chicoryweir_daemon/forwarder/interfaces.py
@@ -29,6 +29,7 @@
         host: Requested host, in lower case without a port.
         shared_parts: Ids of the parts of the prompt that other requests may share, in
             order; empty if not given.
+        expected_version: Version of the weights that the caller asks for; None for any.
     """
 
     attempt_id: bytes
@@ -37,6 +38,7 @@
     size: demand.RequestSize | None
     host: str
     shared_parts: tuple[str, ...] = ()
+    expected_version: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,11 +76,13 @@
         attempt_id: Attempt that it answers; None if not given.
         stamped: Whether it has the endpoint's signature.
         not_run: Whether the endpoint reports that it did not run the request.
-        misdirected: Whether an instance other than the intended one answered.
+        misdirected: Whether an instance other than the intended one answered, or one
+            without the version of the weights that the caller asks for.
         encoded: Whether the body was encoded in transit.
         at_fault: Address of another endpoint that the endpoint reports as the cause of
             its failure, or empty.
         statement: What the endpoint states about itself.
+        version: Version of the endpoint's weights; None if not given.
     """
 
     attempt_id: bytes | None
@@ -88,6 +92,7 @@
     encoded: bool
     at_fault: str
     statement: statements.Statement = statements.Statement()
+    version: bytes | None = None
 
 
 class HeaderCodec(typing.Protocol):
--- a/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/retries.py
+++ b/packages/chicoryweir-policy/src/chicoryweir_policy/forwarding/retries.py
@@ -20,6 +20,8 @@
         DECLINED: The endpoint answered that it did not run the request.
         MISDIRECTED: Another instance answered at the address and did not run the
             request.
+        VERSION_MISMATCH: The endpoint has another version of the weights than the
+            request asks for, and did not run it.
         BROKEN: The connection ended or stalled after the request was sent.
         GARBLED: The response is not an answer to this request.
         ERROR: The endpoint answered with an error.
@@ -29,6 +31,7 @@
     WITHDRAWN = "withdrawn"
     DECLINED = "declined"
     MISDIRECTED = "misdirected"
+    VERSION_MISMATCH = "version_mismatch"
     BROKEN = "broken"
     GARBLED = "garbled"
     ERROR = "error"
@@ -39,6 +42,7 @@
         return not self.was_delivered or self in (
             Failure.DECLINED,
             Failure.MISDIRECTED,
+            Failure.VERSION_MISMATCH,
         )
 
     @property
